--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! jasminectl: the operators' client.
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! jasmined: the daemon on each entry instance.
--- /dev/null
+++ b/crates/report/src/lib.rs
@@ -0,0 +1,1 @@
+//! jasmine-report: service-level burn over all daemons.
--- /dev/null
+++ b/crates/steer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions: which region, which upstream, admit or refuse.
