--- /dev/null
+++ b/crates/steer/src/ramp.rs
@@ -0,0 +1,284 @@
+//! Slow start: how many slots of an upstream are open after it, or its cache, was cold.
+
+use crate::{
+    fresh::Freshness,
+    latency::{
+        smooth_latency,
+        Seen, //
+    },
+    view::NO_LIMIT, //
+};
+use base::Now;
+use std::{
+    fmt,
+    time::Duration, //
+};
+
+/// Why an upstream starts slowly.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum RampCause {
+    /// It started, or its cache is cold for the work to come.
+    ColdStart,
+    /// Nothing was heard or seen of it for long.
+    Silence,
+    /// Its region takes load back.
+    RegionReturn,
+}
+
+/// Where an upstream is in its slow start.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum RampPhase {
+    /// Single probes with a gap between them.
+    Trickle,
+    /// Slots open one step at a time.
+    Opening,
+    /// Not held back.
+    Warm,
+}
+
+/// Pace of slow start.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct RampSettings {
+    /// Least time between two probes of a trickle.
+    pub trickle_gap: Duration,
+    /// Probes near the warm latency, in a row, that end the trickle.
+    pub trickle_good: u32,
+    /// Slots open when the trickle ends.
+    pub first_limit: u32,
+    /// Answers that each open slot must have given before the next one opens.
+    pub answers_per_slot: u32,
+    /// Latency up to this many thousandths of the warm one lets a slot open.
+    pub near_permille: u32,
+    /// Latency from this many thousandths of the warm one takes slots back.
+    pub fall_permille: u32,
+    /// Time without growth after slots were taken back.
+    pub hold: Duration,
+    /// Time without a step after which the latency seen becomes the warm one.
+    pub stuck_after: Duration,
+}
+
+impl Default for RampSettings {
+    fn default() -> Self {
+        Self {
+            trickle_gap: Duration::from_millis(250),
+            trickle_good: 2,
+            first_limit: 1,
+            answers_per_slot: 4,
+            near_permille: 1250,
+            fall_permille: 2000,
+            hold: Duration::from_millis(500),
+            stuck_after: Duration::from_secs(30),
+        }
+    }
+}
+
+/// Slow start of one upstream as one entry drives it.
+///
+/// An upstream whose cache is cold answers slowly, and the more it is sent the longer its queue
+/// grows: a return to full load shows as a peak of its latency just when work arrives. Growth is
+/// therefore tied to the latency that this entry sees. The limit never falls while windows stay
+/// near the warm latency without failures, and is never above one step more than was proven.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Ramp {
+    settings: RampSettings,
+    phase: RampPhase,
+    limit: u32,
+    warm: Option<Duration>,
+    window: Seen,
+    good_probes: u32,
+    next_probe: Now,
+    hold_until: Now,
+    stepped_at: Now,
+}
+
+impl Ramp {
+    /// Upstream that is not held back.
+    pub fn warm(settings: RampSettings) -> Self {
+        Self {
+            settings,
+            phase: RampPhase::Warm,
+            limit: NO_LIMIT,
+            warm: None,
+            window: Seen::default(),
+            good_probes: 0,
+            next_probe: Now::ZERO,
+            hold_until: Now::ZERO,
+            stepped_at: Now::ZERO,
+        }
+    }
+
+    /// Starts slowly from `now`.
+    ///
+    /// `siblings` is the typical latency of the service's warm upstreams; it stands in while this
+    /// one's own warm latency is unknown. `another_will_do` says that there are such upstreams
+    /// with slots to use: without one the trickle is left out, as it would refuse the work that
+    /// it means to protect.
+    pub fn restart(
+        &mut self,
+        now: Now,
+        cause: RampCause,
+        siblings: Option<Duration>,
+        another_will_do: bool,
+    ) {
+        let trickle = another_will_do && cause != RampCause::Silence;
+        self.warm = self.warm.or(siblings);
+        self.window = Seen::default();
+        self.good_probes = 0;
+        self.next_probe = now;
+        self.hold_until = now;
+        self.stepped_at = now;
+        if trickle {
+            self.phase = RampPhase::Trickle;
+            self.limit = 1;
+        } else {
+            self.open();
+        }
+    }
+
+    /// Takes in what this entry saw of the upstream since the last call.
+    ///
+    /// `usable` is the number of slots that this entry owns: the ramp ends when all are open.
+    /// Nothing grows on an old picture.
+    pub fn observe(&mut self, now: Now, seen: &Seen, usable: u32, freshness: Freshness) {
+        self.window.add(seen);
+        match self.phase {
+            RampPhase::Trickle => self.judge_probes(now, freshness),
+            RampPhase::Opening => self.judge_window(now, usable, freshness),
+            RampPhase::Warm => self.learn(),
+        }
+    }
+
+    /// Slots that are open, or [`NO_LIMIT`].
+    pub fn limit(&self) -> u32 {
+        self.limit
+    }
+
+    /// Where the upstream is in its slow start.
+    pub fn phase(&self) -> RampPhase {
+        self.phase
+    }
+
+    /// Whether a probe of the trickle may go out.
+    pub fn probe_due(&self, now: Now) -> bool {
+        self.phase == RampPhase::Trickle && now >= self.next_probe
+    }
+
+    /// Notes that a probe went out, so that the next one waits for its turn.
+    pub fn probe_sent(&mut self, now: Now) {
+        self.next_probe = now + self.settings.trickle_gap;
+    }
+
+    /// Latency that counts as warm, once known.
+    pub fn warm_latency(&self) -> Option<Duration> {
+        self.warm
+    }
+
+    fn open(&mut self) {
+        self.phase = RampPhase::Opening;
+        self.limit = self.settings.first_limit.max(1);
+    }
+
+    fn judge_probes(&mut self, now: Now, freshness: Freshness) {
+        let seen = std::mem::take(&mut self.window);
+        if seen.failures() > 0 {
+            self.good_probes = 0;
+            return;
+        }
+        let Some(mean) = seen.mean_latency() else {
+            return;
+        };
+        self.accept_when_stuck(now, mean);
+        if !self.is_within(mean, self.settings.near_permille) {
+            self.good_probes = 0;
+            return;
+        }
+        self.good_probes += seen.answers;
+        if self.good_probes >= self.settings.trickle_good && freshness.allows_growth() {
+            self.stepped_at = now;
+            self.open();
+        }
+    }
+
+    fn judge_window(&mut self, now: Now, usable: u32, freshness: Freshness) {
+        if self.window.failures() > 0 {
+            self.fall(now);
+            return;
+        }
+        let needed = self.limit.saturating_mul(self.settings.answers_per_slot);
+        if self.window.answers < needed {
+            return;
+        }
+        let Some(mean) = self.window.mean_latency() else {
+            return;
+        };
+        self.accept_when_stuck(now, mean);
+        if !self.is_within(mean, self.settings.fall_permille) {
+            self.fall(now);
+        } else if self.may_grow(now, mean, freshness) {
+            self.grow(now, usable);
+        }
+        self.window = Seen::default();
+    }
+
+    fn may_grow(&self, now: Now, mean: Duration, freshness: Freshness) -> bool {
+        freshness.allows_growth()
+            && now >= self.hold_until
+            && self.is_within(mean, self.settings.near_permille)
+    }
+
+    fn grow(&mut self, now: Now, usable: u32) {
+        self.stepped_at = now;
+        if self.limit >= usable {
+            self.phase = RampPhase::Warm;
+            self.limit = NO_LIMIT;
+        } else {
+            self.limit += 1;
+        }
+    }
+
+    fn fall(&mut self, now: Now) {
+        self.window = Seen::default();
+        self.hold_until = now + self.settings.hold;
+        self.limit = (self.limit / 2).max(1);
+    }
+
+    /// Follows the latency of a warm upstream.
+    fn learn(&mut self) {
+        let seen = std::mem::take(&mut self.window);
+        if let Some(mean) = seen.mean_latency() {
+            self.warm = Some(smooth_latency(self.warm.unwrap_or_default(), mean));
+        }
+    }
+
+    /// Gives up a warm latency that the upstream does not reach any more.
+    ///
+    /// It may have come back as a slower machine for good: its slots would stay shut for ever,
+    /// which one would notice as a limit that never moves while answers keep coming.
+    fn accept_when_stuck(&mut self, now: Now, mean: Duration) {
+        let stuck = now.saturating_sub(self.stepped_at) >= self.settings.stuck_after;
+        if stuck || self.warm.is_none() {
+            self.warm = Some(mean);
+        }
+    }
+
+    fn is_within(&self, mean: Duration, permille: u32) -> bool {
+        match self.warm {
+            Some(warm) => mean.as_nanos() * 1000 <= warm.as_nanos() * u128::from(permille),
+            None => true,
+        }
+    }
+}
+
+impl fmt::Display for Ramp {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.phase {
+            RampPhase::Trickle => f.write_str("trickle")?,
+            RampPhase::Opening => write!(f, "opening at {}", self.limit)?,
+            RampPhase::Warm => f.write_str("warm")?,
+        }
+        match self.warm {
+            Some(warm) => write!(f, " (warm latency {warm:?})"),
+            None => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/steer/src/seed.rs
@@ -0,0 +1,16 @@
+//! Numbers from a seed: the mixing step of SplitMix64.
+
+/// Mixes `seed` into a number whose bits all depend on all bits of `seed`.
+pub(crate) fn mix(seed: u64) -> u64 {
+    let mut bits = seed.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    bits ^ (bits >> 31)
+}
+
+/// A number below `bound` from `seed`; 0 when `bound` is 0.
+pub(crate) fn below(seed: u64, bound: usize) -> usize {
+    // A usize has at most 64 bits here, and the high half of the product is below `bound`.
+    let product = u128::from(mix(seed)) * (bound as u128);
+    (product >> 64) as usize
+}
