steer: case tables and properties; growth of a shift survives finishes

The freshness of the last admission now decides, and what rounding leaves of a step is kept. Capacity sums the open slots, in which a due probe counts as one.

--- a/crates/steer/src/admit.rs
+++ b/crates/steer/src/admit.rs
@@ -88,6 +88,18 @@
         goes_before(&self.targets[left], &self.targets[right])
     }
 
+    /// Wait that a request of class `class` would expect now; zero when a slot is free for it.
+    ///
+    /// It is the wait of an [`Estimate`](crate::Estimate) of this entry's own region.
+    pub fn expected_wait(&self, class: usize, load: &Load) -> Duration {
+        let reserve = reserved(load.slots, self.reserve_pct[class]);
+        let free = load.slots.saturating_sub(load.in_flight);
+        if free > reserve && load.queued_ahead == 0 {
+            return Duration::ZERO;
+        }
+        expected_wait(load, free, reserve)
+    }
+
     /// Judges a request of class `class` that came now, or one that waits in the queue.
     ///
     /// `patience` is what the caller's deadline leaves and what the request already waited is
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -94,6 +94,7 @@
     Suspicion, //
 };
 pub use view::{
+    Capacity,
     Reported,
     View,
     NO_LIMIT, //
--- a/crates/steer/src/place.rs
+++ b/crates/steer/src/place.rs
@@ -25,7 +25,7 @@
     pub service: Duration,
     /// Round trip from here to there; zero for this region.
     pub link: Duration,
-    /// Percent of its slots that are free.
+    /// Percent of its open slots that are free, see [`Capacity`](crate::Capacity).
     pub headroom_left_pct: u32,
     /// Whether an entry there admits work; false when the region is lost.
     pub admitting: bool,
--- a/crates/steer/src/shift.rs
+++ b/crates/steer/src/shift.rs
@@ -46,6 +46,7 @@
     in_flight: u32,
     open_milli: u64,
     opened_at: Now,
+    may_grow: bool,
     /// Bytes that may go out at once, less those booked ahead; in parts of a nanosecond's refill.
     balance: i128,
     refilled_at: Now,
@@ -59,6 +60,7 @@
             in_flight: 0,
             open_milli: MILLI,
             opened_at: now,
+            may_grow: false,
             balance: 0,
             refilled_at: now,
         };
@@ -92,7 +94,8 @@
     /// The first limit that holds it back.
     pub fn admit(&mut self, now: Now, freshness: Freshness) -> Result<(), ShiftRefusal> {
         self.refill(now);
-        self.follow(now, freshness);
+        self.may_grow = freshness.allows_growth();
+        self.follow(now);
         if self.in_flight >= self.cap.in_flight {
             return Err(ShiftRefusal::InFlight);
         }
@@ -108,7 +111,7 @@
 
     /// Notes that a request is no longer in flight.
     pub fn finish(&mut self, now: Now) {
-        self.follow(now, Freshness::Old);
+        self.follow(now);
         debug_assert!(self.in_flight > 0);
         self.in_flight = self.in_flight.saturating_sub(1);
     }
@@ -159,18 +162,21 @@
     ///
     /// It follows use down as well: a shift that ended starts from one request again, or the next
     /// one would reach a region whose caches have forgotten it with the whole load at once.
-    fn follow(&mut self, now: Now, freshness: Freshness) {
+    fn follow(&mut self, now: Now) {
+        let pace = u128::from(self.cap.growth_per_s) * u128::from(MILLI);
         let elapsed_ns = now.saturating_sub(self.opened_at).as_nanos();
-        let step = elapsed_ns * u128::from(self.cap.growth_per_s) * u128::from(MILLI) / NANOS_PER_S;
+        let step = elapsed_ns * pace / NANOS_PER_S;
         if step == 0 {
             return;
         }
-        self.opened_at = self.opened_at.max(now);
+        // What is left of a step is kept: frequent calls would else lose all growth to rounding.
+        let used_ns = (step * NANOS_PER_S).div_ceil(pace);
+        self.opened_at += Duration::from_nanos(u64::try_from(used_ns).unwrap_or(u64::MAX));
         let step = u64::try_from(step).unwrap_or(u64::MAX);
         let goal = (u64::from(self.in_flight) + 1) * MILLI;
         if goal <= self.open_milli {
             self.open_milli = self.open_milli.saturating_sub(step).max(goal);
-        } else if freshness.allows_growth() {
+        } else if self.may_grow {
             self.open_milli = self.open_milli.saturating_add(step).min(goal);
         }
     }
--- a/crates/steer/src/view.rs
+++ b/crates/steer/src/view.rs
@@ -96,3 +96,52 @@
         u32::try_from(kept).unwrap_or(limit).max(1)
     }
 }
+
+/// Slots of one service that an entry may use now, and those in use.
+///
+/// The headroom of a region is that of the slots that are open: after a cold start few are, and
+/// the region takes as little. An upstream that only gets probes counts as one slot while a probe
+/// is due, or a region of such upstreams would never be sent the probes that end its cold start.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Capacity {
+    /// Slots open to this entry.
+    pub open: u32,
+    /// Requests of this entry in flight on them.
+    pub in_flight: u32,
+}
+
+impl Capacity {
+    /// Sums up the upstreams that may be sent new work.
+    pub fn of(views: &[View]) -> Self {
+        let mut sum = Self::default();
+        for view in views.iter().filter(|view| !view.leaving) {
+            let limit = view.limit();
+            if !view.probes_only() {
+                sum.open = sum.open.saturating_add(limit);
+                sum.in_flight = sum.in_flight.saturating_add(view.in_flight.min(limit));
+            } else if view.probe_due && view.in_flight == 0 {
+                sum.open = sum.open.saturating_add(limit.min(1));
+            }
+        }
+        sum
+    }
+
+    /// Adds another entry's or service's slots.
+    pub fn add(&mut self, other: &Self) {
+        self.open = self.open.saturating_add(other.open);
+        self.in_flight = self.in_flight.saturating_add(other.in_flight);
+    }
+
+    /// Slots that are free.
+    pub fn free(&self) -> u32 {
+        self.open.saturating_sub(self.in_flight)
+    }
+
+    /// Percent of the open slots that are free, rounded down; 0 when none is open.
+    pub fn headroom_left_pct(&self) -> u32 {
+        let free = u64::from(self.free()) * 100;
+        let pct = free.checked_div(u64::from(self.open)).unwrap_or(0);
+        // A percentage is at most 100.
+        u32::try_from(pct).unwrap_or(100)
+    }
+}
--- /dev/null
+++ b/crates/steer/tests/properties.rs
@@ -0,0 +1,297 @@
+//! Properties of the decisions over any input.
+
+use std::time::Duration;
+use steer::*;
+
+const ITERATIONS: usize = 2000;
+
+type Bits = (u8, u8, u8, u16, Option<(u8, u8)>, u8);
+
+fn view(&(usable, ramp, in_flight, latency_ms, report, flags): &Bits) -> View {
+    View {
+        usable: u32::from(usable % 10),
+        ramp_limit: if ramp > 200 {
+            NO_LIMIT
+        } else {
+            u32::from(ramp % 10)
+        },
+        in_flight: u32::from(in_flight % 12),
+        latency: Duration::from_millis(latency_ms.into()),
+        reported: report.map(|(in_flight, queued)| Reported {
+            in_flight: in_flight.into(),
+            queued: queued.into(),
+            ..Reported::default()
+        }),
+        suspect: flags & 1 != 0,
+        cold: flags & 2 != 0,
+        leaving: flags & 4 != 0,
+        fresh: flags & 8 != 0,
+        probe_due: flags & 16 != 0,
+        ..View::default()
+    }
+}
+
+#[test]
+fn choice_keeps_limits() {
+    bolero::check!()
+        .with_iterations(ITERATIONS)
+        .with_type::<(Vec<Bits>, u64)>()
+        .for_each(|(bits, seed)| {
+            let views: Vec<View> = bits.iter().map(view).collect();
+            let chosen = Ours::default().choose(&views, Duration::ZERO, *seed);
+            let open = |view: &View| {
+                let probe = view.probe_due && view.in_flight == 0;
+                !view.leaving
+                    && view.in_flight < view.usable.min(view.ramp_limit)
+                    && view.in_flight < view.limit()
+                    && (probe || !(view.suspect || view.cold))
+            };
+            // Nothing idles while there is an open slot, and nothing goes where none is.
+            assert_eq!(chosen.is_some(), views.iter().any(open));
+            assert!(chosen.is_none_or(|index| open(&views[index])));
+            for policy in Policy::ALL {
+                let mut chooser = policy.chooser(BaselineLimits::Owned);
+                let chosen = chooser.choose(&views, Duration::ZERO, *seed);
+                assert!(chosen
+                    .is_none_or(|i| !views[i].leaving && views[i].in_flight < views[i].limit()));
+                let mut chooser = policy.chooser(BaselineLimits::None);
+                let chosen = chooser.choose(&views, Duration::ZERO, *seed);
+                assert!(chosen.is_none_or(|i| !views[i].leaving));
+            }
+        });
+}
+
+/// A report never raises what is sent, and never drops it to zero.
+#[test]
+fn reports_only_lower() {
+    bolero::check!()
+        .with_iterations(ITERATIONS)
+        .with_type::<Bits>()
+        .for_each(|bits| {
+            let with = view(bits);
+            let without = View {
+                reported: None,
+                ..with
+            };
+            assert!(with.limit() <= without.limit());
+            assert_eq!(with.limit() == 0, without.limit() == 0);
+        });
+}
+
+#[test]
+fn ramp_is_monotone_under_good_latency() {
+    bolero::check!()
+        .with_iterations(ITERATIONS)
+        .with_type::<(Vec<(u8, u8, bool)>, u8)>()
+        .for_each(|(windows, usable)| {
+            let warm = Duration::from_millis(100);
+            let mut ramp = Ramp::warm(RampSettings::default());
+            ramp.restart(Duration::ZERO, RampCause::Silence, Some(warm), true);
+            let mut now = Duration::ZERO;
+            for &(answers, latency_ms, fresh) in windows {
+                now += Duration::from_millis(10);
+                let latency = Duration::from_millis(u64::from(latency_ms % 126));
+                let answers = u32::from(answers);
+                let latency_sum = latency * answers;
+                let seen = Seen {
+                    answers,
+                    latency_sum,
+                    ..Seen::default()
+                };
+                let freshness = if fresh {
+                    Freshness::Fresh
+                } else {
+                    Freshness::Old
+                };
+                let before = ramp.limit();
+                let was_warm = ramp.phase() == RampPhase::Warm;
+                ramp.observe(now, &seen, u32::from(*usable), freshness);
+                assert!(ramp.limit() >= before);
+                let grown = ramp.limit().saturating_sub(before);
+                assert!(grown <= 1 || ramp.phase() == RampPhase::Warm);
+                assert!(fresh || grown == 0 || was_warm);
+            }
+        });
+}
+
+#[test]
+fn retry_budget_bound_holds() {
+    bolero::check!()
+        .with_iterations(ITERATIONS)
+        .with_type::<(u8, Vec<bool>)>()
+        .for_each(|(ratio, events)| {
+            let mut budget = RetryBudget::new(u32::from(*ratio) * 4);
+            let (mut offered, mut retries) = (0, 0);
+            for &is_offer in events {
+                if is_offer {
+                    budget.offer();
+                    offered += 1;
+                } else if budget.take() {
+                    retries += 1;
+                }
+                assert!(retries * 1000 <= offered * u32::from(*ratio) * 4);
+                assert!(retries * 1000 <= offered * 99);
+            }
+        });
+}
+
+#[test]
+fn no_shift_exceeds_headroom_or_enters_a_drain() {
+    bolero::check!()
+        .with_iterations(ITERATIONS)
+        .with_type::<(Vec<(u16, u8, u8)>, Option<u8>, u8, bool)>()
+        .for_each(|(regions, previous, headroom_pct, idempotent)| {
+            let estimates: Vec<Estimate> = regions
+                .iter()
+                .map(|&(wait_ms, left, flags)| Estimate {
+                    wait: Duration::from_millis(wait_ms.into()),
+                    service: Duration::from_millis(10),
+                    link: Duration::from_millis(50),
+                    headroom_left_pct: u32::from(left % 101),
+                    admitting: flags & 1 != 0,
+                    shift_open: flags & 2 != 0,
+                    freshness: if flags & 4 != 0 {
+                        Freshness::Fresh
+                    } else {
+                        Freshness::Old
+                    },
+                    drained: flags & 8 != 0,
+                })
+                .collect();
+            let target = ClassTarget {
+                latency_target: Duration::from_millis(200),
+                headroom_pct: u32::from(headroom_pct % 100),
+                idempotent: *idempotent,
+                priority: None,
+            };
+            let preference: Vec<usize> = (0..estimates.len()).collect();
+            let question = Question {
+                here: 0,
+                preference: &preference,
+                estimates: &estimates,
+                target: &target,
+                previous: previous.map(usize::from),
+                deadline_left: Duration::from_secs(1),
+            };
+            match place(&question, &PlaceSettings::default()) {
+                Placement::Here => assert!(estimates[0].admitting && !estimates[0].drained),
+                Placement::Shift(region) => {
+                    let there = &estimates[region];
+                    assert!(region != 0 && there.admitting && there.shift_open && !there.drained);
+                    assert!(there.headroom_left_pct > target.headroom_pct);
+                }
+                Placement::Refuse { retry_after } => {
+                    let here = estimates.first();
+                    assert!(here.is_none_or(|here| !here.admitting || here.drained));
+                    assert!(!retry_after.is_zero());
+                }
+            }
+        });
+}
+
+/// A request that is sent leaves the slots free that the classes before it reserve.
+#[test]
+fn admission_keeps_the_reserve() {
+    bolero::check!()
+        .with_iterations(ITERATIONS)
+        .with_type::<(u8, u8, u8, u8, u16)>()
+        .for_each(|&(headroom_pct, slots, in_flight, queued, patience_ms)| {
+            let strict = ClassTarget {
+                latency_target: Duration::from_millis(100),
+                headroom_pct: u32::from(headroom_pct % 100),
+                idempotent: true,
+                priority: None,
+            };
+            let lax = ClassTarget {
+                latency_target: Duration::from_secs(9),
+                ..strict
+            };
+            let admit = Admit::new(vec![strict, lax], 8);
+            let load = Load {
+                slots: slots.into(),
+                in_flight: in_flight.into(),
+                queued_ahead: queued.into(),
+                queued: queued.into(),
+                service: Duration::from_millis(10),
+                completion_gap: Duration::from_millis(3),
+            };
+            let patience = Duration::from_millis(patience_ms.into());
+            match admit.admit(1, &load, Duration::ZERO, patience, 1) {
+                Admission::Send => {
+                    let left = load.slots - load.in_flight - 1;
+                    let kept = left * 100 >= load.slots * strict.headroom_pct;
+                    assert!(kept || load.slots == left + 1);
+                }
+                Admission::Queue { expected_wait } => {
+                    assert!(queued < 8 && expected_wait + load.service <= patience);
+                }
+                Admission::Refuse { retry_after } => assert!(!retry_after.is_zero()),
+            }
+        });
+}
+
+/// In flight, growth and bytes of a shift stay within the cap for any sequence of requests.
+#[test]
+fn shift_keeps_its_cap() {
+    let cap = ShiftCap {
+        bytes_per_s: 1_000_000,
+        in_flight: 40,
+        growth_per_s: 10,
+    };
+    bolero::check!()
+        .with_iterations(ITERATIONS)
+        .with_type::<Vec<(u8, u8, u16)>>()
+        .for_each(|events| {
+            let mut now = Duration::ZERO;
+            let mut shift = ShiftLimit::new(now, cap);
+            let mut passed: Vec<(Duration, u64)> = Vec::new();
+            for &(wait_ms, kind, bytes) in events {
+                now += Duration::from_millis(wait_ms.into());
+                match kind % 3 {
+                    0 if shift.in_flight() > 0 => shift.finish(now),
+                    1 => {
+                        let bytes = u64::from(bytes).min(cap.bytes_per_s / 16);
+                        passed.push((now + shift.pass(now, bytes), bytes));
+                    }
+                    _ => {
+                        let checked = shift.check(now, Freshness::Fresh);
+                        assert_eq!(shift.admit(now, Freshness::Fresh), checked);
+                    }
+                }
+                let in_flight = u128::from(shift.in_flight());
+                assert!(in_flight <= 40 && in_flight <= 1 + now.as_millis() / 100);
+            }
+            for (index, &(from, _)) in passed.iter().enumerate() {
+                let second = passed[index..].iter();
+                let sum: u64 = second
+                    .take_while(|&&(at, _)| at < from + Duration::from_secs(1))
+                    .map(|&(_, bytes)| bytes)
+                    .sum();
+                assert!(
+                    sum <= cap.bytes_per_s,
+                    "{sum} bytes in the second from {from:?}"
+                );
+            }
+        });
+}
+
+/// Symptom: a region whose caches are cold for the shifted work gets all of it at once. Sequence:
+/// the picture is old and requests keep coming. Cause: growth on what nobody confirms.
+#[test]
+fn shift_does_not_grow_on_an_old_picture() {
+    let cap = ShiftCap {
+        bytes_per_s: 1,
+        in_flight: 40,
+        growth_per_s: 10,
+    };
+    let mut shift = ShiftLimit::new(Duration::ZERO, cap);
+    assert_eq!(shift.admit(Duration::ZERO, Freshness::Fresh), Ok(()));
+    for second in 1..60 {
+        let verdict = shift.admit(Duration::from_secs(second), Freshness::Old);
+        assert_eq!(verdict, Err(ShiftRefusal::Growth));
+    }
+    assert_eq!(
+        shift.admit(Duration::from_secs(61), Freshness::Fresh),
+        Ok(())
+    );
+}
--- /dev/null
+++ b/crates/steer/tests/tables.rs
@@ -0,0 +1,355 @@
+//! Tables of cases for each decision.
+
+use std::time::Duration;
+use steer::*;
+
+/// Names each case of a table: an expression and what it must be.
+macro_rules! cases {
+    ($($name:ident: $got:expr => $want:expr;)*) => {
+        $(#[test] fn $name() { assert_eq!($got, $want); })*
+    };
+}
+
+const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn view(usable: u32, in_flight: u32, latency_ms: u64) -> View {
+    View {
+        usable,
+        in_flight,
+        latency: ms(latency_ms),
+        ..View::default()
+    }
+}
+
+fn ours(views: &[View]) -> Option<usize> {
+    let chosen: Vec<_> = (0..16)
+        .map(|seed| Ours::default().choose(views, ms(0), seed))
+        .collect();
+    assert!(chosen.windows(2).all(|pair| pair[0] == pair[1]));
+    chosen[0]
+}
+
+fn suspect(probe_due: bool) -> View {
+    View {
+        suspect: true,
+        probe_due,
+        ..view(3, 0, 1)
+    }
+}
+
+fn reported(in_flight: u32, queued: u32) -> View {
+    let report = Reported {
+        in_flight,
+        queued,
+        slots: 9,
+        age: ms(100),
+    };
+    View {
+        reported: Some(report),
+        ..view(8, 3, 10)
+    }
+}
+
+cases! {
+    choose_none_of_none: ours(&[]) => None;
+    choose_least_loaded: ours(&[view(3, 2, 10), view(3, 1, 10)]) => Some(1);
+    choose_by_share_not_count: ours(&[view(2, 1, 10), view(9, 2, 10)]) => Some(1);
+    choose_fast_before_idle: ours(&[view(3, 0, 80), view(3, 2, 10)]) => Some(1);
+    choose_never_above_usable: ours(&[view(3, 3, 1), view(1, 0, 900)]) => Some(1);
+    choose_none_when_full: ours(&[view(3, 3, 1), view(0, 0, 1)]) => None;
+    choose_never_above_ramp: ours(&[View { ramp_limit: 1, ..view(3, 1, 1) }]) => None;
+    choose_never_leaving: ours(&[View { leaving: true, ..view(3, 0, 1) }]) => None;
+    choose_fresh_first: ours(&[View { fresh: false, ..view(3, 0, 1) }, view(3, 2, 50)]) => Some(1);
+    choose_stale_alone: ours(&[View { fresh: false, ..view(3, 0, 1) }]) => Some(0);
+    choose_no_suspect: ours(&[suspect(false), view(3, 2, 50)]) => Some(1);
+    choose_no_suspect_alone: ours(&[suspect(false)]) => None;
+    choose_due_probe: ours(&[suspect(true), view(3, 0, 50)]) => Some(0);
+    choose_one_probe: ours(&[View { in_flight: 1, ..suspect(true) }, view(3, 0, 9)]) => Some(1);
+    report_of_idle_does_not_raise: reported(0, 0).limit() => 8;
+    report_of_queue_lowers: reported(9, 3).limit() => 6;
+    report_of_endless_queue_leaves_one: reported(0, 9999).limit() => 1;
+}
+
+/// Symptom: a region returns and its lookups slow down as the load arrives. Sequence: cold start,
+/// slow probes, then near ones, then full windows. Cause: slots opened faster than the cache warmed.
+#[test]
+fn ramp_follows_latency() {
+    let mut ramp = Ramp::warm(RampSettings::default());
+    ramp.observe(ms(0), &Seen::answer(ms(10)), 3, Freshness::Fresh);
+    ramp.restart(ms(0), RampCause::ColdStart, None, true);
+    assert!(ramp.probe_due(ms(0)));
+    ramp.probe_sent(ms(0));
+    assert!(!ramp.probe_due(ms(100)) && ramp.probe_due(ms(250)));
+    let step = |ramp: &mut Ramp, at, latency, answers| {
+        for _ in 0..answers {
+            ramp.observe(ms(at), &Seen::answer(ms(latency)), 3, Freshness::Fresh);
+        }
+        (ramp.phase(), ramp.limit())
+    };
+    assert_eq!(step(&mut ramp, 250, 50, 5), (RampPhase::Trickle, 1));
+    assert_eq!(step(&mut ramp, 500, 11, 2), (RampPhase::Opening, 1));
+    assert_eq!(step(&mut ramp, 510, 11, 4), (RampPhase::Opening, 2));
+    assert_eq!(step(&mut ramp, 520, 15, 8), (RampPhase::Opening, 2));
+    assert_eq!(step(&mut ramp, 530, 30, 8), (RampPhase::Opening, 1));
+    assert_eq!(step(&mut ramp, 540, 10, 40), (RampPhase::Opening, 1));
+    assert_eq!(step(&mut ramp, 1031, 10, 4), (RampPhase::Opening, 2));
+    assert_eq!(step(&mut ramp, 1040, 10, 8), (RampPhase::Opening, 3));
+    assert_eq!(step(&mut ramp, 1050, 10, 12), (RampPhase::Warm, NO_LIMIT));
+}
+
+/// Symptom: slots of an upstream stay shut for ever. Sequence: it comes back on a slower machine
+/// and answers steadily. Cause: its old warm latency, which it cannot reach any more.
+#[test]
+fn ramp_accepts_a_slower_machine() {
+    let mut ramp = Ramp::warm(RampSettings::default());
+    ramp.restart(ms(0), RampCause::Silence, Some(ms(10)), true);
+    for second in 0..60 {
+        let seen = Seen {
+            answers: 8,
+            latency_sum: ms(160),
+            ..Seen::default()
+        };
+        ramp.observe(ms(1000 * second), &seen, 2, Freshness::Fresh);
+    }
+    assert_eq!(ramp.phase(), RampPhase::Warm);
+}
+
+fn raised(seen: Seen, times: u32) -> bool {
+    let mut suspect = Suspect::trusted(SuspectSettings::default());
+    for _ in 0..times {
+        let _ = suspect.observe(ms(0), &seen, Some(ms(10)));
+    }
+    suspect.is_suspected()
+}
+
+fn failed(timeouts: u32, refused: u32, truncated: u32) -> Seen {
+    Seen {
+        timeouts,
+        refused,
+        truncated,
+        ..Seen::default()
+    }
+}
+
+cases! {
+    suspect_refused_at_once: raised(failed(0, 1, 0), 1) => true;
+    suspect_one_timeout: raised(failed(1, 0, 0), 1) => false;
+    suspect_two_timeouts: raised(failed(1, 0, 0), 2) => true;
+    suspect_two_truncated: raised(failed(0, 0, 1), 2) => true;
+    suspect_slow: raised(Seen::answer(ms(31)), 8) => true;
+    suspect_not_slow: raised(Seen::answer(ms(29)), 99) => false;
+    suspect_forgives: raised(Seen { answers: 16, latency_sum: ms(160), ..failed(1, 0, 0) }, 9) => false;
+    typical_skips_unknown: Suspect::typical(&mut [ms(0), ms(9), ms(1), ms(5)]) => Some(ms(5));
+    typical_of_none: Suspect::typical(&mut [ms(0)]) => None;
+}
+
+/// Symptom: a broken upstream eats callers' requests while it recovers. Sequence: refused, probes
+/// fail, then succeed. Cause: more than a probe at a time, or probes without a backoff.
+#[test]
+fn suspect_recovers_by_single_probes() {
+    let mut suspect = Suspect::trusted(SuspectSettings::default());
+    let siblings = Some(ms(10));
+    let refused = failed(0, 1, 0);
+    let raised = suspect.observe(ms(0), &refused, siblings);
+    assert_eq!(raised, Some(Suspicion::Raised));
+    // Late answers of requests from before the suspicion prove nothing.
+    assert_eq!(suspect.observe(ms(1), &Seen::answer(ms(9)), siblings), None);
+    assert!(!suspect.probe_due(ms(499)) && suspect.probe_due(ms(500)));
+    suspect.probe_sent();
+    assert!(!suspect.probe_due(ms(5000)));
+    let _ = suspect.observe(ms(600), &refused, siblings);
+    assert!(!suspect.probe_due(ms(1599)) && suspect.probe_due(ms(1600)));
+    for (at, want) in [(1600, None), (1601, Some(Suspicion::Cleared))] {
+        assert!(suspect.probe_due(ms(at)));
+        suspect.probe_sent();
+        let verdict = suspect.observe(ms(at), &Seen::answer(ms(11)), siblings);
+        assert_eq!(verdict, want);
+    }
+}
+
+const QUICK: ClassTarget = ClassTarget {
+    latency_target: ms(200),
+    headroom_pct: 20,
+    idempotent: true,
+    priority: None,
+};
+const FILING: ClassTarget = ClassTarget {
+    idempotent: false,
+    ..QUICK
+};
+
+fn region(expected_ms: u64, headroom_left_pct: u32) -> Estimate {
+    Estimate {
+        wait: ms(0),
+        service: ms(expected_ms),
+        link: ms(0),
+        headroom_left_pct,
+        admitting: true,
+        shift_open: true,
+        freshness: Freshness::Fresh,
+        drained: false,
+    }
+}
+
+fn drained(estimate: Estimate) -> Estimate {
+    Estimate {
+        drained: true,
+        ..estimate
+    }
+}
+
+fn lost(estimate: Estimate) -> Estimate {
+    Estimate {
+        admitting: false,
+        ..estimate
+    }
+}
+
+fn old(estimate: Estimate) -> Estimate {
+    Estimate {
+        freshness: Freshness::Old,
+        ..estimate
+    }
+}
+
+fn capped(estimate: Estimate) -> Estimate {
+    Estimate {
+        shift_open: false,
+        ..estimate
+    }
+}
+
+/// Places a request of region 0 whose caller prefers the regions in order.
+fn placed(target: ClassTarget, previous: Option<usize>, estimates: &[Estimate]) -> Placement {
+    let question = Question {
+        here: 0,
+        preference: &[0, 1, 2][..estimates.len()],
+        estimates,
+        target: &target,
+        previous,
+        deadline_left: ms(1000),
+    };
+    place(&question, &PlaceSettings::default())
+}
+
+use Placement::{Here, Refuse, Shift};
+
+cases! {
+    place_home: placed(QUICK, None, &[region(10, 50), region(120, 90)]) => Here;
+    place_small_gain_stays: placed(QUICK, None, &[region(100, 50), region(80, 90)]) => Here;
+    place_gain_shifts: placed(QUICK, None, &[region(100, 50), region(70, 90)]) => Shift(1);
+    place_filing_stays: placed(FILING, None, &[region(100, 50), region(70, 90)]) => Here;
+    place_shifted_stays_away: placed(QUICK, Some(1), &[region(100, 50), region(99, 90)]) => Shift(1);
+    place_shifted_returns: placed(QUICK, Some(1), &[region(100, 50), region(101, 90)]) => Here;
+    place_spill: placed(FILING, None, &[region(10, 20), region(120, 90)]) => Shift(1);
+    place_spill_to_best: placed(QUICK, None, &[region(10, 9), region(120, 90), region(60, 30)]) => Shift(2);
+    place_no_spill_without_room: placed(QUICK, None, &[region(10, 9), region(120, 20)]) => Here;
+    place_no_spill_past_cap: placed(QUICK, None, &[region(10, 9), capped(region(120, 90))]) => Here;
+    place_no_spill_past_deadline: placed(QUICK, None, &[region(10, 9), region(1200, 90)]) => Here;
+    place_no_new_shift_on_old: placed(QUICK, None, &[region(10, 9), old(region(120, 90))]) => Here;
+    place_old_shift_goes_on: placed(QUICK, Some(1), &[region(10, 9), old(region(120, 90))]) => Shift(1);
+    place_drained_home: placed(FILING, None, &[drained(region(10, 99)), region(120, 90)]) => Shift(1);
+    place_lost_home_old_rest: placed(QUICK, None, &[lost(region(10, 99)), old(region(120, 90))]) => Shift(1);
+    place_no_region: placed(QUICK, None, &[lost(region(10, 99)), drained(region(120, 90))])
+        => Refuse { retry_after: ms(10_000) };
+    place_retry_from_wait: placed(QUICK, None, &[drained(region(10, 99)), Estimate { wait: ms(400), ..region(120, 5) }])
+        => Refuse { retry_after: ms(400) };
+}
+
+fn admit() -> Admit {
+    let lax = ClassTarget {
+        latency_target: ms(30_000),
+        headroom_pct: 10,
+        ..QUICK
+    };
+    let ranked = ClassTarget {
+        priority: Some(1),
+        headroom_pct: 30,
+        ..lax
+    };
+    Admit::new(vec![QUICK, lax, ranked], 4)
+}
+
+fn load(in_flight: u32, queued: u32) -> Load {
+    let (service, completion_gap) = (ms(10), ms(50));
+    Load {
+        slots: 10,
+        in_flight,
+        queued_ahead: queued,
+        queued,
+        service,
+        completion_gap,
+    }
+}
+
+fn admitted(class: usize, load: Load, patience_ms: u64) -> &'static str {
+    match admit().admit(class, &load, ms(0), ms(patience_ms), 7) {
+        Admission::Send => "send",
+        Admission::Queue { .. } => "queue",
+        Admission::Refuse { retry_after } if retry_after > ms(0) => "refuse",
+        Admission::Refuse { .. } => "dishonest",
+    }
+}
+
+cases! {
+    admit_ranks: [0, 1, 2].map(|class| admit().reserve_pct(class)) => [30, 30, 0];
+    admit_top_to_the_last_slot: admitted(2, load(9, 0), 9000) => "send";
+    admit_leaves_headroom: admitted(1, load(7, 0), 9000) => "queue";
+    admit_below_headroom: admitted(1, load(6, 0), 9000) => "send";
+    admit_fits_target: admitted(0, load(10, 0), 9000) => "refuse";
+    admit_waits_for_one: admitted(0, load(7, 2), 9000) => "queue";
+    admit_not_past_deadline: admitted(1, load(10, 0), 100) => "refuse";
+    admit_queue_is_bounded: admitted(1, load(10, 4), 9000) => "refuse";
+    admit_without_slots: admitted(2, Load::default(), 9000) => "refuse";
+    admit_no_overtaking: admitted(2, load(9, 1), 9000) => "queue";
+}
+
+/// Symptom: refused callers come back too early, are refused again, and take it for a lie.
+/// Sequence: a full queue. Cause: a fixed retry delay instead of the time the queue needs.
+#[test]
+fn retry_after_is_the_excess_wait() {
+    for seed in 0..50 {
+        let Admission::Refuse { retry_after } =
+            admit().admit(0, &load(10, 3), ms(0), ms(900), seed)
+        else {
+            panic!("not refused");
+        };
+        // Seven completions at 50 ms, less the 190 ms that the target allows; a quarter of jitter.
+        assert!((ms(160)..ms(200)).contains(&retry_after), "{retry_after:?}");
+    }
+}
+
+cases! {
+    policy_names: Policy::ALL.map(|p| p.as_str().parse::<Policy>() == Ok(p)) => [true; 5];
+    policy_unknown: "ring".parse::<Policy>() => Err(UnknownPolicy);
+    freshness_young: Freshness::of_age(ms(2999), &FreshnessLimits::default()) => Freshness::Fresh;
+    freshness_old: Freshness::of_age(ms(3000), &FreshnessLimits::default()) => Freshness::Old;
+    smooth_first: smooth_latency(ms(0), ms(8)) => ms(8);
+    smooth_up: smooth_latency(ms(8), ms(16)) => ms(9);
+    smooth_down: smooth_latency(ms(16), ms(8)) => ms(15);
+    headroom_of_probes: Capacity::of(&[suspect(true), suspect(false)]).headroom_left_pct() => 100;
+    headroom_of_slots: Capacity::of(&[view(3, 2, 1), view(2, 1, 1)]).headroom_left_pct() => 40;
+    headroom_of_none: Capacity::of(&[]).headroom_left_pct() => 0;
+}
+
+/// Hedging stays off until told, and then only for quick idempotent classes with slots to spare.
+#[test]
+fn hedge_only_from_spare_headroom() {
+    let mut seen = LatencyHistogram::default();
+    (1..=1000).for_each(|n| seen.record(Duration::from_micros(n * 100)));
+    assert_eq!(Hedge::default().after(&QUICK, &seen), None);
+    let hedge = Hedge::new(HedgeSettings {
+        enabled: true,
+        ..HedgeSettings::default()
+    });
+    let after = hedge.after(&QUICK, &seen).unwrap();
+    assert!((ms(95)..ms(115)).contains(&after), "{after:?}");
+    assert_eq!(hedge.after(&FILING, &seen), None);
+    let mut budget = RetryBudget::new(99);
+    (0..11).for_each(|_| budget.offer());
+    assert!(!hedge.take(&QUICK, 40, &mut budget));
+    assert!(hedge.take(&QUICK, 41, &mut budget));
+    assert!(!hedge.take(&QUICK, 41, &mut budget));
+}
