Read, verify, print and compare the operators' configuration

The verifier stands apart from the parser and names subjects; the parser remembers where it read each one, so that a missing reference is found at its own line. Faults that only follow from a value that could not be read are left out: they vanish once the first finding is mended.

--- a/crates/conf/src/cursor.rs
+++ b/crates/conf/src/cursor.rs
@@ -264,8 +264,11 @@
     where
         T: Copy + Display + PartialOrd + TryFrom<i128>,
     {
-        let unit = spaced(unit);
-        let expected = format!("an integer{unit}, written without its unit");
+        let expected = if unit.is_empty() {
+            "an integer".to_owned()
+        } else {
+            format!("an integer in {unit}, written without the unit")
+        };
         let text = self.plain(&expected)?;
         let Some(number) = scalar::integer(text) else {
             return self.mismatch(&expected, &format!("`{text}`"));
@@ -276,7 +279,8 @@
         if value.is_none() {
             let (low, high) = range.into_inner();
             self.fail(format_args!(
-                "must be between {low} and {high}{unit}, found {number}"
+                "must be between {low} and {high}{}, found {number}",
+                spaced(unit)
             ));
         }
         value
@@ -294,7 +298,7 @@
 
     /// Reads a percentage such as `99.95` exactly, to parts per million within the range.
     pub fn percent_ppm(self, range_ppm: RangeInclusive<u32>) -> Option<u32> {
-        let expected = "a percentage of at most 4 decimals, written without its unit";
+        let expected = "a percentage of at most 4 decimals, written without the unit";
         let text = self.plain(expected)?;
         let Some(number) = scalar::fixed(text, PPM_DECIMALS) else {
             return self.mismatch(expected, &format!("`{text}`"));
@@ -334,24 +338,24 @@
         chosen.map(|(_, value)| value.clone())
     }
 
-    /// Reads a sequence; an absent one is empty.
+    /// Reads a sequence; one that is absent or wrong is empty.
     pub fn list(self) -> Vec<Field<'a>> {
-        let Some(node) = self.present("a list") else {
-            return Vec::new();
-        };
+        self.try_list().unwrap_or_default()
+    }
+
+    /// Reads a sequence, and tells one that is absent or wrong from an empty one.
+    pub fn try_list(self) -> Option<Vec<Field<'a>>> {
+        let node = self.present("a list")?;
         let Data::List(items) = &node.data else {
-            self.mismatch::<()>("a list", kind(node));
-            return Vec::new();
+            return self.mismatch("a list", kind(node));
         };
-        items
-            .iter()
-            .map(|item| Field {
-                document: self.document,
-                name: self.name,
-                mark: item.mark,
-                node: Some(item),
-            })
-            .collect()
+        let items = items.iter().map(|item| Field {
+            document: self.document,
+            name: self.name,
+            mark: item.mark,
+            node: Some(item),
+        });
+        Some(items.collect())
     }
 
     /// Reads a mapping.
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -1,1 +1,37 @@
 //! The operators' configuration: classes, targets, caps, drains; checked whole, versioned, compared.
+
+mod config;
+mod diff;
+mod drain;
+mod item;
+mod limits;
+mod parse;
+mod text;
+mod verify;
+
+pub use config::{
+    BlockRule,
+    Cap,
+    Class,
+    Config,
+    Drain,
+    Region,
+    Target, //
+};
+pub use diff::{
+    diff,
+    Change,
+    ChangeKind, //
+};
+pub use drain::{
+    DrainTarget,
+    UnknownTarget, //
+};
+pub use item::Item;
+pub use parse::parse;
+pub use verify::{
+    verify,
+    Fault,
+    Section,
+    Subject, //
+};
