load: an open-loop driver, a judge and the scenes they read

The schedule is fixed by the scene and its seed; latency counts from the scheduled time, so that a stall can't hide the requests that waited for it. Callers cache look-ups, follow refusals and repeat a filing of unknown outcome only with its own ticket or key. The judge is pure and compares callers' records with upstreams', matched by an id that travels in the path, not by what a daemon says.

--- /dev/null
+++ b/crates/load/src/lookups.rs
@@ -0,0 +1,171 @@
+//! Drives look-ups alone: how many a second, and how long each takes.
+//!
+//! Closed loop on a number of connections, each with one look-up at a time; blocks are drawn at
+//! random, so that no answer profits from the one before.
+
+use crate::{
+    clock::micros,
+    drive::client,
+    table::{
+        histogram,
+        ms, //
+    },
+};
+use base::ClassId;
+use bytestring::ByteString;
+use hdrhistogram::Histogram;
+use rand::{
+    rngs::SmallRng,
+    RngExt,
+    SeedableRng, //
+};
+use serde::Serialize;
+use std::{
+    fmt,
+    net::Ipv4Addr,
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+/// What to drive.
+#[derive(Clone, Debug)]
+pub struct LookupLoad {
+    /// The daemon.
+    pub addr: ByteString,
+    /// Class to look up.
+    pub class: ClassId,
+    /// Connections over all threads.
+    pub connections: usize,
+    /// Threads of the driver.
+    pub threads: usize,
+    /// Time to go on for.
+    pub time: Duration,
+    /// Seed of the blocks.
+    pub seed: u64,
+}
+
+/// What look-ups took.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct LookupFigures {
+    /// Look-ups answered with success.
+    pub answered: u64,
+    /// Look-ups that failed.
+    pub failed: u64,
+    /// Answered look-ups a second.
+    pub per_s: f64,
+    /// Median.
+    pub p50_us: u64,
+    /// 99th percentile.
+    pub p99_us: u64,
+    /// 99.9th percentile.
+    pub p999_us: u64,
+}
+
+/// Result of one connection or more.
+struct Tally {
+    failed: u64,
+    latency_us: Histogram<u64>,
+}
+
+/// Drives look-ups for the time and adds up.
+pub fn look_up(load: &LookupLoad) -> LookupFigures {
+    let start = Instant::now();
+    let threads: Vec<_> = (0..load.threads.max(1))
+        .map(|index| {
+            let load = load.clone();
+            thread::spawn(move || run_thread(&load, index))
+        })
+        .collect();
+    let mut total = Tally::new();
+    for thread in threads {
+        let tally = thread.join().expect("a thread of look-ups does not panic");
+        total.add(&tally);
+    }
+    let took = start.elapsed();
+    LookupFigures {
+        answered: total.latency_us.len(),
+        failed: total.failed,
+        per_s: total.latency_us.len() as f64 / took.as_secs_f64(),
+        p50_us: total.latency_us.value_at_quantile(0.5),
+        p99_us: total.latency_us.value_at_quantile(0.99),
+        p999_us: total.latency_us.value_at_quantile(0.999),
+    }
+}
+
+fn run_thread(load: &LookupLoad, index: usize) -> Tally {
+    let threads = load.threads.max(1);
+    let connections = (load.connections + threads - 1 - index) / threads;
+    actix_rt::System::new().block_on(async {
+        let mut total = Tally::new();
+        let tasks: Vec<_> = (0..connections)
+            .map(|connection| {
+                let stream = (index as u64) << 32 | connection as u64;
+                actix_rt::spawn(run_connection(load.clone(), stream))
+            })
+            .collect();
+        for task in tasks {
+            total.add(&task.await.expect("a connection's task does not panic"));
+        }
+        total
+    })
+}
+
+async fn run_connection(load: LookupLoad, stream: u64) -> Tally {
+    // A client of its own has a pool of its own: one connection, used again and again.
+    let client = client();
+    let mut rng = SmallRng::seed_from_u64(load.seed ^ stream.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+    let mut tally = Tally::new();
+    let end = Instant::now() + load.time;
+    while Instant::now() < end {
+        let block = Ipv4Addr::from(rng.random::<u32>());
+        let url = format!(
+            "http://{}/v1/entries?class={}&block={block}",
+            load.addr, load.class
+        );
+        let start = Instant::now();
+        let answered = match client.get(url).send().await {
+            Ok(mut answer) => answer.status().is_success() && answer.body().await.is_ok(),
+            Err(_) => false,
+        };
+        if answered {
+            tally.latency_us.saturating_record(micros(start.elapsed()));
+        } else {
+            tally.failed += 1;
+        }
+    }
+    tally
+}
+
+impl Tally {
+    fn new() -> Self {
+        Self {
+            failed: 0,
+            latency_us: histogram(),
+        }
+    }
+
+    fn add(&mut self, other: &Self) {
+        self.failed += other.failed;
+        self.latency_us
+            .add(&other.latency_us)
+            .expect("all histograms have the same bounds");
+    }
+}
+
+impl fmt::Display for LookupFigures {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{} look-ups answered, {} failed, {:.0}/s, p50 {} ms, p99 {} ms, p99.9 {} ms",
+            self.answered,
+            self.failed,
+            self.per_s,
+            ms(self.p50_us),
+            ms(self.p99_us),
+            ms(self.p999_us)
+        )
+    }
+}
--- /dev/null
+++ b/crates/load/src/scene/read.rs
@@ -0,0 +1,217 @@
+//! Reads a scene file, with every finding at its place.
+
+use super::{
+    first_address,
+    Burst,
+    CallerRegion,
+    ClassLoad,
+    Event,
+    FilingWay,
+    Scene,
+    Work, //
+};
+use base::{
+    ClassId,
+    RegionId, //
+};
+use bytestring::ByteString;
+use conf::{
+    Document,
+    Field,
+    Findings,
+    Map, //
+};
+use std::collections::BTreeSet;
+
+/// Longest run and longest time of any other field.
+const LONGEST_MS: u64 = 24 * 3_600_000;
+/// Most threads, callers of a region and tries.
+const MOST_THREADS: usize = 64;
+const MOST_CALLERS: u32 = 1_000_000;
+const MOST_TRIES: u32 = 100;
+/// Largest body.
+const MOST_BYTES: u64 = 1 << 32;
+
+impl Scene {
+    /// Reads a scene; `file` names it in findings.
+    ///
+    /// # Errors
+    ///
+    /// All findings with their places.
+    pub fn read(file: &str, text: &str) -> Result<Self, Findings> {
+        let document = Document::parse(file, text);
+        let scene = document.map().and_then(|mut map| scene(&mut map));
+        document.finish(scene)
+    }
+}
+
+fn scene(map: &mut Map<'_>) -> Option<Scene> {
+    let seed = map.optional("seed").integer(0..=u64::MAX, "");
+    let duration_ms = map.required("duration_ms").integer(1..=LONGEST_MS, "ms");
+    let allowance_ms = map.optional("allowance_ms").integer(0..=LONGEST_MS, "ms");
+    let leaving_bound_ms = map
+        .optional("leaving_bound_ms")
+        .integer(0..=LONGEST_MS, "ms");
+    let threads = map.optional("threads").integer(1..=MOST_THREADS, "");
+    let regions = listed(map.required("regions"), region);
+    let classes = listed(map.required("classes"), class);
+    let bursts: Vec<_> = map
+        .optional("bursts")
+        .list()
+        .into_iter()
+        .filter_map(|field| burst(field, &regions, &classes))
+        .collect();
+    let events = listed(map.optional("events"), event);
+    Some(Scene {
+        seed: seed.unwrap_or(1),
+        duration_ms: duration_ms?,
+        allowance_ms: allowance_ms.unwrap_or(2_000),
+        leaving_bound_ms: leaving_bound_ms.unwrap_or(3_000),
+        threads: threads.unwrap_or(2),
+        regions: named_once(regions, |region| &region.name),
+        classes: named_once(classes, |class| &class.name),
+        bursts,
+        events: events.into_iter().map(|(_, event)| event).collect(),
+    })
+}
+
+/// Items of a list with the fields that they were read from.
+fn listed<'a, T>(
+    field: Field<'a>,
+    read: impl Fn(&mut Map<'a>) -> Option<T>,
+) -> Vec<(Field<'a>, T)> {
+    field
+        .list()
+        .into_iter()
+        .filter_map(|field| Some((field, read(&mut field.map()?)?)))
+        .collect()
+}
+
+/// Drops the fields and finds names that stand twice, and lists without an item.
+fn named_once<T>(items: Vec<(Field<'_>, T)>, name: impl Fn(&T) -> &ByteString) -> Vec<T> {
+    let mut names = BTreeSet::new();
+    for (field, item) in &items {
+        if !names.insert(name(item).clone()) {
+            field.fail(format_args!("names `{}` twice", name(item)));
+        }
+    }
+    items.into_iter().map(|(_, item)| item).collect()
+}
+
+fn region(map: &mut Map<'_>) -> Option<CallerRegion> {
+    let name = map.required("name").text();
+    let block_field = map.required("block");
+    let block = block_field.text();
+    let callers = map.optional("callers").integer(1..=MOST_CALLERS, "");
+    let share = number(map.optional("share"));
+    let one_way_ms = map.optional("one_way_ms").integer(0..=LONGEST_MS, "ms");
+    if block.as_ref().is_some_and(|b| first_address(b).is_none()) {
+        block_field.fail("must be an IPv4 block as in 10.1.0.0/16");
+    }
+    Some(CallerRegion {
+        name: name?,
+        block: block?,
+        callers: callers.unwrap_or(50),
+        share: share.unwrap_or(1.0),
+        one_way_ms: one_way_ms.unwrap_or(0),
+    })
+}
+
+fn class(map: &mut Map<'_>) -> Option<ClassLoad> {
+    let name = map.required("name").text();
+    let rate_per_s = number(map.required("rate_per_s"));
+    let deadline_ms = map.required("deadline_ms").integer(1..=LONGEST_MS, "ms");
+    let work_field = map.required("work");
+    let work = work_field.choice(&[
+        ("bytes", Work::Bytes),
+        ("chunked", Work::Chunked),
+        ("echo", Work::Echo),
+    ]);
+    let bytes = map.optional("bytes").integer(0..=MOST_BYTES, "bytes");
+    let filing = map
+        .optional("filing")
+        .choice(&[
+            ("none", FilingWay::None),
+            ("ticket", FilingWay::Ticket),
+            ("key", FilingWay::Key),
+        ])
+        .unwrap_or_default();
+    let tries = map.optional("tries").integer(1..=MOST_TRIES, "");
+    let attempt_ms = map.optional("attempt_ms").integer(1..=LONGEST_MS, "ms");
+    if filing != FilingWay::None && work.is_some_and(|work| work != Work::Echo) {
+        work_field.fail("of a filing must be echo");
+    }
+    Some(ClassLoad {
+        name: name?,
+        rate_per_s: rate_per_s?,
+        deadline_ms: deadline_ms?,
+        work: work?,
+        bytes: bytes.unwrap_or(1_000),
+        filing,
+        tries: tries.unwrap_or(4),
+        attempt_ms,
+    })
+}
+
+fn burst(
+    field: Field<'_>,
+    regions: &[(Field<'_>, CallerRegion)],
+    classes: &[(Field<'_>, ClassLoad)],
+) -> Option<Burst> {
+    let mut map = field.map()?;
+    let class_field = map.optional("class");
+    let region_field = map.optional("region");
+    let class: Option<ClassId> = class_field.text();
+    let region: Option<RegionId> = region_field.text();
+    let from_ms = map.required("from_ms").integer(0..=LONGEST_MS, "ms");
+    let to_field = map.required("to_ms");
+    let to_ms = to_field.integer(0..=LONGEST_MS, "ms");
+    let factor = number(map.required("factor"));
+    let known = |name: &ClassId| classes.iter().any(|(_, class)| class.name == *name);
+    if !class.as_ref().is_none_or(known) {
+        class_field.fail("names no class of this scene");
+    }
+    let known = |name: &RegionId| regions.iter().any(|(_, region)| region.name == *name);
+    if !region.as_ref().is_none_or(known) {
+        region_field.fail("names no region of this scene");
+    }
+    if to_ms? <= from_ms? {
+        to_field.fail("must be after `from_ms`");
+    }
+    Some(Burst {
+        class,
+        region,
+        from_ms: from_ms?,
+        to_ms: to_ms?,
+        factor: factor?,
+    })
+}
+
+fn event(map: &mut Map<'_>) -> Option<Event> {
+    let at_ms = map.required("at_ms").integer(0..=LONGEST_MS, "ms");
+    let target = map.required("target").text();
+    let path_field = map.required("path");
+    let path = path_field.text();
+    let body = map.optional("body").text();
+    let leaves = map.optional("leaves").list();
+    if path.as_ref().is_some_and(|path| !path.starts_with('/')) {
+        path_field.fail("must start with `/`");
+    }
+    Some(Event {
+        at_ms: at_ms?,
+        target: target?,
+        path: path?,
+        body: body.unwrap_or_default(),
+        leaves: leaves.into_iter().filter_map(Field::text).collect(),
+    })
+}
+
+/// A number that is neither negative nor endless.
+fn number(field: Field<'_>) -> Option<f64> {
+    let value: f64 = field.parse("a number")?;
+    if value.is_finite() && value >= 0.0 {
+        return Some(value);
+    }
+    field.fail("must be a number of 0 or more");
+    None
+}
--- /dev/null
+++ b/crates/load/tests/scene.rs
@@ -0,0 +1,213 @@
+//! Scenes: what a file may say, and the schedule that follows from it.
+
+use load::{
+    schedule,
+    Checker,
+    Flaw,
+    Payload,
+    Scene,
+    Work, //
+};
+use standin::pattern::Pattern;
+use std::time::Duration;
+
+const SCENE: &str = "
+seed: 7
+duration_ms: 10000
+regions:
+  - {name: arusha, block: 10.1.0.0/16, share: 3}
+  - {name: moshi, block: 10.2.0.0/16}
+classes:
+  - {name: menu, rate_per_s: 200, deadline_ms: 1000, work: bytes}
+  - {name: orders, rate_per_s: 40, deadline_ms: 1000, work: echo, filing: ticket}
+bursts:
+  - {class: menu, region: moshi, from_ms: 4000, to_ms: 6000, factor: 5}
+";
+
+fn scene() -> Scene {
+    Scene::read("scene.yaml", SCENE).unwrap()
+}
+
+macro_rules! findings {
+    ($($name:ident: $from:expr => $to:expr, [$($finding:expr),+ $(,)?];)*) => {$(
+        #[test]
+        fn $name() {
+            let text = SCENE.replace($from, $to);
+            assert_ne!(text, SCENE);
+            let found = Scene::read("scene.yaml", &text).unwrap_err().to_string();
+            let found: Vec<_> = found.lines().collect();
+            assert_eq!(found, [$($finding),+]);
+        }
+    )*};
+}
+
+findings! {
+    two_mistakes_reported_together: "share: 3" => "share: -3, caller: 1", [
+        "scene.yaml:5:47: `share` must be a number of 0 or more",
+        "scene.yaml:5:51: unknown field `caller`, did you mean `callers`?",
+    ];
+    block_that_is_none: "10.2.0.0/16" => "10.2.0.1/16", [
+        "scene.yaml:6:26: `block` must be an IPv4 block as in 10.1.0.0/16",
+    ];
+    filing_of_a_download: "work: echo" => "work: bytes", [
+        "scene.yaml:9:61: `work` of a filing must be echo",
+    ];
+    burst_of_an_unknown_class: "{class: menu" => "{class: menus", [
+        "scene.yaml:11:13: `class` names no class of this scene",
+    ];
+    region_twice: "name: moshi" => "name: arusha", [
+        "scene.yaml:6:5: `regions` names `arusha` twice",
+        "scene.yaml:11:27: `region` names no region of this scene",
+    ];
+}
+
+#[test]
+fn same_seed_gives_the_same_schedule() {
+    assert_eq!(schedule(&scene()), schedule(&scene()));
+    let other = Scene { seed: 8, ..scene() };
+    assert_ne!(schedule(&scene()), schedule(&other));
+}
+
+/// Counts arrivals of a class in a region within seconds of the run.
+fn count(scene: &Scene, class: usize, region: usize, from_s: u64, to_s: u64) -> f64 {
+    let within = Duration::from_secs(from_s)..Duration::from_secs(to_s);
+    let arrivals = schedule(scene);
+    let of_it = arrivals
+        .iter()
+        .filter(|a| a.class == class && a.region == region && within.contains(&a.at));
+    of_it.count() as f64
+}
+
+macro_rules! rates {
+    ($($name:ident: class $class:expr, region $region:expr, $from:expr, $to:expr => $expected:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let counted = count(&scene(), $class, $region, $from, $to);
+            let expected: f64 = $expected;
+            // Five standard deviations of a Poisson count; the seed is fixed anyhow.
+            let tolerance = 5.0 * expected.sqrt();
+            assert!((counted - expected).abs() < tolerance, "{counted} arrivals");
+        }
+    )*};
+}
+
+rates! {
+    home_share: class 0, region 0, 0, 10 => 1_500.0;
+    before_the_burst: class 0, region 1, 0, 4 => 200.0;
+    in_the_burst: class 0, region 1, 4, 6 => 500.0;
+    after_the_burst: class 0, region 1, 6, 10 => 200.0;
+    class_without_burst: class 1, region 1, 4, 6 => 20.0;
+}
+
+#[test]
+fn schedule_is_sorted_and_its_ids_are_unique() {
+    let arrivals = schedule(&scene());
+    assert!(arrivals.windows(2).all(|pair| pair[0].at <= pair[1].at));
+    let mut ids: Vec<_> = arrivals.iter().map(|a| a.id.clone()).collect();
+    ids.sort();
+    ids.dedup();
+    assert_eq!(ids.len(), arrivals.len());
+}
+
+#[test]
+fn burst_of_one_class_leaves_the_others_as_they_were() {
+    let calm = Scene {
+        bursts: Vec::new(),
+        ..scene()
+    };
+    let orders = |scene: &Scene| -> Vec<_> {
+        schedule(scene)
+            .into_iter()
+            .filter(|a| a.class == 1)
+            .collect()
+    };
+    assert_eq!(orders(&calm), orders(&scene()));
+}
+
+#[test]
+fn callers_of_a_region_have_different_addresses_within_its_block() {
+    let region = &scene().regions[1];
+    let mut addresses: Vec<_> = (0..50).map(|i| region.address(i)).collect();
+    assert!(addresses.iter().all(|a| a.octets()[..2] == [10, 2]));
+    addresses.sort();
+    addresses.dedup();
+    assert_eq!(addresses.len(), 50);
+}
+
+fn id(fill: &str) -> bytestring::ByteString {
+    fill.repeat(32).into()
+}
+
+fn check(feed: impl FnOnce(&mut Checker<'_>)) -> Option<Flaw> {
+    let payload = Payload::new(Work::Bytes, 1_000, &id("a"), 1);
+    let mut checker = payload.checker();
+    feed(&mut checker);
+    checker.finish()
+}
+
+/// Whole answer to the request of [`check`], as the stand-in makes it.
+fn whole() -> Vec<u8> {
+    let path = Payload::new(Work::Bytes, 1_000, &id("a"), 1).path;
+    Pattern::new(&path, 1_000).chunk(0, 1_000).to_vec()
+}
+
+#[test]
+fn whole_answer_in_parts_is_whole() {
+    let whole = whole();
+    let flaw = check(|checker| whole.chunks(33).for_each(|part| checker.feed(part)));
+    assert_eq!(flaw, None);
+}
+
+#[test]
+fn short_answer_is_found() {
+    let whole = whole();
+    let flaw = check(|checker| checker.feed(&whole[..whole.len() - 1]));
+    let (expected, received) = (1_000, 999);
+    assert_eq!(flaw, Some(Flaw::Length { expected, received }));
+}
+
+#[test]
+fn changed_byte_is_found() {
+    let mut whole = whole();
+    whole[40] ^= 1;
+    let flaw = check(|checker| whole.chunks(33).for_each(|part| checker.feed(part)));
+    assert_eq!(flaw, Some(Flaw::Content { at: 33 }));
+}
+
+#[test]
+fn answer_to_another_download_is_found() {
+    let other = Payload::new(Work::Bytes, 1_000, &id("b"), 1).path;
+    let whole = Pattern::new(&other, 1_000).chunk(0, 1_000);
+    assert_eq!(
+        check(|checker| checker.feed(&whole)),
+        Some(Flaw::Content { at: 0 })
+    );
+}
+
+/// Echo of a filing as the stand-in makes it.
+fn echo(payload: &Payload) -> String {
+    let digest = blake3::hash(&payload.body).to_hex();
+    let (path, bytes) = (&payload.path, payload.body.len());
+    format!("{{\"path\":\"{path}\",\"body_bytes\":{bytes},\"body_digest\":\"{digest}\"}}")
+}
+
+fn check_echo(answered: &Payload) -> Option<Flaw> {
+    let asked = Payload::new(Work::Echo, 100, &id("a"), 2);
+    let mut checker = asked.checker();
+    checker.feed(echo(answered).as_bytes());
+    checker.finish()
+}
+
+#[test]
+fn echo_of_an_earlier_try_is_whole() {
+    assert_eq!(
+        check_echo(&Payload::new(Work::Echo, 100, &id("a"), 1)),
+        None
+    );
+}
+
+#[test]
+fn echo_of_another_request_is_crossed() {
+    let flaw = check_echo(&Payload::new(Work::Echo, 100, &id("b"), 2));
+    assert!(matches!(flaw, Some(Flaw::Crossed { .. })));
+}
