steer: spill by smoothed demand, not by the free slots of a moment

Cause: an entry owns a dozen slots; the chance of a moment fills four fifths of them at half load, and each such request left its region. Change: Demand, arrivals times service, smoothed over ticks; only the part that exceeds the headroom is spilled.

--- a/crates/steer/src/place.rs
+++ b/crates/steer/src/place.rs
@@ -91,6 +91,8 @@
     pub target: &'a ClassTarget,
     /// Region to which this entry's last request of the class was shifted, if it was.
     pub previous: Option<usize>,
+    /// Whether the request exceeds the headroom here, see [`Demand`](crate::Demand).
+    pub excess: bool,
     /// Time that the caller leaves.
     pub deadline_left: Duration,
 }
@@ -112,22 +114,21 @@
 /// Places a request in a region.
 ///
 /// - A drained or lost region gets nothing new.
-/// - Above the class's headroom target the request stays, unless it is idempotent and another
-///   region promises a latency that is lower by the margin of `settings`. Once shifted, the next
-///   ones follow without a margin, so that requests do not flap between regions that are alike.
-/// - At or below the target only this request goes to the best region that keeps its own headroom
-///   and answers within the deadline; when there is none, it stays.
+/// - A request within the headroom here stays, unless it is idempotent and another region promises
+///   a latency that is lower by the margin of `settings`. Once shifted, the next ones follow
+///   without a margin, so that requests do not flap between regions that are alike.
+/// - One that exceeds it goes to the best region that keeps its own headroom and answers within
+///   the deadline; when there is none, it stays.
 /// - Nothing new is shifted on an old picture, but silence alone does not strand a caller whose
 ///   own region is drained or lost.
 ///
 /// A shift is never to a region at or below the class's headroom target.
 pub fn place(question: &Question<'_>, settings: &PlaceSettings) -> Placement {
-    let target = question.target;
     let here = question.estimates.get(question.here);
     let Some(here) = here.filter(|here| here.is_usable()) else {
         return place_away(question, settings);
     };
-    if here.has_room(target) {
+    if !question.excess {
         return match gain(question, settings, here) {
             Some(region) => Placement::Shift(region),
             None => Placement::Here,
--- a/crates/steer/tests/properties.rs
+++ b/crates/steer/tests/properties.rs
@@ -139,8 +139,8 @@
 fn no_shift_exceeds_headroom_or_enters_a_drain() {
     bolero::check!()
         .with_iterations(ITERATIONS)
-        .with_type::<(Vec<(u16, u8, u8)>, Option<u8>, u8, bool)>()
-        .for_each(|(regions, previous, headroom_pct, idempotent)| {
+        .with_type::<(Vec<(u16, u8, u8)>, Option<u8>, u8, bool, bool)>()
+        .for_each(|(regions, previous, headroom_pct, idempotent, excess)| {
             let estimates: Vec<Estimate> = regions
                 .iter()
                 .map(|&(wait_ms, left, flags)| Estimate {
@@ -170,6 +170,7 @@
                 preference: &preference,
                 estimates: &estimates,
                 target: &target,
+                excess: *excess,
                 previous: previous.map(usize::from),
                 deadline_left: Duration::from_secs(1),
             };
--- /dev/null
+++ b/crates/steer/tests/scenes.rs
@@ -0,0 +1,94 @@
+//! Scenes where queues matter: ours against each baseline, in a small model.
+//!
+//! `cargo test -p steer --test scenes -- --nocapture --test-threads 1` prints the figures.
+
+mod sim;
+
+use sim::{
+    Figures,
+    Scene,
+    Sim,
+    STEADY, //
+};
+use std::time::Duration;
+use steer::*;
+
+fn print(scene: &Scene, name: &str, figures: &Figures) {
+    let ms = |permille| figures.quantile(permille).as_secs_f64() * 1e3;
+    let pct = |count: u32| f64::from(count) * 100.0 / f64::from(figures.offered);
+    println!(
+        "{:<12} {name:<20} p50 {:6.1} p99 {:7.1} p99.9 {:7.1} ms  here p99 {:6.1}  answered {:6.2}%  \
+         refused {:5.2}%  shifted {:5.2}%  queued upstream {:5.2}%",
+        scene.name,
+        ms(500),
+        ms(990),
+        ms(999),
+        figures.local_quantile(990).as_secs_f64() * 1e3,
+        pct(figures.answered),
+        pct(figures.refused),
+        pct(figures.shifted),
+        pct(figures.queued),
+    );
+}
+
+/// Runs a scene under every policy; ours first, then the baselines.
+fn compare(scene: Scene) -> (Figures, Vec<Figures>) {
+    let run = |policy: Policy| {
+        let figures = Sim::run(scene, policy, &policy.chooser(BaselineLimits::None));
+        print(&scene, policy.as_str(), &figures);
+        figures
+    };
+    let ours = run(Policy::Ours);
+    for rank in [Rank::Load, Rank::Latency] {
+        let chooser = Chooser::Ours(Ours::new(rank));
+        let figures = Sim::run(scene, Policy::Ours, &chooser);
+        print(&scene, &format!("ours by {rank:?}"), &figures);
+    }
+    (ours, Policy::ALL[1..].iter().copied().map(run).collect())
+}
+
+/// Ratio of our quantile to that of the best baseline.
+fn ratio(ours: &Figures, baselines: &[Figures], permille: usize) -> f64 {
+    let best = baselines
+        .iter()
+        .map(|figures| figures.quantile(permille))
+        .min();
+    ours.quantile(permille).as_secs_f64() / best.unwrap().as_secs_f64()
+}
+
+macro_rules! scenes {
+    ($($name:ident: $scene:expr => $p99_ratio:expr;)*) => {
+        $(#[test] fn $name() {
+            let (ours, baselines) = compare($scene);
+            let p99 = ratio(&ours, &baselines, 990);
+            println!("{:<12} p99 of ours to the best baseline: {p99:.2}", $scene.name);
+            assert_eq!(ours.queued, 0, "ours queued at an upstream");
+            let most = baselines.iter().map(|figures| figures.answered).max();
+            assert!(Some(ours.answered) >= most, "ours answered less");
+            assert!(p99 <= $p99_ratio, "p99 ratio {p99}");
+        })*
+    };
+}
+
+scenes! {
+    steady: STEADY => 1.05;
+    burst: Scene { name: "burst x3", burst: 3.0, ..STEADY } => 0.5;
+    slow: Scene { name: "one slow x8", slow: 8.0, ..STEADY } => 0.5;
+    lying: Scene { name: "slow + lies", slow: 8.0, lies: true, ..STEADY } => 0.5;
+    lag: Scene { name: "lag 10 s", report_lag: Duration::from_secs(10), ..STEADY } => 1.05;
+}
+
+#[test]
+fn cold_return() {
+    let scene = Scene {
+        name: "cold return",
+        cold: true,
+        ..STEADY
+    };
+    let (ours, _) = compare(scene);
+    let (warm, _) = compare(STEADY);
+    let ratio = ours.local_quantile(990).as_secs_f64() / warm.local_quantile(990).as_secs_f64();
+    println!("cold return: p99 here to warm: {ratio:.2}");
+    assert_eq!(ours.queued, 0);
+    assert!(ratio <= 1.5, "p99 ratio {ratio}");
+}
--- a/crates/steer/tests/tables.rs
+++ b/crates/steer/tests/tables.rs
@@ -224,6 +224,7 @@
 /// Places a request of region 0 whose caller prefers the regions in order.
 fn placed(target: ClassTarget, previous: Option<usize>, estimates: &[Estimate]) -> Placement {
     let question = Question {
+        excess: estimates[0].headroom_left_pct <= target.headroom_pct,
         here: 0,
         preference: &[0, 1, 2][..estimates.len()],
         estimates,
@@ -321,6 +322,20 @@
     }
 }
 
+/// Thousandths to spill of `slots` asked when ten are open and a fifth is to stay free.
+fn spilled(slots: u32) -> u32 {
+    let mut demand = Demand::new(ms(0));
+    demand.tick(ms(100), slots * 10, ms(10));
+    demand.spill_permille(10, 20)
+}
+
+cases! {
+    spill_none_at_headroom: spilled(8) => 0;
+    spill_the_excess_alone: spilled(16) => 500;
+    spill_all_without_slots: Demand::default().spill_permille(0, 20) => 0;
+    spill_part: (0..1000).filter(|&seed| is_excess(250, seed)).count() / 50 => 5;
+}
+
 cases! {
     policy_names: Policy::ALL.map(|p| p.as_str().parse::<Policy>() == Ok(p)) => [true; 5];
     policy_unknown: "ring".parse::<Policy>() => Err(UnknownPolicy);
