--- a/crates/blocks/src/block.rs
+++ b/crates/blocks/src/block.rs
@@ -3,7 +3,11 @@
 use std::{
     error::Error,
     fmt,
-    net::IpAddr,
+    net::{
+        IpAddr,
+        Ipv4Addr,
+        Ipv6Addr, //
+    },
     str::FromStr, //
 };
 
@@ -63,6 +67,22 @@
         let host_len = width - u32::from(self.len);
         difference.checked_shr(host_len).unwrap_or(0) == 0
     }
+
+    /// Makes a block of IPv4 from trusted parts.
+    pub(crate) fn v4(bits: u32, len: u8) -> Self {
+        Self {
+            addr: Ipv4Addr::from_bits(bits).into(),
+            len,
+        }
+    }
+
+    /// Makes a block of IPv6 from trusted parts.
+    pub(crate) fn v6(bits: u128, len: u8) -> Self {
+        Self {
+            addr: Ipv6Addr::from_bits(bits).into(),
+            len,
+        }
+    }
 }
 
 impl fmt::Display for Block {
--- /dev/null
+++ b/crates/blocks/src/text.rs
@@ -0,0 +1,242 @@
+//! Textual forms of a table and of a difference, one block a line.
+//!
+//! A table's line is `BLOCK REGION,REGION,…`. A difference's line is the same with `+` before it,
+//! or `-BLOCK` for a block that is gone. Empty lines and lines that begin with `#` are passed over.
+
+use crate::{
+    table::Builder,
+    Block,
+    Delta,
+    Table, //
+};
+use base::{
+    FastMap,
+    RegionId, //
+};
+use std::{
+    collections::BTreeMap,
+    error::Error,
+    fmt, //
+};
+
+/// A line that can't be taken.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct LineError {
+    /// Line, counted from 1.
+    pub line: u32,
+    /// Why, in one line.
+    pub message: String,
+}
+
+impl fmt::Display for LineError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "line {}: {}", self.line, self.message)
+    }
+}
+
+impl Error for LineError {}
+
+/// All lines that can't be taken.
+type LineErrors = Vec<LineError>;
+
+impl Table {
+    /// Reads a table from its textual form, in any order.
+    ///
+    /// # Errors
+    ///
+    /// Every line that is no block with its regions, and every block that stands twice.
+    pub fn parse(text: &str) -> Result<Self, LineErrors> {
+        let mut builder = Builder::default();
+        let mut lines = Lines::default();
+        for (number, line) in numbered(text) {
+            let Some((block, regions)) = lines.block_and_regions(number, line) else {
+                continue;
+            };
+            let pushed = builder.push(block, regions);
+            if let Err(error) = pushed {
+                lines.fail(number, error.to_string());
+                break;
+            }
+        }
+        let pushed = builder.len();
+        let table = builder.finish();
+        if table.len() < pushed {
+            lines.find_repeats(text);
+        }
+        lines.finish(table)
+    }
+}
+
+impl Delta {
+    /// Reads a difference from its textual form, in any order.
+    ///
+    /// # Errors
+    ///
+    /// Every line that is no change of a block, and every block that stands twice.
+    pub fn parse(text: &str) -> Result<Self, LineErrors> {
+        let mut delta = Self::default();
+        let mut lines = Lines::default();
+        for (number, line) in numbered(text) {
+            let change = match (line.strip_prefix('+'), line.strip_prefix('-')) {
+                (Some(line), _) => lines
+                    .block_and_regions(number, line)
+                    .map(|(block, regions)| (block, Some(regions))),
+                (_, Some(block)) => lines.block(number, block).map(|block| (block, None)),
+                _ => {
+                    lines.fail(number, "neither `+BLOCK REGIONS` nor `-BLOCK`".to_owned());
+                    None
+                }
+            };
+            let Some((block, regions)) = change else {
+                continue;
+            };
+            if delta.contains(block) {
+                let message = format!("block `{block}` stands twice");
+                lines.fail(number, message);
+                continue;
+            }
+            match regions {
+                Some(regions) => delta.set(block, regions),
+                None => delta.remove(block),
+            }
+        }
+        lines.finish(delta)
+    }
+}
+
+/// One line a block, sorted within each kind of address.
+impl fmt::Display for Table {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (block, regions) in self.iter() {
+            writeln!(f, "{block} {}", Joined(regions))?;
+        }
+        Ok(())
+    }
+}
+
+/// One line a block that differs, sorted.
+impl fmt::Display for Delta {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (block, regions) in self.iter() {
+            match regions {
+                Some(regions) => writeln!(f, "+{block} {}", Joined(regions))?,
+                None => writeln!(f, "-{block}")?,
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Regions with commas between them.
+struct Joined<'a>(&'a [RegionId]);
+
+impl fmt::Display for Joined<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, region) in self.0.iter().enumerate() {
+            let comma = if index == 0 { "" } else { "," };
+            write!(f, "{comma}{region}")?;
+        }
+        Ok(())
+    }
+}
+
+/// Lines that hold something, with their numbers.
+fn numbered(text: &str) -> impl Iterator<Item = (u32, &str)> {
+    (1..)
+        .zip(text.lines().map(str::trim))
+        .filter(|(_, line)| !line.is_empty() && !line.starts_with('#'))
+}
+
+/// Reads lines and gathers those that can't be taken.
+#[derive(Default)]
+struct Lines<'a> {
+    /// Preferences by their text; a large table repeats few of them.
+    preferences: FastMap<&'a str, Vec<RegionId>>,
+    /// Errors so far.
+    errors: LineErrors,
+}
+
+impl<'a> Lines<'a> {
+    /// Records an error.
+    fn fail(&mut self, line: u32, message: String) {
+        self.errors.push(LineError { line, message });
+    }
+
+    /// Reads a block.
+    fn block(&mut self, number: u32, text: &str) -> Option<Block> {
+        match text.parse() {
+            Ok(block) => Some(block),
+            Err(error) => {
+                let message = format!("`{}`: {error}", text.escape_debug());
+                self.fail(number, message);
+                None
+            }
+        }
+    }
+
+    /// Reads a block and its regions.
+    fn block_and_regions(&mut self, number: u32, line: &'a str) -> Option<(Block, &[RegionId])> {
+        let (block, regions) = line.split_once(' ').unwrap_or((line, ""));
+        let block = self.block(number, block);
+        let regions = regions.trim();
+        if !self.preferences.contains_key(regions) {
+            match read_regions(regions) {
+                Ok(list) => {
+                    self.preferences.insert(regions, list);
+                }
+                Err(message) => {
+                    self.fail(number, message);
+                    return None;
+                }
+            }
+        }
+        Some((block?, &self.preferences[regions]))
+    }
+
+    /// Records each line whose block stood on an earlier one.
+    ///
+    /// Only run once repeats are known to exist, since remembering every line costs far more
+    /// memory than the table.
+    fn find_repeats(&mut self, text: &str) {
+        let mut first = BTreeMap::new();
+        for (number, line) in numbered(text) {
+            let block = line.split(' ').next().unwrap_or_default();
+            let Ok(block) = block.parse::<Block>() else {
+                continue;
+            };
+            let earlier = *first.entry(block).or_insert(number);
+            if earlier != number {
+                let message = format!("block `{block}` stands twice, first on line {earlier}");
+                self.fail(number, message);
+            }
+        }
+    }
+
+    /// Gives the value if every line was taken.
+    fn finish<T>(mut self, value: T) -> Result<T, LineErrors> {
+        if self.errors.is_empty() {
+            return Ok(value);
+        }
+        self.errors.sort();
+        Err(self.errors)
+    }
+}
+
+/// Reads regions with commas between them.
+fn read_regions(text: &str) -> Result<Vec<RegionId>, String> {
+    let regions: Vec<RegionId> = text.split(',').map(RegionId::from).collect();
+    let is_name =
+        |region: &RegionId| !region.is_empty() && region.chars().all(|c| c.is_ascii_graphic());
+    if !regions.iter().all(is_name) {
+        return Err(format!(
+            "`{}` are no regions with commas between them",
+            text.escape_debug()
+        ));
+    }
+    for (index, region) in regions.iter().enumerate() {
+        if regions[..index].contains(region) {
+            return Err(format!("region `{region}` stands twice"));
+        }
+    }
+    Ok(regions)
+}
