peer: sessions between daemons that prove, deduplicate and reopen

The mesh behind the published types. One peer, however many connections: the registry decides by the same facts at both ends which session stays, and the queue of frames belongs to the peer, so that a connection that goes silent is replaced without a word to the owner but 'Reopened'.

--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -1,8 +1,8 @@
 //! Bytes to frames and back.
 //!
-//! Decoding never panics and never allocates more than a small multiple of the input: lengths that
-//! a frame claims are believed only as far as its bytes reach. Trailing bytes are an error, so that
-//! one message is exactly one frame.
+//! Decoding never panics, and a length that a frame claims reserves at most the 1 MiB that `serde`
+//! allows before the bytes themselves have come. Trailing bytes are an error, so that one message
+//! is exactly one frame.
 
 use crate::frame::Frame;
 use bytes::Bytes;
--- a/crates/peer/src/event.rs
+++ b/crates/peer/src/event.rs
@@ -103,7 +103,7 @@
 
 /// Events of one mesh, in order.
 ///
-/// When the owner is slow, sessions stop reading once [`crate::Options::event_frames`] frames wait
+/// When the owner is slow, sessions stop reading once [`crate::Options::event_bytes`] of frames wait
 /// here: memory stays bounded, and the peers' own queues fill and drop their oldest beats.
 #[derive(Debug)]
 pub struct Events {
--- a/crates/peer/src/key.rs
+++ b/crates/peer/src/key.rs
@@ -4,7 +4,7 @@
 use subtle::ConstantTimeEq;
 
 /// Domain of keys that are derived from a setting's text.
-const DERIVE_CONTEXT: &str = "jasminefield 2025-01 peer sessions shared key";
+const DERIVE_CONTEXT: &str = "jasminefield peer sessions shared key v1";
 
 /// Length of a proof, in bytes.
 pub(crate) const MAC_BYTES: usize = blake3::OUT_LEN;
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -15,14 +15,23 @@
 //! `session.rs` for one connection's life and `dial.rs` for reopening. docs/design/peer.md has the
 //! ways that were weighed.
 
+mod accept;
 mod codec;
 mod config;
+mod counted;
 mod counters;
+mod dial;
 mod event;
 mod frame;
+mod handshake;
 mod key;
 mod mesh;
+mod opening;
+mod outbox;
 mod refusal;
+mod registry;
+mod session;
+mod shared;
 
 pub use codec::{
     decode,
--- a/crates/peer/src/mesh.rs
+++ b/crates/peer/src/mesh.rs
@@ -1,13 +1,25 @@
 //! The owner's handle.
 
 use crate::{
+    accept::accept,
     counters::Counters,
+    dial::keep,
     event::{
         Events,
         PeerInfo, //
     },
-    frame::Frame,
-    key::Key, //
+    frame::{
+        Frame,
+        GoodbyeReason, //
+    },
+    handshake::Side,
+    key::Key,
+    registry::Order,
+    shared::{
+        Kept,
+        Phase,
+        Shared, //
+    }, //
 };
 use base::{
     DomainId,
@@ -16,13 +28,21 @@
     RegionId, //
 };
 use std::{
+    collections::BTreeMap,
+    fmt,
+    io,
     net::{
         SocketAddr,
         TcpListener, //
     },
+    rc::Rc,
     sync::Arc,
     time::Duration, //
 };
+use tokio::sync::{
+    mpsc::unbounded_channel,
+    watch, //
+};
 
 /// Who we are.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -68,8 +88,8 @@
     pub queue_frames: usize,
     /// Configuration parts that may wait for one peer.
     pub queue_config_parts: usize,
-    /// Frames that may wait for the owner.
-    pub event_frames: usize,
+    /// Bytes of frames that may wait for the owner.
+    pub event_bytes: u32,
     /// Handshakes that others may have under way with us at once.
     pub max_handshakes: usize,
     /// Seed of the jitter of backoff.
@@ -88,7 +108,7 @@
             max_frame_bytes: 1 << 20,
             queue_frames: 256,
             queue_config_parts: 512,
-            event_frames: 1024,
+            event_bytes: 8 << 20,
             max_handshakes: 64,
             seed: 0,
         }
@@ -114,8 +134,17 @@
 ///
 /// Dropping the last handle cuts all connections at once, as the death of the process would;
 /// [`Mesh::close`] is the graceful end.
-#[derive(Clone, Debug)]
-pub struct Mesh {}
+#[derive(Clone)]
+pub struct Mesh(Rc<Guard>);
+
+/// Ends the tasks of a mesh when its last handle goes.
+struct Guard(Rc<Shared>);
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.0.phase.send_replace(Phase::Ended);
+    }
+}
 
 impl Mesh {
     /// Listens on `listen`; to be called within a `LocalSet` or an actix system.
@@ -128,42 +157,118 @@
         identity: Identity,
         key: Key,
         options: Options,
-    ) -> std::io::Result<(Self, Events)> {
-        let _ = (listen, identity, key, options);
-        todo!()
+    ) -> io::Result<(Self, Events)> {
+        listen.set_nonblocking(true)?;
+        let local_addr = listen.local_addr()?;
+        let listener = tokio::net::TcpListener::from_std(listen)?;
+        let (sender, queue) = unbounded_channel();
+        let shared = Rc::new(Shared::new(identity, key, options, local_addr, sender));
+        shared.spawn(accept(shared.clone(), listener));
+        Ok((Self(Rc::new(Guard(shared))), Events { queue }))
     }
 
     /// Where we listen.
     pub fn local_addr(&self) -> SocketAddr {
-        todo!()
+        self.shared().local_addr
     }
 
     /// Replaces the set of partners: new ones are dialled, sessions that we dialled to others are
-    /// closed. Sessions that others dialled stay.
+    /// closed. Sessions that others dialled stay, and a partner whose address alone changed keeps
+    /// its session. Ourselves among the partners is passed over.
     pub fn set_partners(&self, partners: Vec<Partner>) {
-        let _ = partners;
-        todo!()
+        let shared = self.shared();
+        let mut wanted: BTreeMap<_, _> = partners
+            .into_iter()
+            .filter(|partner| partner.instance != shared.identity.instance)
+            .map(|partner| (partner.instance, partner.addr))
+            .collect();
+        let mut kept = shared.partners.borrow_mut();
+        kept.retain(|instance, present| {
+            let stays = wanted.get(instance) == Some(&present.addr);
+            if stays {
+                wanted.remove(instance);
+            } else {
+                present.wanted.send_replace(false);
+            }
+            if !stays && !wanted.contains_key(instance) {
+                self.leave(instance);
+            }
+            stays
+        });
+        for (instance, addr) in wanted {
+            kept.insert(instance.clone(), self.keep(Partner { instance, addr }));
+        }
+    }
+
+    /// Begins to dial `partner`.
+    fn keep(&self, partner: Partner) -> Kept {
+        let shared = self.shared();
+        let addr = partner.addr;
+        let wanted = watch::Sender::new(true);
+        shared.spawn(keep(shared.clone(), partner, wanted.subscribe()));
+        Kept { addr, wanted }
+    }
+
+    /// Closes the session to `instance` if we dialled it.
+    fn leave(&self, instance: &InstanceId) {
+        let registry = self.shared().registry.borrow();
+        if let Some(session) = registry.session(instance) {
+            if session.side == Side::Dialler {
+                let goodbye = Order::Goodbye(GoodbyeReason::Unwanted);
+                session.order.send_replace(goodbye);
+            }
+        }
     }
 
     /// Queues `frame` for `to`; never blocks. A frame may still be lost with its connection.
+    ///
+    /// Frames arrive in order, but for configuration parts, which let all others pass. A hello,
+    /// proof or goodbye is not the owner's to send: such a frame closes the session.
     pub fn send(&self, to: &InstanceId, frame: Frame) -> SendResult {
-        let _ = (to, frame);
-        todo!()
+        let shared = self.shared();
+        let outbox = shared.registry.borrow().outbox(to).cloned();
+        let result = outbox.map_or(SendResult::NotConnected, |outbox| outbox.push(frame));
+        match result {
+            SendResult::DroppedBeat => shared.counters.dropped_beats.increment(),
+            SendResult::Full => shared.counters.refused_frames.increment(),
+            _ => {}
+        }
+        result
     }
 
     /// Peers that are up, in order of their names.
     pub fn peers(&self) -> Vec<PeerInfo> {
-        todo!()
+        self.shared().registry.borrow().infos()
     }
 
     /// What happened so far; may be read from any thread.
     pub fn counters(&self) -> Arc<Counters> {
-        todo!()
+        self.shared().counters.clone()
     }
 
     /// Says goodbye to all, waits until what is queued is written, at most `timeout`, and ends.
     pub async fn close(self, timeout: Duration) {
-        let _ = timeout;
-        todo!()
+        let shared = self.shared();
+        shared.phase.send_replace(Phase::Closing);
+        let goodbye = Order::Goodbye(GoodbyeReason::Stopping);
+        shared.registry.borrow().order_all(goodbye);
+        let ended = shared.until(|registry| !registry.any_linked());
+        // Whoever does not answer in time sees the connection close.
+        let _ = tokio::time::timeout(timeout, ended).await;
+        shared.phase.send_replace(Phase::Ended);
+    }
+
+    /// State of the mesh.
+    fn shared(&self) -> &Rc<Shared> {
+        &self.0 .0
+    }
+}
+
+impl fmt::Debug for Mesh {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Mesh")
+            .field("identity", &self.shared().identity)
+            .field("local_addr", &self.local_addr())
+            .finish_non_exhaustive()
     }
 }
--- /dev/null
+++ b/crates/peer/tests/silence.rs
@@ -0,0 +1,99 @@
+//! Connections that go silent for good while new ones work.
+
+mod support;
+
+use peer::{
+    DownReason,
+    Event,
+    Options,
+    Partner, //
+};
+use std::time::Duration;
+use support::{
+    cases,
+    node,
+    quick,
+    share,
+    Node,
+    Relay, //
+};
+
+cases! {
+    smaller_dials: reopens(true, false, 1);
+    larger_dials: reopens(false, true, 1);
+    both_dial: reopens(true, true, 1);
+    silent_twice: reopens(true, false, 2);
+    both_dial_silent_twice: reopens(true, true, 2);
+    new_ones_silent_too: gives_up();
+}
+
+/// `name` as it is reached through `relay`.
+fn through(relay: &Relay, name: &'static str) -> Partner {
+    Partner {
+        instance: name.into(),
+        addr: relay.addr,
+    }
+}
+
+/// Nothing of `node` says down.
+fn never_down(node: &Node) -> bool {
+    node.count(|event| matches!(event, Event::Down { .. })) == 0
+}
+
+/// Symptom: two healthy daemons count each other as gone, or hear nothing of each other and do
+/// not notice. Sequence: a middlebox forgets the connection, both sockets stay open, nothing
+/// moves; a new connection would work. Cause: silence taken for the peer's end, or not seen.
+async fn reopens(a_dials: bool, b_dials: bool, times: u32) {
+    let mut a = node("a", 1, quick());
+    let mut b = node("b", 1, quick());
+    let to_a = Relay::start(a.mesh.local_addr()).await;
+    let to_b = Relay::start(b.mesh.local_addr()).await;
+    if a_dials {
+        a.mesh.set_partners(vec![through(&to_b, "b")]);
+    }
+    if b_dials {
+        b.mesh.set_partners(vec![through(&to_a, "a")]);
+    }
+    a.until_up("b").await;
+    b.until_up("a").await;
+    for time in 0..times {
+        a.mesh.send(&"b".into(), share(time * 2));
+        b.until_share(time * 2).await;
+        to_a.silence_old();
+        to_b.silence_old();
+        let reopened = |event: &Event| matches!(event, Event::Reopened(_));
+        tokio::join!(a.until("reopening", reopened), async {
+            b.until("reopening", reopened).await;
+        });
+        b.mesh.send(&"a".into(), share(time * 2 + 1));
+        a.until_share(time * 2 + 1).await;
+    }
+    assert!(never_down(&a) && never_down(&b));
+    let found = a.mesh.counters().silent_sessions.get() + b.mesh.counters().silent_sessions.get();
+    assert!(found >= u64::from(times), "{found} found silent");
+}
+
+/// Symptom: a peer that cannot be reached counts as up for ever. Sequence: old and new connections
+/// go silent. Cause: reopening without an end.
+async fn gives_up() {
+    let options = Options {
+        reopen_timeout: Duration::from_millis(1500),
+        handshake_timeout: Duration::from_millis(300),
+        ..quick()
+    };
+    let mut a = node("a", 1, options.clone());
+    let mut b = node("b", 1, options);
+    let relay = Relay::start(b.mesh.local_addr()).await;
+    a.mesh.set_partners(vec![through(&relay, "b")]);
+    a.until_up("b").await;
+    b.until_up("a").await;
+    relay.silence_all();
+    for node in [&mut a, &mut b] {
+        let down = node.until("down", |event| matches!(event, Event::Down { .. }));
+        let Event::Down { why, .. } = down.await else {
+            unreachable!();
+        };
+        assert_eq!(why, DownReason::Silent);
+        assert!(node.mesh.peers().is_empty());
+    }
+}
