The thin whole path: look-up, an entry, an upstream's answer

One class, one region, one entry: `jasmined` reads the platform's list and the configuration's head, answers look-ups, carries work with slots, deadlines, safe retries and streaming bodies; `jasminectl` checks, accepts and shows the status.

A chunked answer that breaks off looks whole to the HTTP client: it reads the end of the stream as the body's end. `connection::io` turns the end of a stream into an error, so a short answer never passes.

--- a/crates/ctl/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! jasminectl: the operators' client.
--- /dev/null
+++ b/crates/daemon/src/connection/mod.rs
@@ -0,0 +1,92 @@
+//! What lives as long as a connection: the clients that hold connections to upstreams and to the
+//! entries of other regions.
+//!
+//! Each traffic thread has one [`Clients`], with one HTTP client for each address, so that the
+//! connections to one address can be retired together. A connection goes silent for good when
+//! something between its ends has lost track of it; its siblings are then as likely lost, while a
+//! new connection works. Whoever misses a deadline on an address therefore calls
+//! [`Clients::retire`], and the next request opens a fresh connection.
+
+mod io;
+
+use self::io::NoEof;
+use actix_service::fn_service;
+use actix_service::Service;
+use actix_tls::connect::{
+    ConnectInfo,
+    ConnectorService, //
+};
+use awc::{
+    http::Uri,
+    Client,
+    Connector, //
+};
+use base::FastMap;
+use bytestring::ByteString;
+use std::{
+    cell::RefCell,
+    time::Duration, //
+};
+
+/// Time after which an idle connection is closed.
+const KEEP_ALIVE: Duration = Duration::from_secs(30);
+
+/// HTTP clients of one traffic thread, one for each address.
+pub(crate) struct Clients {
+    connect_timeout: Duration,
+    by_addr: RefCell<FastMap<ByteString, Client>>,
+}
+
+impl Clients {
+    /// Makes an empty set; a connect that takes longer than `connect_timeout` fails.
+    pub(crate) fn new(connect_timeout: Duration) -> Self {
+        Self {
+            connect_timeout,
+            by_addr: RefCell::default(),
+        }
+    }
+
+    /// Client for `addr`, with its pooled connections.
+    pub(crate) fn get(&self, addr: &ByteString) -> Client {
+        self.by_addr
+            .borrow_mut()
+            .entry(addr.clone())
+            .or_insert_with(|| new_client(self.connect_timeout))
+            .clone()
+    }
+
+    /// Client whose connection nothing used before, and nothing uses after.
+    ///
+    /// For work that must not run twice: a pooled connection may have been closed by the other
+    /// end a moment ago, and then nobody can tell whether the request was read.
+    pub(crate) fn fresh(&self) -> Client {
+        new_client(self.connect_timeout)
+    }
+
+    /// Forgets the connections to `addr`; requests on them go on.
+    pub(crate) fn retire(&self, addr: &ByteString) {
+        self.by_addr.borrow_mut().remove(addr);
+    }
+}
+
+fn new_client(connect_timeout: Duration) -> Client {
+    let connect = fn_service(|info: ConnectInfo<Uri>| async move {
+        let connection = ConnectorService::default().call(info).await?;
+        let (stream, request) = connection.into_parts();
+        // Small requests on a warm connection must not wait for the other end's delayed
+        // acknowledgement; failing to set the option only costs time.
+        let _ = stream.set_nodelay(true);
+        Ok(actix_tls::connect::Connection::new(request, NoEof(stream)))
+    });
+    let connector = Connector::new()
+        .connector(connect)
+        .timeout(connect_timeout)
+        .conn_keep_alive(KEEP_ALIVE)
+        .limit(0);
+    Client::builder()
+        .connector(connector)
+        .disable_timeout()
+        .disable_redirects()
+        .no_default_headers()
+        .finish()
+}
--- /dev/null
+++ b/crates/daemon/src/process/control/status.rs
@@ -0,0 +1,77 @@
+//! What operators see of this daemon.
+
+use crate::process::control::Control;
+use actix::{
+    Handler,
+    Message,
+    MessageResult, //
+};
+use base::{
+    Incarnation,
+    InstanceId,
+    RegionId,
+    ServiceId,
+    Version, //
+};
+use serde::Serialize;
+
+/// Asks for the status.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "Status")]
+pub(crate) struct GetStatus;
+
+/// One daemon's picture.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Status {
+    instance: InstanceId,
+    incarnation: Incarnation,
+    region: RegionId,
+    version: Version,
+    active: u64,
+    pools: Vec<PoolStatus>,
+}
+
+/// One pool of this region.
+#[derive(Clone, Debug, Serialize)]
+struct PoolStatus {
+    service: ServiceId,
+    upstreams: usize,
+    slots_usable: u32,
+    slots_used: u32,
+    waiting: u32,
+}
+
+impl Handler<GetStatus> for Control {
+    type Result = MessageResult<GetStatus>;
+
+    fn handle(&mut self, _: GetStatus, _ctx: &mut Self::Context) -> Self::Result {
+        let settings = &self.shared.settings;
+        MessageResult(Status {
+            instance: settings.instance.clone(),
+            incarnation: self.shared.incarnation(),
+            region: settings.region.clone(),
+            version: self.config.as_ref().map_or(0, |(version, _)| *version),
+            active: self.shared.active.count(),
+            pools: self.pool_statuses(),
+        })
+    }
+}
+
+impl Control {
+    fn pool_statuses(&self) -> Vec<PoolStatus> {
+        let now = self.now();
+        let status = |pool: &std::sync::Arc<crate::process::pool::Pool>| {
+            let right = pool.lease.right(now);
+            let upstreams = pool.upstreams();
+            let uses = || upstreams.iter().map(|upstream| upstream.slots.get());
+            PoolStatus {
+                service: pool.service.clone(),
+                upstreams: upstreams.len(),
+                slots_usable: uses().map(|slots| u32::from(slots.usable(right))).sum(),
+                slots_used: uses().map(|slots| u32::from(slots.in_flight)).sum(),
+                waiting: pool.waiting(),
+            }
+        };
+        self.pools.values().map(status).collect()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/process/metric.rs
@@ -0,0 +1,124 @@
+//! The table of metrics: names, kinds, units and meaning.
+//!
+//! The Prometheus endpoint, `docs/METRICS.md` and the counters of the request path all take their
+//! names from here.
+
+use std::fmt::Write as _;
+
+/// Kind of a metric.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Kind {
+    /// Only grows.
+    Counter,
+    /// Goes up and down.
+    Gauge,
+    /// Distribution, exported as quantiles.
+    Histogram,
+}
+
+/// One metric.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Metric {
+    /// Name as exported.
+    pub name: &'static str,
+    /// Kind.
+    pub kind: Kind,
+    /// Unit of the value.
+    pub unit: &'static str,
+    /// Labels, separated by commas.
+    pub labels: &'static str,
+    /// Meaning.
+    pub help: &'static str,
+}
+
+macro_rules! metrics_table {
+    ($($konst:ident = $name:literal, $kind:ident, $unit:literal, $labels:literal, $help:literal;)*) => {
+        $(
+            #[doc = $help]
+            pub(crate) const $konst: &str = $name;
+        )*
+        /// Every metric that a daemon exports.
+        pub const METRICS: &[Metric] = &[
+            $(Metric {
+                name: $name,
+                kind: Kind::$kind,
+                unit: $unit,
+                labels: $labels,
+                help: $help,
+            },)*
+        ];
+    };
+}
+
+metrics_table! {
+    LOOKUPS = "jasmine_lookups_total", Counter, "look-ups", "result",
+        "Look-ups answered, by result.";
+    REQUESTS = "jasmine_requests_total", Counter, "requests", "class,outcome",
+        "Requests answered, by what the answer claims.";
+    REASONS = "jasmine_own_answers_total", Counter, "answers", "reason",
+        "Answers of the system's own, by reason.";
+    LATENCY = "jasmine_request_seconds", Histogram, "seconds", "class",
+        "Time from a request's head to its answer's last byte here, done requests only.";
+    RETRIES = "jasmine_retries_total", Counter, "attempts", "class",
+        "Attempts beyond the first.";
+    SHIFTED = "jasmine_shifted_total", Counter, "requests", "class",
+        "Requests handed to the entry of another region.";
+    BROKEN_STREAMS = "jasmine_broken_streams_total", Counter, "answers", "class",
+        "Answers that streamed and were broken off, so that the caller saw them as short.";
+    WAITED = "jasmine_slot_wait_seconds", Histogram, "seconds", "class",
+        "Time that requests waited here for a slot.";
+    ACTIVE = "jasmine_active_requests", Gauge, "requests", "",
+        "Requests that are not finished.";
+    VERSION = "jasmine_config_version", Gauge, "version", "",
+        "Configuration in force.";
+    LEASE_LEFT = "jasmine_lease_left_seconds", Gauge, "seconds", "",
+        "Time for which the lease allows the whole allotment.";
+    SLOTS_USABLE = "jasmine_slots_usable", Gauge, "slots", "service",
+        "Upstream slots that this entry may use now.";
+    SLOTS_USED = "jasmine_slots_used", Gauge, "slots", "service",
+        "Upstream slots that this entry uses.";
+    PLATFORM_CALLS = "jasmine_platform_calls_total", Counter, "calls", "call,result",
+        "Calls of the platform, by what came of them.";
+    PEERS = "jasmine_peers", Gauge, "sessions", "",
+        "Sessions with other daemons.";
+    PEER_BYTES = "jasmine_peer_sent_bytes_total", Counter, "bytes", "",
+        "Bytes sent to other daemons.";
+    STRANGERS = "jasmine_peer_strangers_total", Counter, "connections", "",
+        "Connections on the peers' port that proved no key or sent what is no frame.";
+    CONTROL_TICK = "jasmine_control_tick_seconds", Histogram, "seconds", "",
+        "Processor time of one tick of control.";
+}
+
+/// Text of `docs/METRICS.md`.
+pub fn metrics_page() -> String {
+    let mut page = String::from(
+        "# Metrics\n\nGenerated from the table in `crates/daemon/src/process/metric.rs` by \
+         `jasmined --metrics-page`; a test checks that they agree. All start at zero with the \
+         process: instances keep nothing.\n\n| name | kind | unit | labels | meaning |\n\
+         | --- | --- | --- | --- | --- |\n",
+    );
+    for metric in METRICS {
+        let kind = format!("{:?}", metric.kind).to_lowercase();
+        let Metric {
+            name,
+            unit,
+            labels,
+            help,
+            ..
+        } = metric;
+        writeln!(page, "| `{name}` | {kind} | {unit} | {labels} | {help} |")
+            .expect("writing to a string can't fail");
+    }
+    page
+}
+
+/// Tells the recorder each metric's unit and meaning.
+pub(crate) fn describe() {
+    for metric in METRICS {
+        match metric.kind {
+            Kind::Counter => metrics::describe_counter!(metric.name, metric.help),
+            Kind::Gauge => metrics::describe_gauge!(metric.name, metric.help),
+            Kind::Histogram => metrics::describe_histogram!(metric.name, metric.help),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/process/mod.rs
@@ -0,0 +1,140 @@
+//! What lives as long as the process: settings, control, pools, the ports.
+//!
+//! [`run`] is the whole life: it binds the ports, starts traffic threads, starts control on the
+//! calling thread, and returns when a planned stop has ended.
+
+pub(crate) mod active;
+pub(crate) mod burn;
+pub(crate) mod control;
+pub(crate) mod metric;
+pub(crate) mod operator;
+pub(crate) mod pool;
+pub(crate) mod settings;
+pub(crate) mod shared;
+pub(crate) mod slots;
+pub(crate) mod stop;
+
+use crate::{
+    process::{
+        control::Control,
+        settings::{
+            LogLevel,
+            Settings, //
+        },
+        shared::Shared, //
+    },
+    request::{
+        self,
+        Traffic, //
+    },
+};
+use actix::{
+    Actor,
+    AsyncContext,
+    Context, //
+};
+use actix_web::{
+    dev::Server,
+    middleware::from_fn,
+    web,
+    App,
+    HttpServer, //
+};
+use eyre::WrapErr;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use spdlog::LevelFilter;
+use std::{
+    net::TcpListener,
+    rc::Rc,
+    sync::Arc,
+    time::{
+        SystemTime,
+        UNIX_EPOCH, //
+    },
+};
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::UnboundedReceiverStream;
+
+/// Time that an idle connection of a caller is kept.
+const KEEP_ALIVE_S: u64 = 75;
+
+/// Runs the daemon until a planned stop has ended.
+///
+/// # Errors
+///
+/// A port can't be bound, or the metrics recorder is already set.
+pub fn run(settings: Settings) -> eyre::Result<()> {
+    init_logs(settings.log_level);
+    let metrics = PrometheusBuilder::new()
+        .install_recorder()
+        .wrap_err("installing the metrics recorder")?;
+    metric::describe();
+    let callers = bind(settings.callers_addr.to_string(), "callers_addr")?;
+    let operators = bind(settings.operator_addr.to_string(), "operator_addr")?;
+    let (notes, noted) = mpsc::unbounded_channel();
+    let start_wall_ms = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |since| {
+            u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+        });
+    let shared = Arc::new(Shared::new(settings, metrics, notes, start_wall_ms));
+    actix_rt::System::new().block_on(async move {
+        let control = Control::create(|ctx: &mut Context<Control>| {
+            ctx.add_stream(UnboundedReceiverStream::new(noted));
+            Control::new(Arc::clone(&shared))
+        });
+        let traffic = serve_callers(callers, &shared)?;
+        let operator = serve_operators(operators, &shared, control)?;
+        actix_rt::spawn(operator);
+        spdlog::info!("started", kv: { instance = shared.settings.instance.to_string() });
+        traffic.await.wrap_err("the callers' port")
+    })
+}
+
+fn bind(addr: String, setting: &str) -> eyre::Result<TcpListener> {
+    TcpListener::bind(&addr).wrap_err_with(|| format!("{setting}: binding {addr}"))
+}
+
+fn serve_callers(listener: TcpListener, shared: &Arc<Shared>) -> eyre::Result<Server> {
+    let threads = shared.settings.traffic_threads;
+    let shared = Arc::clone(shared);
+    let server = HttpServer::new(move || {
+        let traffic = Rc::new(Traffic::new(Arc::clone(&shared)));
+        App::new().app_data(traffic).configure(request::routes)
+    })
+    .workers(threads)
+    .keep_alive(std::time::Duration::from_secs(KEEP_ALIVE_S))
+    // A caller who goes away ends its request, which cancels it at the upstream.
+    .h1_allow_half_closed(false)
+    .disable_signals()
+    .listen(listener)?;
+    Ok(server.run())
+}
+
+fn serve_operators(
+    listener: TcpListener,
+    shared: &Arc<Shared>,
+    control: actix::Addr<Control>,
+) -> eyre::Result<Server> {
+    let shared = web::Data::new(Arc::clone(shared));
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(shared.clone())
+            .wrap(from_fn(operator::prove_key))
+            .configure(operator::routes(control.clone()))
+    })
+    .workers(1)
+    .disable_signals()
+    .listen(listener)?;
+    Ok(server.run())
+}
+
+fn init_logs(level: LogLevel) {
+    let level = match level {
+        LogLevel::Debug => spdlog::Level::Debug,
+        LogLevel::Info => spdlog::Level::Info,
+        LogLevel::Warn => spdlog::Level::Warn,
+        LogLevel::Error => spdlog::Level::Error,
+    };
+    spdlog::default_logger().set_level_filter(LevelFilter::MoreSevereEqual(level));
+}
--- /dev/null
+++ b/crates/daemon/src/request/deadline.rs
@@ -0,0 +1,58 @@
+//! The time that a request has left.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+/// Longest deadline that a caller can ask for.
+const MAX_DEADLINE: Duration = Duration::from_secs(3600);
+
+/// Moment after which nobody waits for the answer.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) struct Deadline(Instant);
+
+/// Text of a deadline header that is no whole number of milliseconds above zero.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct BadDeadline;
+
+impl Deadline {
+    /// Deadline `left` after `now`.
+    pub(crate) fn after(now: Instant, left: Duration) -> Self {
+        Self(now + left.min(MAX_DEADLINE))
+    }
+
+    /// Reads the header; without one, the class's own deadline holds.
+    ///
+    /// A caller may shorten the class's deadline or lengthen it.
+    pub(crate) fn from_header(
+        text: Option<&[u8]>,
+        now: Instant,
+        default: Duration,
+    ) -> Result<Self, BadDeadline> {
+        let Some(text) = text else {
+            return Ok(Self::after(now, default));
+        };
+        let left_ms = std::str::from_utf8(text)
+            .ok()
+            .and_then(|text| text.trim().parse::<u64>().ok())
+            .filter(|&left_ms| left_ms > 0)
+            .ok_or(BadDeadline)?;
+        Ok(Self::after(now, Duration::from_millis(left_ms)))
+    }
+
+    /// What is left; zero once it has passed.
+    pub(crate) fn left(self, now: Instant) -> Duration {
+        self.0.saturating_duration_since(now)
+    }
+
+    /// The earlier of this deadline and `wait` from `now`.
+    pub(crate) fn within(self, now: Instant, wait: Duration) -> Self {
+        Self(self.0.min(now + wait))
+    }
+
+    /// For timers.
+    pub(crate) fn at(self) -> tokio::time::Instant {
+        self.0.into()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/request/lookup.rs
@@ -0,0 +1,177 @@
+//! Look-ups: which entries a caller should use.
+
+use crate::{
+    process::stop::Stage,
+    request::{
+        answer::{
+            Answer,
+            Reason, //
+        },
+        traffic,
+        Traffic, //
+    },
+    version::{
+        Entry,
+        RegionView,
+        Snapshot, //
+    },
+};
+use actix_web::{
+    http::header::CACHE_CONTROL,
+    web,
+    HttpRequest,
+    HttpResponse, //
+};
+use base::Version;
+use serde::Serialize;
+use std::{
+    net::IpAddr,
+    time::Duration, //
+};
+
+/// Entries named from the most preferred region.
+const ENTRIES_HOME: usize = 3;
+/// Entries named from the next region, for a caller who reaches none of the first.
+const ENTRIES_NEXT: usize = 1;
+/// When to ask again a daemon that is not ready.
+const NOT_READY_RETRY: Duration = Duration::from_secs(1);
+
+#[derive(Serialize)]
+struct LookupAnswer<'a> {
+    version: Version,
+    ttl_ms: u64,
+    entries: Vec<NamedEntry<'a>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    ticket: Option<String>,
+}
+
+#[derive(Serialize)]
+struct NamedEntry<'a> {
+    addr: &'a str,
+    region: &'a str,
+    failure_domain: &'a str,
+    instance: &'a str,
+}
+
+/// `GET /v1/entries?class=C[&block=IP]`.
+pub(crate) async fn entries(request: HttpRequest) -> HttpResponse {
+    let traffic = traffic(&request);
+    let snapshot = traffic.shared.published.load();
+    match answer(&traffic, &snapshot, request.query_string()) {
+        Ok(response) => {
+            traffic.counters.lookups_answered.increment(1);
+            response
+        }
+        Err(answer) => {
+            traffic.counters.lookups_refused.increment(1);
+            traffic.counters.reason(answer.reason);
+            answer.respond()
+        }
+    }
+}
+
+fn answer(traffic: &Traffic, snapshot: &Snapshot, query: &str) -> Result<HttpResponse, Answer> {
+    if snapshot.stage == Stage::Starting {
+        let answer = Answer::not_run(Reason::NotReady, "no configuration yet");
+        return Err(answer.retry_after(NOT_READY_RETRY));
+    }
+    let query = Query::parse(query)?;
+    let Some(class) = snapshot.classes.get(query.class.as_str()) else {
+        let detail = format!("no class named {:?}", query.class);
+        return Err(Answer::not_run(Reason::UnknownClass, detail));
+    };
+    let named = choose(snapshot, query.block, traffic.seed());
+    let Some(&(_, first)) = named.first() else {
+        let answer = Answer::not_run(Reason::NoCapacity, "no entry is known to take work");
+        return Err(answer.retry_after(NOT_READY_RETRY));
+    };
+    let ticket = (!class.class.idempotent).then(|| traffic.mint_ticket(&class.class.id, first));
+    let ttl = traffic.shared.settings.terms.lookup_ttl;
+    Ok(HttpResponse::Ok()
+        .insert_header((CACHE_CONTROL, cache_control(ttl, ticket.is_some())))
+        .json(LookupAnswer {
+            version: snapshot.version,
+            ttl_ms: u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX),
+            entries: named.into_iter().map(NamedEntry::from).collect(),
+            ticket,
+        }))
+}
+
+/// Entries to name, best first.
+///
+/// The entries of one region are equally good for a caller, so each answer starts at another one;
+/// that spreads the work over them.
+fn choose(snapshot: &Snapshot, block: Option<IpAddr>, seed: u64) -> Vec<(&RegionView, &Entry)> {
+    let regions = snapshot.preference(block);
+    let mut regions = regions
+        .into_iter()
+        .filter(|region| !region.entries.is_empty());
+    let home = regions.next().into_iter();
+    let next = regions.next().into_iter();
+    home.flat_map(|region| rotated(region, seed).take(ENTRIES_HOME))
+        .chain(next.flat_map(|region| rotated(region, seed).take(ENTRIES_NEXT)))
+        .collect()
+}
+
+fn rotated(region: &RegionView, seed: u64) -> impl Iterator<Item = (&RegionView, &Entry)> {
+    let count = region.entries.len();
+    let first = usize::try_from(seed % count as u64).expect("less than the count");
+    (0..count).map(move |offset| (region, &region.entries[(first + offset) % count]))
+}
+
+impl<'a> From<(&'a RegionView, &'a Entry)> for NamedEntry<'a> {
+    fn from((region, entry): (&'a RegionView, &'a Entry)) -> Self {
+        Self {
+            addr: &entry.callers_addr,
+            region: &region.id,
+            failure_domain: &entry.failure_domain,
+            instance: &entry.instance,
+        }
+    }
+}
+
+/// A ticket is for one filing, so an answer with one must not be used twice.
+fn cache_control(ttl: Duration, ticket: bool) -> String {
+    if ticket {
+        "no-store".to_string()
+    } else {
+        format!("max-age={}", ttl.as_secs())
+    }
+}
+
+/// Parameters of a look-up.
+struct Query {
+    class: String,
+    block: Option<IpAddr>,
+}
+
+impl Query {
+    /// Parses the query; all that is wrong with it is told at once.
+    fn parse(text: &str) -> Result<Self, Answer> {
+        let refuse = |detail: String| Answer::not_run(Reason::BadRequest, detail);
+        let pairs = web::Query::<Vec<(String, String)>>::from_query(text)
+            .map_err(|err| refuse(format!("query: {err}")))?
+            .into_inner();
+        let mut class = None;
+        let mut block = None;
+        let mut wrong = Vec::new();
+        for (name, value) in pairs {
+            match name.as_str() {
+                "class" if class.is_none() => class = Some(value),
+                "block" if block.is_none() => match value.parse::<IpAddr>() {
+                    Ok(addr) => block = Some(addr),
+                    Err(_) => wrong.push(format!("block: {value:?} is no IP address")),
+                },
+                "class" | "block" => wrong.push(format!("{name}: given twice")),
+                _ => wrong.push(format!("{name}: no such parameter")),
+            }
+        }
+        if class.is_none() {
+            wrong.push("class: missing".to_string());
+        }
+        match class {
+            Some(class) if wrong.is_empty() => Ok(Self { class, block }),
+            _ => Err(refuse(wrong.join("; "))),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/request/mod.rs
@@ -0,0 +1,161 @@
+//! What lives as long as a request: look-ups, work, and the answers to them.
+//!
+//! One [`Traffic`] belongs to each traffic thread. A handler loads the snapshot once, decides from
+//! it, and touches nothing else that control writes but atomics, so that it never waits for the
+//! platform, for a peer or for control.
+//!
+//! - [`lookup`] answers which entries to use.
+//! - [`work`] checks a request for work and answers it.
+//! - [`carry`] finds a slot, sends, tries again where that is safe.
+//! - [`attempt`] sends once and says whether the request may have run.
+//! - [`body`] streams a long answer.
+
+pub(crate) mod answer;
+pub(crate) mod attempt;
+pub(crate) mod body;
+pub(crate) mod carry;
+pub(crate) mod counters;
+pub(crate) mod deadline;
+pub(crate) mod header;
+pub(crate) mod lookup;
+pub(crate) mod work;
+
+use crate::{
+    connection::Clients,
+    process::shared::Shared,
+    request::{
+        answer::{
+            Answer,
+            Reason, //
+        },
+        counters::Counters, //
+    },
+    version::Entry,
+};
+use actix_web::{
+    web,
+    HttpRequest,
+    HttpResponse, //
+};
+use base::ClassId;
+use filing::Ticket;
+use rand::{
+    rngs::SmallRng,
+    RngExt,
+    SeedableRng, //
+};
+use std::{
+    cell::RefCell,
+    rc::Rc,
+    sync::Arc, //
+};
+use steer::BaselineLimits;
+
+/// State of one traffic thread.
+pub(crate) struct Traffic {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) clients: Clients,
+    pub(crate) counters: Counters,
+    pub(crate) budget: RefCell<steer::RetryBudget>,
+    pub(crate) chooser: RefCell<steer::Chooser>,
+    rng: RefCell<SmallRng>,
+}
+
+impl Traffic {
+    /// Makes the state of one thread.
+    pub(crate) fn new(shared: Arc<Shared>) -> Self {
+        Self {
+            clients: Clients::new(shared.settings.terms.connect_timeout),
+            counters: Counters::new(Arc::clone(&shared.burn)),
+            budget: RefCell::default(),
+            chooser: RefCell::new(shared.settings.policy.chooser(BaselineLimits::None)),
+            rng: RefCell::new(SmallRng::seed_from_u64(rand::random())),
+            shared,
+        }
+    }
+
+    /// Seed for one decision.
+    pub(crate) fn seed(&self) -> u64 {
+        self.rng.borrow_mut().random()
+    }
+
+    /// Makes a ticket for one filing at `entry`.
+    pub(crate) fn mint_ticket(&self, class: &ClassId, entry: &Entry) -> String {
+        let shared = &self.shared;
+        let life_ms = u64::try_from(shared.settings.terms.ticket.as_millis()).unwrap_or(u64::MAX);
+        let ticket = Ticket {
+            class: class.clone(),
+            instance: entry.instance.clone(),
+            incarnation: entry.incarnation,
+            nonce: self.rng.borrow_mut().random(),
+            expires_at_ms: shared.clock.wall_ms(shared.now()).saturating_add(life_ms),
+        };
+        ticket.mint(&shared.ticket_key)
+    }
+
+    /// Id for one hop.
+    pub(crate) fn request_id(&self) -> String {
+        format!("{:032x}", self.rng.borrow_mut().random::<u128>())
+    }
+}
+
+/// State of the thread that `request` arrived on.
+pub(crate) fn traffic(request: &HttpRequest) -> Rc<Traffic> {
+    request
+        .app_data::<Rc<Traffic>>()
+        .map(Rc::clone)
+        .expect("set for every traffic thread")
+}
+
+/// Routes of the callers' port.
+pub(crate) fn routes(config: &mut web::ServiceConfig) {
+    config
+        .service(
+            web::resource("/v1/entries")
+                .route(web::get().to(lookup::entries))
+                .default_service(web::to(wrong_method)),
+        )
+        .service(web::resource("/v1/work/{class}").to(work::work))
+        .service(web::resource("/v1/work/{class}/{path:.*}").to(work::work))
+        .service(web::resource("/v1/live").to(live))
+        .service(web::resource("/v1/ready").to(ready))
+        .service(web::resource("/metrics").to(metrics))
+        .default_service(web::to(no_such_path));
+}
+
+async fn live() -> HttpResponse {
+    HttpResponse::Ok().body("live\n")
+}
+
+async fn ready(request: HttpRequest) -> HttpResponse {
+    let traffic = traffic(&request);
+    if traffic.shared.published.load().ready() {
+        HttpResponse::Ok().body("ready\n")
+    } else {
+        HttpResponse::ServiceUnavailable().body("not ready\n")
+    }
+}
+
+async fn metrics(request: HttpRequest) -> HttpResponse {
+    let traffic = traffic(&request);
+    HttpResponse::Ok()
+        .content_type("text/plain; version=0.0.4")
+        .body(traffic.shared.metrics.render())
+}
+
+async fn wrong_method(request: HttpRequest) -> HttpResponse {
+    own(&request, "only GET is served here")
+}
+
+async fn no_such_path(request: HttpRequest) -> HttpResponse {
+    own(
+        &request,
+        "no such path; see /v1/entries and /v1/work/<class>/<path>",
+    )
+}
+
+fn own(request: &HttpRequest, detail: &'static str) -> HttpResponse {
+    let answer = Answer::not_run(Reason::BadRequest, detail);
+    traffic(request).counters.reason(answer.reason);
+    answer.respond()
+}
--- /dev/null
+++ b/crates/daemon/src/version/snapshot.rs
@@ -0,0 +1,107 @@
+//! The snapshot itself.
+
+use crate::process::{
+    pool::Pool,
+    stop::Stage, //
+};
+use base::{
+    ClassId,
+    DomainId,
+    FastMap,
+    Incarnation,
+    InstanceId,
+    RegionId,
+    Version, //
+};
+use blocks::Table;
+use bytestring::ByteString;
+use spec::Class;
+use std::{
+    net::IpAddr,
+    sync::Arc, //
+};
+
+/// One entry, as look-up answers name it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Entry {
+    pub(crate) instance: InstanceId,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) failure_domain: DomainId,
+    pub(crate) callers_addr: ByteString,
+    /// Address to dial from this instance.
+    pub(crate) dial_addr: ByteString,
+}
+
+/// One region, as this daemon sees it.
+#[derive(Clone, Debug)]
+pub(crate) struct RegionView {
+    pub(crate) id: RegionId,
+    /// Entries that take work, sorted by name.
+    pub(crate) entries: Vec<Entry>,
+    /// Whether operators drain it.
+    pub(crate) drained: bool,
+    /// What its entries said of their pools.
+    pub(crate) estimates: FastMap<ClassId, steer::Estimate>,
+}
+
+/// One class with its pool in this region.
+#[derive(Debug)]
+pub(crate) struct ClassView {
+    pub(crate) class: Class,
+    pub(crate) pool: Arc<Pool>,
+}
+
+/// All that a traffic thread decides from; never changed once published.
+pub(crate) struct Snapshot {
+    pub(crate) version: Version,
+    pub(crate) stage: Stage,
+    /// Index of the own region in `regions`.
+    pub(crate) own: usize,
+    pub(crate) regions: Vec<RegionView>,
+    pub(crate) classes: FastMap<ClassId, ClassView>,
+    /// Caller's block to regions, most preferred first.
+    pub(crate) blocks: Arc<Table>,
+}
+
+impl Snapshot {
+    /// Snapshot of a process that has no configuration.
+    pub(crate) fn starting(own: RegionId) -> Self {
+        Self {
+            version: 0,
+            stage: Stage::Starting,
+            own: 0,
+            regions: vec![RegionView {
+                id: own,
+                entries: Vec::new(),
+                drained: false,
+                estimates: FastMap::default(),
+            }],
+            classes: FastMap::default(),
+            blocks: Arc::new(Table::default()),
+        }
+    }
+
+    /// Whether a configuration is in force and work is taken.
+    pub(crate) fn ready(&self) -> bool {
+        matches!(self.stage, Stage::Serving | Stage::Withdrawn)
+    }
+
+    /// Own region.
+    pub(crate) fn own_region(&self) -> &RegionView {
+        &self.regions[self.own]
+    }
+
+    /// Regions for a caller, most preferred first: those of its block, then the own one, then the
+    /// rest. Regions that operators drain come last, so that a caller always gets an answer.
+    pub(crate) fn preference(&self, block: Option<IpAddr>) -> Vec<&RegionView> {
+        let listed = block.and_then(|addr| self.blocks.lookup(addr));
+        let rank = |region: &RegionView| {
+            let listed = listed.and_then(|listed| listed.iter().position(|id| *id == region.id));
+            let own = self.regions[self.own].id != region.id;
+            (region.drained, listed.unwrap_or(usize::MAX), own)
+        };
+        let mut regions: Vec<&RegionView> = self.regions.iter().collect();
+        regions.sort_by_key(|region| rank(region));
+        regions
+    }
+}
