--- a/crates/filing/src/ledger.rs
+++ b/crates/filing/src/ledger.rs
@@ -209,7 +209,12 @@
             return;
         }
         let burned = record.outcome == RunOutcome::NotRun;
-        if !self.guards.remember || (burned && !self.guards.burn_refused) {
+        let kept_by_guards = if burned {
+            self.guards.burn_refused
+        } else {
+            self.guards.remember
+        };
+        if !kept_by_guards {
             self.remove(nonce);
             return;
         }
