--- a/crates/plat/src/http.rs
+++ b/crates/plat/src/http.rs
@@ -6,6 +6,7 @@
         ReadError,
         Reason, //
     },
+    strict::strict_connector,
     types::{
         Commit,
         List,
@@ -35,8 +36,7 @@
         Method,
         StatusCode, //
     },
-    Client,
-    Connector, //
+    Client, //
 };
 use bytes::Bytes;
 use bytestring::ByteString;
@@ -312,7 +312,7 @@
 /// client's own timeout is off: the deadline of each call is the one wait.
 fn new_client() -> Client {
     Client::builder()
-        .connector(Connector::new().conn_keep_alive(IDLE))
+        .connector(strict_connector().conn_keep_alive(IDLE))
         .disable_redirects()
         .disable_timeout()
         .finish()
--- /dev/null
+++ b/crates/plat/src/strict.rs
@@ -0,0 +1,118 @@
+//! A transport that tells a cut answer from a whole one.
+//!
+//! awc ends a body without an error when the connection closes early, both for a declared length
+//! and for chunks, as long as what came could be parsed. A caller would take half an answer for a
+//! whole one, and nothing would show it. Here the end of a connection is an error, so that a body
+//! ends well only by its own framing. An answer framed by nothing but the end of its connection
+//! is refused along with the cut ones: no one can tell whether it is whole.
+
+use actix_rt::net::{
+    ActixStream,
+    Ready,
+    TcpStream, //
+};
+use actix_service::{
+    Service,
+    ServiceExt, //
+};
+use actix_tls::connect::{
+    ConnectError,
+    ConnectInfo,
+    Connection,
+    Connector as TcpConnector, //
+};
+use awc::{
+    http::Uri,
+    Connector, //
+};
+use std::{
+    io,
+    pin::Pin,
+    task::{
+        ready,
+        Context,
+        Poll, //
+    }, //
+};
+use tokio::io::{
+    AsyncRead,
+    AsyncWrite,
+    ReadBuf, //
+};
+
+/// A TCP stream whose end is an error.
+#[derive(Debug)]
+pub struct StrictStream(TcpStream);
+
+/// The connector of every awc client here: a connection that ends within an answer breaks it.
+///
+/// The answer's body then gives an error, or the request does when no answer had come.
+pub fn strict_connector() -> Connector<
+    impl Service<ConnectInfo<Uri>, Response = Connection<Uri, StrictStream>, Error = ConnectError>
+        + Clone,
+> {
+    let tcp = TcpConnector::default().service();
+    let strict = tcp.map(|connection: Connection<Uri, TcpStream>| {
+        let (stream, connection) = connection.replace_io(());
+        connection.replace_io(StrictStream(stream)).1
+    });
+    Connector::new().connector(strict)
+}
+
+impl AsyncRead for StrictStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.0).poll_read(cx, buf))?;
+        let ended = buf.filled().len() == before && buf.remaining() > 0;
+        Poll::Ready(if ended {
+            Err(io::ErrorKind::UnexpectedEof.into())
+        } else {
+            Ok(())
+        })
+    }
+}
+
+impl AsyncWrite for StrictStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.is_write_vectored()
+    }
+}
+
+impl ActixStream for StrictStream {
+    fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        // Of the trait: the stream has an inherent method of this name with another result.
+        ActixStream::poll_read_ready(&self.0, cx)
+    }
+
+    fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_write_ready(&self.0, cx)
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -26,6 +26,7 @@
     },
 };
 
+pub mod link;
 pub mod pattern;
 pub mod platform;
 pub mod upstream;
