--- /dev/null
+++ b/crates/rig/tests/faults.rs
@@ -0,0 +1,326 @@
+//! Faults against promises: real binaries, real load, and the judge's verdict.
+//!
+//! Each row brings up a system, drives load at it, lets a fault happen and has the judge compare
+//! what callers were told with what upstreams ran. A row passes when no promise was broken and the
+//! share of requests answered `done` reaches the row's. Verdicts rest on records and generous
+//! bounds, never on a short time.
+
+use load::{
+    CallerRegion,
+    ClassLoad,
+    FilingWay,
+    Scene,
+    Work, //
+};
+use rig::{
+    Layout,
+    Rig,
+    Trial, //
+};
+use serde_json::json;
+use std::{
+    sync::{
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    thread::sleep,
+    time::Duration, //
+};
+
+/// Share that a single fault must leave answered, of requests that have capacity.
+const SINGLE: f64 = 0.99;
+/// Time before the fault, in which all is well.
+const WELL: Duration = Duration::from_secs(2);
+
+/// Rows run one after another: each is a whole system, and a machine that can't keep up would show
+/// as a fault of its own.
+fn turn() -> MutexGuard<'static, ()> {
+    static TURN: Mutex<()> = Mutex::new(());
+    TURN.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn class(name: &'static str, rate_per_s: f64, work: Work, filing: FilingWay) -> ClassLoad {
+    ClassLoad {
+        name: name.into(),
+        rate_per_s,
+        deadline_ms: 3_000,
+        work,
+        bytes: 1_000,
+        filing,
+        tries: 6,
+        // A caller of idempotent work does not wait its whole time for one silent entry.
+        attempt_ms: (filing == FilingWay::None).then_some(700),
+    }
+}
+
+/// Ten seconds of quick lookups, filings by ticket and downloads, far below the capacity.
+fn scene(layout: &Layout) -> Scene {
+    let regions = layout.regions.iter().enumerate();
+    let mut classes = vec![class("menu", 100.0, Work::Bytes, FilingWay::None)];
+    if layout.classes.len() > 1 {
+        classes.push(class("orders", 20.0, Work::Echo, FilingWay::Ticket));
+        let binders = class("binders", 10.0, Work::Chunked, FilingWay::None);
+        let bytes = 200_000;
+        classes.push(ClassLoad { bytes, ..binders });
+    }
+    Scene {
+        seed: 1,
+        duration_ms: 10_000,
+        allowance_ms: 5_000,
+        leaving_bound_ms: 3_000,
+        threads: 1,
+        regions: regions
+            .map(|(index, region)| CallerRegion {
+                name: region.name.into(),
+                block: Layout::block(index).into(),
+                callers: 20,
+                share: 1.0,
+                one_way_ms: 0,
+            })
+            .collect(),
+        classes,
+        bursts: Vec::new(),
+        events: Vec::new(),
+    }
+}
+
+/// The scene with filings by key in place of tickets.
+fn keyed(layout: &Layout) -> Scene {
+    let mut scene = scene(layout);
+    for class in &mut scene.classes {
+        if class.filing == FilingWay::Ticket {
+            class.filing = FilingWay::Key;
+        }
+    }
+    scene
+}
+
+/// The scene without filings.
+fn idempotent(layout: &Layout) -> Scene {
+    let mut scene = scene(layout);
+    scene
+        .classes
+        .retain(|class| class.filing == FilingWay::None);
+    scene
+}
+
+fn assert_kept(trial: &Trial, least_done: f64) {
+    let report = &trial.report;
+    assert!(report.requests > 0, "nothing was asked");
+    assert!(report.violations.is_empty(), "\n{report}");
+    let done = report.done_ratio();
+    assert!(done >= least_done, "only {done:.4} done\n{report}");
+}
+
+fn try_row(layout: Layout, scene: fn(&Layout) -> Scene, least_done: f64, fault: fn(&mut Rig)) {
+    let _turn = turn();
+    let mut rig = Rig::start(layout).unwrap();
+    let scene = scene(&rig.layout);
+    let trial = rig.run(&scene, |rig| {
+        sleep(WELL);
+        fault(rig);
+    });
+    assert_kept(&trial, least_done);
+}
+
+macro_rules! rows {
+    ($($(#[$doc:meta])* $name:ident: $layout:ident, $scene:ident, $least:expr, $fault:expr;)*) => {$(
+        $(#[$doc])*
+        #[test]
+        fn $name() {
+            try_row(Layout::$layout(), $scene, $least, $fault);
+        }
+    )*};
+}
+
+fn platform(rig: &Rig, part: &str, fault: serde_json::Value) {
+    rig.fault_platform(&json!({ part: fault }));
+}
+
+rows! {
+    /// Symptom: none; without a fault every request is answered. Shows that the rows below fail
+    /// for their faults only.
+    nothing_wrong: two_regions, scene, 1.0, |_| {};
+
+    /// Symptom: callers of one entry get reset connections. Sequence: one entry is killed while it
+    /// carries requests. Cause: a process dies without notice; look-up answers name it until its
+    /// silence is noticed, and its filings stay unknown.
+    entry_killed: two_regions, scene, SINGLE, |rig| rig.kill("arusha-0");
+
+    /// Symptom: an entry wakes and acts on slots that others were given. Sequence: it is frozen for
+    /// longer than its lease and then wakes. Cause: a holder can't notice that time passed.
+    entry_frozen_past_its_lease: two_regions, scene, SINGLE, |rig| {
+        rig.freeze("arusha-0", Duration::from_secs(5));
+    };
+
+    /// Symptom: requests wait for a table that does not answer. Sequence: table, objects and list
+    /// refuse everything for the rest of the run. Cause: the platform has outages.
+    platform_down: two_regions, scene, SINGLE, |rig| {
+        for part in ["table", "objects", "list"] {
+            platform(rig, part, json!({"kind": "down"}));
+        }
+    };
+
+    /// Symptom: requests wait for a table that never answers. Sequence: as above, but connections
+    /// stay open. Cause: an outage need not refuse.
+    platform_frozen: two_regions, scene, SINGLE, |rig| {
+        for part in ["table", "objects", "list"] {
+            platform(rig, part, json!({"kind": "freeze"}));
+        }
+    };
+
+    /// Symptom: leases lapse though their holders renew. Sequence: each call of the platform takes
+    /// a second. Cause: a renewal counts from before it was sent.
+    platform_slow: two_regions, scene, SINGLE, |rig| {
+        for part in ["table", "objects", "list"] {
+            platform(rig, part, json!({"kind": "slow", "delay_ms": 1000}));
+        }
+    };
+
+    /// Symptom: a slot has two owners. Sequence: half of the table's answers are lost after their
+    /// commits took effect. Cause: the writer does not know whether it wrote.
+    answers_lost_after_the_effect: two_regions, scene, SINGLE, |rig| {
+        platform(rig, "table", json!({"kind": "lost-answer", "ratio": 0.5}));
+    };
+
+    /// Symptom: a filing by key runs twice or is refused though it ran. Sequence: half of the
+    /// answers to claims are lost after they took effect. Cause: as above, for claims.
+    claims_with_lost_answers: two_regions, keyed, SINGLE, |rig| {
+        platform(rig, "table", json!({"kind": "lost-answer", "ratio": 0.5}));
+    };
+
+    /// Symptom: an entry that stopped is still named. Sequence: the list stands still and an entry
+    /// is killed. Cause: the list lags; it is a hint only.
+    list_stale_and_entry_killed: two_regions, scene, SINGLE, |rig| {
+        platform(rig, "list", json!({"kind": "stale"}));
+        rig.kill("moshi-1");
+    };
+
+    /// Symptom: requests hang on the other region. Sequence: the link between the regions is cut
+    /// and stays so. Cause: regions lose each other for minutes.
+    regions_cut: two_regions, scene, SINGLE, |rig| rig.fault_links("arusha", "moshi", "cut");
+
+    /// Symptom: requests hang on connections that look open. Sequence: all connections between the
+    /// regions go silent; new ones work. Cause: something between lost track of them.
+    old_connections_silent: two_regions, scene, SINGLE, |rig| {
+        rig.fault_links("arusha", "moshi", "silent-old");
+    };
+
+    /// Symptom: one upstream queues while others idle. Sequence: one becomes five times slower.
+    /// Cause: its slots free up later; whoever counts on its usual pace sends too much.
+    upstream_slow: two_regions, scene, SINGLE, |rig| {
+        rig.fault_upstream("arusha-menu-0", &json!({"slow_factor": 5.0}));
+    };
+
+    /// Symptom: an upstream that says that it is idle gets more than its slots. Sequence: one
+    /// becomes slow and reports an empty load and many slots. Cause: reports mislead.
+    upstream_lies_low: two_regions, scene, SINGLE, |rig| {
+        let lie = json!({"slots": 100, "in_flight": 0, "queued": 0, "state": "up"});
+        rig.fault_upstream("arusha-menu-0", &json!({"slow_factor": 5.0, "lie": lie}));
+    };
+
+    /// Symptom: callers are refused though others have room. Sequence: one upstream refuses half
+    /// of what it gets. Cause: upstreams shed; what they refuse has not run and can go elsewhere.
+    upstream_sheds: two_regions, scene, SINGLE, |rig| {
+        rig.fault_upstream("arusha-orders-0", &json!({"shed": 0.5}));
+        rig.fault_upstream("moshi-menu-0", &json!({"shed": 0.5}));
+    };
+
+    /// Symptom: callers get half a page that looks whole. Sequence: an upstream's answers end
+    /// before their declared end. Cause: its process is cut off mid-answer.
+    answers_truncated: two_regions, idempotent, SINGLE, |rig| {
+        for id in ["arusha-menu-0", "arusha-binders-0"] {
+            rig.fault_upstream(id, &json!({"truncate": 0.3}));
+        }
+    };
+
+    /// Symptom: a caller gets the answer to an earlier request. Sequence: one upstream takes longer
+    /// than the callers' time, so that its answers come when nobody waits any more. Cause: a
+    /// connection with an answer outstanding is used again.
+    answers_late: two_regions, idempotent, SINGLE, |rig| {
+        rig.fault_upstream("arusha-menu-0", &json!({"service_ms": 4000.0}));
+        sleep(Duration::from_secs(2));
+        rig.fault_upstream("arusha-menu-0", &json!({}));
+    };
+
+    /// Symptom: a leaving upstream goes on getting work. Sequence: it says on its answers that it
+    /// leaves and refuses new work later. Cause: each entry learns that on its own, unless told.
+    upstream_leaves: two_regions, scene, SINGLE, |rig| {
+        rig.note_leaving("arusha-menu-0");
+        rig.fault_upstream("arusha-menu-0", &json!({"drain": {"refuse_after_ms": 5000}}));
+    };
+
+    /// Symptom: requests are cut. Sequence: an entry is asked to stop under load. Cause: callers
+    /// still hold look-up answers that name it, and it has requests in flight.
+    entry_stopped_as_planned: two_regions, scene, SINGLE, |rig| {
+        let status = rig.terminate("arusha-0").expect("the entry ends");
+        assert!(status.success(), "{status}");
+    };
+
+    /// Symptom: a stopped entry's filings are lost or run again. Sequence: every entry is stopped
+    /// as planned and started again, one after another. Cause: what an entry knows must outlive it.
+    every_entry_restarted: two_regions, scene, SINGLE, |rig| {
+        for id in ["arusha-0", "arusha-1", "moshi-0", "moshi-1"] {
+            let status = rig.terminate(id).expect("the entry ends");
+            assert!(status.success(), "{id}: {status}");
+            rig.start_daemon(id).unwrap();
+            rig.wait_ready(id).unwrap();
+        }
+    };
+
+    /// Symptom: a killed entry's slots are given to others while its requests still run. Sequence:
+    /// the platform goes down, then an entry is killed. Cause: nobody can reclaim through the
+    /// table, and those left must get by with what they hold.
+    platform_down_and_entry_killed: two_regions, scene, 0.9, |rig| {
+        platform(rig, "table", json!({"kind": "down"}));
+        rig.kill("arusha-1");
+    };
+
+    /// Symptom: an entry that was cut off and paused sends what it no longer owns. Sequence: the
+    /// table is frozen and one entry sleeps past its lease. Cause: both of the above at once.
+    platform_frozen_and_entry_frozen: two_regions, scene, 0.9, |rig| {
+        platform(rig, "table", json!({"kind": "freeze"}));
+        rig.freeze("moshi-0", Duration::from_secs(5));
+    };
+
+    /// Symptom: callers of a region without entries get no answer. Sequence: both entries of one
+    /// region are killed at once. Cause: a whole region fails; its callers go to another.
+    region_without_entries: two_regions, scene, 0.8, |rig| {
+        rig.kill("arusha-0");
+        rig.kill("arusha-1");
+    };
+}
+
+/// Symptom: two operators both believe that their configuration is in force. Sequence: both base
+/// theirs on the same version and send it to different daemons at once. Cause: accepting is a read
+/// and a write of the head, and another's write may come in between.
+#[test]
+fn operators_race() {
+    let _turn = turn();
+    let rig = Rig::start(Layout::two_regions()).unwrap();
+    let base = rig.operator("arusha-0", "/op/v1/status", None).body["version"].clone();
+    let texts = ["rig-one", "rig-two"].map(|name| {
+        rig.layout
+            .config()
+            .replace("name: rig", &format!("name: {name}"))
+    });
+    let statuses = std::thread::scope(|scope| {
+        let accept = |id: &'static str, text: &'static str, body: String| {
+            let (rig, base) = (&rig, base.clone());
+            scope.spawn(move || {
+                let body = json!({
+                    "accept_id": text, "author": text, "base_version": base, "text": body,
+                });
+                rig.operator(id, "/op/v1/accept", Some(&body))
+            })
+        };
+        let [one, two] = texts.clone();
+        let one = accept("arusha-0", "one", one);
+        let two = accept("moshi-1", "two", two);
+        [one.join().unwrap(), two.join().unwrap()]
+    });
+    let mut codes = statuses.clone().map(|reply| reply.status);
+    codes.sort_unstable();
+    assert_eq!(codes, [200, 409], "{statuses:?}");
+}
