Versions: accept by compare-and-set, adopt only higher ones

The rows of an accept, one of them under its id, are written in one transaction. So a lost answer is read back for certain: the row is there, or the head has moved and the commit can't take effect any more, or the very same commit is sent again.

--- a/crates/blocks/src/table.rs
+++ b/crates/blocks/src/table.rs
@@ -16,6 +16,7 @@
 };
 use base::RegionId;
 use std::{
+    collections::BTreeSet,
     mem::size_of,
     net::IpAddr,
     sync::Arc, //
@@ -108,6 +109,20 @@
             .map(move |(block, index)| (block, prefs(index)))
     }
 
+    /// All regions that some block prefers.
+    pub fn regions(&self) -> BTreeSet<RegionId> {
+        let mut used = vec![false; self.prefs.len()];
+        let v4 = self.v4.items().map(|item| item.pref);
+        let v6 = self.v6.items().map(|item| item.pref);
+        let long = self.v6_long.items().map(|item| item.pref);
+        for index in v4.chain(v6).chain(long) {
+            used[usize::from(index)] = true;
+        }
+        let used = self.prefs.iter().zip(used).filter(|(_, used)| *used);
+        used.flat_map(|(regions, _)| regions.iter().cloned())
+            .collect()
+    }
+
     /// A table with the difference applied; this one stays as it is, and untouched parts are
     /// shared.
     ///
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -8,6 +8,7 @@
 mod parse;
 mod text;
 mod verify;
+mod version;
 
 pub use config::{
     BlockRule,
@@ -35,3 +36,36 @@
     Section,
     Subject, //
 };
+pub use version::{
+    parse_blocks,
+    Accept,
+    AcceptAction,
+    AcceptEvent,
+    AcceptId,
+    AcceptOutcome,
+    Adopt,
+    AdoptAction,
+    AdoptEvent,
+    Adopted,
+    Answer,
+    BlockChange,
+    BlockObject,
+    Body,
+    Check,
+    CommitAnswer,
+    Digest,
+    FetchFailure,
+    Guards,
+    Head,
+    MalformedHead,
+    MalformedId,
+    Object,
+    ObjectError,
+    Offer,
+    Proposal,
+    ProposalError,
+    RowKey,
+    RowValue,
+    Source,
+    Write, //
+};
--- /dev/null
+++ b/crates/spec/src/version/mod.rs
@@ -0,0 +1,53 @@
+//! Versions of the configuration: how one is accepted, and how a daemon adopts it.
+
+mod accept;
+mod adopt;
+mod guards;
+mod head;
+mod id;
+mod object;
+mod proposal;
+
+pub use accept::{
+    Accept,
+    AcceptAction,
+    AcceptEvent,
+    AcceptOutcome,
+    Answer,
+    Check,
+    CommitAnswer,
+    RowKey,
+    RowValue,
+    Write, //
+};
+pub use adopt::{
+    Adopt,
+    AdoptAction,
+    AdoptEvent,
+    Adopted,
+    FetchFailure,
+    Offer,
+    Source, //
+};
+pub use guards::Guards;
+pub use head::{
+    Head,
+    MalformedHead, //
+};
+pub use id::{
+    AcceptId,
+    Digest,
+    MalformedId, //
+};
+pub use object::{
+    BlockObject,
+    Body,
+    Object,
+    ObjectError, //
+};
+pub use proposal::{
+    parse_blocks,
+    BlockChange,
+    Proposal,
+    ProposalError, //
+};
--- /dev/null
+++ b/crates/spec/src/version/proposal.rs
@@ -0,0 +1,206 @@
+//! What an operator asks to be accepted, with the objects that it needs.
+
+use crate::{
+    AcceptId,
+    Adopted,
+    BlockObject,
+    Body,
+    Config,
+    Digest, //
+};
+use base::{
+    RegionId,
+    Version, //
+};
+use blocks::{
+    Delta,
+    LineError,
+    Table,
+    TooManyPreferences, //
+};
+use bytes::Bytes;
+use bytestring::ByteString;
+use conf::{
+    Finding,
+    Findings,
+    Place, //
+};
+use std::{
+    collections::BTreeSet,
+    error::Error,
+    fmt,
+    sync::Arc, //
+};
+
+/// A difference is shipped as such while the table has this many times its blocks.
+const WORTH_A_DIFFERENCE: usize = 4;
+
+/// What becomes of the block table.
+#[derive(Clone, Debug, Default)]
+pub enum BlockChange {
+    /// It stays.
+    #[default]
+    Keep,
+    /// It is replaced.
+    Replace(Table),
+    /// Some blocks change.
+    Apply(Delta),
+}
+
+/// Reads a block file: a difference if its first line begins with a sign, else a table.
+///
+/// # Errors
+///
+/// Every line that can't be taken.
+pub fn parse_blocks(file: &str, text: &str) -> Result<BlockChange, Findings> {
+    let mut lines = text.lines().map(str::trim);
+    let first = lines.find(|line| !line.is_empty() && !line.starts_with('#'));
+    let change = match first {
+        Some(line) if line.starts_with(['+', '-']) => Delta::parse(text).map(BlockChange::Apply),
+        _ => Table::parse(text).map(BlockChange::Replace),
+    };
+    change.map_err(|errors| {
+        let finding = |error: LineError| Finding {
+            place: Place {
+                file: file.into(),
+                line: error.line,
+                column: 1,
+            },
+            message: error.message,
+        };
+        errors.into_iter().map(finding).collect()
+    })
+}
+
+/// Accept that an operator asked for, made on the version that it changes.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Proposal {
+    /// Name of the accept. A repeat carries the same one, and the same base.
+    pub accept_id: AcceptId,
+    /// Operator, as stated.
+    pub author: ByteString,
+    /// Wall time, for people only.
+    pub accepted_at_ms: u64,
+    /// Version that it changes; 0 if there is none yet.
+    pub base: Version,
+    /// Digest of the body.
+    pub body: Digest,
+    /// Objects to store, those that others name first.
+    pub objects: Vec<(Digest, Bytes)>,
+}
+
+/// Why a proposal can't be made.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ProposalError {
+    /// Blocks name regions that the configuration lacks.
+    UnknownRegions(BTreeSet<RegionId>),
+    /// The block table has too many distinct preferences.
+    TooManyPreferences,
+}
+
+impl fmt::Display for ProposalError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::UnknownRegions(regions) => {
+                let names: Vec<String> = regions.iter().map(|id| format!("`{id}`")).collect();
+                let names = names.join(", ");
+                write!(f, "the block table names unknown regions: {names}")
+            }
+            Self::TooManyPreferences => TooManyPreferences.fmt(f),
+        }
+    }
+}
+
+impl Error for ProposalError {}
+
+impl Proposal {
+    /// Makes a proposal on the version that `base` is.
+    ///
+    /// # Errors
+    ///
+    /// When the block table does not fit the configuration.
+    pub fn new(
+        accept_id: AcceptId,
+        author: ByteString,
+        accepted_at_ms: u64,
+        base: Option<&Adopted>,
+        config: Config,
+        blocks: BlockChange,
+    ) -> Result<Self, ProposalError> {
+        let mut objects = Vec::new();
+        let (table, blocks) = next_blocks(base, blocks, &mut objects)?;
+        check_regions(&config, &table)?;
+        let body = Body {
+            config: Arc::new(config),
+            blocks,
+        };
+        let body = push_object(&mut objects, body.to_bytes());
+        Ok(Self {
+            accept_id,
+            author,
+            accepted_at_ms,
+            base: base.map_or(0, Adopted::version),
+            body,
+            objects,
+        })
+    }
+}
+
+/// Table that follows and the name of its object, which is added to `objects` if it is new.
+fn next_blocks(
+    base: Option<&Adopted>,
+    change: BlockChange,
+    objects: &mut Vec<(Digest, Bytes)>,
+) -> Result<(Arc<Table>, Option<Digest>), ProposalError> {
+    let held = base.and_then(Adopted::held_blocks);
+    let old = held.map_or_else(Arc::default, |held| Arc::clone(&held.table));
+    let (table, delta) = match change {
+        BlockChange::Keep => (Arc::clone(&old), Delta::default()),
+        BlockChange::Replace(table) => {
+            let delta = Delta::between(&old, &table);
+            (Arc::new(table), delta)
+        }
+        BlockChange::Apply(delta) => {
+            let applied = old.apply(&delta);
+            let table = applied.map_err(|TooManyPreferences| ProposalError::TooManyPreferences)?;
+            (Arc::new(table), delta)
+        }
+    };
+    if table.is_empty() {
+        return Ok((table, None));
+    }
+    let object = match held {
+        Some(held) if delta.is_empty() => return Ok((table, Some(held.digest))),
+        Some(held)
+            if held.depth < crate::version::object::MAX_DEPTH
+                && delta.len() * WORTH_A_DIFFERENCE <= table.len() =>
+        {
+            BlockObject::Difference {
+                base: held.digest,
+                depth: held.depth + 1,
+                delta: Arc::new(delta),
+            }
+        }
+        _ => BlockObject::Snapshot(Arc::clone(&table)),
+    };
+    let digest = push_object(objects, object.to_bytes());
+    Ok((table, Some(digest)))
+}
+
+/// Adds an object under its digest.
+fn push_object(objects: &mut Vec<(Digest, Bytes)>, bytes: Bytes) -> Digest {
+    let digest = Digest::of(&bytes);
+    objects.push((digest, bytes));
+    digest
+}
+
+/// Checks that the table names regions of the configuration only.
+fn check_regions(config: &Config, table: &Table) -> Result<(), ProposalError> {
+    let mut unknown = table.regions();
+    unknown.retain(|id| config.region(id).is_none());
+    if unknown.is_empty() {
+        Ok(())
+    } else {
+        Err(ProposalError::UnknownRegions(unknown))
+    }
+}
