--- a/crates/steer/src/choose/ours.rs
+++ b/crates/steer/src/choose/ours.rs
@@ -65,7 +65,7 @@
                 continue;
             }
             if view.probes_only() {
-                if view.probe_due && view.in_flight == 0 {
+                if view.takes_probe() {
                     return Some(index);
                 }
                 continue;
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -81,7 +81,8 @@
     Ramp,
     RampCause,
     RampPhase,
-    RampSettings, //
+    RampSettings,
+    Relief, //
 };
 pub use retry::RetryBudget;
 pub use shift::{
@@ -91,6 +92,7 @@
 };
 pub use spill::{
     is_excess,
+    Allowance,
     Demand, //
 };
 pub use suspect::{
@@ -99,6 +101,7 @@
     Suspicion, //
 };
 pub use view::{
+    due_probe,
     Capacity,
     Reported,
     View,
--- a/crates/steer/src/ramp.rs
+++ b/crates/steer/src/ramp.rs
@@ -41,8 +41,8 @@
 pub struct RampSettings {
     /// Least time between two probes of a trickle.
     pub trickle_gap: Duration,
-    /// Probes near the warm latency, in a row, that end the trickle.
-    pub trickle_good: u32,
+    /// Probes whose mean latency is judged; near the warm one it ends the trickle.
+    pub trickle_answers: u32,
     /// Slots open when the trickle ends.
     pub first_limit: u32,
     /// Answers that each open slot must have given before the next one opens.
@@ -60,12 +60,12 @@
 impl Default for RampSettings {
     fn default() -> Self {
         Self {
-            trickle_gap: Duration::from_millis(250),
-            trickle_good: 2,
+            trickle_gap: Duration::from_millis(100),
+            trickle_answers: 6,
             first_limit: 1,
             answers_per_slot: 4,
             near_permille: 1250,
-            fall_permille: 2000,
+            fall_permille: 1500,
             hold: Duration::from_millis(500),
             stuck_after: Duration::from_secs(30),
         }
@@ -85,7 +85,7 @@
     limit: u32,
     warm: Option<Duration>,
     window: Seen,
-    good_probes: u32,
+    may_trickle: bool,
     next_probe: Now,
     hold_until: Now,
     stepped_at: Now,
@@ -100,7 +100,7 @@
             limit: NO_LIMIT,
             warm: None,
             window: Seen::default(),
-            good_probes: 0,
+            may_trickle: false,
             next_probe: Now::ZERO,
             hold_until: Now::ZERO,
             stepped_at: Now::ZERO,
@@ -120,16 +120,14 @@
         siblings: Option<Duration>,
         another_will_do: bool,
     ) {
-        let trickle = another_will_do && cause != RampCause::Silence;
+        self.may_trickle = another_will_do && cause != RampCause::Silence;
         self.warm = self.warm.or(siblings);
         self.window = Seen::default();
-        self.good_probes = 0;
         self.next_probe = now;
         self.hold_until = now;
         self.stepped_at = now;
-        if trickle {
-            self.phase = RampPhase::Trickle;
-            self.limit = 1;
+        if self.may_trickle {
+            self.trickle();
         } else {
             self.open();
         }
@@ -173,27 +171,45 @@
         self.warm
     }
 
+    /// Opens a slot without proof, for work that nothing else takes.
+    ///
+    /// When the only other upstreams are full or cold themselves, holding back would refuse work
+    /// that a slow answer would still serve in time: one would notice refusals while slots idle.
+    /// [`Relief`] says when; what is open stays within the slots owned.
+    pub fn relieve(&mut self, now: Now) {
+        self.stepped_at = now;
+        match self.phase {
+            RampPhase::Trickle => self.open(),
+            RampPhase::Opening => self.limit = self.limit.saturating_add(1),
+            RampPhase::Warm => {}
+        }
+    }
+
+    fn trickle(&mut self) {
+        self.phase = RampPhase::Trickle;
+        self.limit = 1;
+    }
+
     fn open(&mut self) {
+        self.window = Seen::default();
         self.phase = RampPhase::Opening;
         self.limit = self.settings.first_limit.max(1);
     }
 
     fn judge_probes(&mut self, now: Now, freshness: Freshness) {
-        let seen = std::mem::take(&mut self.window);
-        if seen.failures() > 0 {
-            self.good_probes = 0;
+        if self.window.failures() > 0 {
+            self.window = Seen::default();
+            return;
+        }
+        if self.window.answers < self.settings.trickle_answers {
             return;
         }
-        let Some(mean) = seen.mean_latency() else {
+        let Some(mean) = std::mem::take(&mut self.window).mean_latency() else {
             return;
         };
         self.accept_when_stuck(now, mean);
-        if !self.is_within(mean, self.settings.near_permille) {
-            self.good_probes = 0;
-            return;
-        }
-        self.good_probes += seen.answers;
-        if self.good_probes >= self.settings.trickle_good && freshness.allows_growth() {
+        let near = self.is_within(mean, self.settings.near_permille);
+        if near && freshness.allows_growth() {
             self.stepped_at = now;
             self.open();
         }
@@ -239,7 +255,11 @@
     fn fall(&mut self, now: Now) {
         self.window = Seen::default();
         self.hold_until = now + self.settings.hold;
-        self.limit = (self.limit / 2).max(1);
+        if self.limit <= self.settings.first_limit && self.may_trickle {
+            self.trickle();
+        } else {
+            self.limit = (self.limit / 2).max(1);
+        }
     }
 
     /// Follows the latency of a warm upstream.
@@ -269,6 +289,32 @@
     }
 }
 
+/// Ticks in a row with unserved work before slow start yields to it.
+const RELIEF_TICKS: u32 = 3;
+/// Part of the arrivals, as a divisor, that must be unserved for a tick to count.
+const RELIEF_PART: u32 = 20;
+
+/// Judges whether work goes unserved for lack of open slots, so that slow start must yield.
+///
+/// One bad tick is the chance of a moment, or a shift that is still growing.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Relief {
+    ticks: u32,
+}
+
+impl Relief {
+    /// Takes in a tick's arrivals at this entry and how many of them waited or were refused here;
+    /// true when [`Ramp::relieve`] is due. A tick each 100 ms suits.
+    pub fn tick(&mut self, arrivals: u32, unserved: u32) -> bool {
+        if unserved.saturating_mul(RELIEF_PART) > arrivals {
+            self.ticks = self.ticks.saturating_add(1);
+        } else {
+            self.ticks = 0;
+        }
+        self.ticks >= RELIEF_TICKS
+    }
+}
+
 impl fmt::Display for Ramp {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self.phase {
--- a/crates/steer/src/shift.rs
+++ b/crates/steer/src/shift.rs
@@ -7,7 +7,8 @@
     time::Duration, //
 };
 
-/// Part of the cap, as a divisor, that may go out at once; the refill is lowered by as much.
+/// Part of a second's bytes or growth, as a divisor, that may come at once; the steady pace is
+/// lowered by as much.
 const BURST_PART: u64 = 16;
 /// Thousandths of a request: the unit in which the growth of a shift is counted.
 const MILLI: u64 = 1000;
@@ -38,7 +39,7 @@
 /// Meter of the shift from one region to another, on an escrowed part of the cap.
 ///
 /// Invariants: requests in flight admitted here stay within the cap in force when they were
-/// admitted, and grow by `growth_per_s` each second at most; in any window of a second or more the
+/// admitted, and grow by `growth_per_s` in any second at most, beyond the first; in any window of a second or more the
 /// bytes let through stay within the cap, for chunks up to a sixteenth of a second's bytes.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct ShiftLimit {
@@ -158,12 +159,15 @@
         self.balance = self.balance.saturating_add(refill).min(self.burst());
     }
 
-    /// Moves the open limit towards one request more than are in flight, at the pace of growth.
+    /// Moves the open limit towards what is in flight and a burst more, at the pace of growth.
     ///
-    /// It follows use down as well: a shift that ended starts from one request again, or the next
-    /// one would reach a region whose caches have forgotten it with the whole load at once.
+    /// It follows use down as well: a shift that ended starts small again, or the next one would
+    /// reach a region whose caches have forgotten it with the whole load at once. Without the
+    /// burst two requests that arrive together would be refused at any pace.
     fn follow(&mut self, now: Now) {
-        let pace = u128::from(self.cap.growth_per_s) * u128::from(MILLI);
+        let growth_milli = u64::from(self.cap.growth_per_s) * MILLI;
+        let burst = growth_milli / BURST_PART;
+        let pace = u128::from(growth_milli - burst);
         let elapsed_ns = now.saturating_sub(self.opened_at).as_nanos();
         let step = elapsed_ns * pace / NANOS_PER_S;
         if step == 0 {
@@ -173,7 +177,7 @@
         let used_ns = (step * NANOS_PER_S).div_ceil(pace);
         self.opened_at += Duration::from_nanos(u64::try_from(used_ns).unwrap_or(u64::MAX));
         let step = u64::try_from(step).unwrap_or(u64::MAX);
-        let goal = (u64::from(self.in_flight) + 1) * MILLI;
+        let goal = (u64::from(self.in_flight) + 1) * MILLI + burst;
         if goal <= self.open_milli {
             self.open_milli = self.open_milli.saturating_sub(step).max(goal);
         } else if self.may_grow {
--- a/crates/steer/src/spill.rs
+++ b/crates/steer/src/spill.rs
@@ -35,7 +35,8 @@
 
     /// Takes in the requests that arrived since the last tick; a tick each 100 ms suits.
     ///
-    /// `service` is the smoothed time of service, waits excluded.
+    /// `service` is the smoothed time of service, without waits and without the answers of
+    /// probes: a few probes of cold upstreams would else pass for twice the demand.
     pub fn tick(&mut self, now: Now, arrivals: u32, service: Duration) {
         let elapsed_ns = now.saturating_sub(self.ticked_at).as_nanos();
         let work_ns = service.as_nanos() * u128::from(arrivals) * u128::from(MILLI);
@@ -55,15 +56,81 @@
         self.milli_slots.unwrap_or(0)
     }
 
-    /// Thousandths of the demand that do not fit in `open` slots with `headroom_pct` kept free.
-    pub fn spill_permille(&self, open: u32, headroom_pct: u32) -> u32 {
-        let kept_pct = 100 - u64::from(headroom_pct.min(100));
-        let fits = u64::from(open) * kept_pct * MILLI / 100;
+    /// Percent of `open` slots that the demand leaves free; 0 when none is open.
+    ///
+    /// This is what a region tells others of its headroom, from the demand that it carries. It is
+    /// smooth, so that others neither rush in nor stay away for the chance of a moment.
+    pub fn headroom_left_pct(&self, open: u32) -> u32 {
+        let used_pct = (self.milli_slots() * 100)
+            .div_ceil(MILLI)
+            .checked_div(u64::from(open));
+        let left = 100u64.saturating_sub(used_pct.unwrap_or(100));
+        // At most a hundred.
+        u32::try_from(left).unwrap_or(0)
+    }
+
+    /// Adds the demand at another entry.
+    pub fn add(&mut self, other: &Self) {
+        let sum = self.milli_slots().saturating_add(other.milli_slots());
+        self.milli_slots = Some(sum);
+    }
+
+    /// Thousandths of the demand that do not fit in `open` slots with `headroom_pct` kept free and
+    /// that `allowance` lets go elsewhere.
+    pub fn spill_permille(&self, open: u32, headroom_pct: u32, allowance: &Allowance) -> u32 {
         let demand = self.milli_slots();
-        let excess = demand.saturating_sub(fits);
-        let permille = excess.saturating_mul(MILLI).checked_div(demand);
+        let excess = demand.saturating_sub(fitting(open, headroom_pct));
+        let spill = excess.min(allowance.milli_slots).saturating_mul(MILLI);
+        // Nothing fits where nothing is open, whatever the demand turns out to be.
+        let unknown = if open == 0 { MILLI } else { 0 };
+        let permille = spill.checked_div(demand).unwrap_or(unknown);
         // At most a thousand.
-        u32::try_from(permille.unwrap_or(0)).unwrap_or(1000)
+        u32::try_from(permille).unwrap_or(1000)
+    }
+}
+
+/// Demand in thousandths of a slot that fits in `open` slots with `headroom_pct` kept free.
+fn fitting(open: u32, headroom_pct: u32) -> u64 {
+    let kept_pct = 100 - u64::from(headroom_pct.min(100));
+    u64::from(open) * kept_pct * MILLI / 100
+}
+
+/// Demand that this entry may shift to one other region, by the room there.
+///
+/// What is known of the other region lags. Were each entry to spill all of its excess while there
+/// seems to be room, and nothing once there is none, the load would swing between the regions and
+/// overload each in turn. So each entry moves towards what it shifts already and its part of the
+/// room that is left, which may be negative.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Allowance {
+    milli_slots: u64,
+}
+
+impl Allowance {
+    /// Follows the room of the other region; a tick each 100 ms suits.
+    ///
+    /// `there` is the demand that it carries on `open` slots, with `headroom_pct` to be kept free;
+    /// `shifted` is what this entry shifts to it, and `senders` the entries that may do so.
+    pub fn tick(
+        &mut self,
+        there: &Demand,
+        open: u32,
+        headroom_pct: u32,
+        shifted: &Demand,
+        senders: u32,
+    ) {
+        let fits = fitting(open, headroom_pct);
+        let carried = there.milli_slots();
+        let senders = u64::from(senders.max(1));
+        let more = fits.saturating_sub(carried) / senders;
+        let less = carried.saturating_sub(fits) / senders;
+        let goal = (shifted.milli_slots() + more).saturating_sub(less);
+        self.milli_slots = (self.milli_slots + goal) / 2;
+    }
+
+    /// Demand that may be shifted, in thousandths of a slot.
+    pub fn milli_slots(&self) -> u64 {
+        self.milli_slots
     }
 }
 
--- a/crates/steer/src/view.rs
+++ b/crates/steer/src/view.rs
@@ -75,6 +75,12 @@
         }
     }
 
+    /// Whether the upstream may be sent a probe now.
+    pub fn takes_probe(&self) -> bool {
+        let is_due = self.probes_only() && self.probe_due;
+        is_due && !self.leaving && self.in_flight == 0 && self.limit() > 0
+    }
+
     /// Whether the upstream gets probes and nothing else.
     pub fn probes_only(&self) -> bool {
         self.suspect || self.cold
@@ -97,6 +103,16 @@
     }
 }
 
+/// Upstream to which a probe is due, for a copy of a quick idempotent request.
+///
+/// A request that is itself the probe of a cold or suspect upstream bears its latency, and a few
+/// of a hundred already make the tail. So the request of an idempotent class goes where it would
+/// go anyway, with `probe_due` false in its views, and a copy goes to this upstream, if a
+/// [`RetryBudget`](crate::RetryBudget) holds one; the copy's answer is only measured.
+pub fn due_probe(views: &[View]) -> Option<usize> {
+    views.iter().position(View::takes_probe)
+}
+
 /// Slots of one service that an entry may use now, and those in use.
 ///
 /// The headroom of a region is that of the slots that are open: after a cold start few are, and
@@ -119,7 +135,7 @@
             if !view.probes_only() {
                 sum.open = sum.open.saturating_add(limit);
                 sum.in_flight = sum.in_flight.saturating_add(view.in_flight.min(limit));
-            } else if view.probe_due && view.in_flight == 0 {
+            } else if view.takes_probe() {
                 sum.open = sum.open.saturating_add(limit.min(1));
             }
         }
