Control: leases, sessions, shares and the planned stop in the daemon

Control is an actor on the main thread that runs the pure crates' state machines: it claims an incarnation and renews its lease, keeps sessions to its partners, beats, shares the region's slots and the caps to other regions, and stops in stages, each a type of its own. Traffic threads see allotments and requests in flight in one atomic word, so that a lowered allotment can't be missed by a request that starts just then.

Left: slow start, suspicion, filings, hand-over, configuration by peers.

--- a/crates/daemon/src/process/control/config.rs
+++ b/crates/daemon/src/process/control/config.rs
@@ -13,13 +13,20 @@
     ResponseFuture,
     WrapFuture, //
 };
-use base::Version;
+use base::{
+    InstanceId,
+    Version, //
+};
 use bytes::Bytes;
 use bytestring::ByteString;
 use eyre::{
     bail,
     OptionExt, //
 };
+use peer::{
+    ConfigBody,
+    ConfigWant, //
+};
 use plat::{
     Check,
     Commit,
@@ -201,3 +208,20 @@
         }),
     }
 }
+
+impl Control {
+    /// Takes another daemon's word that it has `version` in force.
+    pub(super) fn offer_version(&mut self, _from: &InstanceId, _version: Version) {}
+
+    /// Answers a request for a configuration.
+    pub(super) fn on_config_want(&mut self, _from: &InstanceId, _want: &ConfigWant) {}
+
+    /// Takes a part of a configuration.
+    pub(super) fn on_config_part(
+        &mut self,
+        _from: &InstanceId,
+        _part: ConfigBody,
+        _ctx: &mut Context<Self>,
+    ) {
+    }
+}
--- a/crates/daemon/src/process/control/lease.rs
+++ b/crates/daemon/src/process/control/lease.rs
@@ -1,13 +1,243 @@
 //! The incarnation of this process and its lease in the table.
+//!
+//! The state machines are those of crate `member`; here their steps are carried out on the
+//! platform, one at a time.
 
-use crate::process::control::Control;
-use actix::Context;
+use crate::process::{
+    control::Control,
+    metric, //
+};
+use actix::{
+    ActorContext,
+    ActorFutureExt,
+    AsyncContext,
+    Context,
+    WrapFuture, //
+};
+use base::Now;
+use bytestring::ByteString;
+use member::{
+    lease_key,
+    Guards,
+    Holder,
+    Identity,
+    Joined,
+    Joining,
+    LeaseEvent,
+    LeaseRow,
+    LeaseStep,
+    LeaseTerms,
+    VersionedLease, //
+};
+use plat::{
+    Check,
+    Commit,
+    HttpPlatform,
+    Outcome,
+    ReadError,
+    Row,
+    Table,
+    Txn,
+    Write, //
+};
+use std::{
+    rc::Rc,
+    time::Duration, //
+};
+
+/// Part of a clock's time by which it may run wrong.
+const DRIFT_PCT: u32 = 1;
+/// Wait before a join is tried again.
+const JOIN_RETRY: Duration = Duration::from_millis(500);
+
+/// Where the process is with its lease.
+pub(super) enum Lease {
+    /// It has none yet.
+    Joining(Option<Joining>),
+    /// It holds one, or held one.
+    Held(Box<Held>),
+}
+
+/// A lease that was taken.
+pub(super) struct Held {
+    pub(super) holder: Holder,
+    /// Renewal under way: sequence number, and when it was sent.
+    sent: Option<(u64, Now)>,
+}
 
 impl Control {
-    /// Claims the next incarnation by compare-and-set of the lease row; tries until it succeeds.
-    pub(super) fn claim_incarnation(&mut self, ctx: &mut Context<Self>) {
-        self.shared.claimed(1);
-        self.read_list(ctx);
-        self.read_head(ctx);
+    pub(super) fn identity(&self) -> Identity {
+        let settings = &self.shared.settings;
+        let text = |addr: std::net::SocketAddr| ByteString::from(addr.to_string());
+        Identity {
+            instance: settings.instance.clone(),
+            region: settings.region.clone(),
+            failure_domain: settings.failure_domain.clone(),
+            callers_addr: text(settings.callers_addr),
+            peers_addr: text(settings.peers_addr),
+            operator_addr: text(settings.operator_addr),
+        }
+    }
+
+    fn lease_terms(&self) -> LeaseTerms {
+        let terms = &self.shared.settings.terms;
+        LeaseTerms {
+            ttl: terms.lease,
+            renew_every: terms.lease_renew,
+            drift_pct: DRIFT_PCT,
+        }
+    }
+
+    /// Starts to claim the next incarnation; goes on until that succeeds.
+    pub(super) fn join(&mut self, ctx: &mut Context<Self>) {
+        let joining = Joining::new(self.identity(), self.lease_terms(), Guards::default());
+        let step = joining.read();
+        self.lease = Lease::Joining(Some(joining));
+        self.run_lease_step(step, ctx);
+    }
+
+    /// Renews the lease when it is time.
+    pub(super) fn tick_lease(&mut self, ctx: &mut Context<Self>) {
+        let now = self.now();
+        let Lease::Held(held) = &mut self.lease else {
+            return;
+        };
+        let left = held.holder.valid_until().saturating_sub(now);
+        metrics::gauge!(metric::LEASE_LEFT).set(left.as_secs_f64());
+        let step = held.holder.tick(now);
+        self.run_lease_step(step, ctx);
+    }
+
+    fn run_lease_step(&mut self, step: LeaseStep, ctx: &mut Context<Self>) {
+        let key = lease_key(&self.shared.settings.instance);
+        let platform = Rc::clone(&self.platform);
+        match step {
+            LeaseStep::Idle => {}
+            LeaseStep::Superseded => {
+                spdlog::error!("another incarnation has the lease; this process ends");
+                self.superseded = true;
+                ctx.stop();
+            }
+            LeaseStep::Read => {
+                let read = async move { read_lease(&platform, key).await };
+                ctx.spawn(read.into_actor(self).map(|event, control, ctx| {
+                    control.on_lease_event(event, ctx);
+                }));
+            }
+            LeaseStep::Commit { check, value } => {
+                self.note_sent(&value);
+                let commit = async move { commit_lease(&platform, key, check, value).await };
+                ctx.spawn(commit.into_actor(self).map(|event, control, ctx| {
+                    control.on_lease_event(event, ctx);
+                }));
+            }
+        }
+    }
+
+    fn note_sent(&mut self, value: &str) {
+        let now = self.now();
+        let row = value.parse::<LeaseRow>();
+        if let (Lease::Held(held), Ok(row)) = (&mut self.lease, row) {
+            held.sent = Some((row.seq, now));
+        }
+    }
+
+    fn on_lease_event(&mut self, event: LeaseEvent, ctx: &mut Context<Self>) {
+        let failed = matches!(event, LeaseEvent::Lost | LeaseEvent::Down);
+        self.note_call("lease", !failed);
+        let now = self.now();
+        match &mut self.lease {
+            Lease::Joining(joining) => {
+                let Some(joining) = joining.take() else {
+                    return;
+                };
+                self.on_joined(joining.on(event, now), ctx);
+            }
+            Lease::Held(held) => {
+                let before = held.holder.valid_until();
+                let step = held.holder.on(event, now);
+                let renewed = held.holder.valid_until() > before;
+                let sent = held.sent.filter(|_| renewed);
+                if let Some((seq, sent_at)) = sent {
+                    self.on_renewed(seq, sent_at, now);
+                }
+                self.run_lease_step(step, ctx);
+            }
+        }
+    }
+
+    fn on_joined(&mut self, joined: Joined, ctx: &mut Context<Self>) {
+        match joined {
+            Joined::Not(joining, LeaseStep::Idle) => {
+                let step = joining.read();
+                self.lease = Lease::Joining(Some(joining));
+                ctx.run_later(JOIN_RETRY, move |control, ctx| {
+                    control.run_lease_step(step, ctx);
+                });
+            }
+            Joined::Not(joining, step) => {
+                self.lease = Lease::Joining(Some(joining));
+                self.join_sent_at = self.now();
+                self.run_lease_step(step, ctx);
+            }
+            Joined::Holder(holder) => {
+                let incarnation = holder.incarnation();
+                self.lease = Lease::Held(Box::new(Held { holder, sent: None }));
+                self.shared.claimed(incarnation);
+                spdlog::info!("lease taken", kv: { incarnation });
+                self.start(ctx);
+                let now = self.now();
+                self.on_renewed(FIRST_SEQ, self.join_sent_at, now);
+            }
+        }
+    }
+}
+
+/// Sequence number that a join writes.
+const FIRST_SEQ: u64 = 1;
+
+/// Lease in a row of the table; a malformed row counts as none, and the next write mends it.
+pub(super) fn parse_lease(row: &Row) -> Option<VersionedLease> {
+    Some(VersionedLease {
+        version: row.version,
+        row: row.value.parse().ok()?,
+    })
+}
+
+async fn read_lease(platform: &HttpPlatform, key: ByteString) -> LeaseEvent {
+    match platform.read(&[key]).await {
+        Ok(rows) => {
+            let row = rows.into_iter().next().flatten();
+            LeaseEvent::Read(row.as_ref().and_then(parse_lease))
+        }
+        Err(ReadError(_)) => LeaseEvent::Lost,
+    }
+}
+
+async fn commit_lease(
+    platform: &HttpPlatform,
+    key: ByteString,
+    check: Option<u64>,
+    value: ByteString,
+) -> LeaseEvent {
+    let check = match check {
+        Some(version) => Check::Version {
+            key: key.clone(),
+            version,
+        },
+        None => Check::Absent { key: key.clone() },
+    };
+    let txn = Txn {
+        checks: vec![check],
+        writes: vec![Write::Put { key, value }],
+    };
+    match platform.commit(txn).await {
+        Outcome::Done(Commit::Committed { version }) => LeaseEvent::Committed { version },
+        Outcome::Done(Commit::Conflict { rows }) => {
+            let row = rows.into_iter().next().flatten();
+            LeaseEvent::Conflict(row.as_ref().and_then(parse_lease))
+        }
+        Outcome::NotDone(_) => LeaseEvent::Down,
+        Outcome::Unknown(_) => LeaseEvent::Lost,
     }
 }
--- a/crates/daemon/src/process/control/list.rs
+++ b/crates/daemon/src/process/control/list.rs
@@ -3,18 +3,12 @@
 //! The list lags and may be stale for long. It adds what it names; it removes an upstream only
 //! when a later list leaves it out, and it never makes a leaving upstream live again.
 
-use crate::{
-    process::{
-        control::{
-            Control,
-            KnownEntry, //
-        },
-        pool::{
-            Pool,
-            Upstream, //
-        },
+use crate::process::{
+    control::Control,
+    pool::{
+        Pool,
+        Upstream, //
     },
-    version::Entry,
 };
 use actix::{
     ActorFutureExt,
@@ -23,10 +17,14 @@
     WrapFuture, //
 };
 use base::{
-    Now,
     ServiceId,
     UpstreamId, //
 };
+use member::{
+    Identity,
+    ListFacts,
+    Picture, //
+};
 use plat::{
     List,
     ListedInstance,
@@ -37,7 +35,8 @@
 use std::{
     collections::BTreeMap,
     rc::Rc,
-    sync::Arc, //
+    sync::Arc,
+    time::Duration, //
 };
 
 impl Control {
@@ -56,30 +55,23 @@
     }
 
     fn take_list(&mut self, list: List) {
-        if list.as_of_ms < self.list_as_of_ms {
-            return;
-        }
-        self.list_as_of_ms = list.as_of_ms;
+        let now = self.now();
+        let facts = ListFacts {
+            age: self.list_age(list.as_of_ms),
+            instances: list.instances.iter().map(instance_facts).collect(),
+            upstreams: list.upstreams.iter().map(upstream_facts).collect(),
+        };
+        self.picture.listed(&facts, now);
         self.take_upstreams(&list.upstreams);
-        self.take_instances(list.instances);
+        self.join_pools();
+        self.set_partners();
         self.publish();
     }
 
-    /// Takes the instances that are listed as live.
-    fn take_instances(&mut self, listed: Vec<ListedInstance>) {
-        let live = |instance: &ListedInstance| instance.state == ListedState::Live;
-        let settings = &self.shared.settings;
-        let entries = listed.into_iter().filter(live).map(|instance| KnownEntry {
-            region: instance.region,
-            entry: Entry {
-                instance: instance.id,
-                incarnation: 1,
-                failure_domain: instance.failure_domain,
-                dial_addr: settings.dial(&instance.callers_addr),
-                callers_addr: instance.callers_addr,
-            },
-        });
-        self.entries = entries.collect();
+    /// Age of what was true at `as_of_ms` of the platform's clock, at least zero.
+    fn list_age(&self, as_of_ms: u64) -> Duration {
+        let wall_ms = self.shared.clock.wall_ms(self.now());
+        Duration::from_millis(wall_ms.saturating_sub(as_of_ms))
     }
 
     /// Updates the pools of this region.
@@ -98,13 +90,39 @@
                 .pools
                 .entry(service.clone())
                 .or_insert_with(|| Arc::new(Pool::new(service)));
-            update_pool(pool, &listed);
+            update_pool(pool, &listed, &self.picture);
         }
     }
 }
 
+fn instance_facts(listed: &ListedInstance) -> member::ListedInstance {
+    member::ListedInstance {
+        identity: Identity {
+            instance: listed.id.clone(),
+            region: listed.region.clone(),
+            failure_domain: listed.failure_domain.clone(),
+            callers_addr: listed.callers_addr.clone(),
+            peers_addr: listed.peers_addr.clone(),
+            operator_addr: listed.operator_addr.clone(),
+        },
+        is_leaving: listed.state == ListedState::Leaving,
+    }
+}
+
+fn upstream_facts(listed: &ListedUpstream) -> member::ListedUpstream {
+    member::ListedUpstream {
+        id: listed.id.clone(),
+        service: listed.service.clone(),
+        region: listed.region.clone(),
+        failure_domain: listed.failure_domain.clone(),
+        addr: listed.addr.clone(),
+        slots: listed.slots,
+        is_leaving: listed.state == ListedState::Leaving,
+    }
+}
+
 /// Keeps the upstreams that stay, with what was seen of them, and adds the new ones.
-fn update_pool(pool: &Pool, listed: &[&ListedUpstream]) {
+fn update_pool(pool: &Pool, listed: &[&ListedUpstream], picture: &Picture) {
     let present = pool.upstreams();
     let mut next: BTreeMap<UpstreamId, Arc<Upstream>> = BTreeMap::new();
     for listed in listed {
@@ -120,13 +138,10 @@
                 listed.slots,
             )),
         };
-        // Until shares between entries are in: this entry uses every slot, which is right only
-        // while it is the region's sole entry.
-        upstream.slots.allot(listed.slots, listed.slots);
-        pool.lease.set(Now::MAX, Now::MAX);
-        if listed.state == ListedState::Leaving {
-            upstream.mark_leaving();
-        }
+        let leaves = picture
+            .upstream(&listed.id)
+            .is_some_and(|facts| facts.is_leaving());
+        upstream.set_leaving(leaves);
         next.insert(listed.id.clone(), upstream);
     }
     let same = present.len() == next.len()
--- a/crates/daemon/src/process/control/mod.rs
+++ b/crates/daemon/src/process/control/mod.rs
@@ -4,34 +4,57 @@
 //! requests, ticks), feeds them to the state machines of the pure crates, carries their actions
 //! out, and publishes a new snapshot when the picture changed. Traffic threads never wait for it.
 //!
-//! Each module has one concern: `list` the platform's list, `config` the accepted configuration,
-//! `lease` the incarnation and its lease, `publish` the snapshot.
+//! Each module has one concern:
+//!
+//! - `lease`: the incarnation and its lease in the table.
+//! - `list`: the platform's list of instances and upstreams.
+//! - `beats`: sessions to other daemons and the heartbeats on them.
+//! - `shares`: this instance's part of slots and caps.
+//! - `steering`: slow start, suspicion, and what other regions say of themselves.
+//! - `config`: the accepted configuration.
+//! - `publish`: the snapshot for traffic threads.
+//! - `handover`: filings at a planned stop.
+//! - `stopping`: the planned stop.
+//! - `status`: what operators see.
 
+mod beats;
 mod config;
+mod handover;
 mod lease;
 mod list;
 mod publish;
+mod shares;
 mod status;
+mod steering;
+mod stopping;
 
-pub(crate) use self::config::{
-    Accept,
-    AcceptError,
-    Accepted, //
+pub(crate) use self::{
+    config::{
+        Accept,
+        AcceptError, //
+    },
+    status::GetStatus,
+    stopping::Stop, //
 };
 
-pub(crate) use self::status::GetStatus;
-
-use crate::{
-    process::{
-        metric,
-        pool::Pool,
-        shared::{
-            Note,
-            Shared, //
+use crate::process::{
+    control::{
+        lease::Lease,
+        shares::{
+            Shared as Share,
+            Told, //
         },
-        stop::Stage, //
+        steering::Steering,
+        stopping::Stopping, //
+    },
+    link::Link,
+    metric,
+    pool::Pool,
+    shared::{
+        Note,
+        Shared, //
     },
-    version::Entry,
+    stop::Stage, //
 };
 use actix::{
     Actor,
@@ -40,67 +63,120 @@
     StreamHandler, //
 };
 use base::{
+    InstanceId,
     Now,
     RegionId,
     ServiceId,
     Version, //
 };
 use blocks::Table;
+use member::{
+    Picture,
+    PictureTerms, //
+};
+use peer::Mesh;
 use plat::HttpPlatform;
 use rand::{
     rngs::SmallRng,
     RngExt,
     SeedableRng, //
 };
+use share::PoolId;
 use spec::Config;
 use std::{
     collections::BTreeMap,
+    net::TcpListener,
     rc::Rc,
     sync::Arc,
-    time::Duration, //
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 /// Part of an interval by which it varies, so that daemons don't act in step.
 const JITTER: f64 = 0.2;
-
-/// An entry with the region it is in.
-#[derive(Clone, Debug)]
-struct KnownEntry {
-    region: RegionId,
-    entry: Entry,
-}
+/// Time between ticks.
+const TICK: Duration = Duration::from_millis(100);
+/// Time between the slower ticks.
+const SLOW_TICK: Duration = Duration::from_secs(1);
 
 /// State of control.
 pub(crate) struct Control {
     shared: Arc<Shared>,
     platform: Rc<HttpPlatform>,
     rng: SmallRng,
+    /// When the slower ticks last ran.
+    slow_at: Now,
     stage: Stage,
+    /// The planned stop, once it was asked for.
+    stopping: Option<Stopping>,
+
+    lease: Lease,
+    /// When the last step of the join was sent.
+    join_sent_at: Now,
+    /// Newest confirmed renewal: sequence number, and when it was sent.
+    renewal: Option<(u64, Now)>,
+    /// Another incarnation took the lease.
+    superseded: bool,
+
+    peers_listener: Option<TcpListener>,
+    mesh: Option<Mesh>,
+    picture: Picture,
+    beat_seq: u64,
+    beat_at: Now,
+    /// Something was learnt that partners should hear at once.
+    beat_news: bool,
+    summary_cursor: usize,
+    beats_sent: BTreeMap<InstanceId, BTreeMap<PoolId, Told>>,
+
     /// Configuration in force, with its version.
     config: Option<(Version, Arc<Config>)>,
     blocks: Arc<Table>,
-    /// Entries that take work, as far as is known.
-    entries: Vec<KnownEntry>,
+
     pools: BTreeMap<ServiceId, Arc<Pool>>,
-    /// When the newest list was true.
-    list_as_of_ms: u64,
+    /// Links to the other regions.
+    links: BTreeMap<RegionId, Arc<Link>>,
+    shares: BTreeMap<PoolId, Share>,
+    steering: Steering,
 }
 
 impl Control {
     /// Makes control of a process that has just started.
-    pub(crate) fn new(shared: Arc<Shared>) -> Self {
+    pub(crate) fn new(shared: Arc<Shared>, peers_listener: TcpListener) -> Self {
         let settings = &shared.settings;
-        let timeout = settings.terms.platform_timeout;
+        let terms = &settings.terms;
+        let timeout = terms.platform_timeout;
         let platform = HttpPlatform::new(settings.platform_url.to_string(), timeout, timeout);
+        let picture_terms = PictureTerms {
+            fresh_for: terms.beat_silent.mul_f32(0.7),
+            old_for: terms.beat_silent,
+            ..PictureTerms::default()
+        };
         Self {
             platform: Rc::new(platform),
             rng: SmallRng::seed_from_u64(rand::random()),
+            slow_at: Now::ZERO,
             stage: Stage::Starting,
+            stopping: None,
+            lease: Lease::Joining(None),
+            join_sent_at: Now::ZERO,
+            renewal: None,
+            superseded: false,
+            peers_listener: Some(peers_listener),
+            mesh: None,
+            picture: Picture::new(settings.instance.clone(), picture_terms),
+            beat_seq: 0,
+            beat_at: Now::ZERO,
+            beat_news: true,
+            summary_cursor: 0,
+            beats_sent: BTreeMap::new(),
             config: None,
             blocks: Arc::default(),
-            entries: Vec::new(),
             pools: BTreeMap::new(),
-            list_as_of_ms: 0,
+            links: BTreeMap::new(),
+            shares: BTreeMap::new(),
+            steering: Steering::default(),
             shared,
         }
     }
@@ -109,6 +185,11 @@
         self.shared.now()
     }
 
+    /// Version in force; zero before the first.
+    fn version(&self) -> Version {
+        self.config.as_ref().map_or(0, |(version, _)| *version)
+    }
+
     /// `interval`, varied a little.
     fn jittered(&mut self, interval: Duration) -> Duration {
         let factor = 1.0 + JITTER * (self.rng.random::<f64>() - 0.5);
@@ -119,13 +200,66 @@
         let result = if done { "done" } else { "failed" };
         metrics::counter!(metric::PLATFORM_CALLS, "call" => call, "result" => result).increment(1);
     }
+
+    /// Starts what needs an incarnation.
+    fn start(&mut self, ctx: &mut Context<Self>) {
+        self.start_mesh(ctx);
+        self.read_list(ctx);
+        self.read_head(ctx);
+        self.read_loads(ctx);
+        ctx.run_interval(TICK, Self::tick);
+    }
+
+    fn tick(&mut self, ctx: &mut Context<Self>) {
+        let started = Instant::now();
+        self.tick_lease(ctx);
+        self.tick_shares(ctx);
+        self.tick_steering();
+        self.tick_beats();
+        self.tick_stopping(ctx);
+        self.tick_slow(ctx);
+        metrics::histogram!(metric::CONTROL_TICK).record(started.elapsed().as_secs_f64());
+    }
+
+    /// Runs once a second what need not run at each tick.
+    fn tick_slow(&mut self, ctx: &mut Context<Self>) {
+        let now = self.now();
+        if now < self.slow_at + SLOW_TICK {
+            return;
+        }
+        self.slow_at = now;
+        self.observe_leases(ctx);
+        self.set_partners();
+        self.forget_filings();
+        self.export_gauges();
+        // Silence alone changes who is named in look-ups.
+        self.publish();
+    }
+
+    fn export_gauges(&self) {
+        metrics::gauge!(metric::ACTIVE).set(self.shared.active.count() as f64);
+        for (service, pool) in &self.pools {
+            let (usable, used) = pool.use_now(self.now());
+            let label = service.to_string();
+            metrics::gauge!(metric::SLOTS_USABLE, "service" => label.clone()).set(usable);
+            metrics::gauge!(metric::SLOTS_USED, "service" => label).set(used);
+        }
+        if let Some(mesh) = &self.mesh {
+            metrics::gauge!(metric::PEERS).set(mesh.peers().len() as f64);
+            metrics::counter!(metric::PEER_BYTES).absolute(mesh.counters().sent_bytes.get());
+        }
+    }
 }
 
 impl Actor for Control {
     type Context = Context<Self>;
 
     fn started(&mut self, ctx: &mut Self::Context) {
-        self.claim_incarnation(ctx);
+        self.join(ctx);
+    }
+
+    fn stopped(&mut self, _ctx: &mut Self::Context) {
+        actix_rt::System::current().stop_with_code(i32::from(self.superseded));
     }
 }
 
@@ -134,7 +268,14 @@
         match note {
             Note::Leaving(upstream) => {
                 spdlog::info!("upstream leaves", kv: { upstream = upstream.to_string() });
+                let now = self.now();
+                self.picture
+                    .upstream_leaving(&upstream, Duration::ZERO, now);
+                self.beat_soon();
             }
         }
     }
+
+    /// The sender lives as long as the process.
+    fn finished(&mut self, _ctx: &mut Self::Context) {}
 }
--- a/crates/daemon/src/process/control/publish.rs
+++ b/crates/daemon/src/process/control/publish.rs
@@ -3,12 +3,14 @@
 use crate::{
     process::{
         control::Control,
+        link::Link,
         metric,
-        pool::Pool, //
+        pool::Pool,
+        stop::Stage, //
     },
     version::{
         ClassView,
-
+        Entry,
         RegionView,
         Snapshot, //
     },
@@ -26,6 +28,7 @@
     atomic::Ordering,
     Arc, //
 };
+use steer::ShiftCap;
 
 impl Control {
     /// Publishes what is known now.
@@ -34,7 +37,9 @@
             return;
         };
         self.apply_drains(&config);
+        self.update_links(&config);
         let classes = self.class_views(&config);
+        self.join_pools();
         let regions: Vec<RegionView> = config
             .regions
             .iter()
@@ -54,6 +59,7 @@
             regions,
             classes,
             blocks: Arc::clone(&self.blocks),
+            links: self.links.clone(),
         }));
     }
 
@@ -77,20 +83,62 @@
     }
 
     fn region_view(&self, config: &Config, id: &RegionId) -> RegionView {
-        let entries = self
-            .entries
-            .iter()
-            .filter(|entry| entry.region == *id)
-            .map(|entry| entry.entry.clone())
-            .collect();
         RegionView {
             id: id.clone(),
-            entries,
+            entries: self.entries_of(config, id),
             drained: config.has_drain(&DrainTarget::Region(id.clone())),
             estimates: FastMap::default(),
         }
     }
 
+    /// Entries of a region that look-ups may name, this one included.
+    ///
+    /// Entries in a drained failure domain are left out while there are others.
+    fn entries_of(&self, config: &Config, region: &RegionId) -> Vec<Entry> {
+        let settings = &self.shared.settings;
+        let candidates = self.picture.candidates(self.now()).into_iter();
+        let others = candidates.map(|candidate| (candidate.identity, candidate.incarnation));
+        let me =
+            (self.stage == Stage::Serving).then(|| (self.identity(), self.shared.incarnation()));
+        let mut entries: Vec<Entry> = others
+            .chain(me)
+            .filter(|(identity, _)| identity.region == *region)
+            .map(|(identity, incarnation)| Entry {
+                instance: identity.instance,
+                incarnation,
+                failure_domain: identity.failure_domain,
+                dial_addr: settings.dial(&identity.callers_addr),
+                callers_addr: identity.callers_addr,
+            })
+            .collect();
+        entries.sort_by(|a, b| a.instance.cmp(&b.instance));
+        let drained = |entry: &Entry| {
+            let domain = entry.failure_domain.clone();
+            config.has_drain(&DrainTarget::FailureDomain(region.clone(), domain))
+        };
+        if entries.iter().any(|entry| !drained(entry)) {
+            entries.retain(|entry| !drained(entry));
+        }
+        entries
+    }
+
+    /// Makes the links that the configuration's caps name, and sets their caps.
+    fn update_links(&mut self, config: &Config) {
+        let own = self.shared.settings.region.clone();
+        let now = self.now();
+        for cap in config.caps.iter().filter(|cap| cap.from == own) {
+            let shift = ShiftCap {
+                bytes_per_s: cap.bytes_per_s,
+                in_flight: cap.in_flight,
+                growth_per_s: cap.growth_per_s,
+            };
+            self.links
+                .entry(cap.to.clone())
+                .or_insert_with(|| Arc::new(Link::new(shift, now)))
+                .set_cap(shift);
+        }
+    }
+
     /// Marks the upstreams that operators drain; those of a stopped drain open again.
     fn apply_drains(&self, config: &Config) {
         let region = &self.shared.settings.region;
--- /dev/null
+++ b/crates/daemon/src/process/control/shares.rs
@@ -0,0 +1,561 @@
+//! Capacity shares: runs crate `share`'s member of each pool.
+//!
+//! A pool is one service in this region, or the cap from this region to another. At each tick the
+//! limits go out to the traffic threads first and the requests in flight are read after that: the
+//! other way round a request could start under the old limits and not be counted.
+
+use crate::process::{
+    control::Control,
+    link::{
+        Link,
+        BYTES,
+        IN_FLIGHT, //
+    },
+    pool::Pool,
+};
+use actix::{
+    ActorFutureExt,
+    AsyncContext,
+    Context,
+    WrapFuture, //
+};
+use base::{
+    Epoch,
+    Incarnation,
+    InstanceId,
+    Now, //
+};
+use bytestring::ByteString;
+use member::lease_key;
+use peer::{
+    Frame,
+    Share, //
+};
+use plat::{
+    Check,
+    Commit,
+    HttpPlatform,
+    Outcome,
+    Table,
+    Txn,
+    Write, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use share::{
+    Action,
+    Amounts,
+    Give,
+    Limits,
+    Member,
+    MemberId,
+    PoolBeat,
+    PoolId,
+    Row, //
+};
+use std::{
+    collections::BTreeMap,
+    rc::Rc,
+    sync::Arc,
+    time::Duration, //
+};
+
+/// Time between reads of a pool's row while no peer tells of a newer one.
+const ROW_INTERVAL: Duration = Duration::from_secs(5);
+/// Longest that a member's beats to one peer stay away when nothing changed.
+const BEAT_UNCHANGED: Duration = Duration::from_secs(2);
+
+/// What members of a pool tell each other.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(super) enum ShareMessage {
+    /// Heartbeat of a member.
+    Beat(PoolBeat),
+    /// Tokens handed over.
+    Give(Give),
+    /// A row that the receiver may not be able to read.
+    Row(Arc<Row>),
+}
+
+/// What a pool's tokens are for.
+pub(super) enum Tokens {
+    /// Slots of upstreams.
+    Slots(Arc<Pool>),
+    /// Parts of the cap to another region.
+    Cap(Arc<Link>),
+}
+
+/// One pool that this instance is a member of.
+pub(super) struct Shared {
+    pub(super) member: Member,
+    pub(super) tokens: Tokens,
+    /// Version of the row in the table, with its epoch; the check of the next proposal.
+    row_version: Option<(Epoch, u64)>,
+    /// A read or a proposal is under way.
+    busy: bool,
+    read_at: Option<Now>,
+    /// Highest epoch that a peer told of.
+    heard_epoch: Epoch,
+}
+
+/// What a read or a proposal found in the table.
+enum Found {
+    Row(u64, Row),
+    Absent,
+    Nothing,
+}
+
+impl Control {
+    /// Joins the pools that the configuration and the list name, once each.
+    pub(super) fn join_pools(&mut self) {
+        if self.shared.incarnation() == 0 {
+            return;
+        }
+        let region = self.shared.settings.region.clone();
+        let slots = self.pools.iter().map(|(service, pool)| {
+            let id = share::slots_pool(service, &region);
+            (id, Tokens::Slots(Arc::clone(pool)))
+        });
+        let caps = self.links.iter().map(|(to, link)| {
+            let id = share::cap_pool(&region, to);
+            (id, Tokens::Cap(Arc::clone(link)))
+        });
+        let wanted: Vec<(PoolId, Tokens)> = slots.chain(caps).collect();
+        for (id, tokens) in wanted {
+            if !self.shares.contains_key(&id) {
+                let joined = self.new_share(id.clone(), tokens);
+                self.shares.insert(id, joined);
+            }
+        }
+    }
+
+    fn new_share(&self, id: PoolId, tokens: Tokens) -> Shared {
+        let me = MemberId {
+            instance: self.shared.settings.instance.clone(),
+            incarnation: self.shared.incarnation(),
+        };
+        Shared {
+            member: Member::new(me, id, self.share_terms()),
+            tokens,
+            row_version: None,
+            busy: false,
+            read_at: None,
+            heard_epoch: 0,
+        }
+    }
+
+    fn share_terms(&self) -> share::Terms {
+        let terms = &self.shared.settings.terms;
+        share::Terms {
+            short_ttl: terms.lease,
+            long_ttl: terms.lease_floor,
+            ..share::Terms::default()
+        }
+    }
+
+    /// Tells every member of a confirmed renewal.
+    pub(super) fn on_renewed(&mut self, seq: u64, sent_at: Now, now: Now) {
+        self.renewal = Some((seq, sent_at));
+        for shared in self.shares.values_mut() {
+            shared.member.set_lease(seq, sent_at, now);
+        }
+    }
+
+    /// Lets time pass for all pools.
+    pub(super) fn tick_shares(&mut self, ctx: &mut Context<Self>) {
+        let now = self.now();
+        let leaving = self.is_stopping();
+        let renewal = self.renewal;
+        let mut actions = Vec::new();
+        for (id, shared) in &mut self.shares {
+            if let Some((seq, sent_at)) = renewal {
+                shared.member.set_lease(seq, sent_at, now);
+            }
+            if leaving {
+                shared.member.leave();
+            }
+            let (capacity, demand) = shared.tokens.capacity_and_demand();
+            shared.member.set_capacity(capacity);
+            shared.member.set_demand(demand);
+            shared.tokens.publish(&shared.member.limits());
+            shared.member.set_in_flight(shared.tokens.in_flight());
+            let asked = shared.member.tick(now);
+            // A tick may have raised limits or lowered them for a gift.
+            shared.tokens.publish(&shared.member.limits());
+            actions.extend(asked.into_iter().map(|action| (id.clone(), action)));
+        }
+        for (id, action) in actions {
+            self.run_share_action(&id, action, ctx);
+        }
+        self.read_rows(ctx);
+    }
+
+    fn run_share_action(&mut self, id: &PoolId, action: Action, ctx: &mut Context<Self>) {
+        match action {
+            Action::Give(give) => {
+                let to = give.to.instance.clone();
+                self.send_share(&to, id, &ShareMessage::Give(give));
+            }
+            Action::SendRow { to, row } => {
+                self.send_share(&to.instance, id, &ShareMessage::Row(row));
+            }
+            Action::Propose { expect_epoch, row } => self.propose(id, expect_epoch, row, ctx),
+        }
+    }
+
+    fn propose(
+        &mut self,
+        id: &PoolId,
+        expect_epoch: Option<Epoch>,
+        row: Row,
+        ctx: &mut Context<Self>,
+    ) {
+        let Some(shared) = self.shares.get_mut(id) else {
+            return;
+        };
+        if shared.busy {
+            return;
+        }
+        let check = match (expect_epoch, shared.row_version) {
+            (None, None) => None,
+            (Some(epoch), Some((known, version))) if known == epoch => Some(version),
+            // The row was learnt from a peer; its version has to be read before it is replaced.
+            _ => {
+                shared.read_at = None;
+                return;
+            }
+        };
+        shared.busy = true;
+        let platform = Rc::clone(&self.platform);
+        let key = row_key(id);
+        let commit = async move { commit_row(&platform, key, check, row).await };
+        self.finish_with(id.clone(), "share", commit, ctx);
+    }
+
+    /// Reads the rows that are due, or that a peer told of.
+    fn read_rows(&mut self, ctx: &mut Context<Self>) {
+        let now = self.now();
+        let due = |shared: &Shared| {
+            let newer = shared.heard_epoch > shared.member.epoch();
+            let unread = shared.read_at.is_none_or(|at| now >= at + ROW_INTERVAL);
+            !shared.busy && (unread || newer && shared.read_at.is_none_or(|at| now > at + RETRY))
+        };
+        let ids: Vec<PoolId> = self
+            .shares
+            .iter()
+            .filter(|(_, shared)| due(shared))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in ids {
+            let shared = self.shares.get_mut(&id).expect("listed just now");
+            shared.busy = true;
+            shared.read_at = Some(now);
+            let platform = Rc::clone(&self.platform);
+            let key = row_key(&id);
+            let read = async move { read_row(&platform, key).await };
+            self.finish_with(id, "share", read, ctx);
+        }
+    }
+
+    fn finish_with(
+        &mut self,
+        id: PoolId,
+        call: &'static str,
+        found: impl std::future::Future<Output = Found> + 'static,
+        ctx: &mut Context<Self>,
+    ) {
+        ctx.spawn(found.into_actor(self).map(move |found, control, _| {
+            control.note_call(call, !matches!(found, Found::Nothing));
+            control.on_found(&id, found);
+        }));
+    }
+
+    fn on_found(&mut self, id: &PoolId, found: Found) {
+        let now = self.now();
+        let Some(shared) = self.shares.get_mut(id) else {
+            return;
+        };
+        shared.busy = false;
+        match found {
+            Found::Row(version, row) => {
+                shared.row_version = Some((row.epoch, version));
+                shared.member.on_row(&Arc::new(row), now);
+            }
+            Found::Absent => shared.member.on_row_absent(),
+            Found::Nothing => {}
+        }
+    }
+
+    /// Takes a message of another member.
+    pub(super) fn on_share(&mut self, from: &InstanceId, incarnation: Incarnation, share: &Share) {
+        let now = self.now();
+        let Some(shared) = self.shares.get_mut(&share.pool) else {
+            return;
+        };
+        let Ok(message) = peer::from_payload::<ShareMessage>(&share.payload) else {
+            return;
+        };
+        let sender = MemberId {
+            instance: from.clone(),
+            incarnation,
+        };
+        match message {
+            ShareMessage::Beat(beat) if beat.from == sender => {
+                shared.heard_epoch = shared.heard_epoch.max(beat.epoch);
+                shared.member.on_beat(&beat, now);
+            }
+            ShareMessage::Give(give) if give.from == sender => shared.member.on_give(&give, now),
+            ShareMessage::Row(row) => shared.member.on_row(&row, now),
+            ShareMessage::Beat(_) | ShareMessage::Give(_) => {}
+        }
+    }
+
+    fn send_share(&self, to: &InstanceId, pool: &PoolId, message: &ShareMessage) {
+        if let (Some(mesh), Some(share)) = (&self.mesh, to_share(pool, message)) {
+            mesh.send(to, Frame::Share(share));
+        }
+    }
+
+    /// Members' heartbeats that are due for `to`.
+    pub(super) fn share_beats(&mut self, to: &InstanceId) -> Vec<Share> {
+        let now = self.now();
+        let sent = self.beats_sent.entry(to.clone()).or_default();
+        let mut due = Vec::new();
+        for (id, shared) in &mut self.shares {
+            let beat = shared.member.beat(now);
+            let told = Told::of(&beat, now);
+            if sent.get(id).is_some_and(|last| !told.is_news_after(last)) {
+                continue;
+            }
+            sent.insert(id.clone(), told);
+            due.extend(to_share(id, &ShareMessage::Beat(beat)));
+        }
+        due
+    }
+
+    /// Reads the leases of members that were not heard of for a while.
+    pub(super) fn observe_leases(&mut self, ctx: &mut Context<Self>) {
+        let silent = self.silent_members();
+        if silent.is_empty() {
+            return;
+        }
+        let platform = Rc::clone(&self.platform);
+        let read_at = self.now();
+        let keys: Vec<ByteString> = silent.iter().map(|id| lease_key(id)).collect();
+        let read = async move { platform.read(&keys).await };
+        ctx.spawn(read.into_actor(self).map(move |read, control, _| {
+            control.note_call("leases", read.is_ok());
+            let now = control.now();
+            let rows = read.unwrap_or_default();
+            let leases = rows.iter().flatten().filter_map(super::lease::parse_lease);
+            for lease in leases {
+                let member = MemberId {
+                    instance: lease.row.identity.instance.clone(),
+                    incarnation: lease.row.incarnation,
+                };
+                for shared in control.shares.values_mut() {
+                    shared
+                        .member
+                        .observe_lease(&member, lease.row.seq, read_at, now);
+                }
+            }
+        }));
+    }
+
+    /// Instances in this region's rows that no session stands to.
+    fn silent_members(&self) -> Vec<InstanceId> {
+        let up: Vec<InstanceId> = match &self.mesh {
+            Some(mesh) => mesh.peers().into_iter().map(|info| info.instance).collect(),
+            None => Vec::new(),
+        };
+        let me = &self.shared.settings.instance;
+        let rows = self
+            .shares
+            .values()
+            .filter_map(|shared| shared.member.row());
+        let mut silent: Vec<InstanceId> = rows
+            .flat_map(|row| row.members.keys())
+            .map(|member| member.instance.clone())
+            .filter(|instance| instance != me && !up.contains(instance))
+            .collect();
+        silent.sort();
+        silent.dedup();
+        silent
+    }
+
+    /// Whether every pool has given its tokens back.
+    pub(super) fn shares_released(&self) -> bool {
+        self.shares
+            .values()
+            .all(|shared| shared.member.is_released())
+    }
+}
+
+/// Wait between reads of a row that a peer told of.
+const RETRY: Duration = Duration::from_millis(200);
+
+/// What a member last told one peer of a pool.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) struct Told {
+    at: Now,
+    epoch: Epoch,
+    acked: bool,
+    released: bool,
+    leaving: bool,
+    unlisted: bool,
+    demand: u32,
+}
+
+impl Told {
+    fn of(beat: &PoolBeat, at: Now) -> Self {
+        Self {
+            at,
+            epoch: beat.epoch,
+            acked: beat.acked,
+            released: beat.released,
+            leaving: beat.leaving,
+            unlisted: beat.unlisted,
+            demand: beat.demand,
+        }
+    }
+
+    fn is_news_after(&self, last: &Self) -> bool {
+        let as_before = Self {
+            at: last.at,
+            ..self.clone()
+        };
+        as_before != *last || self.at >= last.at + BEAT_UNCHANGED
+    }
+}
+
+impl Tokens {
+    fn capacity_and_demand(&self) -> (Amounts, u32) {
+        match self {
+            Self::Slots(pool) => {
+                let upstreams = pool.upstreams();
+                let capacity = upstreams
+                    .iter()
+                    .map(|upstream| (upstream.id.clone(), upstream.listed_slots))
+                    .collect();
+                let used: u32 = upstreams
+                    .iter()
+                    .map(|upstream| u32::from(upstream.slots.get().in_flight))
+                    .sum();
+                (capacity, used + pool.waiting())
+            }
+            Self::Cap(link) => (link.capacity(), link.demand()),
+        }
+    }
+
+    fn in_flight(&self) -> Amounts {
+        match self {
+            Self::Slots(pool) => pool
+                .upstreams()
+                .iter()
+                .map(|upstream| {
+                    (
+                        upstream.id.clone(),
+                        u32::from(upstream.slots.get().in_flight),
+                    )
+                })
+                .filter(|(_, used)| *used > 0)
+                .collect(),
+            Self::Cap(link) => {
+                BTreeMap::from([(ByteString::from_static(IN_FLIGHT), link.in_flight())])
+            }
+        }
+    }
+
+    fn publish(&self, limits: &Limits) {
+        match self {
+            Self::Slots(pool) => publish_slots(pool, limits),
+            Self::Cap(link) => {
+                let amount = |amounts: &Amounts, name| amounts.get(name).copied().unwrap_or(0);
+                link.allot(
+                    amount(&limits.full, IN_FLIGHT),
+                    amount(&limits.floor, IN_FLIGHT),
+                    amount(&limits.full, BYTES),
+                    amount(&limits.floor, BYTES),
+                );
+                link.lease.set(limits.full_until, limits.floor_until);
+            }
+        }
+    }
+}
+
+fn publish_slots(pool: &Pool, limits: &Limits) {
+    let mut grew = false;
+    for upstream in pool.upstreams().iter() {
+        let amount = |amounts: &Amounts| amounts.get(&upstream.id).copied().unwrap_or(0);
+        let before = upstream.slots.get();
+        let after = upstream
+            .slots
+            .allot(amount(&limits.full), amount(&limits.floor));
+        grew |= after.full > before.full;
+    }
+    pool.lease.set(limits.full_until, limits.floor_until);
+    if grew {
+        pool.wake_all();
+    }
+}
+
+fn to_share(pool: &PoolId, message: &ShareMessage) -> Option<Share> {
+    let payload = peer::to_payload(message).ok()?;
+    Some(Share {
+        pool: pool.clone(),
+        payload,
+    })
+}
+
+fn row_key(id: &PoolId) -> ByteString {
+    format!("share/{id}").into()
+}
+
+async fn read_row(platform: &HttpPlatform, key: ByteString) -> Found {
+    match platform.read(&[key]).await {
+        Ok(rows) => found(rows.into_iter().next().flatten()),
+        Err(_) => Found::Nothing,
+    }
+}
+
+fn found(row: Option<plat::Row>) -> Found {
+    match row {
+        None => Found::Absent,
+        Some(row) => match serde_json::from_str(&row.value) {
+            Ok(parsed) => Found::Row(row.version, parsed),
+            Err(_) => Found::Nothing,
+        },
+    }
+}
+
+async fn commit_row(
+    platform: &HttpPlatform,
+    key: ByteString,
+    check: Option<u64>,
+    row: Row,
+) -> Found {
+    let check = match check {
+        Some(version) => Check::Version {
+            key: key.clone(),
+            version,
+        },
+        None => Check::Absent { key: key.clone() },
+    };
+    let value = serde_json::to_string(&row).expect("a row is plain data");
+    let txn = Txn {
+        checks: vec![check],
+        writes: vec![Write::Put {
+            key: key.clone(),
+            value: value.into(),
+        }],
+    };
+    match platform.commit(txn).await {
+        Outcome::Done(Commit::Committed { version }) => Found::Row(version, row),
+        Outcome::Done(Commit::Conflict { rows }) => found(rows.into_iter().next().flatten()),
+        // The row is read back: whether it was written is then known.
+        Outcome::Unknown(_) => read_row(platform, key).await,
+        Outcome::NotDone(_) => Found::Nothing,
+    }
+}
--- a/crates/daemon/src/process/control/status.rs
+++ b/crates/daemon/src/process/control/status.rs
@@ -1,6 +1,9 @@
 //! What operators see of this daemon.
 
-use crate::process::control::Control;
+use crate::process::{
+    control::Control,
+    pool::Pool, //
+};
 use actix::{
     Handler,
     Message,
@@ -14,6 +17,7 @@
     Version, //
 };
 use serde::Serialize;
+use std::sync::Arc;
 
 /// Asks for the status.
 #[derive(Clone, Copy, Debug, Message)]
@@ -50,7 +54,7 @@
             instance: settings.instance.clone(),
             incarnation: self.shared.incarnation(),
             region: settings.region.clone(),
-            version: self.config.as_ref().map_or(0, |(version, _)| *version),
+            version: self.version(),
             active: self.shared.active.count(),
             pools: self.pool_statuses(),
         })
@@ -60,15 +64,13 @@
 impl Control {
     fn pool_statuses(&self) -> Vec<PoolStatus> {
         let now = self.now();
-        let status = |pool: &std::sync::Arc<crate::process::pool::Pool>| {
-            let right = pool.lease.right(now);
-            let upstreams = pool.upstreams();
-            let uses = || upstreams.iter().map(|upstream| upstream.slots.get());
+        let status = |pool: &Arc<Pool>| {
+            let (slots_usable, slots_used) = pool.use_now(now);
             PoolStatus {
                 service: pool.service.clone(),
-                upstreams: upstreams.len(),
-                slots_usable: uses().map(|slots| u32::from(slots.usable(right))).sum(),
-                slots_used: uses().map(|slots| u32::from(slots.in_flight)).sum(),
+                upstreams: pool.upstreams().len(),
+                slots_usable,
+                slots_used,
                 waiting: pool.waiting(),
             }
         };
--- a/crates/daemon/src/process/mod.rs
+++ b/crates/daemon/src/process/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod active;
 pub(crate) mod burn;
 pub(crate) mod control;
+pub(crate) mod link;
 pub(crate) mod metric;
 pub(crate) mod operator;
 pub(crate) mod pool;
@@ -16,7 +17,10 @@
 
 use crate::{
     process::{
-        control::Control,
+        control::{
+            Control,
+            Stop, //
+        },
         settings::{
             LogLevel,
             Settings, //
@@ -30,6 +34,7 @@
 };
 use actix::{
     Actor,
+    Addr,
     AsyncContext,
     Context, //
 };
@@ -44,6 +49,7 @@
 use metrics_exporter_prometheus::PrometheusBuilder;
 use spdlog::LevelFilter;
 use std::{
+    future::Future,
     net::TcpListener,
     rc::Rc,
     sync::Arc,
@@ -52,7 +58,13 @@
         UNIX_EPOCH, //
     },
 };
-use tokio::sync::mpsc;
+use tokio::{
+    signal::unix::{
+        signal,
+        SignalKind, //
+    },
+    sync::mpsc, //
+};
 use tokio_stream::wrappers::UnboundedReceiverStream;
 
 /// Time that an idle connection of a caller is kept.
@@ -70,6 +82,7 @@
         .wrap_err("installing the metrics recorder")?;
     metric::describe();
     let callers = bind(settings.callers_addr.to_string(), "callers_addr")?;
+    let peers = bind(settings.peers_addr.to_string(), "peers_addr")?;
     let operators = bind(settings.operator_addr.to_string(), "operator_addr")?;
     let (notes, noted) = mpsc::unbounded_channel();
     let start_wall_ms = SystemTime::now()
@@ -81,16 +94,32 @@
     actix_rt::System::new().block_on(async move {
         let control = Control::create(|ctx: &mut Context<Control>| {
             ctx.add_stream(UnboundedReceiverStream::new(noted));
-            Control::new(Arc::clone(&shared))
+            Control::new(Arc::clone(&shared), peers)
         });
         let traffic = serve_callers(callers, &shared)?;
-        let operator = serve_operators(operators, &shared, control)?;
+        let operator = serve_operators(operators, &shared, control.clone())?;
         actix_rt::spawn(operator);
+        actix_rt::spawn(stop_on_signal(control)?);
         spdlog::info!("started", kv: { instance = shared.settings.instance.to_string() });
         traffic.await.wrap_err("the callers' port")
     })
 }
 
+/// Asks control for a planned stop at the first signal; a further one doesn't hurry it.
+fn stop_on_signal(control: Addr<Control>) -> eyre::Result<impl Future<Output = ()>> {
+    let mut terminate = signal(SignalKind::terminate()).wrap_err("handling SIGTERM")?;
+    let mut interrupt = signal(SignalKind::interrupt()).wrap_err("handling SIGINT")?;
+    Ok(async move {
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+            control.do_send(Stop);
+        }
+    })
+}
+
 fn bind(addr: String, setting: &str) -> eyre::Result<TcpListener> {
     TcpListener::bind(&addr).wrap_err_with(|| format!("{setting}: binding {addr}"))
 }
@@ -114,7 +143,7 @@
 fn serve_operators(
     listener: TcpListener,
     shared: &Arc<Shared>,
-    control: actix::Addr<Control>,
+    control: Addr<Control>,
 ) -> eyre::Result<Server> {
     let shared = web::Data::new(Arc::clone(shared));
     let server = HttpServer::new(move || {
--- a/crates/daemon/src/process/pool.rs
+++ b/crates/daemon/src/process/pool.rs
@@ -112,7 +112,6 @@
     pub(crate) seen: Seen,
     /// Slots open under slow start and suspicion, set by control.
     pub(crate) limit: AtomicU32,
-    /// One-way within the upstream's incarnation; see [`Upstream::mark_leaving`].
     leaving: AtomicBool,
     /// Draining by an operator's word; unlike leaving it can be taken back.
     pub(crate) drained: AtomicBool,
@@ -147,6 +146,11 @@
         !self.leaving.swap(true, Ordering::AcqRel)
     }
 
+    /// Follows the picture, which knows when an upstream has come back under its name.
+    pub(crate) fn set_leaving(&self, leaving: bool) {
+        self.leaving.store(leaving, Ordering::Release);
+    }
+
     /// Whether it leaves.
     pub(crate) fn leaving(&self) -> bool {
         self.leaving.load(Ordering::Acquire)
@@ -207,6 +211,20 @@
         self.wake_all();
     }
 
+    /// Slots usable and used at `now`, over all upstreams.
+    pub(crate) fn use_now(&self, now: Now) -> (u32, u32) {
+        let right = self.lease.right(now);
+        self.upstreams()
+            .iter()
+            .map(|upstream| upstream.slots.get())
+            .fold((0, 0), |(usable, used), slots| {
+                (
+                    usable + u32::from(slots.usable(right)),
+                    used + u32::from(slots.in_flight),
+                )
+            })
+    }
+
     /// Lets every waiting request look again, after allotments or limits grew.
     pub(crate) fn wake_all(&self) {
         self.freed.notify_waiters();
--- a/crates/daemon/src/version/snapshot.rs
+++ b/crates/daemon/src/version/snapshot.rs
@@ -1,6 +1,7 @@
 //! The snapshot itself.
 
 use crate::process::{
+    link::Link,
     pool::Pool,
     stop::Stage, //
 };
@@ -17,6 +18,7 @@
 use bytestring::ByteString;
 use spec::Class;
 use std::{
+    collections::BTreeMap,
     net::IpAddr,
     sync::Arc, //
 };
@@ -61,6 +63,8 @@
     pub(crate) classes: FastMap<ClassId, ClassView>,
     /// Caller's block to regions, most preferred first.
     pub(crate) blocks: Arc<Table>,
+    /// Links to the other regions.
+    pub(crate) links: BTreeMap<RegionId, Arc<Link>>,
 }
 
 impl Snapshot {
@@ -78,6 +82,7 @@
             }],
             classes: FastMap::default(),
             blocks: Arc::new(Table::default()),
+            links: BTreeMap::new(),
         }
     }
 
