--- a/crates/conf/src/cursor.rs
+++ b/crates/conf/src/cursor.rs
@@ -58,7 +58,7 @@
     pub fn root(&self) -> Field<'_> {
         Field {
             document: self,
-            name: "the document",
+            name: "",
             mark: Mark::START,
             node: self.root.as_ref(),
         }
@@ -220,7 +220,7 @@
 pub struct Field<'a> {
     /// Document that the field is part of.
     document: &'a Document,
-    /// Name for messages.
+    /// Name for messages; empty for the root.
     name: &'a str,
     /// Where the value starts, or the mapping that lacks it.
     mark: Mark,
@@ -241,8 +241,12 @@
 
     /// Records a finding about this field.
     pub fn fail(&self, message: impl Display) {
+        let subject = match self.name {
+            "" => "the document".to_owned(),
+            name => format!("`{name}`"),
+        };
         self.document
-            .find(self.mark, format!("`{}` {message}", self.name));
+            .find(self.mark, format!("{subject} {message}"));
     }
 
     /// Reads text; numbers and truth values count as the text they are written with.
--- a/crates/conf/src/nearest.rs
+++ b/crates/conf/src/nearest.rs
@@ -4,14 +4,15 @@
 
 /// Finds the known name nearest to `name`, if any is near enough to be meant.
 ///
-/// Near enough is an edit distance of at most a third of the longer name, and at least one.
+/// Near enough is an edit distance of at most a third of the longer name, or of one where names
+/// are longer than that.
 pub fn nearest<'a>(name: &str, known: impl IntoIterator<Item = &'a str>) -> Option<&'a str> {
     known
         .into_iter()
         .map(|candidate| (distance(name, candidate), candidate))
         .filter(|(distance, candidate)| {
             let longer = name.chars().count().max(candidate.chars().count());
-            *distance <= (longer / 3).max(1)
+            *distance <= (longer / 3).max(1) && *distance < longer
         })
         .min()
         .map(|(_, candidate)| candidate)
--- a/crates/spec/src/verify.rs
+++ b/crates/spec/src/verify.rs
@@ -300,9 +300,9 @@
                     self.region(subject, region);
                     let domains = config.region(region).map(|region| &region.failure_domains);
                     if let Some(domains) = domains.filter(|domains| !domains.contains(id)) {
-                        let what = format!("failure domain of `{region}`");
                         let known = domains.iter().map(|id| &**id);
-                        self.fault(subject, unknown(&what, id, known));
+                        let message = unknown("failure domain", id, known);
+                        self.fault(subject, format!("{message} (of region `{region}`)"));
                     }
                 }
             }
