model: search tickets, claims, leases and joins

Tickets over copies at any time, pauses, crashes with restart, expiry with a stepped clock, full memory, and a planned stop to a successor whose clock is behind; keyed claims over lost and late answers, outages, deaths and a paused holder; leases over drifting clocks and pauses; joins of processes with one name. Each guard off gives a counterexample.

--- /dev/null
+++ b/crates/model/src/claims.rs
@@ -0,0 +1,442 @@
+//! One key filed by several requests, at two entries, through a table whose answers get lost.
+//!
+//! Each commit may be answered, take effect with its answer lost, take effect later, or never; the
+//! platform may be down for any request. A process may wait between its check and anything else,
+//! past its lease, and may die at any time.
+//!
+//! What must hold: the upstream got the key at most once; a request that was told `not-run` never
+//! sent; nothing is sent after an entry has told a caller that the filing is settled, which it
+//! does once the holder's lease has lapsed for it; and no key stays blocked by a claim that nobody
+//! uses, unless its holder died.
+
+use crate::Model;
+use base::{
+    Now,
+    RunOutcome, //
+};
+use bytestring::ByteString;
+use filing::{
+    claim_key,
+    Claim,
+    ClaimAnswer,
+    ClaimEvent,
+    ClaimState,
+    ClaimStep,
+    Claimant,
+    Claimer,
+    Guards,
+    Insert,
+    Record,
+    ReleaseStep,
+    Releaser,
+    Row, //
+};
+use std::fmt;
+
+/// End of every holder's lease, by its own clock.
+const LEASE_MS: u64 = 1;
+/// When the lease has lapsed for others.
+const LAPSED_MS: u64 = 2;
+
+/// What may happen in one search.
+#[derive(Clone, Copy, Debug)]
+pub struct ClaimModel {
+    /// Guards of all claimers.
+    pub guards: Guards,
+    /// Requests that bring the key.
+    pub requests: u8,
+    /// Answers lost, effects late and outages, together.
+    pub faults: u8,
+    /// Whether entries die.
+    pub crash: bool,
+}
+
+/// Write on its way to the table.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+struct Write {
+    check: Option<u64>,
+    value: ByteString,
+}
+
+/// How far one request is.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+enum Request {
+    New,
+    Writing(Claimer, Write),
+    Reading(Claimer),
+    Ready(Claimer),
+    Sent(Claimer),
+    ReleaseReading(Releaser),
+    ReleaseWriting(Releaser, Write),
+    Over,
+    Dead,
+}
+
+/// State of the row, of the requests, and of what is under way without anyone waiting for it.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct ClaimModelState {
+    now_ms: u64,
+    faults_left: u8,
+    row: Option<Row>,
+    version: u64,
+    requests: Vec<Request>,
+    /// Writes whose senders gave up on the answer, still to land.
+    late: Vec<Write>,
+    /// Requests that sent: the truth.
+    sent: Vec<bool>,
+    told_not_run: Vec<bool>,
+    settled: bool,
+    sent_after_settled: bool,
+}
+
+/// One thing that happens, to which request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ClaimModelStep {
+    request: Option<usize>,
+    what: &'static str,
+}
+
+impl fmt::Display for ClaimModelStep {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.request {
+            Some(request) => write!(f, "request {request}: {}", self.what),
+            None => f.write_str(self.what),
+        }
+    }
+}
+
+type Next = Vec<(ClaimModelStep, ClaimModelState)>;
+
+impl ClaimModel {
+    fn claimant(request: usize) -> Claimant {
+        Claimant {
+            key: claim_key("orders", b"k"),
+            token: request as u128 + 1,
+            instance: if request % 2 == 0 { "a" } else { "b" }.into(),
+            incarnation: 1,
+            digest: 7,
+        }
+    }
+
+    fn environment(&self, state: &ClaimModelState, next: &mut Next) {
+        if state.now_ms < LAPSED_MS {
+            let mut after = state.clone();
+            after.now_ms += 1;
+            push(next, None, "a millisecond passes", after);
+        }
+        for index in 0..state.late.len() {
+            let mut after = state.clone();
+            let write = after.late.remove(index);
+            let landed = after.apply(&write).is_ok();
+            let what = if landed {
+                "a late write lands"
+            } else {
+                "a late write fails its condition"
+            };
+            push(next, None, what, after);
+            let mut after = state.clone();
+            after.late.remove(index);
+            push(next, None, "a late write is dropped", after);
+        }
+        if state.now_ms >= LAPSED_MS && !state.settled && state.is_held() {
+            let mut after = state.clone();
+            after.settled = true;
+            let what = "another entry sees the lease lapsed: the filing is settled";
+            push(next, None, what, after);
+        }
+    }
+
+    fn request(&self, state: &ClaimModelState, index: usize, next: &mut Next) {
+        match &state.requests[index] {
+            Request::New => {
+                let (claimer, step) = Claimer::start(Self::claimant(index), self.guards);
+                push_step(next, state, index, "starts", claimer, step);
+            }
+            Request::Writing(claimer, write) => self.write(state, index, claimer, write, next),
+            Request::Reading(claimer) => self.read(state, index, claimer, next),
+            Request::Ready(claimer) => ready(state, index, claimer, next),
+            Request::Sent(claimer) => sent(state, index, claimer, next),
+            Request::ReleaseReading(releaser) => self.release_read(state, index, releaser, next),
+            Request::ReleaseWriting(releaser, write) => {
+                self.release_write(state, index, releaser, write, next);
+            }
+            Request::Over | Request::Dead => return,
+        }
+        if self.crash && !matches!(state.requests[index], Request::New) {
+            let mut after = state.clone();
+            if let Request::Writing(_, write) | Request::ReleaseWriting(_, write) =
+                &state.requests[index]
+            {
+                after.late.push(write.clone());
+                after.late.sort();
+            }
+            after.requests[index] = Request::Dead;
+            push(next, Some(index), "its entry dies", after);
+        }
+    }
+
+    fn write(
+        &self,
+        state: &ClaimModelState,
+        index: usize,
+        claimer: &Claimer,
+        write: &Write,
+        next: &mut Next,
+    ) {
+        let deliver = |next: &mut Next, what, after: ClaimModelState, event| {
+            let mut claimer = claimer.clone();
+            let step = claimer.on(event);
+            push_step(next, &after, index, what, claimer, step);
+        };
+        let mut after = state.clone();
+        match after.apply(write) {
+            Ok(version) => {
+                let event = ClaimEvent::Committed { version };
+                deliver(next, "its insert commits", after.clone(), event);
+                if let Some(lossy) = after.with_fault() {
+                    let what = "its insert commits, the answer is lost";
+                    deliver(next, what, lossy, ClaimEvent::Lost);
+                }
+            }
+            Err(row) => {
+                deliver(
+                    next,
+                    "its insert conflicts",
+                    after,
+                    ClaimEvent::Conflict(row),
+                );
+            }
+        }
+        if let Some(down) = state.with_fault() {
+            let what = "the platform is down for its insert";
+            deliver(next, what, down.clone(), ClaimEvent::Down);
+            let mut late = down;
+            late.late.push(write.clone());
+            late.late.sort();
+            let what = "its insert is under way, the answer is lost";
+            deliver(next, what, late.clone(), ClaimEvent::Lost);
+            let what = "its insert is under way, the caller's time is over";
+            deliver(next, what, late, ClaimEvent::TimedOut);
+        }
+    }
+
+    fn read(&self, state: &ClaimModelState, index: usize, claimer: &Claimer, next: &mut Next) {
+        let deliver = |next: &mut Next, what, after: &ClaimModelState, event| {
+            let mut claimer = claimer.clone();
+            let step = claimer.on(event);
+            push_step(next, after, index, what, claimer, step);
+        };
+        let event = ClaimEvent::Read(state.row.clone());
+        deliver(next, "reads the row back", state, event);
+        if let Some(after) = state.with_fault() {
+            let what = "the platform is down for its read";
+            deliver(next, what, &after, ClaimEvent::Down);
+        }
+    }
+
+    fn release_read(
+        &self,
+        state: &ClaimModelState,
+        index: usize,
+        releaser: &Releaser,
+        next: &mut Next,
+    ) {
+        let step = releaser.on(ClaimEvent::Read(state.row.clone()));
+        push_release(next, state, index, "reads, to release", releaser, step);
+    }
+
+    fn release_write(
+        &self,
+        state: &ClaimModelState,
+        index: usize,
+        releaser: &Releaser,
+        write: &Write,
+        next: &mut Next,
+    ) {
+        let mut after = state.clone();
+        match after.apply(write) {
+            Ok(version) => {
+                let step = releaser.on(ClaimEvent::Committed { version });
+                push_release(next, &after, index, "releases", releaser, step);
+                if let Some(lossy) = after.with_fault() {
+                    let step = releaser.on(ClaimEvent::Lost);
+                    let what = "releases, the answer is lost";
+                    push_release(next, &lossy, index, what, releaser, step);
+                }
+            }
+            Err(row) => {
+                let step = releaser.on(ClaimEvent::Conflict(row));
+                push_release(next, &after, index, "its release conflicts", releaser, step);
+            }
+        }
+    }
+}
+
+impl ClaimModelState {
+    /// Applies a conditional write: the new version, or the row that fails the condition.
+    fn apply(&mut self, write: &Write) -> Result<u64, Option<Row>> {
+        let current = self.row.as_ref().map(|row| row.version);
+        if current != write.check {
+            return Err(self.row.clone());
+        }
+        self.version += 1;
+        self.row = Some(Row {
+            version: self.version,
+            value: write.value.clone(),
+        });
+        Ok(self.version)
+    }
+
+    fn with_fault(&self) -> Option<Self> {
+        let mut after = self.clone();
+        after.faults_left = self.faults_left.checked_sub(1)?;
+        Some(after)
+    }
+
+    fn claim(&self) -> Option<Claim> {
+        let row = self.row.as_ref()?;
+        Some(row.value.parse().expect("only claims are written"))
+    }
+
+    fn is_held(&self) -> bool {
+        self.claim()
+            .is_some_and(|claim| claim.state == ClaimState::Held)
+    }
+
+    fn is_quiet(&self) -> bool {
+        let over = |request: &Request| matches!(request, Request::Over | Request::New);
+        self.late.is_empty() && self.requests.iter().all(over)
+    }
+}
+
+fn ready(state: &ClaimModelState, index: usize, claimer: &Claimer, next: &mut Next) {
+    let now = Now::from_millis(state.now_ms);
+    let mut claimer = claimer.clone();
+    let step = claimer.send(now, Now::from_millis(LEASE_MS));
+    let what = if step == ClaimStep::Send {
+        "passes its last check and sends"
+    } else {
+        "fails its last check"
+    };
+    let mut after = state.clone();
+    if step == ClaimStep::Send {
+        after.sent[index] = true;
+        after.sent_after_settled |= state.settled;
+    }
+    push_step(next, &after, index, what, claimer, step);
+}
+
+fn sent(state: &ClaimModelState, index: usize, claimer: &Claimer, next: &mut Next) {
+    let record = Record::bare(RunOutcome::Done, 200);
+    let insert = claimer.ended(0, record).expect("it was sent");
+    let mut after = state.clone();
+    after.requests[index] = Request::Over;
+    let recorded = after.apply(&write_of(&insert)).is_ok();
+    if recorded {
+        push(next, Some(index), "its outcome is recorded", after);
+    }
+}
+
+fn write_of(insert: &Insert) -> Write {
+    Write {
+        check: insert.check,
+        value: insert.value.clone(),
+    }
+}
+
+fn push(next: &mut Next, request: Option<usize>, what: &'static str, after: ClaimModelState) {
+    next.push((ClaimModelStep { request, what }, after));
+}
+
+/// Books what the claimer wants next.
+fn push_step(
+    next: &mut Next,
+    state: &ClaimModelState,
+    index: usize,
+    what: &'static str,
+    claimer: Claimer,
+    step: ClaimStep,
+) {
+    let mut after = state.clone();
+    after.requests[index] = match step {
+        ClaimStep::Insert { check, value } => Request::Writing(claimer, Write { check, value }),
+        ClaimStep::ReadBack => Request::Reading(claimer),
+        ClaimStep::Ready => Request::Ready(claimer),
+        ClaimStep::Send => Request::Sent(claimer),
+        ClaimStep::Answer(ClaimAnswer::NotRun(releaser)) => {
+            after.told_not_run[index] = true;
+            releaser.map_or(Request::Over, Request::ReleaseReading)
+        }
+        ClaimStep::Answer(_) => Request::Over,
+        ClaimStep::Nothing => return,
+    };
+    push(next, Some(index), what, after);
+}
+
+/// Books what the releaser wants next.
+fn push_release(
+    next: &mut Next,
+    state: &ClaimModelState,
+    index: usize,
+    what: &'static str,
+    releaser: &Releaser,
+    step: ReleaseStep,
+) {
+    let mut after = state.clone();
+    after.requests[index] = match step {
+        ReleaseStep::Read | ReleaseStep::Later => Request::ReleaseReading(releaser.clone()),
+        ReleaseStep::Write { check, value } => {
+            Request::ReleaseWriting(releaser.clone(), Write { check, value })
+        }
+        ReleaseStep::Done => Request::Over,
+    };
+    push(next, Some(index), what, after);
+}
+
+impl Model for ClaimModel {
+    type State = ClaimModelState;
+    type Step = ClaimModelStep;
+
+    fn start(&self) -> ClaimModelState {
+        let requests = usize::from(self.requests);
+        ClaimModelState {
+            now_ms: 0,
+            faults_left: self.faults,
+            row: None,
+            version: 0,
+            requests: vec![Request::New; requests],
+            late: Vec::new(),
+            sent: vec![false; requests],
+            told_not_run: vec![false; requests],
+            settled: false,
+            sent_after_settled: false,
+        }
+    }
+
+    fn transitions(&self, state: &ClaimModelState) -> Next {
+        let mut next = Vec::new();
+        self.environment(state, &mut next);
+        for index in 0..state.requests.len() {
+            self.request(state, index, &mut next);
+        }
+        next
+    }
+
+    fn check(&self, state: &ClaimModelState) -> Result<(), String> {
+        let sends = state.sent.iter().filter(|sent| **sent).count();
+        if sends > 1 {
+            return Err(format!("the key ran {sends} times"));
+        }
+        let mut both = state.sent.iter().zip(&state.told_not_run);
+        if both.any(|(sent, told_not_run)| *sent && *told_not_run) {
+            return Err("a request ran, and its caller was told not-run".into());
+        }
+        if state.sent_after_settled {
+            return Err("the filing ran after a caller was told that it was settled".into());
+        }
+        if state.is_quiet() && sends == 0 && state.is_held() {
+            return Err("the key is blocked by a claim that nobody uses".into());
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/model/src/filing.rs
@@ -0,0 +1,483 @@
+//! Tickets at two entries: copies at any time, pauses, crashes, stepped clocks, a planned stop.
+//!
+//! Entry X owns the tickets and may hand over to Y. Nothing orders the messages: any copy, offer
+//! or acknowledgement arrives at any time, again or never, so loss, duplication, reordering and
+//! lateness need no steps of their own. A process may wait between any two of its steps, which is
+//! the pause between check and send. The platform has no part in it, so its outage changes nothing.
+//!
+//! What must hold: an upstream got a ticket at most once, and a caller who was told `not-run` was
+//! told the truth for good, for that caller takes a new ticket.
+
+use crate::Model;
+use base::{
+    Incarnation,
+    InstanceId,
+    Now,
+    RunOutcome, //
+};
+use filing::{
+    Accepted,
+    Begin,
+    Bounds,
+    Draining,
+    Guards,
+    HandedOver,
+    Ledger,
+    Nonce,
+    Offer,
+    Offered,
+    Record,
+    Stopping,
+    Ticket,
+    WallClock, //
+};
+use std::{
+    collections::BTreeSet,
+    fmt,
+    time::Duration, //
+};
+
+/// Wall time at the start; far enough from zero to be stepped back.
+const START_WALL_MS: u64 = 100;
+/// How long after the start the tickets end.
+const LIFE_MS: u64 = 2;
+/// How long past that an outcome is remembered.
+const MARGIN_MS: u64 = 1;
+const X: usize = 0;
+const Y: usize = 1;
+
+/// What may happen in one search.
+#[derive(Clone, Copy, Debug)]
+pub struct TicketModel {
+    /// Guards of both ledgers.
+    pub guards: Guards,
+    /// Different tickets, each for X.
+    pub tickets: u8,
+    /// Copies of each ticket that callers send, to either entry.
+    pub copies: u8,
+    /// Tickets that a ledger can remember.
+    pub remembered_max: usize,
+    /// Time after which nothing new happens, in milliseconds.
+    pub end_ms: u64,
+    /// Crashes with restart, of either entry.
+    pub crashes: u8,
+    /// How far the system's wall clock is stepped back, once, at any time; 0: never.
+    pub step_back_ms: u64,
+    /// Whether entries refuse filings for reasons of their own.
+    pub sheds: bool,
+    /// Whether X stops and hands over to Y.
+    pub hand_over: bool,
+    /// How far Y's wall clock is behind X's.
+    pub behind_ms: u64,
+}
+
+/// One process with its ledger, by what it may still do.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+enum Process {
+    Open(Ledger),
+    Draining(Stopping<Draining>),
+    Offered(Stopping<Offered>),
+    HandedOver(Stopping<HandedOver>),
+}
+
+impl Process {
+    fn begin(&mut self, ticket: &Ticket, now: Now) -> Begin {
+        match self {
+            Self::Open(ledger) => ledger.begin(ticket, now),
+            Self::Draining(stopping) => stopping.begin(ticket, now),
+            Self::Offered(stopping) => stopping.begin(ticket, now),
+            Self::HandedOver(stopping) => stopping.begin(ticket, now),
+        }
+    }
+
+    fn refuse(&mut self, ticket: &Ticket, now: Now) -> Begin {
+        match self {
+            Self::Open(ledger) => ledger.refuse(ticket, now),
+            Self::Draining(stopping) => stopping.refuse(ticket, now),
+            Self::Offered(stopping) => stopping.refuse(ticket, now),
+            Self::HandedOver(stopping) => stopping.refuse(ticket, now),
+        }
+    }
+
+    fn finish(&mut self, nonce: Nonce, record: Record) {
+        match self {
+            Self::Open(ledger) => ledger.finish(nonce, record),
+            Self::Draining(stopping) => stopping.finish(nonce, record),
+            Self::Offered(stopping) => stopping.finish(nonce, record),
+            Self::HandedOver(stopping) => stopping.finish(nonce, record),
+        }
+    }
+
+    fn unsent(&mut self, nonce: Nonce) {
+        match self {
+            Self::Open(ledger) => ledger.unsent(nonce),
+            Self::Draining(stopping) => stopping.unsent(nonce),
+            Self::Offered(stopping) => stopping.unsent(nonce),
+            Self::HandedOver(stopping) => stopping.unsent(nonce),
+        }
+    }
+
+    fn expire(&mut self, now: Now) -> usize {
+        match self {
+            Self::Open(ledger) => ledger.expire(now),
+            Self::Draining(stopping) => stopping.expire(now),
+            Self::Offered(stopping) => stopping.expire(now),
+            Self::HandedOver(stopping) => stopping.expire(now),
+        }
+    }
+}
+
+/// A filing that its entry was told to run.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+struct Run {
+    entry: usize,
+    nonce: Nonce,
+    sent: bool,
+}
+
+/// State of both entries, of what is under way, and what callers and upstreams know.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct TicketState {
+    now_ms: u64,
+    stepped_back_ms: u64,
+    processes: [Process; 2],
+    incarnations: [Incarnation; 2],
+    crashes_left: u8,
+    copies_left: Vec<u8>,
+    runs: BTreeSet<Run>,
+    offer: Option<Offer>,
+    accepted: Option<Accepted>,
+    /// How often the upstream got each ticket: the truth.
+    sends: Vec<u8>,
+    /// Tickets for which a caller was told `not-run`.
+    told_not_run: BTreeSet<Nonce>,
+}
+
+/// One thing that happens.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum TicketStep {
+    /// Time passes.
+    Tick,
+    /// The system's wall clock is stepped back.
+    StepBack,
+    /// A copy arrives; what the ledger says.
+    Arrive(usize, Nonce, String),
+    /// A copy arrives at an entry that refuses it for reasons of its own.
+    Shed(usize, Nonce, String),
+    /// The entry sends to the upstream.
+    Send(usize, Nonce),
+    /// The upstream's answer is recorded.
+    Finish(usize, Nonce),
+    /// Nothing was sent, and the caller is told so.
+    Refuse(usize, Nonce),
+    /// Nothing was sent; the entry will try again itself.
+    Unsent(usize, Nonce),
+    /// The entry forgets old outcomes.
+    Expire(usize),
+    /// The entry dies and starts again.
+    Crash(usize),
+    /// X begins its planned stop.
+    Stop,
+    /// X closes and makes its offer.
+    Offer,
+    /// The offer arrives at Y; whether it was taken.
+    Adopt(bool),
+    /// The acknowledgement arrives at X.
+    Acknowledge,
+}
+
+impl fmt::Display for TicketStep {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let name = |entry: &usize| if *entry == X { "X" } else { "Y" };
+        match self {
+            Self::Tick => write!(f, "a millisecond passes"),
+            Self::StepBack => write!(f, "the wall clock is stepped back"),
+            Self::Arrive(e, n, said) => write!(f, "ticket {n} arrives at {}: {said}", name(e)),
+            Self::Shed(e, n, said) => write!(f, "{} sheds ticket {n}: {said}", name(e)),
+            Self::Send(e, n) => write!(f, "{} sends ticket {n} to the upstream", name(e)),
+            Self::Finish(e, n) => write!(f, "{} records the answer to ticket {n}", name(e)),
+            Self::Refuse(e, n) => write!(f, "{} didn't send ticket {n} and says not-run", name(e)),
+            Self::Unsent(e, n) => write!(f, "{} didn't send ticket {n}, will retry", name(e)),
+            Self::Expire(e) => write!(f, "{} forgets old outcomes", name(e)),
+            Self::Crash(e) => write!(f, "{} crashes and restarts", name(e)),
+            Self::Stop => write!(f, "X begins its planned stop"),
+            Self::Offer => write!(f, "X closes and offers its records to Y"),
+            Self::Adopt(taken) => write!(f, "the offer arrives at Y: taken {taken}"),
+            Self::Acknowledge => write!(f, "the acknowledgement arrives at X"),
+        }
+    }
+}
+
+impl TicketModel {
+    fn name(entry: usize) -> InstanceId {
+        InstanceId::from_static(if entry == X { "x" } else { "y" })
+    }
+
+    fn ticket(nonce: Nonce) -> Ticket {
+        Ticket {
+            class: "orders".into(),
+            instance: Self::name(X),
+            incarnation: 1,
+            nonce,
+            expires_at_ms: START_WALL_MS + LIFE_MS,
+        }
+    }
+
+    fn process(&self, entry: usize, incarnation: Incarnation, wall_ms: u64, now: Now) -> Process {
+        let bounds = Bounds {
+            tickets_max: self.remembered_max,
+            life_max: Duration::from_millis(10),
+            margin: Duration::from_millis(MARGIN_MS),
+            ..Bounds::default()
+        };
+        let clock = WallClock {
+            start_wall_ms: wall_ms,
+            start: now,
+        };
+        let ledger = Ledger::new(Self::name(entry), incarnation, clock, bounds, self.guards);
+        Process::Open(ledger)
+    }
+
+    fn wall_ms(&self, state: &TicketState, entry: usize) -> u64 {
+        let behind_ms = if entry == Y { self.behind_ms } else { 0 };
+        START_WALL_MS + state.now_ms - state.stepped_back_ms - behind_ms
+    }
+
+    fn environment(&self, state: &TicketState, next: &mut Vec<(TicketStep, TicketState)>) {
+        if state.now_ms < self.end_ms {
+            let mut after = state.clone();
+            after.now_ms += 1;
+            next.push((TicketStep::Tick, after));
+        }
+        if self.step_back_ms > 0 && state.stepped_back_ms == 0 {
+            next.push((TicketStep::StepBack, self.step_back(state)));
+        }
+        if state.crashes_left > 0 {
+            for entry in self.entries() {
+                next.push((TicketStep::Crash(entry), self.crash(state, entry)));
+            }
+        }
+    }
+
+    fn entries(&self) -> std::ops::Range<usize> {
+        if self.hand_over {
+            X..Y + 1
+        } else {
+            X..Y
+        }
+    }
+
+    fn step_back(&self, state: &TicketState) -> TicketState {
+        let mut after = state.clone();
+        after.stepped_back_ms = self.step_back_ms;
+        let clock = WallClock {
+            start_wall_ms: self.wall_ms(&after, X),
+            start: now(&after),
+        };
+        if let Process::Open(ledger) = &mut after.processes[X] {
+            ledger.step_clock(clock);
+        }
+        after
+    }
+
+    fn crash(&self, state: &TicketState, entry: usize) -> TicketState {
+        let mut after = state.clone();
+        after.crashes_left -= 1;
+        after.incarnations[entry] += 1;
+        let incarnation = after.incarnations[entry];
+        let wall_ms = self.wall_ms(&after, entry);
+        after.processes[entry] = self.process(entry, incarnation, wall_ms, now(&after));
+        after.runs.retain(|run| run.entry != entry);
+        after
+    }
+
+    fn requests(&self, state: &TicketState, next: &mut Vec<(TicketStep, TicketState)>) {
+        for (index, copies) in state.copies_left.iter().enumerate() {
+            if *copies == 0 {
+                continue;
+            }
+            let ticket = Self::ticket(index as Nonce);
+            for entry in self.entries() {
+                let mut after = state.clone();
+                after.copies_left[index] -= 1;
+                if self.sheds {
+                    let mut shed = after.clone();
+                    let said = shed.processes[entry].refuse(&ticket, now(state));
+                    take(&mut shed, entry, ticket.nonce, &said);
+                    let step = TicketStep::Shed(entry, ticket.nonce, describe(&said));
+                    next.push((step, shed));
+                }
+                let said = after.processes[entry].begin(&ticket, now(state));
+                take(&mut after, entry, ticket.nonce, &said);
+                let step = TicketStep::Arrive(entry, ticket.nonce, describe(&said));
+                next.push((step, after));
+            }
+        }
+    }
+
+    fn progress(&self, state: &TicketState, next: &mut Vec<(TicketStep, TicketState)>) {
+        for run in &state.runs {
+            if run.sent {
+                next.push(finish(state, *run));
+            } else {
+                next.push(send(state, *run));
+                next.push(refuse(state, *run));
+                next.push(unsent(state, *run));
+            }
+        }
+        for entry in self.entries() {
+            let mut after = state.clone();
+            if after.processes[entry].expire(now(state)) > 0 {
+                next.push((TicketStep::Expire(entry), after));
+            }
+        }
+    }
+
+    fn hand_over(&self, state: &TicketState, next: &mut Vec<(TicketStep, TicketState)>) {
+        let mut after = state.clone();
+        match state.processes[X].clone() {
+            Process::Open(ledger) if state.incarnations[X] == 1 => {
+                after.processes[X] = Process::Draining(ledger.stop());
+                next.push((TicketStep::Stop, after));
+            }
+            Process::Draining(stopping) => {
+                let offered = stopping.offer(Self::name(Y), state.incarnations[Y], now(state));
+                after.offer = Some(offered.offer().clone());
+                after.processes[X] = Process::Offered(offered);
+                next.push((TicketStep::Offer, after));
+            }
+            Process::Offered(offered) => {
+                if let Some(accepted) = &state.accepted {
+                    if let Ok(handed_over) = offered.acknowledged(accepted) {
+                        after.processes[X] = Process::HandedOver(handed_over);
+                        next.push((TicketStep::Acknowledge, after));
+                    }
+                }
+            }
+            Process::Open(_) | Process::HandedOver(_) => {}
+        }
+        self.adopt(state, next);
+    }
+
+    fn adopt(&self, state: &TicketState, next: &mut Vec<(TicketStep, TicketState)>) {
+        let mut after = state.clone();
+        if let (Some(offer), Process::Open(ledger)) = (&state.offer, &mut after.processes[Y]) {
+            let adopted = ledger.adopt(offer);
+            let taken = adopted.is_ok();
+            after.accepted = adopted.ok().or(after.accepted);
+            next.push((TicketStep::Adopt(taken), after));
+        }
+    }
+}
+
+fn now(state: &TicketState) -> Now {
+    Now::from_millis(state.now_ms)
+}
+
+fn describe(said: &Begin) -> String {
+    match said {
+        Begin::Run => "run".into(),
+        Begin::Wait => "wait".into(),
+        Begin::Replay(record) => format!("replay {}", record.outcome),
+        Begin::Refuse(reason) => format!("refuse {reason:?}, {}", reason.outcome()),
+    }
+}
+
+/// Books what the ledger said on the entry and on the caller.
+fn take(state: &mut TicketState, entry: usize, nonce: Nonce, said: &Begin) {
+    let outcome = match said {
+        Begin::Run => {
+            let run = Run {
+                entry,
+                nonce,
+                sent: false,
+            };
+            state.runs.insert(run);
+            return;
+        }
+        Begin::Wait => return,
+        Begin::Replay(record) => record.outcome,
+        Begin::Refuse(reason) => reason.outcome(),
+    };
+    if outcome == RunOutcome::NotRun {
+        state.told_not_run.insert(nonce);
+    }
+}
+
+fn send(state: &TicketState, run: Run) -> (TicketStep, TicketState) {
+    let mut after = state.clone();
+    after.runs.remove(&run);
+    after.runs.insert(Run { sent: true, ..run });
+    after.sends[run.nonce as usize] += 1;
+    (TicketStep::Send(run.entry, run.nonce), after)
+}
+
+fn finish(state: &TicketState, run: Run) -> (TicketStep, TicketState) {
+    let mut after = state.clone();
+    after.runs.remove(&run);
+    after.processes[run.entry].finish(run.nonce, Record::bare(RunOutcome::Done, 200));
+    (TicketStep::Finish(run.entry, run.nonce), after)
+}
+
+fn refuse(state: &TicketState, run: Run) -> (TicketStep, TicketState) {
+    let mut after = state.clone();
+    after.runs.remove(&run);
+    after.processes[run.entry].finish(run.nonce, Record::bare(RunOutcome::NotRun, 503));
+    after.told_not_run.insert(run.nonce);
+    (TicketStep::Refuse(run.entry, run.nonce), after)
+}
+
+fn unsent(state: &TicketState, run: Run) -> (TicketStep, TicketState) {
+    let mut after = state.clone();
+    after.runs.remove(&run);
+    after.processes[run.entry].unsent(run.nonce);
+    (TicketStep::Unsent(run.entry, run.nonce), after)
+}
+
+impl Model for TicketModel {
+    type State = TicketState;
+    type Step = TicketStep;
+
+    fn start(&self) -> TicketState {
+        let tickets = usize::from(self.tickets);
+        TicketState {
+            now_ms: 0,
+            stepped_back_ms: 0,
+            processes: [
+                self.process(X, 1, START_WALL_MS, Now::ZERO),
+                self.process(Y, 1, START_WALL_MS - self.behind_ms, Now::ZERO),
+            ],
+            incarnations: [1, 1],
+            crashes_left: self.crashes,
+            copies_left: vec![self.copies; tickets],
+            runs: BTreeSet::new(),
+            offer: None,
+            accepted: None,
+            sends: vec![0; tickets],
+            told_not_run: BTreeSet::new(),
+        }
+    }
+
+    fn transitions(&self, state: &TicketState) -> Vec<(TicketStep, TicketState)> {
+        let mut next = Vec::new();
+        self.environment(state, &mut next);
+        self.requests(state, &mut next);
+        self.progress(state, &mut next);
+        if self.hand_over {
+            self.hand_over(state, &mut next);
+        }
+        next
+    }
+
+    fn check(&self, state: &TicketState) -> Result<(), String> {
+        for (nonce, sends) in state.sends.iter().enumerate() {
+            if *sends > 1 {
+                return Err(format!("ticket {nonce} ran {sends} times"));
+            }
+            if *sends > 0 && state.told_not_run.contains(&(nonce as Nonce)) {
+                return Err(format!("ticket {nonce} ran, and a caller was told not-run"));
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -5,11 +5,31 @@
 //! the tests print how many, and show for each guard that the search finds the counterexample once
 //! that guard is off. Start with `explore`, then read the model of the protocol you change.
 
+mod claims;
 mod explore;
+mod filing;
+mod member;
 
+pub use claims::{
+    ClaimModel,
+    ClaimModelState,
+    ClaimModelStep, //
+};
 pub use explore::{
     explore,
     Exploration,
     Model,
     Trace, //
 };
+pub use filing::{
+    TicketModel,
+    TicketState,
+    TicketStep, //
+};
+pub use member::{
+    JoinModel,
+    JoinModelState,
+    LeaseModel,
+    LeaseModelState,
+    LeaseModelStep, //
+};
