Filings by ticket and by key, hand-over, shifts to other regions

A filing runs in a task of its own, so that a caller who goes away leaves no half-known outcome; copies wait for it or get its record. Keys are claimed by control in batches, with the lease checked just before the send. At a planned stop the ledger goes to a successor.

A request that finds no capacity at home goes through an entry of another region, under this entry's part of the link's cap; the hop proves the daemons' key and is never shifted on.

--- a/crates/daemon/src/process/control/beats.rs
+++ b/crates/daemon/src/process/control/beats.rs
@@ -342,7 +342,7 @@
             Frame::ConfigWant(want) => self.on_config_want(from, &want),
             Frame::ConfigBody(part) => self.on_config_part(from, part, ctx),
             Frame::HandOver(offer) => self.on_hand_over(from, incarnation, &offer),
-            Frame::HandOverAck(ack) => self.on_hand_over_ack(from, &ack),
+            Frame::HandOverAck(ack) => self.on_hand_over_ack(&ack),
             Frame::Hello(_) | Frame::Proof(_) | Frame::Goodbye(_) => {}
         }
     }
--- /dev/null
+++ b/crates/daemon/src/process/control/claims.rs
@@ -0,0 +1,276 @@
+//! Callers' keys: claims them in the table for the traffic threads that ask.
+//!
+//! The claims of many callers go into one transaction, one at a time, so that a burst of filings
+//! stays within the table's writes. Each claim is a state machine of crate `filing`; here its
+//! steps are carried out, and whoever is gone by the time of the answer has his claim released.
+
+use crate::process::{
+    control::Control,
+    shared::{
+        ClaimReply,
+        ClaimWanted,
+        Note, //
+    },
+};
+use actix::{
+    ActorFutureExt,
+    AsyncContext,
+    Context,
+    WrapFuture, //
+};
+use bytestring::ByteString;
+use filing::{
+    Batch,
+    ClaimAnswer,
+    ClaimEvent,
+    ClaimStep,
+    Claimer,
+    CommitAnswer,
+    Guards,
+    Insert,
+    ReleaseStep,
+    Releaser, //
+};
+use plat::{
+    Check,
+    Commit,
+    HttpPlatform,
+    Outcome,
+    Reason,
+    Table,
+    Txn,
+    Write, //
+};
+use std::{
+    collections::BTreeMap,
+    rc::Rc,
+    time::Duration, //
+};
+use tokio::sync::oneshot;
+
+/// Claims in one transaction.
+const BATCH_MAX: usize = 64;
+/// Wait before a release is tried again.
+const RELEASE_RETRY: Duration = Duration::from_secs(1);
+
+/// Claims under way.
+pub(super) struct Claims {
+    batch: Batch,
+    pending: BTreeMap<u64, Pending>,
+    next: u64,
+}
+
+struct Pending {
+    claimer: Claimer,
+    reply: oneshot::Sender<ClaimReply>,
+}
+
+impl Default for Claims {
+    fn default() -> Self {
+        Self {
+            batch: Batch::new(BATCH_MAX),
+            pending: BTreeMap::new(),
+            next: 0,
+        }
+    }
+}
+
+impl Control {
+    /// Starts to claim a key.
+    pub(super) fn claim(&mut self, wanted: ClaimWanted, ctx: &mut Context<Self>) {
+        let (claimer, step) = Claimer::start(wanted.claimant, Guards::default());
+        let caller = self.claims.next;
+        self.claims.next += 1;
+        let pending = Pending {
+            claimer,
+            reply: wanted.reply,
+        };
+        self.claims.pending.insert(caller, pending);
+        self.run_claim_step(caller, step, ctx);
+    }
+
+    /// Writes what came of a claimed filing; until it is there repeats are told `unknown`.
+    pub(super) fn write_outcome(&mut self, insert: Insert, ctx: &mut Context<Self>) {
+        self.claims.batch.push(insert);
+        self.commit_claims(ctx);
+    }
+
+    fn run_claim_step(&mut self, caller: u64, step: ClaimStep, ctx: &mut Context<Self>) {
+        match step {
+            ClaimStep::Nothing | ClaimStep::Send => {}
+            ClaimStep::Insert { check, value } => {
+                let Some(pending) = self.claims.pending.get(&caller) else {
+                    return;
+                };
+                self.claims.batch.push(Insert {
+                    caller,
+                    key: pending.claimer.key().clone(),
+                    check,
+                    value,
+                });
+                self.commit_claims(ctx);
+            }
+            ClaimStep::ReadBack => self.read_claim(caller, ctx),
+            ClaimStep::Ready => {
+                if let Some(Pending { claimer, reply }) = self.claims.pending.remove(&caller) {
+                    if let Err(ClaimReply::Ready(claimer)) = reply.send(ClaimReply::Ready(claimer))
+                    {
+                        self.give_up(claimer, ctx);
+                    }
+                }
+            }
+            ClaimStep::Answer(answer) => {
+                if let ClaimAnswer::NotRun(Some(releaser)) = &answer {
+                    self.release(releaser.clone(), ctx);
+                }
+                if let Some(pending) = self.claims.pending.remove(&caller) {
+                    // A caller who is gone needs no answer.
+                    let _ = pending.reply.send(ClaimReply::Over(answer));
+                }
+            }
+        }
+    }
+
+    /// Gives up a claim whose caller is gone.
+    fn give_up(&mut self, mut claimer: Claimer, ctx: &mut Context<Self>) {
+        if let ClaimStep::Answer(ClaimAnswer::NotRun(Some(releaser))) = claimer.unsent() {
+            self.release(releaser, ctx);
+        }
+    }
+
+    fn read_claim(&mut self, caller: u64, ctx: &mut Context<Self>) {
+        let Some(pending) = self.claims.pending.get(&caller) else {
+            return;
+        };
+        let key = pending.claimer.key().clone();
+        let platform = Rc::clone(&self.platform);
+        let read = async move { read_row(&platform, key).await };
+        ctx.spawn(read.into_actor(self).map(move |event, control, ctx| {
+            control.on_claim_event(caller, event, ctx);
+        }));
+    }
+
+    fn on_claim_event(&mut self, caller: u64, event: ClaimEvent, ctx: &mut Context<Self>) {
+        // Writes of outcomes have no one waiting.
+        if let Some(pending) = self.claims.pending.get_mut(&caller) {
+            let step = pending.claimer.on(event);
+            self.run_claim_step(caller, step, ctx);
+        }
+    }
+
+    fn commit_claims(&mut self, ctx: &mut Context<Self>) {
+        let Some(commit) = self.claims.batch.commit() else {
+            return;
+        };
+        let platform = Rc::clone(&self.platform);
+        let sent = async move { commit_rows(&platform, commit.inserts).await };
+        ctx.spawn(sent.into_actor(self).map(|answer, control, ctx| {
+            let failed = matches!(answer, CommitAnswer::Lost | CommitAnswer::Down);
+            control.note_call("claims", !failed);
+            for (caller, event) in control.claims.batch.answer(answer) {
+                control.on_claim_event(caller, event, ctx);
+            }
+            control.commit_claims(ctx);
+        }));
+    }
+
+    /// Works a claim out of the table, through outages.
+    pub(super) fn release(&mut self, releaser: Releaser, ctx: &mut Context<Self>) {
+        let step = releaser.start();
+        self.run_release_step(releaser, step, ctx);
+    }
+
+    fn run_release_step(&mut self, releaser: Releaser, step: ReleaseStep, ctx: &mut Context<Self>) {
+        let platform = Rc::clone(&self.platform);
+        let key = releaser.key().clone();
+        match step {
+            ReleaseStep::Done => {}
+            ReleaseStep::Later => {
+                ctx.run_later(RELEASE_RETRY, |control, ctx| control.release(releaser, ctx));
+            }
+            ReleaseStep::Read => {
+                let read = async move { read_row(&platform, key).await };
+                ctx.spawn(read.into_actor(self).map(|event, control, ctx| {
+                    let step = releaser.on(event);
+                    control.run_release_step(releaser, step, ctx);
+                }));
+            }
+            ReleaseStep::Write { check, value } => {
+                let insert = Insert {
+                    caller: 0,
+                    key,
+                    check,
+                    value,
+                };
+                let write = async move { commit_rows(&platform, vec![insert]).await };
+                ctx.spawn(write.into_actor(self).map(|answer, control, ctx| {
+                    let step = releaser.on(only_event(answer));
+                    control.run_release_step(releaser, step, ctx);
+                }));
+            }
+        }
+    }
+}
+
+/// Tells control to give up a claim, from a traffic thread.
+pub(crate) fn release_later(
+    notes: &tokio::sync::mpsc::UnboundedSender<Note>,
+    answer: &ClaimAnswer,
+) {
+    if let ClaimAnswer::NotRun(Some(releaser)) = answer {
+        // A closed channel means that the process ends; its claims lapse with its lease.
+        let _ = notes.send(Note::Release(releaser.clone()));
+    }
+}
+
+fn only_event(answer: CommitAnswer) -> ClaimEvent {
+    match answer {
+        CommitAnswer::Committed { version } => ClaimEvent::Committed { version },
+        CommitAnswer::Conflict { rows } => ClaimEvent::Conflict(rows.into_iter().next().flatten()),
+        CommitAnswer::Lost => ClaimEvent::Lost,
+        CommitAnswer::Down => ClaimEvent::Down,
+    }
+}
+
+fn to_row(row: plat::Row) -> filing::Row {
+    filing::Row {
+        version: row.version,
+        value: row.value,
+    }
+}
+
+async fn read_row(platform: &HttpPlatform, key: ByteString) -> ClaimEvent {
+    match platform.read(&[key]).await {
+        Ok(rows) => ClaimEvent::Read(rows.into_iter().next().flatten().map(to_row)),
+        Err(error) if matches!(error.0, Reason::NotConnected(_)) => ClaimEvent::Down,
+        Err(_) => ClaimEvent::Lost,
+    }
+}
+
+async fn commit_rows(platform: &HttpPlatform, inserts: Vec<Insert>) -> CommitAnswer {
+    let check = |insert: &Insert| match insert.check {
+        Some(version) => Check::Version {
+            key: insert.key.clone(),
+            version,
+        },
+        None => Check::Absent {
+            key: insert.key.clone(),
+        },
+    };
+    let checks = inserts.iter().map(check).collect();
+    let writes = inserts
+        .into_iter()
+        .map(|insert| Write::Put {
+            key: insert.key,
+            value: insert.value,
+        })
+        .collect();
+    match platform.commit(Txn { checks, writes }).await {
+        Outcome::Done(Commit::Committed { version }) => CommitAnswer::Committed { version },
+        Outcome::Done(Commit::Conflict { rows }) => CommitAnswer::Conflict {
+            rows: rows.into_iter().map(|row| row.map(to_row)).collect(),
+        },
+        Outcome::NotDone(_) => CommitAnswer::Down,
+        Outcome::Unknown(_) => CommitAnswer::Lost,
+    }
+}
--- a/crates/daemon/src/process/control/lease.rs
+++ b/crates/daemon/src/process/control/lease.rs
@@ -103,6 +103,7 @@
             return;
         };
         let left = held.holder.valid_until().saturating_sub(now);
+        self.shared.set_lease_until(held.holder.valid_until());
         metrics::gauge!(metric::LEASE_LEFT).set(left.as_secs_f64());
         let step = held.holder.tick(now);
         self.run_lease_step(step, ctx);
--- a/crates/daemon/src/process/control/mod.rs
+++ b/crates/daemon/src/process/control/mod.rs
@@ -11,6 +11,7 @@
 //! - `beats`: sessions to other daemons and the heartbeats on them.
 //! - `shares`: this instance's part of slots and caps.
 //! - `steering`: slow start, suspicion, and what other regions say of themselves.
+//! - `claims`: callers' keys, claimed in the table for traffic threads.
 //! - `config`: the accepted configuration.
 //! - `publish`: the snapshot for traffic threads.
 //! - `handover`: filings at a planned stop.
@@ -18,6 +19,7 @@
 //! - `status`: what operators see.
 
 mod beats;
+mod claims;
 mod config;
 mod handover;
 mod lease;
@@ -29,6 +31,7 @@
 mod stopping;
 
 pub(crate) use self::{
+    claims::release_later,
     config::{
         Accept,
         AcceptError, //
@@ -39,6 +42,7 @@
 
 use crate::process::{
     control::{
+        claims::Claims,
         lease::Lease,
         shares::{
             Shared as Share,
@@ -139,6 +143,7 @@
     links: BTreeMap<RegionId, Arc<Link>>,
     shares: BTreeMap<PoolId, Share>,
     steering: Steering,
+    claims: Claims,
 }
 
 impl Control {
@@ -177,6 +182,7 @@
             links: BTreeMap::new(),
             shares: BTreeMap::new(),
             steering: Steering::default(),
+            claims: Claims::default(),
             shared,
         }
     }
@@ -264,7 +270,7 @@
 }
 
 impl StreamHandler<Note> for Control {
-    fn handle(&mut self, note: Note, _ctx: &mut Self::Context) {
+    fn handle(&mut self, note: Note, ctx: &mut Self::Context) {
         match note {
             Note::Leaving(upstream) => {
                 spdlog::info!("upstream leaves", kv: { upstream = upstream.to_string() });
@@ -273,6 +279,9 @@
                     .upstream_leaving(&upstream, Duration::ZERO, now);
                 self.beat_soon();
             }
+            Note::Claim(wanted) => self.claim(wanted, ctx),
+            Note::Ended(insert) => self.write_outcome(insert, ctx),
+            Note::Release(releaser) => self.release(releaser, ctx),
         }
     }
 
--- a/crates/daemon/src/process/control/publish.rs
+++ b/crates/daemon/src/process/control/publish.rs
@@ -63,7 +63,7 @@
         }));
     }
 
-    fn class_views(&mut self, config: &Config) -> FastMap<ClassId, ClassView> {
+    fn class_views(&mut self, config: &Config) -> FastMap<ClassId, Arc<ClassView>> {
         let mut views = FastMap::default();
         for class in &config.classes {
             let service = &class.service;
@@ -77,7 +77,7 @@
             };
             let burn = self.shared.burn.class(&class.id);
             burn.set_target(class.latency_target);
-            views.insert(class.id.clone(), view);
+            views.insert(class.id.clone(), Arc::new(view));
         }
         views
     }
--- a/crates/daemon/src/process/control/stopping.rs
+++ b/crates/daemon/src/process/control/stopping.rs
@@ -136,6 +136,7 @@
             None => None,
             Some(Stopping::Withdrawn(stage)) if now < stage.until => self.stopping,
             Some(Stopping::Withdrawn(stage)) => {
+                self.stop_filings();
                 self.enter(Stage::Refusing);
                 Some(Stopping::Draining(stage.drain()))
             }
@@ -144,6 +145,7 @@
                 if self.filings_handed_over() || now >= stage.limit {
                     Some(Stopping::Releasing(stage.release(now)))
                 } else {
+                    self.repeat_offer();
                     self.stopping
                 }
             }
--- a/crates/daemon/src/process/mod.rs
+++ b/crates/daemon/src/process/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod active;
 pub(crate) mod burn;
 pub(crate) mod control;
+pub(crate) mod filings;
 pub(crate) mod link;
 pub(crate) mod metric;
 pub(crate) mod operator;
--- a/crates/daemon/src/process/shared.rs
+++ b/crates/daemon/src/process/shared.rs
@@ -4,9 +4,11 @@
     process::{
         active::Active,
         burn::Burn,
+        filings::Filings,
         pool::Upstream, //
         settings::Settings,
     },
+    request::forward::ForwardKey,
     version::{
         Published,
         Snapshot, //
@@ -20,9 +22,14 @@
 };
 use filing::{
     Bounds,
+    ClaimAnswer,
+    Claimant,
+    Claimer,
     Guards,
+    Insert,
     Key,
     Ledger,
+    Releaser,
     WallClock, //
 };
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -38,15 +45,44 @@
         OnceLock,
         PoisonError, //
     },
-    time::Instant, //
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+use tokio::sync::{
+    mpsc::UnboundedSender,
+    oneshot,
+    Notify, //
 };
-use tokio::sync::mpsc::UnboundedSender;
 
-/// What traffic threads tell control; nobody waits for an answer.
-#[derive(Clone, Debug, Eq, PartialEq)]
+/// What traffic threads tell control.
+#[derive(Debug)]
 pub(crate) enum Note {
     /// An upstream said that it leaves.
     Leaving(UpstreamId),
+    /// A caller's key is to be claimed in the table.
+    Claim(ClaimWanted),
+    /// What came of a claimed filing is to be written into its claim.
+    Ended(Insert),
+    /// A claim of which nothing was sent is to be given up.
+    Release(Releaser),
+}
+
+/// A key to be claimed; the answer goes to the one traffic thread that waits for it.
+#[derive(Debug)]
+pub(crate) struct ClaimWanted {
+    pub(crate) claimant: Claimant,
+    pub(crate) reply: oneshot::Sender<ClaimReply>,
+}
+
+/// What became of a claim.
+#[derive(Debug)]
+pub(crate) enum ClaimReply {
+    /// It is held; the last check comes immediately before sending.
+    Ready(Claimer),
+    /// The request ends without being sent.
+    Over(ClaimAnswer),
 }
 
 /// State of the process that every thread can reach.
@@ -58,11 +94,17 @@
     pub(crate) metrics: PrometheusHandle,
     pub(crate) notes: UnboundedSender<Note>,
     pub(crate) ticket_key: Key,
+    pub(crate) forward_key: ForwardKey,
     pub(crate) clock: WallClock,
     pub(crate) started: Instant,
     /// Set once control has claimed it; zero before.
     incarnation: AtomicU64,
-    ledger: OnceLock<Mutex<Ledger>>,
+    /// `None` only while a stage moves on, under the lock.
+    filings: OnceLock<Mutex<Option<Filings>>>,
+    /// Told when a filing ends, for the copies that wait for it.
+    pub(crate) filed: Notify,
+    /// End of the lease, for the check immediately before a claimed filing is sent.
+    lease_until_us: AtomicU64,
 }
 
 impl Shared {
@@ -76,6 +118,7 @@
         let started = Instant::now();
         let snapshot = Snapshot::starting(settings.region.clone());
         Self {
+            forward_key: ForwardKey::derive(&settings.peer_key),
             ticket_key: Key::derive(settings.peer_key.expose().as_bytes()),
             published: Arc::new(ArcSwap::from_pointee(snapshot)),
             active: Active::default(),
@@ -85,7 +128,9 @@
                 start: Now::ZERO,
             },
             incarnation: AtomicU64::new(0),
-            ledger: OnceLock::new(),
+            filings: OnceLock::new(),
+            filed: Notify::new(),
+            lease_until_us: AtomicU64::new(0),
             settings,
             metrics,
             notes,
@@ -112,7 +157,8 @@
             self.ledger_bounds(),
             Guards::default(),
         );
-        let first = self.ledger.set(Mutex::new(ledger)).is_ok();
+        let filings = Mutex::new(Some(Filings::Open(ledger)));
+        let first = self.filings.set(filings).is_ok();
         debug_assert!(first, "An incarnation is claimed once.");
         self.incarnation.store(incarnation, Ordering::Release);
     }
@@ -124,13 +170,36 @@
         }
     }
 
-    /// Ledger of filings, once an incarnation was claimed.
+    /// Uses the ledger of filings, if an incarnation was claimed.
     ///
     /// Traffic threads hold the lock for one look-up each; control takes it at a planned stop and
     /// to forget what has expired.
-    pub(crate) fn ledger(&self) -> Option<MutexGuard<'_, Ledger>> {
-        let ledger = self.ledger.get()?;
-        Some(ledger.lock().unwrap_or_else(PoisonError::into_inner))
+    pub(crate) fn with_filings<T>(&self, call: impl FnOnce(&mut Filings) -> T) -> Option<T> {
+        let mut filings = self.lock_filings()?;
+        filings.as_mut().map(call)
+    }
+
+    /// Moves the ledger of filings to another stage.
+    pub(crate) fn move_filings(&self, step: impl FnOnce(Filings) -> Filings) {
+        if let Some(mut filings) = self.lock_filings() {
+            *filings = filings.take().map(step);
+        }
+    }
+
+    fn lock_filings(&self) -> Option<MutexGuard<'_, Option<Filings>>> {
+        let filings = self.filings.get()?;
+        Some(filings.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// End of the lease, by this process's clock.
+    pub(crate) fn lease_until(&self) -> Now {
+        Duration::from_micros(self.lease_until_us.load(Ordering::Acquire))
+    }
+
+    /// Sets the end of the lease.
+    pub(crate) fn set_lease_until(&self, until: Now) {
+        let until_us = u64::try_from(until.as_micros()).unwrap_or(u64::MAX);
+        self.lease_until_us.store(until_us, Ordering::Release);
     }
 
     /// Takes a sign that an upstream leaves, and tells control once.
--- a/crates/daemon/src/request/body.rs
+++ b/crates/daemon/src/request/body.rs
@@ -5,11 +5,9 @@
 //! before the declared length or the last chunk, so a short answer is never taken for a whole one.
 
 use crate::{
-    process::{
-        active::ActiveGuard,
-        pool::Permit, //
-    },
+    process::active::ActiveGuard,
     request::{
+        carry::Hold,
         counters::ClassCounters,
         deadline::Deadline, //
     },
@@ -29,10 +27,16 @@
         Context,
         Poll, //
     },
-    time::Instant, //
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 use tokio::time::Sleep;
 
+/// Longest time that one chunk is held back for the link's cap.
+const LONGEST_PACE: Duration = Duration::from_secs(3600);
+
 /// Why a stream was broken off.
 #[derive(Debug)]
 pub(crate) enum Broken {
@@ -55,9 +59,10 @@
 
 /// What a stream keeps until its end.
 pub(crate) struct Held {
-    /// Slot in use at an upstream; none for work that another region's entry carries.
-    pub(crate) permit: Option<Permit>,
+    /// Slot in use at an upstream, or room on a link.
+    pub(crate) hold: Hold,
     /// Keeps a planned stop waiting.
+    #[expect(dead_code, reason = "held for its drop")]
     pub(crate) active: ActiveGuard,
     pub(crate) counters: Rc<ClassCounters>,
     pub(crate) started: Instant,
@@ -68,6 +73,8 @@
     prefix: Option<Bytes>,
     rest: Box<ClientResponse>,
     deadline: Pin<Box<Sleep>>,
+    /// A chunk of a shifted answer that the link's cap holds back, and until when.
+    paced: Option<(Bytes, Pin<Box<Sleep>>)>,
     held: Option<Held>,
 }
 
@@ -83,13 +90,41 @@
             prefix: Some(prefix).filter(|prefix| !prefix.is_empty()),
             rest,
             deadline: Box::pin(tokio::time::sleep_until(deadline.at())),
+            paced: None,
             held: Some(held),
         }
     }
 
+    /// Passes a chunk on once the link's cap allows it.
+    fn pace(&mut self, chunk: Bytes, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Broken>>> {
+        let wait = match self.held.as_ref().map(|held| &held.hold) {
+            Some(Hold::Shift(guard)) => guard.pass(chunk.len()),
+            _ => Duration::ZERO,
+        };
+        if wait.is_zero() {
+            return Poll::Ready(Some(Ok(chunk)));
+        }
+        // A wait without end is cut by the deadline, which is polled first.
+        let until = Box::pin(tokio::time::sleep(wait.min(LONGEST_PACE)));
+        self.hold_back(chunk, until, cx)
+    }
+
+    fn hold_back(
+        &mut self,
+        chunk: Bytes,
+        mut until: Pin<Box<Sleep>>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Broken>>> {
+        if until.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(Some(Ok(chunk)));
+        }
+        self.paced = Some((chunk, until));
+        Poll::Pending
+    }
+
     fn end(&mut self, whole: bool) {
         if let Some(held) = self.held.take() {
-            if let Some(permit) = held.permit.as_ref().filter(|_| !whole) {
+            if let (Hold::Slot(permit), false) = (&held.hold, whole) {
                 permit.upstream.seen.note_failure();
             }
             held.counters.stream_ended(whole, held.started.elapsed());
@@ -111,6 +146,9 @@
             self.end(false);
             return Poll::Ready(Some(Err(Broken::Deadline)));
         }
+        if let Some((chunk, until)) = self.paced.take() {
+            return self.hold_back(chunk, until, cx);
+        }
         match Pin::new(&mut *self.rest).poll_next(cx) {
             Poll::Ready(None) => {
                 self.end(true);
@@ -120,7 +158,7 @@
                 self.end(false);
                 Poll::Ready(Some(Err(Broken::Upstream(err))))
             }
-            Poll::Ready(Some(Ok(chunk))) => Poll::Ready(Some(Ok(chunk))),
+            Poll::Ready(Some(Ok(chunk))) => self.pace(chunk, cx),
             Poll::Pending => Poll::Pending,
         }
     }
--- a/crates/daemon/src/request/carry.rs
+++ b/crates/daemon/src/request/carry.rs
@@ -6,10 +6,13 @@
 //! what is known.
 
 use crate::{
-    process::pool::{
-        Permit,
-        Pool,
-        Upstream, //
+    process::{
+        link::ShiftGuard,
+        pool::{
+            Permit,
+            Pool,
+            Upstream, //
+        }, //
     },
     request::{
         answer::{
@@ -64,7 +67,16 @@
 pub(crate) struct Carried {
     pub(crate) head: Head,
     pub(crate) body: AnswerBody,
-    pub(crate) permit: Permit,
+    pub(crate) hold: Hold,
+}
+
+/// What an answer uses until its body has ended.
+#[derive(Debug)]
+pub(crate) enum Hold {
+    /// A slot of an upstream of this region.
+    Slot(Permit),
+    /// Room on the link to another region.
+    Shift(ShiftGuard),
 }
 
 /// Body that can be sent once more, or only once.
@@ -105,7 +117,10 @@
                 return Err(self.gave_up("the request's body can be sent once only"));
             };
             let failure = match self.send(&permit, next).await {
-                Ok((head, body)) => return Ok(Carried { head, body, permit }),
+                Ok((head, body)) => {
+                    let hold = Hold::Slot(permit);
+                    return Ok(Carried { head, body, hold });
+                }
                 Err(failure) => failure,
             };
             self.note(&permit, &failure);
--- a/crates/daemon/src/request/mod.rs
+++ b/crates/daemon/src/request/mod.rs
@@ -7,6 +7,8 @@
 //! - [`lookup`] answers which entries to use.
 //! - [`work`] checks a request for work and answers it.
 //! - [`carry`] finds a slot, sends, tries again where that is safe.
+//! - [`filing`] makes work that is not idempotent run at most once.
+//! - [`shift`] hands a request to the entry of another region; [`forward`] proves that it did.
 //! - [`attempt`] sends once and says whether the request may have run.
 //! - [`body`] streams a long answer.
 
@@ -16,8 +18,11 @@
 pub(crate) mod carry;
 pub(crate) mod counters;
 pub(crate) mod deadline;
+pub(crate) mod filing;
+pub(crate) mod forward;
 pub(crate) mod header;
 pub(crate) mod lookup;
+pub(crate) mod shift;
 pub(crate) mod work;
 
 use crate::{
@@ -32,13 +37,13 @@
     },
     version::Entry,
 };
+use ::filing::Ticket;
 use actix_web::{
     web,
     HttpRequest,
     HttpResponse, //
 };
 use base::ClassId;
-use filing::Ticket;
 use rand::{
     rngs::SmallRng,
     RngExt,
@@ -87,15 +92,20 @@
             class: class.clone(),
             instance: entry.instance.clone(),
             incarnation: entry.incarnation,
-            nonce: self.rng.borrow_mut().random(),
+            nonce: self.random_u128(),
             expires_at_ms: shared.clock.wall_ms(shared.now()).saturating_add(life_ms),
         };
         ticket.mint(&shared.ticket_key)
     }
 
+    /// Random number that tells one request or claim from all others.
+    pub(crate) fn random_u128(&self) -> u128 {
+        self.rng.borrow_mut().random()
+    }
+
     /// Id for one hop.
     pub(crate) fn request_id(&self) -> String {
-        format!("{:032x}", self.rng.borrow_mut().random::<u128>())
+        format!("{:032x}", self.random_u128())
     }
 }
 
--- a/crates/daemon/src/request/work.rs
+++ b/crates/daemon/src/request/work.rs
@@ -1,7 +1,10 @@
 //! Work: checks a request, carries it, and answers it.
 
 use crate::{
-    process::stop::Stage,
+    process::{
+        active::ActiveGuard,
+        stop::Stage, //
+    },
     request::{
         answer::{
             Answer,
@@ -10,7 +13,6 @@
         attempt::{
             AnswerBody,
             Body,
-            Head,
             Outgoing,
             WHOLE_BODY_BYTES, //
         },
@@ -24,12 +26,14 @@
         },
         counters::ClassCounters,
         deadline::Deadline,
+        filing,
         header,
         traffic,
         Traffic, //
     },
     version::{
         ClassView,
+        RegionView,
         Snapshot, //
     },
 };
@@ -37,6 +41,8 @@
     body::SizedStream,
     http::header::{
         HeaderMap,
+        HeaderName,
+        HeaderValue,
         CONTENT_LENGTH,
         HOST, //
     },
@@ -47,9 +53,11 @@
 };
 use base::RunOutcome;
 use bytes::BytesMut;
+use bytestring::ByteString;
 use futures_util::StreamExt;
 use std::{
     rc::Rc,
+    sync::Arc,
     time::{
         Duration,
         Instant, //
@@ -71,24 +79,37 @@
         return refuse(&traffic, &unknown_class(&snapshot, name));
     };
     let counters = traffic.counters.class(&class.class.id);
-    let answer = admit(&traffic, &snapshot, class, &request, started);
-    let answer = match answer {
-        Ok(deadline) => {
-            let work = Work {
-                traffic: Rc::clone(&traffic),
-                class,
-                counters: Rc::clone(&counters),
-                deadline,
-                started,
-            };
-            work.run(&request, payload).await
-        }
-        Err(answer) => Err(answer),
+    let work = Work {
+        traffic: Rc::clone(&traffic),
+        class: Arc::clone(class),
+        snapshot: Arc::clone(&snapshot),
+        counters: Rc::clone(&counters),
+        deadline: Deadline::after(started, class.class.deadline),
+        active: traffic.shared.active.guard(),
+        forwarded: is_forwarded(&traffic, name, &request),
+        request_id: request.headers().get(header::REQUEST).cloned(),
+        started,
     };
-    answer.unwrap_or_else(|answer| {
-        counters.own(answer.outcome, started.elapsed());
-        refuse(&traffic, &answer)
-    })
+    work.answer(&request, payload)
+        .await
+        .unwrap_or_else(|answer| {
+            counters.own(answer.outcome, started.elapsed());
+            refuse(&traffic, &answer)
+        })
+}
+
+/// Whether the header proves that another region's entry sent the request.
+fn is_forwarded(traffic: &Traffic, class: &str, request: &HttpRequest) -> bool {
+    let text = |name: &str| request.headers().get(name)?.to_str().ok();
+    let shared = &traffic.shared;
+    let proven = text(header::FORWARD)
+        .zip(text(header::REQUEST))
+        .and_then(|(proof, id)| {
+            shared
+                .forward_key
+                .verify(proof, &shared.settings.instance, class, id)
+        });
+    proven.is_some()
 }
 
 fn refuse(traffic: &Traffic, answer: &Answer) -> HttpResponse {
@@ -106,25 +127,6 @@
     Answer::not_run(Reason::UnknownClass, format!("no class named {name:?}"))
 }
 
-/// Checks that the request can be taken here, now.
-fn admit(
-    traffic: &Traffic,
-    snapshot: &Snapshot,
-    class: &ClassView,
-    request: &HttpRequest,
-    now: Instant,
-) -> Result<Deadline, Answer> {
-    if snapshot.stage == Stage::Refusing {
-        return Err(stopping(traffic, snapshot));
-    }
-    let text = request.headers().get(header::DEADLINE_MS);
-    let text = text.map(|value| value.as_bytes());
-    Deadline::from_header(text, now, class.class.deadline).map_err(|_| {
-        let detail = format!("{}: no whole number of milliseconds", header::DEADLINE_MS);
-        Answer::not_run(Reason::BadRequest, detail)
-    })
-}
-
 /// Answer of an entry that stops, with another entry of the region.
 fn stopping(traffic: &Traffic, snapshot: &Snapshot) -> Answer {
     let me = &traffic.shared.settings.instance;
@@ -138,44 +140,159 @@
         .use_entry(other)
 }
 
-/// One admitted request.
-struct Work<'a> {
-    traffic: Rc<Traffic>,
-    class: &'a ClassView,
-    counters: Rc<ClassCounters>,
-    deadline: Deadline,
+/// One request for work of a known class.
+pub(crate) struct Work {
+    pub(crate) traffic: Rc<Traffic>,
+    pub(crate) class: Arc<ClassView>,
+    pub(crate) snapshot: Arc<Snapshot>,
+    pub(crate) counters: Rc<ClassCounters>,
+    pub(crate) deadline: Deadline,
+    /// Keeps a planned stop waiting.
+    #[expect(dead_code, reason = "held for its drop")]
+    active: ActiveGuard,
+    /// The entry of another region sent it.
+    forwarded: bool,
+    /// Id that the sender gave it on this hop.
+    request_id: Option<HeaderValue>,
     started: Instant,
 }
 
-impl Work<'_> {
-    async fn run(
-        &self,
+impl Work {
+    async fn answer(
+        mut self,
         request: &HttpRequest,
         payload: web::Payload,
     ) -> Result<HttpResponse, Answer> {
-        let active = self.traffic.shared.active.guard();
+        let text = request.headers().get(header::DEADLINE_MS);
+        let text = text.map(|value| value.as_bytes());
+        let default = self.class.class.deadline;
+        self.deadline = Deadline::from_header(text, self.started, default).map_err(|_| {
+            let detail = format!("{}: no whole number of milliseconds", header::DEADLINE_MS);
+            Answer::not_run(Reason::BadRequest, detail)
+        })?;
         self.traffic.budget.borrow_mut().offer();
-        let out = outgoing(request);
+        if !self.class.class.idempotent && !self.forwarded {
+            // The ledger is the judge of filings, also while this entry stops.
+            return filing::file(self, request, payload).await;
+        }
+        if self.is_refusing() {
+            return Err(self.stopping());
+        }
+        let out = outgoing(request, self.forwarded);
         let body = self.read_body(request.headers(), payload).await?;
+        let carried = self.carry(&out, body).await?;
+        Ok(self.pass_on(carried))
+    }
+
+    /// Carries the request to an upstream of this region or, through an entry there, of another.
+    pub(crate) async fn carry(&self, out: &Outgoing, body: Body) -> Result<Carried, Answer> {
+        let drained = self.snapshot.own_region().drained;
+        if self.forwarded {
+            // What was shifted here is never shifted on: two full regions would pass it around.
+            return if drained {
+                let answer = Answer::not_run(Reason::NoCapacity, "this region is drained");
+                Err(answer.retry_after(ELSEWHERE_RETRY))
+            } else {
+                self.carry_here(out, body).await
+            };
+        }
+        let Body::Whole(bytes) = body else {
+            return self.carry_here(out, body).await;
+        };
+        if !drained {
+            let here = self.carry_here(out, Body::Whole(bytes.clone())).await;
+            match here {
+                Err(answer) if answer.reason == Reason::NoCapacity => {}
+                ended => return ended,
+            }
+        }
+        let own = &self.snapshot.own_region().id;
+        let others = self.snapshot.preference(None).into_iter();
+        let others: Vec<&RegionView> = others
+            .filter(|region| region.id != *own && !region.drained)
+            .collect();
+        self.shift(out, bytes, &others).await
+    }
+
+    async fn carry_here(&self, out: &Outgoing, body: Body) -> Result<Carried, Answer> {
         let job = Job {
             traffic: &self.traffic,
-            class: self.class,
+            class: &self.class,
             counters: &self.counters,
-            out: &out,
+            out,
             deadline: self.deadline,
         };
-        let Carried { head, body, permit } = job.run(body).await?;
-        let held = Held {
-            permit: Some(permit),
-            active,
-            counters: Rc::clone(&self.counters),
-            started: self.started,
+        job.run(body).await
+    }
+
+    /// Passes an upstream's answer on.
+    pub(crate) fn pass_on(self, carried: Carried) -> HttpResponse {
+        let Carried { head, body, hold } = carried;
+        let mut response = HttpResponse::build(head.status);
+        copy_headers(&head.headers, &mut response);
+        let response = match body {
+            AnswerBody::Whole(bytes) => {
+                self.counters.done(self.started.elapsed());
+                response.body(bytes)
+            }
+            AnswerBody::Stream {
+                prefix,
+                rest,
+                length,
+            } => {
+                let held = Held {
+                    hold,
+                    active: self.traffic.shared.active.guard(),
+                    counters: Rc::clone(&self.counters),
+                    started: self.started,
+                };
+                let stream = Streamed::new(prefix, rest, self.deadline, held);
+                match length {
+                    Some(length) => response.body(SizedStream::new(length, stream)),
+                    None => response.streaming(stream),
+                }
+            }
         };
-        Ok(self.respond(head, body, held))
+        self.finish_response(response)
+    }
+
+    /// Marks an answer as an upstream's, whole.
+    pub(crate) fn finish_response(&self, mut response: HttpResponse) -> HttpResponse {
+        mark(&self.traffic, response.headers_mut());
+        if let Some(id) = &self.request_id {
+            let name = HeaderName::from_static(header::REQUEST);
+            response.headers_mut().insert(name, id.clone());
+        }
+        response.headers_mut().insert(
+            HeaderName::from_static(header::OUTCOME),
+            HeaderValue::from_static(RunOutcome::Done.as_str()),
+        );
+        response
+    }
+
+    /// Whether this entry stops and takes nothing new.
+    pub(crate) fn is_refusing(&self) -> bool {
+        self.snapshot.stage == Stage::Refusing
+    }
+
+    /// Answer of an entry that stops, with another entry to use.
+    pub(crate) fn stopping(&self) -> Answer {
+        stopping(&self.traffic, &self.snapshot)
+    }
+
+    /// Callers' address of an entry, if it is known to take work.
+    pub(crate) fn entry_addr(&self, instance: &str) -> Option<ByteString> {
+        let mut entries = self
+            .snapshot
+            .regions
+            .iter()
+            .flat_map(|region| &region.entries);
+        let entry = entries.find(|entry| entry.instance == instance)?;
+        Some(entry.callers_addr.clone())
     }
 
     /// Reads a short body whole, so that it can be sent again; a long one streams.
-    async fn read_body(
+    pub(crate) async fn read_body(
         &self,
         headers: &HeaderMap,
         mut payload: web::Payload,
@@ -205,35 +322,6 @@
             )),
         }
     }
-
-    /// Passes an upstream's answer on.
-    fn respond(&self, head: Head, body: AnswerBody, held: Held) -> HttpResponse {
-        let mut response = HttpResponse::build(head.status);
-        copy_headers(&head.headers, &mut response);
-        let mut response = match body {
-            AnswerBody::Whole(bytes) => {
-                held.counters.done(self.started.elapsed());
-                response.body(bytes)
-            }
-            AnswerBody::Stream {
-                prefix,
-                rest,
-                length,
-            } => {
-                let stream = Streamed::new(prefix, rest, self.deadline, held);
-                match length {
-                    Some(length) => response.body(SizedStream::new(length, stream)),
-                    None => response.streaming(stream),
-                }
-            }
-        };
-        mark(&self.traffic, response.headers_mut());
-        response.headers_mut().insert(
-            actix_web::http::header::HeaderName::from_static(header::OUTCOME),
-            actix_web::http::header::HeaderValue::from_static(RunOutcome::Done.as_str()),
-        );
-        response
-    }
 }
 
 /// Names who answered.
@@ -244,19 +332,20 @@
         (header::REGION, &settings.region),
     ];
     for (name, value) in marks {
-        let name = actix_web::http::header::HeaderName::from_static(name);
+        let name = HeaderName::from_static(name);
         // An id that is no header value is only left out; nothing decides by these.
-        if let Ok(value) = actix_web::http::header::HeaderValue::from_str(value) {
+        if let Ok(value) = HeaderValue::from_str(value) {
             headers.insert(name, value);
         }
     }
 }
 
 /// What of the request goes on to the upstream.
-fn outgoing(request: &HttpRequest) -> Outgoing {
+pub(crate) fn outgoing(request: &HttpRequest, forwarded: bool) -> Outgoing {
     let mut headers = HeaderMap::new();
     for (name, value) in request.headers() {
-        let ours = name.as_str().starts_with("jasmine-") || name == HOST;
+        let filing = forwarded && name == header::FILING;
+        let ours = (name.as_str().starts_with("jasmine-") && !filing) || name == HOST;
         if !ours && !header::HOP_BY_HOP.contains(&name.as_str()) {
             headers.append(name.clone(), value.clone());
         }
--- a/crates/daemon/src/version/snapshot.rs
+++ b/crates/daemon/src/version/snapshot.rs
@@ -60,7 +60,7 @@
     /// Index of the own region in `regions`.
     pub(crate) own: usize,
     pub(crate) regions: Vec<RegionView>,
-    pub(crate) classes: FastMap<ClassId, ClassView>,
+    pub(crate) classes: FastMap<ClassId, Arc<ClassView>>,
     /// Caller's block to regions, most preferred first.
     pub(crate) blocks: Arc<Table>,
     /// Links to the other regions.
