--- /dev/null
+++ b/crates/op/src/client.rs
@@ -0,0 +1,311 @@
+//! The client that tries daemons in turn.
+
+use crate::{
+    AcceptRequest,
+    Accepted,
+    DrainRequest,
+    Refusal,
+    TargetRequest, //
+};
+use awc::{
+    error::{
+        ConnectError,
+        SendRequestError, //
+    },
+    http::header::AUTHORIZATION,
+    ClientRequest, //
+};
+use futures_util::future::join_all;
+use plat::strict_connector;
+use serde::{
+    de::DeserializeOwned,
+    Serialize, //
+};
+use std::{
+    fmt,
+    time::Duration, //
+};
+
+/// Longest answer that is read: a configuration with its block table.
+const ANSWER_LIMIT_BYTES: usize = 256 << 20;
+
+/// Why a command was not done, or is not known to be.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Failure {
+    /// A daemon refused; nothing was changed by this request.
+    Refused {
+        /// Which.
+        daemon: String,
+        /// Why.
+        refusal: Refusal,
+    },
+    /// No daemon gave an answer that can be read; nothing was changed.
+    NoAnswer {
+        /// What became of each try.
+        tried: Vec<String>,
+    },
+    /// It may have been done.
+    Unknown {
+        /// What became of each try.
+        tried: Vec<String>,
+    },
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (what, tried) = match self {
+            Self::Refused { daemon, refusal } => return write!(f, "{daemon}: {refusal}"),
+            Self::NoAnswer { tried } => ("no daemon answered", tried),
+            Self::Unknown { tried } => ("the outcome is unknown", tried),
+        };
+        f.write_str(what)?;
+        for line in tried {
+            write!(f, "\n  {line}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Failure {}
+
+/// A request that changes something under an accept id.
+pub trait Change: Serialize {
+    /// Path on the operators' port.
+    const PATH: &'static str;
+
+    /// Whether "another accept came first" also speaks for an earlier request of this accept id
+    /// whose answer was lost.
+    ///
+    /// It does if the base is fixed: once the head has moved past it, no commit on it can take
+    /// effect. A drain or a target is tried again on newer bases by the daemon itself.
+    fn raced_is_final(&self) -> bool {
+        false
+    }
+}
+
+impl Change for AcceptRequest {
+    const PATH: &'static str = "/op/v1/accept";
+
+    fn raced_is_final(&self) -> bool {
+        self.base_version.is_some()
+    }
+}
+
+impl Change for DrainRequest {
+    const PATH: &'static str = "/op/v1/drain";
+}
+
+impl Change for TargetRequest {
+    const PATH: &'static str = "/op/v1/target";
+}
+
+/// What became of one request to one daemon.
+enum Exchange {
+    /// It answered.
+    Answer(u16, Vec<u8>),
+    /// Nothing was sent.
+    NotSent(String),
+    /// It may have reached the daemon.
+    MaybeSent(String),
+}
+
+/// Client of the daemons that were named.
+pub struct Client {
+    daemons: Vec<String>,
+    key: Option<String>,
+    timeout: Duration,
+    http: awc::Client,
+}
+
+impl fmt::Debug for Client {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Client")
+            .field("daemons", &self.daemons)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Client {
+    /// Client that uses the first of `daemons` that answers, each within `timeout`.
+    ///
+    /// To be used inside an actix system.
+    pub fn new(daemons: Vec<String>, key: Option<String>, timeout: Duration) -> Self {
+        let http = awc::Client::builder()
+            .connector(strict_connector().timeout(timeout))
+            .disable_redirects()
+            .disable_timeout()
+            .finish();
+        Self {
+            daemons,
+            key,
+            timeout,
+            http,
+        }
+    }
+
+    /// Addresses of the daemons that are tried.
+    pub fn daemons(&self) -> &[String] {
+        &self.daemons
+    }
+
+    /// Reads `path` from the first daemon that answers.
+    ///
+    /// # Errors
+    ///
+    /// The first refusal, or that no daemon answered.
+    pub async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, Failure> {
+        let mut tried = Vec::new();
+        for daemon in &self.daemons {
+            match self.get_from(daemon, path).await {
+                Err(Failure::NoAnswer { tried: why }) => tried.extend(why),
+                answered => return answered,
+            }
+        }
+        Err(Failure::NoAnswer { tried })
+    }
+
+    /// Reads `path` from one daemon.
+    ///
+    /// # Errors
+    ///
+    /// Its refusal, or that it didn't answer.
+    pub async fn get_from<T: DeserializeOwned>(
+        &self,
+        daemon: &str,
+        path: &str,
+    ) -> Result<T, Failure> {
+        let request = self.http.get(format!("http://{daemon}{path}"));
+        let no_answer = |why| Failure::NoAnswer {
+            tried: vec![format!("{daemon}: {why}")],
+        };
+        match self.exchange(request, Vec::new()).await {
+            Exchange::Answer(status, body) => match read(status, &body) {
+                Ok(answer) => answer.map_err(|refusal| refused(daemon, refusal)),
+                Err(why) => Err(no_answer(why)),
+            },
+            Exchange::NotSent(why) | Exchange::MaybeSent(why) => Err(no_answer(why)),
+        }
+    }
+
+    /// Reads `path` from each of `daemons` at once.
+    pub async fn get_from_each<T: DeserializeOwned>(
+        &self,
+        daemons: &[String],
+        path: &str,
+    ) -> Vec<Result<T, Failure>> {
+        join_all(daemons.iter().map(|daemon| self.get_from(daemon, path))).await
+    }
+
+    /// Asks for a change, and repeats it at the next daemon when an answer was lost.
+    ///
+    /// # Errors
+    ///
+    /// A refusal that is certain, or that the outcome is unknown.
+    pub async fn change<C: Change>(&self, change: &C) -> Result<Accepted, Failure> {
+        let body = serde_json::to_vec(change).expect("a request is plain data");
+        let mut tried = Vec::new();
+        let mut in_doubt = false;
+        for daemon in &self.daemons {
+            let request = self
+                .http
+                .post(format!("http://{daemon}{}", C::PATH))
+                .content_type("application/json");
+            let why = match self.exchange(request, body.clone()).await {
+                Exchange::Answer(status, body) => match read::<Accepted>(status, &body) {
+                    Ok(Ok(accepted)) => return Ok(accepted),
+                    Ok(Err(refusal)) if is_final(&refusal, in_doubt, change) => {
+                        return Err(refused(daemon, refusal));
+                    }
+                    Ok(Err(refusal)) => {
+                        tried.push(format!("{daemon}: {refusal}"));
+                        return Err(Failure::Unknown { tried });
+                    }
+                    Err(why) => {
+                        in_doubt = true;
+                        why
+                    }
+                },
+                Exchange::NotSent(why) => why,
+                Exchange::MaybeSent(why) => {
+                    in_doubt = true;
+                    why
+                }
+            };
+            tried.push(format!("{daemon}: {why}"));
+        }
+        Err(if in_doubt {
+            Failure::Unknown { tried }
+        } else {
+            Failure::NoAnswer { tried }
+        })
+    }
+
+    async fn exchange(&self, request: ClientRequest, body: Vec<u8>) -> Exchange {
+        let request = match &self.key {
+            Some(key) => request.insert_header((AUTHORIZATION, format!("Bearer {key}"))),
+            None => request,
+        };
+        let exchange = async {
+            let mut answer = match request.send_body(body).await {
+                Ok(answer) => answer,
+                Err(error) => return unanswered(&error),
+            };
+            match answer.body().limit(ANSWER_LIMIT_BYTES).await {
+                Ok(body) => Exchange::Answer(answer.status().as_u16(), body.to_vec()),
+                Err(error) => Exchange::MaybeSent(error.to_string()),
+            }
+        };
+        match actix_rt::time::timeout(self.timeout, exchange).await {
+            Ok(exchange) => exchange,
+            Err(_elapsed) => {
+                Exchange::MaybeSent(format!("no answer within {} s", self.timeout.as_secs_f32()))
+            }
+        }
+    }
+}
+
+/// Whether a refusal settles what became of a change.
+fn is_final(refusal: &Refusal, in_doubt: bool, change: &impl Change) -> bool {
+    match refusal {
+        Refusal::Unknown { .. } => false,
+        Refusal::Raced { .. } => !in_doubt || change.raced_is_final(),
+        Refusal::Reused { .. } => true,
+        // They say that this request changed nothing, not what became of the one before.
+        _ => !in_doubt,
+    }
+}
+
+fn refused(daemon: &str, refusal: Refusal) -> Failure {
+    Failure::Refused {
+        daemon: daemon.to_owned(),
+        refusal,
+    }
+}
+
+/// Reads an answer: what was asked for, or a refusal.
+///
+/// # Errors
+///
+/// When it is neither, as from a daemon of another release.
+fn read<T: DeserializeOwned>(status: u16, body: &[u8]) -> Result<Result<T, Refusal>, String> {
+    let malformed = |error: serde_json::Error| {
+        format!("an answer of status {status} that can't be read, of another release? ({error})")
+    };
+    if status == 200 {
+        return serde_json::from_slice(body).map(Ok).map_err(malformed);
+    }
+    serde_json::from_slice(body).map(Err).map_err(malformed)
+}
+
+/// Sorts the client's errors by whether something was sent; see `plat` for the odd one.
+fn unanswered(error: &SendRequestError) -> Exchange {
+    match error {
+        SendRequestError::Connect(ConnectError::Disconnected) => {
+            Exchange::MaybeSent("the connection closed before an answer".to_owned())
+        }
+        SendRequestError::Url(_) | SendRequestError::Connect(_) => {
+            Exchange::NotSent(error.to_string())
+        }
+        _ => Exchange::MaybeSent(error.to_string()),
+    }
+}
