--- a/crates/steer/src/ramp.rs
+++ b/crates/steer/src/ramp.rs
@@ -62,8 +62,8 @@
         Self {
             trickle_gap: Duration::from_millis(100),
             trickle_answers: 6,
-            first_limit: 1,
-            answers_per_slot: 4,
+            first_limit: 2,
+            answers_per_slot: 2,
             near_permille: 1250,
             fall_permille: 1500,
             hold: Duration::from_millis(500),
@@ -86,6 +86,7 @@
     warm: Option<Duration>,
     window: Seen,
     may_trickle: bool,
+    another_will_do: bool,
     next_probe: Now,
     hold_until: Now,
     stepped_at: Now,
@@ -101,6 +102,7 @@
             warm: None,
             window: Seen::default(),
             may_trickle: false,
+            another_will_do: false,
             next_probe: Now::ZERO,
             hold_until: Now::ZERO,
             stepped_at: Now::ZERO,
@@ -111,8 +113,8 @@
     ///
     /// `siblings` is the typical latency of the service's warm upstreams; it stands in while this
     /// one's own warm latency is unknown. `another_will_do` says that there are such upstreams
-    /// with slots to use: without one the trickle is left out, as it would refuse the work that
-    /// it means to protect.
+    /// with slots to use. Without one nothing is gained by holding work back: there is no trickle,
+    /// and slots open by the count of whole answers, whatever their latency.
     pub fn restart(
         &mut self,
         now: Now,
@@ -120,8 +122,9 @@
         siblings: Option<Duration>,
         another_will_do: bool,
     ) {
-        self.may_trickle = another_will_do && cause != RampCause::Silence;
         self.warm = self.warm.or(siblings);
+        self.another_will_do = another_will_do;
+        self.may_trickle = another_will_do && cause != RampCause::Silence;
         self.window = Seen::default();
         self.next_probe = now;
         self.hold_until = now;
@@ -281,7 +284,11 @@
         }
     }
 
+    /// Whether a latency is within some thousandths of the warm one, or no other is to be had.
     fn is_within(&self, mean: Duration, permille: u32) -> bool {
+        if !self.another_will_do {
+            return true;
+        }
         match self.warm {
             Some(warm) => mean.as_nanos() * 1000 <= warm.as_nanos() * u128::from(permille),
             None => true,
--- a/crates/steer/src/spill.rs
+++ b/crates/steer/src/spill.rs
@@ -47,6 +47,7 @@
         self.ticked_at = now;
         self.milli_slots = Some(match self.milli_slots {
             None => sample,
+            Some(old) if sample < old => (old + sample) / 2,
             Some(old) => old - old / SMOOTH_PART + sample / SMOOTH_PART,
         });
     }
