--- /dev/null
+++ b/crates/member/tests/lease.rs
@@ -0,0 +1,190 @@
+//! Lease rows as texts, and a holder's life; orders of events are searched in `model`.
+
+use base::Now;
+use member::{
+    Guards,
+    Holder,
+    Identity,
+    Joined,
+    Joining,
+    LeaseEvent,
+    LeaseRow,
+    LeaseState,
+    LeaseStep,
+    LeaseTerms,
+    Observer,
+    VersionedLease, //
+};
+use std::time::Duration;
+
+fn identity() -> Identity {
+    Identity {
+        instance: "a".into(),
+        region: "r".into(),
+        failure_domain: "f".into(),
+        callers_addr: "127.0.0.1:1".into(),
+        peers_addr: "127.0.0.1:2".into(),
+        operator_addr: "127.0.0.1:3".into(),
+    }
+}
+
+fn terms() -> LeaseTerms {
+    LeaseTerms {
+        ttl: Duration::from_secs(10),
+        renew_every: Duration::from_secs(3),
+        drift_pct: 10,
+    }
+}
+
+fn row(incarnation: u64, seq: u64, state: LeaseState) -> LeaseRow {
+    LeaseRow {
+        identity: identity(),
+        incarnation,
+        seq,
+        state,
+    }
+}
+
+fn at(seconds: u64) -> Now {
+    Now::from_secs(seconds)
+}
+
+/// Joins over a row of life 4 at 0 s; its write is answered at 1 s as version 20.
+fn holder() -> Holder {
+    let joining = Joining::new(identity(), terms(), Guards::default());
+    let last = VersionedLease {
+        version: 9,
+        row: row(4, 77, LeaseState::Left),
+    };
+    let Joined::Not(joining, step) = joining.on(LeaseEvent::Read(Some(last)), at(0)) else {
+        panic!("it has to write first");
+    };
+    let expected = LeaseStep::Commit {
+        check: Some(9),
+        value: row(5, 1, LeaseState::Live).to_string().into(),
+    };
+    assert_eq!(step, expected);
+    match joining.on(LeaseEvent::Committed { version: 20 }, at(1)) {
+        Joined::Holder(holder) => holder,
+        Joined::Not(..) => panic!("it committed"),
+    }
+}
+
+#[test]
+fn rows_read_as_written() {
+    for state in [LeaseState::Live, LeaseState::Leaving, LeaseState::Left] {
+        let row = row(u64::MAX, 3, state);
+        assert_eq!(row.to_string().parse(), Ok(row));
+    }
+    for text in [
+        "",
+        "a 1 2 live r f c p",
+        "a 1 2 up r f c p o",
+        "a -1 2 live r f c p o",
+    ] {
+        assert!(text.parse::<LeaseRow>().is_err(), "{text}");
+    }
+}
+
+/// Symptom: a holder that was paused in its renewal uses what others have taken.
+#[test]
+fn a_lease_counts_from_before_its_write_was_sent() {
+    let holder = holder();
+    assert_eq!((holder.incarnation(), holder.valid_until()), (5, at(9)));
+    assert!(holder.is_valid(at(8)) && !holder.is_valid(at(9)));
+}
+
+macro_rules! renewal {
+    ($($name:ident: $event:expr => $step:pat, $until:literal, $gaps:literal;)*) => {
+        $(#[test]
+        fn $name() {
+            let mut holder = holder();
+            assert!(matches!(holder.tick(at(2)), LeaseStep::Idle));
+            assert!(matches!(holder.tick(at(3)), LeaseStep::Commit { .. }));
+            let event: LeaseEvent = $event;
+            let step = holder.on(event, at(4));
+            assert!(matches!(step, $step), "{step:?}");
+            assert_eq!((holder.valid_until(), holder.gaps()), (at($until), $gaps));
+        })*
+    };
+}
+
+fn current(incarnation: u64, seq: u64) -> Option<VersionedLease> {
+    Some(VersionedLease {
+        version: 30,
+        row: row(incarnation, seq, LeaseState::Live),
+    })
+}
+
+renewal! {
+    one_that_commits: LeaseEvent::Committed { version: 21 } => LeaseStep::Idle, 12, 0;
+    one_whose_answer_is_lost: LeaseEvent::Lost => LeaseStep::Read, 9, 0;
+    one_found_in_the_row: LeaseEvent::Read(current(5, 2)) => LeaseStep::Idle, 12, 0;
+    one_not_found_in_the_row: LeaseEvent::Read(current(5, 1)) => LeaseStep::Commit { .. }, 9, 0;
+    one_in_an_outage: LeaseEvent::Down => LeaseStep::Idle, 9, 0;
+    one_after_a_later_life: LeaseEvent::Conflict(current(6, 1)) => LeaseStep::Superseded, 0, 0;
+    one_whose_row_is_gone: LeaseEvent::Conflict(None) => LeaseStep::Superseded, 0, 0;
+}
+
+/// Symptom: a woken holder uses slots that others have had since.
+#[test]
+fn a_renewal_after_the_lapse_counts_as_a_gap() {
+    let mut holder = holder();
+    assert!(matches!(holder.tick(at(8)), LeaseStep::Commit { .. }));
+    holder.on(LeaseEvent::Committed { version: 21 }, at(9));
+    assert_eq!((holder.valid_until(), holder.gaps()), (at(17), 1));
+}
+
+/// The platform is down while the instance stops: it holds nothing all the same, and goes on
+/// trying to say so.
+#[test]
+fn a_released_lease_is_not_held_and_gets_written() {
+    let mut holder = holder();
+    holder.leave();
+    assert!(matches!(holder.tick(at(1)), LeaseStep::Commit { .. }));
+    assert!(
+        matches!(holder.tick(at(1)), LeaseStep::Idle),
+        "one step at a time"
+    );
+    holder.on(LeaseEvent::Committed { version: 21 }, at(1));
+    assert!(holder.is_valid(at(2)));
+    holder.release();
+    assert!(!holder.is_valid(at(2)));
+    assert!(matches!(holder.tick(at(2)), LeaseStep::Commit { .. }));
+    holder.on(LeaseEvent::Down, at(2));
+    assert!(matches!(holder.tick(at(2)), LeaseStep::Commit { .. }));
+    assert!(!holder.is_released());
+    holder.on(LeaseEvent::Committed { version: 22 }, at(2));
+    assert!(holder.is_released());
+    assert!(matches!(holder.tick(at(60)), LeaseStep::Idle));
+}
+
+/// Sightings of life 5: (renewal, read sent at, answered at), then whether it has lapsed at 50 s.
+macro_rules! observed {
+    ($($name:ident: [$($sighting:expr),*], $state:ident => $lapsed:literal;)*) => {
+        $(#[test]
+        fn $name() {
+            let mut observer = Observer::new(terms(), Guards::default());
+            let sightings: &[(u64, u64, u64)] = &[$($sighting),*];
+            for (seq, sent, answered) in sightings {
+                let lease = VersionedLease {
+                    version: 100 + seq,
+                    row: row(5, *seq, LeaseState::$state),
+                };
+                observer.saw(&lease, at(*sent), at(*answered));
+            }
+            let lapse = observer.lapse("a", at(50));
+            assert_eq!(lapse.is_some(), $lapsed);
+        })*
+    };
+}
+
+observed! {
+    never: [], Live => false;
+    once_long_ago: [(1, 0, 1)], Live => false;
+    again_just_before_its_end: [(1, 0, 1), (1, 11, 12)], Live => false;
+    again_after_its_end: [(1, 0, 1), (1, 12, 13)], Live => true;
+    renewed: [(1, 0, 1), (2, 12, 13)], Live => false;
+    renewed_and_an_older_read_late: [(1, 0, 1), (2, 5, 6), (1, 12, 20)], Live => false;
+    given_back: [(1, 0, 1)], Left => true;
+}
