steer: spill rises at once with a burst and aims short of the headroom

In the model's burst the demand took half a second to rise, and shifts overshot the other region's headroom, which cut them to nothing for a tick. A tick far off the smoothed demand weighs a half, and allowances aim 5% short.

--- a/crates/steer/src/spill.rs
+++ b/crates/steer/src/spill.rs
@@ -9,6 +9,11 @@
 
 /// Weight of one tick in the smoothed demand, as a divisor.
 const SMOOTH_PART: u64 = 4;
+/// The same for a tick far off the smoothed demand: a burst begins, or spill outlives its reason.
+const JUMP_PART: u64 = 2;
+/// Percent of a region's slots that are aimed to stay free beyond its headroom, so that what is
+/// known late does not carry the shift past it.
+const AIM_PCT: u32 = 5;
 /// Thousandths, the unit of demand and of spill.
 const MILLI: u64 = 1000;
 
@@ -47,8 +52,7 @@
         self.ticked_at = now;
         self.milli_slots = Some(match self.milli_slots {
             None => sample,
-            Some(old) if sample < old => (old + sample) / 2,
-            Some(old) => old - old / SMOOTH_PART + sample / SMOOTH_PART,
+            Some(old) => smooth(old, sample),
         });
     }
 
@@ -90,6 +94,13 @@
     }
 }
 
+/// Smoothed demand after one more `sample`.
+fn smooth(old: u64, sample: u64) -> u64 {
+    let jumps = sample < old || sample > old + old / 2;
+    let part = if jumps { JUMP_PART } else { SMOOTH_PART };
+    old - old / part + sample / part
+}
+
 /// Demand in thousandths of a slot that fits in `open` slots with `headroom_pct` kept free.
 fn fitting(open: u32, headroom_pct: u32) -> u64 {
     let kept_pct = 100 - u64::from(headroom_pct.min(100));
@@ -120,7 +131,7 @@
         shifted: &Demand,
         senders: u32,
     ) {
-        let fits = fitting(open, headroom_pct);
+        let fits = fitting(open, headroom_pct + AIM_PCT);
         let carried = there.milli_slots();
         let senders = u64::from(senders.max(1));
         let more = fits.saturating_sub(carried) / senders;
