model: search accepts and adoptions of versions

Operators who race, repeat and accept in a row over refused, lost and late commits; a daemon that starts while the table is down, a peer is cut off, or both, beside one that was cut off alone and still tells of its old version.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -9,6 +9,7 @@
 mod explore;
 mod filing;
 mod member;
+mod spec;
 
 pub use claims::{
     ClaimModel,
@@ -33,3 +34,11 @@
     LeaseModelState,
     LeaseModelStep, //
 };
+pub use spec::{
+    AcceptModel,
+    AcceptRequest,
+    AcceptState,
+    AdoptModel,
+    AdoptState,
+    VersionStep, //
+};
--- /dev/null
+++ b/crates/model/src/spec.rs
@@ -0,0 +1,544 @@
+//! Versions: operators who race and repeat, and daemons that adopt what they hear of.
+//!
+//! [`AcceptModel`] runs several accepts through a platform that refuses, loses and delays. What
+//! must hold: versions follow each other without gap or fork, a head comes after its objects, an
+//! accept takes effect at most once, and both "accepted" and "not accepted" are true for good.
+//!
+//! [`AdoptModel`] has a daemon that starts and one that runs, beside the table and a peer that was
+//! cut off alone and still tells of its old version. Heads arrive in any order, late and again;
+//! answers to fetches come late or not at all. What must hold: no daemon goes back, all run the
+//! same under one version, and a daemon that starts is not ready below the highest version that
+//! its sources had.
+
+use crate::Model;
+use bytes::Bytes;
+use bytestring::ByteString;
+use spec::{
+    Accept,
+    AcceptAction,
+    AcceptEvent,
+    AcceptId,
+    AcceptOutcome,
+    Adopt,
+    AdoptAction,
+    AdoptEvent,
+    Answer,
+    BlockChange,
+    Check,
+    CommitAnswer,
+    Config,
+    Digest,
+    FetchFailure,
+    Guards,
+    Head,
+    Object,
+    Offer,
+    Proposal,
+    RowKey,
+    RowValue,
+    Source,
+    Write, //
+};
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    fmt, //
+};
+
+/// One thing that happens, in words.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct VersionStep(String);
+
+impl fmt::Display for VersionStep {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// An operator's request: the accept's name and the version that it changes.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct AcceptRequest {
+    /// Name of the accept; a repeat has the same.
+    pub id: u128,
+    /// Version that it changes.
+    pub base: u64,
+}
+
+/// Accepts that run at the same time.
+#[derive(Clone, Debug)]
+pub struct AcceptModel {
+    /// Guards of all.
+    pub guards: Guards,
+    /// Requests, each at some daemon.
+    pub requests: Vec<AcceptRequest>,
+    /// Requests to the platform that are refused, lost or late, together.
+    pub faults: u8,
+}
+
+/// Commit on its way, and whose.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+struct Txn {
+    runner: usize,
+    checks: Vec<Check>,
+    writes: Vec<Write>,
+}
+
+/// An accept and what it does next.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct Runner {
+    accept: Accept,
+    action: AcceptAction,
+}
+
+/// State of the platform and of the accepts.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct AcceptState {
+    faults_left: u8,
+    objects: BTreeSet<Digest>,
+    rows: BTreeMap<RowKey, RowValue>,
+    commits: u64,
+    late: Vec<Txn>,
+    runners: Vec<Runner>,
+    /// Heads in the order in which they came into force, and whose commits made them.
+    log: Vec<(Head, usize)>,
+    headless: bool,
+}
+
+impl AcceptState {
+    fn with_fault(&self) -> Option<Self> {
+        let mut after = self.clone();
+        after.faults_left = self.faults_left.checked_sub(1)?;
+        Some(after)
+    }
+
+    fn commit(&mut self, txn: &Txn) -> CommitAnswer {
+        let holds = |check: &Check| {
+            let row = self.rows.get(&check.key);
+            row.map(|row| row.row_version) == check.row_version
+        };
+        if !txn.checks.iter().all(holds) {
+            return CommitAnswer::Conflict;
+        }
+        self.commits += 1;
+        for write in &txn.writes {
+            let row = RowValue {
+                row_version: self.commits,
+                value: write.value.clone(),
+            };
+            self.rows.insert(write.key, row);
+            if write.key == RowKey::Head {
+                let head: Head = write.value.parse().expect("only heads are written");
+                self.headless |= !self.objects.contains(&head.digest);
+                self.log.push((head, txn.runner));
+            }
+        }
+        CommitAnswer::Committed
+    }
+
+    fn deliver(mut self, runner: usize, event: AcceptEvent) -> Self {
+        let runner = &mut self.runners[runner];
+        let action = runner.accept.handle(event);
+        runner.action = action.expect("the answer was asked for");
+        self
+    }
+
+    /// Whether what the operator of this request was told is true.
+    fn is_told_true(&self, index: usize, outcome: &AcceptOutcome) -> bool {
+        let proposal = self.runners[index].accept.proposal();
+        match outcome {
+            AcceptOutcome::Accepted(head) | AcceptOutcome::AlreadyAccepted(head) => {
+                self.log.iter().any(|(made, _)| made == head)
+            }
+            AcceptOutcome::NotAccepted => self.log.iter().all(|(_, by)| *by != index),
+            AcceptOutcome::Raced { .. } => self.log.iter().all(|(made, _)| {
+                (made.accept_id, made.version) != (proposal.accept_id, proposal.base + 1)
+            }),
+            AcceptOutcome::Unknown => true,
+        }
+    }
+}
+
+fn tiny_proposal(request: AcceptRequest) -> Proposal {
+    let bytes = Bytes::from(format!("body {}", request.id));
+    let body = Digest::of(&bytes);
+    Proposal {
+        accept_id: AcceptId(request.id),
+        author: ByteString::from_static("asha"),
+        accepted_at_ms: 0,
+        base: request.base,
+        body,
+        objects: vec![(body, bytes)],
+    }
+}
+
+type AcceptNext = Vec<(VersionStep, AcceptState)>;
+
+fn accept_step(state: &AcceptState, index: usize, next: &mut AcceptNext) {
+    let mut push = |what: &str, after: AcceptState| {
+        let id = after.runners[index].accept.proposal().accept_id.0;
+        let step = VersionStep(format!("request {index} (accept {id}) {what}"));
+        next.push((step, after));
+    };
+    match state.runners[index].action.clone() {
+        AcceptAction::Finish(_) => {}
+        AcceptAction::Store { digest, .. } => {
+            let mut after = state.clone();
+            after.objects.insert(digest);
+            let stored = AcceptEvent::Stored(Answer::Done(()));
+            push("stores its object", after.deliver(index, stored));
+            if let Some(down) = state.with_fault() {
+                let event = AcceptEvent::Stored(Answer::NotDone);
+                push("can't store its object", down.deliver(index, event));
+            }
+        }
+        AcceptAction::Read { keys } => {
+            let rows = keys.iter().map(|key| state.rows.get(key).cloned());
+            let event = AcceptEvent::Rows(Some(rows.collect()));
+            push("reads", state.clone().deliver(index, event));
+            if let Some(down) = state.with_fault() {
+                push("can't read", down.deliver(index, AcceptEvent::Rows(None)));
+            }
+        }
+        AcceptAction::Commit { checks, writes } => {
+            let txn = Txn {
+                runner: index,
+                checks,
+                writes,
+            };
+            commit_step(state, &txn, &mut push);
+        }
+    }
+}
+
+fn commit_step(state: &AcceptState, txn: &Txn, push: &mut impl FnMut(&str, AcceptState)) {
+    let index = txn.runner;
+    let event = |answer| AcceptEvent::Commit(answer);
+    let mut after = state.clone();
+    let answer = after.commit(txn);
+    let what = match answer {
+        CommitAnswer::Committed => "commits",
+        CommitAnswer::Conflict => "finds another head",
+    };
+    let lossy = after.with_fault();
+    push(what, after.deliver(index, event(Answer::Done(answer))));
+    if let Some(lossy) = lossy {
+        let what = "has its commit carried out, the answer is lost";
+        push(what, lossy.deliver(index, event(Answer::Unknown)));
+    }
+    if let Some(down) = state.with_fault() {
+        let mut late = down.clone();
+        let what = "has its commit refused";
+        push(what, down.deliver(index, event(Answer::NotDone)));
+        late.late.push(txn.clone());
+        late.late.sort();
+        let what = "has its commit under way, the answer is lost";
+        push(what, late.deliver(index, event(Answer::Unknown)));
+    }
+}
+
+impl Model for AcceptModel {
+    type State = AcceptState;
+    type Step = VersionStep;
+
+    fn start(&self) -> AcceptState {
+        let runner = |request: &AcceptRequest| {
+            let (accept, action) = Accept::start(tiny_proposal(*request), self.guards);
+            Runner { accept, action }
+        };
+        AcceptState {
+            faults_left: self.faults,
+            objects: BTreeSet::new(),
+            rows: BTreeMap::new(),
+            commits: 0,
+            late: Vec::new(),
+            runners: self.requests.iter().map(runner).collect(),
+            log: Vec::new(),
+            headless: false,
+        }
+    }
+
+    fn transitions(&self, state: &AcceptState) -> AcceptNext {
+        let mut next = Vec::new();
+        for index in 0..state.late.len() {
+            let mut after = state.clone();
+            let txn = after.late.remove(index);
+            after.commit(&txn);
+            let step = format!("a late commit of request {} arrives", txn.runner);
+            next.push((VersionStep(step), after));
+        }
+        for index in 0..state.runners.len() {
+            accept_step(state, index, &mut next);
+        }
+        next
+    }
+
+    fn check(&self, state: &AcceptState) -> Result<(), String> {
+        let versions = state.log.iter().map(|(head, _)| head.version);
+        if !versions.eq(1..=state.log.len() as u64) {
+            return Err("the versions don't follow each other".into());
+        }
+        if state.headless {
+            return Err("a head names an object that isn't stored".into());
+        }
+        let ids: BTreeSet<AcceptId> = state.log.iter().map(|(head, _)| head.accept_id).collect();
+        if ids.len() < state.log.len() {
+            return Err("an accept took effect twice".into());
+        }
+        for (index, runner) in state.runners.iter().enumerate() {
+            let outcome = runner.accept.outcome();
+            if outcome.is_some_and(|outcome| !state.is_told_true(index, outcome)) {
+                return Err(format!("request {index} was told {outcome:?}"));
+            }
+        }
+        Ok(())
+    }
+}
+
+/// A daemon that starts, one that runs, and their sources.
+#[derive(Clone, Debug)]
+pub struct AdoptModel {
+    /// Guards of both.
+    guards: Guards,
+    /// Whether the table answers the daemon that starts.
+    table_up: bool,
+    /// Whether the daemon that starts reaches the one that runs.
+    peer_up: bool,
+    /// Fetches that fail.
+    faults: u8,
+    /// Objects of all versions, and their heads.
+    versions: Vec<(Head, Object)>,
+}
+
+/// Version at which the running daemon starts, and which is in force then.
+const IN_FORCE: usize = 2;
+/// Version of the peer that was cut off.
+const CUT_OFF: usize = 1;
+/// Versions that are ever accepted.
+const LAST: usize = 3;
+const STARTING: usize = 0;
+const RUNNING: usize = 1;
+
+/// State of the two daemons.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct AdoptState {
+    faults_left: u8,
+    /// Versions accepted so far.
+    in_force: usize,
+    daemons: [Adopt; 2],
+    /// Fetches under way, given up or not.
+    fetches: [BTreeSet<Digest>; 2],
+    /// A daemon that went back, if one did.
+    reverted: Option<usize>,
+}
+
+type AdoptNext = Vec<(VersionStep, AdoptState)>;
+
+impl AdoptModel {
+    /// Model with three small versions; `config` makes each one's configuration.
+    pub fn new(guards: Guards, table_up: bool, peer_up: bool, config: fn(usize) -> Config) -> Self {
+        Self {
+            guards,
+            table_up,
+            peer_up,
+            faults: 3,
+            versions: (1..=LAST).map(|n| version(n, config(n))).collect(),
+        }
+    }
+
+    fn head(&self, version: usize) -> Head {
+        self.versions[version - 1].0.clone()
+    }
+
+    fn object(&self, digest: &Digest) -> Option<(usize, Object)> {
+        let of_version = |(head, _): &(Head, Object)| head.digest == *digest;
+        let index = self.versions.iter().position(of_version)?;
+        Some((index + 1, self.versions[index].1.clone()))
+    }
+
+    /// Lowest and highest version that `source` may tell the starting daemon of.
+    fn told(&self, state: &AdoptState, source: &Source) -> (usize, usize) {
+        match source {
+            Source::Table => (IN_FORCE, state.in_force),
+            Source::Peer(peer) if *peer == "running" => {
+                let adopted = state.daemons[RUNNING].adopted();
+                (IN_FORCE, adopted.map_or(0, |it| it.version() as usize))
+            }
+            Source::Peer(_) => (CUT_OFF, CUT_OFF),
+        }
+    }
+
+    fn is_up(&self, source: &Source) -> bool {
+        match source {
+            Source::Table => self.table_up,
+            Source::Peer(peer) if *peer == "running" => self.peer_up,
+            Source::Peer(_) => true,
+        }
+    }
+
+    fn offers(&self, state: &AdoptState, next: &mut AdoptNext) {
+        for source in sources() {
+            if !self.is_up(&source) {
+                let what = format!("the starting daemon gives up {source:?}");
+                let after = self.offer(state, STARTING, source, Offer::Unreachable);
+                next.push((VersionStep(what), after));
+                continue;
+            }
+            let (low, high) = self.told(state, &source);
+            for version in low..=high {
+                let what = format!("{source:?} tells the starting daemon of {version}");
+                let offer = Offer::Head(self.head(version));
+                let after = self.offer(state, STARTING, source.clone(), offer);
+                next.push((VersionStep(what), after));
+            }
+        }
+        for version in 1..=state.in_force {
+            let what = format!("the running daemon hears of {version}");
+            let offer = Offer::Head(self.head(version));
+            let after = self.offer(state, RUNNING, Source::Table, offer);
+            next.push((VersionStep(what), after));
+        }
+    }
+
+    fn offer(&self, state: &AdoptState, daemon: usize, source: Source, offer: Offer) -> AdoptState {
+        self.handle(state, daemon, AdoptEvent::Offered { source, offer })
+    }
+
+    fn fetched(&self, state: &AdoptState, next: &mut AdoptNext) {
+        for daemon in [STARTING, RUNNING] {
+            for digest in &state.fetches[daemon] {
+                let Some((version, object)) = self.object(digest) else {
+                    continue;
+                };
+                let mut answered = state.clone();
+                answered.fetches[daemon].remove(digest);
+                let digest = *digest;
+                let what = format!("daemon {daemon} gets the body of {version}");
+                let object = Ok(object);
+                let after = self.handle(&answered, daemon, AdoptEvent::Fetched { digest, object });
+                next.push((VersionStep(what), after));
+                if answered.faults_left > 0 {
+                    answered.faults_left -= 1;
+                    let what = format!("daemon {daemon} can't get the body of {version}");
+                    let object = Err(FetchFailure::Unavailable);
+                    let event = AdoptEvent::Fetched { digest, object };
+                    let after = self.handle(&answered, daemon, event);
+                    next.push((VersionStep(what), after));
+                }
+            }
+        }
+    }
+
+    fn handle(&self, state: &AdoptState, daemon: usize, event: AdoptEvent) -> AdoptState {
+        let mut after = state.clone();
+        let before = version_of(&after.daemons[daemon]);
+        for action in after.daemons[daemon].handle(event) {
+            if let AdoptAction::Fetch { digest, .. } = action {
+                after.fetches[daemon].insert(digest);
+            }
+        }
+        if version_of(&after.daemons[daemon]) < before {
+            after.reverted = Some(daemon);
+        }
+        after
+    }
+
+    /// Lowest version with which the starting daemon may be ready.
+    fn floor(&self) -> usize {
+        if self.table_up || self.peer_up {
+            IN_FORCE
+        } else {
+            CUT_OFF
+        }
+    }
+}
+
+fn version_of(daemon: &Adopt) -> usize {
+    daemon.adopted().map_or(0, |it| it.version() as usize)
+}
+
+fn sources() -> BTreeSet<Source> {
+    BTreeSet::from([
+        Source::Table,
+        Source::Peer("running".into()),
+        Source::Peer("cut-off".into()),
+    ])
+}
+
+fn version(number: usize, config: Config) -> (Head, Object) {
+    let id = AcceptId(number as u128);
+    let author = ByteString::from_static("asha");
+    let proposal = Proposal::new(id, author.clone(), 0, None, config, BlockChange::Keep)
+        .expect("a configuration without blocks fits");
+    let (digest, bytes) = proposal.objects[0].clone();
+    let object = Object::read(&digest, &bytes).expect("it was written by this release");
+    let head = Head {
+        version: number as u64,
+        digest,
+        accept_id: id,
+        author,
+        accepted_at_ms: 0,
+    };
+    (head, object)
+}
+
+impl Model for AdoptModel {
+    type State = AdoptState;
+    type Step = VersionStep;
+
+    fn start(&self) -> AdoptState {
+        let mut running = Adopt::new(BTreeSet::from([Source::Table]), self.guards);
+        running.handle(AdoptEvent::Offered {
+            source: Source::Table,
+            offer: Offer::Head(self.head(IN_FORCE)),
+        });
+        let (head, object) = self.versions[IN_FORCE - 1].clone();
+        running.handle(AdoptEvent::Fetched {
+            digest: head.digest,
+            object: Ok(object),
+        });
+        AdoptState {
+            faults_left: self.faults,
+            in_force: IN_FORCE,
+            daemons: [Adopt::new(sources(), self.guards), running],
+            fetches: [BTreeSet::new(), BTreeSet::new()],
+            reverted: None,
+        }
+    }
+
+    fn transitions(&self, state: &AdoptState) -> AdoptNext {
+        let mut next = Vec::new();
+        if state.in_force < LAST {
+            let mut after = state.clone();
+            after.in_force += 1;
+            let what = format!("version {} is accepted", after.in_force);
+            next.push((VersionStep(what), after));
+        }
+        self.offers(state, &mut next);
+        self.fetched(state, &mut next);
+        next
+    }
+
+    fn check(&self, state: &AdoptState) -> Result<(), String> {
+        if let Some(daemon) = state.reverted {
+            return Err(format!("daemon {daemon} went back to an earlier version"));
+        }
+        for daemon in &state.daemons {
+            let Some(adopted) = daemon.adopted() else {
+                continue;
+            };
+            if *adopted.head() != self.head(version_of(daemon)) {
+                return Err("a daemon runs a head that never was in force".into());
+            }
+            if *adopted.body() != adopted.head().digest {
+                return Err("a daemon runs another body than its version's".into());
+            }
+        }
+        let starting = &state.daemons[STARTING];
+        if starting.is_ready() && version_of(starting) < self.floor() {
+            return Err("a daemon is ready below the version that was in force".into());
+        }
+        Ok(())
+    }
+}
