Versions in the daemon: spec's Accept and Adopt, peers as a source

Accepts go through the Accept machine with all its read backs; drains and targets are accepts under the hood, made anew on a race. Adoption hears of versions from the table and from heartbeats, and fetches objects from peers or the store, so that a daemon cut off from the platform follows. Head reads are spaced by the number of known instances.

--- a/crates/daemon/src/process/control/beats.rs
+++ b/crates/daemon/src/process/control/beats.rs
@@ -113,7 +113,9 @@
                 instance: place.instance,
                 addr,
             });
-        mesh.set_partners(wanted.collect());
+        let wanted: Vec<Partner> = wanted.collect();
+        self.partners = wanted.iter().map(|to| to.instance.clone()).collect();
+        mesh.set_partners(wanted);
     }
 
     /// Sends a beat to every peer that is due for one.
@@ -224,7 +226,13 @@
         }
     }
 
-    fn on_beat(&mut self, from: &InstanceId, incarnation: Incarnation, beat: &Beat) {
+    fn on_beat(
+        &mut self,
+        from: &InstanceId,
+        incarnation: Incarnation,
+        beat: &Beat,
+        ctx: &mut Context<Self>,
+    ) {
         let now = self.now();
         let Some(identity) = self.identity_of(from) else {
             return;
@@ -254,7 +262,7 @@
         for share in &beat.shares {
             self.on_share(from, incarnation, share);
         }
-        self.offer_version(from, beat.version);
+        self.offer_version(from, beat.version, ctx);
         if before != Some((facts.state, incarnation, false)) {
             self.publish();
         }
@@ -337,9 +345,9 @@
         ctx: &mut Context<Self>,
     ) {
         match frame {
-            Frame::Beat(beat) => self.on_beat(from, incarnation, &beat),
+            Frame::Beat(beat) => self.on_beat(from, incarnation, &beat, ctx),
             Frame::Share(share) => self.on_share(from, incarnation, &share),
-            Frame::ConfigWant(want) => self.on_config_want(from, &want),
+            Frame::ConfigWant(want) => self.on_config_want(from, &want, ctx),
             Frame::ConfigBody(part) => self.on_config_part(from, part, ctx),
             Frame::HandOver(offer) => self.on_hand_over(from, incarnation, &offer),
             Frame::HandOverAck(ack) => self.on_hand_over_ack(&ack),
--- /dev/null
+++ b/crates/daemon/src/process/control/config/confirm.rs
@@ -0,0 +1,163 @@
+//! Which instances have a version in force.
+//!
+//! Heartbeats carry versions, and a version only grows within an incarnation, so news of any age
+//! confirms. An instance that has not confirmed is waited for, unless nothing is heard of it and
+//! its lease has lapsed: such a one is gone, or serves by its floor and can't be told from one that
+//! is gone.
+
+use crate::process::control::{
+    lease::parse_lease,
+    Control, //
+};
+use actix::{
+    ActorFutureExt,
+    Handler,
+    Message,
+    ResponseActFuture,
+    WrapFuture, //
+};
+use base::{
+    InstanceId,
+    Now,
+    Version, //
+};
+use bytestring::ByteString;
+use member::{
+    lease_key,
+    Freshness,
+    Guards,
+    InstanceFacts,
+    LeaseState,
+    Observer, //
+};
+use op::{
+    Confirmation,
+    Unconfirmed, //
+};
+use plat::{
+    ReadError,
+    Row,
+    Table as _, //
+};
+use std::rc::Rc;
+
+/// Asks which instances have a version in force.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "Confirmation")]
+pub(crate) struct GetConfirmation(pub(crate) Version);
+
+impl Handler<GetConfirmation> for Control {
+    type Result = ResponseActFuture<Self, Confirmation>;
+
+    fn handle(&mut self, asked: GetConfirmation, _ctx: &mut Self::Context) -> Self::Result {
+        let GetConfirmation(version) = asked;
+        let silent = self.silent_unconfirmed(version);
+        let read_at = self.now();
+        let platform = Rc::clone(&self.platform);
+        let keys: Vec<ByteString> = silent.iter().map(|id| lease_key(id)).collect();
+        let read = async move {
+            if keys.is_empty() {
+                return Ok(Vec::new());
+            }
+            platform.read(&keys).await
+        };
+        Box::pin(read.into_actor(self).map(move |rows, control, _| {
+            let gone = control.lapsed_of(&silent, rows, read_at);
+            control.confirmation(version, &gone)
+        }))
+    }
+}
+
+impl Control {
+    fn has_confirmed(facts: &InstanceFacts, version: Version) -> bool {
+        facts.version >= version
+    }
+
+    fn silent_unconfirmed(&self, version: Version) -> Vec<InstanceId> {
+        let now = self.now();
+        let unconfirmed = self
+            .picture
+            .instances()
+            .filter(|(_, facts)| !Self::has_confirmed(facts, version));
+        unconfirmed
+            .filter(|(id, _)| self.picture.freshness(id, now) == Freshness::Silent)
+            .map(|(id, _)| id.clone())
+            .collect()
+    }
+
+    /// Those of the silent instances whose lease is known to have lapsed, or never was.
+    fn lapsed_of(
+        &mut self,
+        silent: &[InstanceId],
+        rows: Result<Vec<Option<Row>>, ReadError>,
+        read_at: Now,
+    ) -> Vec<InstanceId> {
+        let Ok(rows) = rows else {
+            // A platform that can't be read proves nothing.
+            return Vec::new();
+        };
+        let now = self.now();
+        let terms = self.lease_terms();
+        let observer = self.versions.leases.get_or_insert_with(|| {
+            Observer::new(terms, Guards::default()) //
+        });
+        let mut lapsed = Vec::new();
+        for (instance, row) in silent.iter().zip(rows) {
+            let lease = row.as_ref().and_then(parse_lease);
+            if let Some(lease) = &lease {
+                observer.saw(lease, read_at, now);
+            }
+            if lease.is_none() || observer.lapse(instance, now).is_some() {
+                lapsed.push(instance.clone());
+            }
+        }
+        lapsed
+    }
+
+    fn confirmation(&self, version: Version, gone: &[InstanceId]) -> Confirmation {
+        let mut answer = Confirmation {
+            version,
+            confirmed: Vec::new(),
+            missing: Vec::new(),
+            lapsed: Vec::new(),
+        };
+        let now = self.now();
+        for (instance, facts) in self.picture.instances() {
+            if Self::has_confirmed(facts, version) {
+                answer.confirmed.push(instance.clone());
+            } else if facts.state == LeaseState::Left || gone.contains(instance) {
+                answer.lapsed.push(instance.clone());
+            } else {
+                answer.missing.push(Unconfirmed {
+                    instance: instance.clone(),
+                    version: facts.version,
+                    freshness: self.picture.freshness(instance, now),
+                    age_ms: self.age_ms(facts.true_at),
+                });
+            }
+        }
+        self.confirm_self(&mut answer);
+        answer
+    }
+
+    fn confirm_self(&self, answer: &mut Confirmation) {
+        let me = self.shared.settings.instance.clone();
+        if self.version() >= answer.version {
+            answer.confirmed.push(me);
+            answer.confirmed.sort();
+        } else {
+            answer.missing.push(Unconfirmed {
+                instance: me,
+                version: self.version(),
+                freshness: Freshness::Fresh,
+                age_ms: Some(0),
+            });
+        }
+    }
+
+    /// Age of what was true at a time, in milliseconds.
+    pub(in crate::process::control) fn age_ms(&self, true_at: Option<Now>) -> Option<u64> {
+        let age = self.now().saturating_sub(true_at?);
+        Some(u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
+    }
+}
--- a/crates/daemon/src/process/control/lease.rs
+++ b/crates/daemon/src/process/control/lease.rs
@@ -79,7 +79,7 @@
         }
     }
 
-    fn lease_terms(&self) -> LeaseTerms {
+    pub(super) fn lease_terms(&self) -> LeaseTerms {
         let terms = &self.shared.settings.terms;
         LeaseTerms {
             ttl: terms.lease,
--- a/crates/daemon/src/process/control/list.rs
+++ b/crates/daemon/src/process/control/list.rs
@@ -49,6 +49,7 @@
             if let Ok(list) = read {
                 control.take_list(list);
             }
+            control.begin_adoption(ctx);
             let interval = control.jittered(control.shared.settings.terms.list);
             ctx.run_later(interval, Self::read_list);
         }));
--- a/crates/daemon/src/process/control/mod.rs
+++ b/crates/daemon/src/process/control/mod.rs
@@ -34,15 +34,25 @@
     claims::release_later,
     config::{
         Accept,
-        AcceptError, //
+        Edit,
+        GetConfig,
+        GetConfirmation,
+        GetHistory, //
+    },
+    status::{
+        GetBurn,
+        GetDrains,
+        GetInstances,
+        GetShares,
+        GetStatus, //
     },
-    status::GetStatus,
     stopping::Stop, //
 };
 
 use crate::process::{
     control::{
         claims::Claims,
+        config::Versions,
         lease::Lease,
         shares::{
             Shared as Share,
@@ -127,6 +137,8 @@
     peers_listener: Option<TcpListener>,
     mesh: Option<Mesh>,
     picture: Picture,
+    /// Those that sessions are kept to.
+    partners: Vec<InstanceId>,
     beat_seq: u64,
     beat_at: Now,
     /// Something was learnt that partners should hear at once.
@@ -134,6 +146,7 @@
     summary_cursor: usize,
     beats_sent: BTreeMap<InstanceId, BTreeMap<PoolId, Told>>,
 
+    versions: Versions,
     /// Configuration in force, with its version.
     config: Option<(Version, Arc<Config>)>,
     blocks: Arc<Table>,
@@ -171,11 +184,13 @@
             peers_listener: Some(peers_listener),
             mesh: None,
             picture: Picture::new(settings.instance.clone(), picture_terms),
+            partners: Vec::new(),
             beat_seq: 0,
             beat_at: Now::ZERO,
             beat_news: true,
             summary_cursor: 0,
             beats_sent: BTreeMap::new(),
+            versions: Versions::default(),
             config: None,
             blocks: Arc::default(),
             pools: BTreeMap::new(),
@@ -211,7 +226,6 @@
     fn start(&mut self, ctx: &mut Context<Self>) {
         self.start_mesh(ctx);
         self.read_list(ctx);
-        self.read_head(ctx);
         self.read_loads(ctx);
         ctx.run_interval(TICK, Self::tick);
     }
@@ -221,6 +235,7 @@
         self.tick_lease(ctx);
         self.tick_shares(ctx);
         self.tick_steering();
+        self.tick_versions(ctx);
         self.tick_beats();
         self.tick_stopping(ctx);
         self.tick_slow(ctx);
--- a/crates/daemon/src/process/control/shares.rs
+++ b/crates/daemon/src/process/control/shares.rs
@@ -449,7 +449,7 @@
         }
     }
 
-    fn in_flight(&self) -> Amounts {
+    pub(super) fn in_flight(&self) -> Amounts {
         match self {
             Self::Slots(pool) => pool
                 .upstreams()
--- a/crates/daemon/src/process/control/status.rs
+++ b/crates/daemon/src/process/control/status.rs
@@ -1,8 +1,16 @@
 //! What operators see of this daemon.
 
 use crate::process::{
-    control::Control,
-    pool::Pool, //
+    burn::BUCKET,
+    control::{
+        lease::Lease,
+        shares::Shared as Share,
+        Control, //
+    },
+    pool::{
+        Pool,
+        Upstream, //
+    },
 };
 use actix::{
     Handler,
@@ -10,40 +18,67 @@
     MessageResult, //
 };
 use base::{
-    Incarnation,
-    InstanceId,
-    RegionId,
-    ServiceId,
-    Version, //
+    DomainId,
+    Now,
+    RegionId, //
+};
+use bytestring::ByteString;
+use member::{
+    Freshness,
+    Identity,
+    InstanceFacts,
+    LeaseState, //
+};
+use op::{
+    Bounds,
+    Burn,
+    ClassBurn,
+    DrainStatus,
+    Drains,
+    InFlight,
+    InstanceStatus,
+    Instances,
+    PoolStatus,
+    ResourceStatus,
+    ShareStatus,
+    Shares,
+    Status, //
+};
+use share::Amounts;
+use spec::{
+    Class,
+    DrainTarget, //
+};
+use std::{
+    collections::BTreeSet,
+    sync::Arc,
+    time::Duration, //
 };
-use serde::Serialize;
-use std::sync::Arc;
 
 /// Asks for the status.
 #[derive(Clone, Copy, Debug, Message)]
 #[rtype(result = "Status")]
 pub(crate) struct GetStatus;
 
-/// One daemon's picture.
-#[derive(Clone, Debug, Serialize)]
-pub(crate) struct Status {
-    instance: InstanceId,
-    incarnation: Incarnation,
-    region: RegionId,
-    version: Version,
-    active: u64,
-    pools: Vec<PoolStatus>,
-}
+/// Asks for the instances that are known.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "Instances")]
+pub(crate) struct GetInstances;
 
-/// One pool of this region.
-#[derive(Clone, Debug, Serialize)]
-struct PoolStatus {
-    service: ServiceId,
-    upstreams: usize,
-    slots_usable: u32,
-    slots_used: u32,
-    waiting: u32,
-}
+/// Asks for the drains in force, with what is in flight there.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "Drains")]
+pub(crate) struct GetDrains;
+
+/// Asks for this instance's capacity shares.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "Shares")]
+pub(crate) struct GetShares;
+
+/// Asks for the counts of the burn report.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "Burn")]
+pub(crate) struct GetBurn;
 
 impl Handler<GetStatus> for Control {
     type Result = MessageResult<GetStatus>;
@@ -54,26 +89,237 @@
             instance: settings.instance.clone(),
             incarnation: self.shared.incarnation(),
             region: settings.region.clone(),
+            failure_domain: settings.failure_domain.clone(),
+            stage: format!("{:?}", self.stage).to_lowercase(),
             version: self.version(),
+            highest_version: self.highest_version(),
+            uptime_ms: millis(self.now()),
+            lease_left_ms: millis(self.lease_left()),
             active: self.shared.active.count(),
-            pools: self.pool_statuses(),
+            peers: self.mesh.as_ref().map_or(0, |mesh| mesh.peers().len()),
+            pools: self.pools.values().map(|p| self.pool_status(p)).collect(),
+            instances: self.instance_statuses(),
         })
     }
 }
 
-impl Control {
-    fn pool_statuses(&self) -> Vec<PoolStatus> {
+impl Handler<GetInstances> for Control {
+    type Result = MessageResult<GetInstances>;
+
+    fn handle(&mut self, _: GetInstances, _ctx: &mut Self::Context) -> Self::Result {
+        MessageResult(Instances {
+            instance: self.shared.settings.instance.clone(),
+            instances: self.instance_statuses(),
+        })
+    }
+}
+
+impl Handler<GetDrains> for Control {
+    type Result = MessageResult<GetDrains>;
+
+    fn handle(&mut self, _: GetDrains, _ctx: &mut Self::Context) -> Self::Result {
+        let config = self.config.as_ref();
+        let drains = config.map_or(Vec::new(), |(_, config)| {
+            let targets = config.drains.iter().map(|drain| &drain.target);
+            targets.map(|target| self.drain_status(target)).collect()
+        });
+        MessageResult(Drains {
+            instance: self.shared.settings.instance.clone(),
+            version: self.version(),
+            drains,
+        })
+    }
+}
+
+impl Handler<GetShares> for Control {
+    type Result = MessageResult<GetShares>;
+
+    fn handle(&mut self, _: GetShares, _ctx: &mut Self::Context) -> Self::Result {
         let now = self.now();
-        let status = |pool: &Arc<Pool>| {
-            let (slots_usable, slots_used) = pool.use_now(now);
-            PoolStatus {
-                service: pool.service.clone(),
-                upstreams: pool.upstreams().len(),
-                slots_usable,
-                slots_used,
-                waiting: pool.waiting(),
-            }
+        let shares = self.shares.iter();
+        MessageResult(Shares {
+            instance: self.shared.settings.instance.clone(),
+            protected_ms: millis(self.lease_left()),
+            pools: shares
+                .map(|(id, shared)| share_status(id, shared, now))
+                .collect(),
+        })
+    }
+}
+
+impl Handler<GetBurn> for Control {
+    type Result = MessageResult<GetBurn>;
+
+    fn handle(&mut self, _: GetBurn, _ctx: &mut Self::Context) -> Self::Result {
+        let settings = &self.shared.settings;
+        let config = self.config.as_ref();
+        let classes = config.map_or(Vec::new(), |(_, config)| {
+            let classes = config.classes.iter();
+            classes.map(|class| self.class_burn(class)).collect()
+        });
+        MessageResult(Burn {
+            instance: settings.instance.clone(),
+            incarnation: self.shared.incarnation(),
+            region: settings.region.clone(),
+            failure_domain: settings.failure_domain.clone(),
+            version: self.version(),
+            age_ms: millis(self.shared.burn.age()),
+            bucket_ms: millis(BUCKET),
+            classes,
+        })
+    }
+}
+
+impl Control {
+    fn lease_left(&self) -> Duration {
+        match &self.lease {
+            Lease::Joining(_) => Duration::ZERO,
+            Lease::Held(held) => held.holder.valid_until().saturating_sub(self.now()),
+        }
+    }
+
+    fn pool_status(&self, pool: &Arc<Pool>) -> PoolStatus {
+        let (usable, used) = pool.use_now(self.now());
+        let upstreams = pool.upstreams();
+        PoolStatus {
+            service: pool.service.clone(),
+            upstreams: upstreams.len(),
+            open: upstreams.iter().filter(|upstream| upstream.open()).count(),
+            slots: Bounds { usable, used },
+            waiting: pool.waiting(),
+        }
+    }
+
+    /// All instances, this one included, sorted by name.
+    fn instance_statuses(&self) -> Vec<InstanceStatus> {
+        let others = self.picture.instances().map(|(_, facts)| facts);
+        let mut all: Vec<InstanceStatus> = others.map(|facts| self.other_status(facts)).collect();
+        all.push(self.own_status());
+        all.sort_by(|a, b| a.instance.cmp(&b.instance));
+        all
+    }
+
+    fn other_status(&self, facts: &InstanceFacts) -> InstanceStatus {
+        let instance = &facts.identity.instance;
+        InstanceStatus {
+            incarnation: facts.incarnation,
+            version: facts.version,
+            state: facts.state,
+            freshness: self.picture.freshness(instance, self.now()),
+            age_ms: self.age_ms(facts.true_at),
+            ..located(&facts.identity)
+        }
+    }
+
+    fn own_status(&self) -> InstanceStatus {
+        let state = if self.is_stopping() {
+            LeaseState::Leaving
+        } else {
+            LeaseState::Live
         };
-        self.pools.values().map(status).collect()
+        InstanceStatus {
+            incarnation: self.shared.incarnation(),
+            version: self.version(),
+            state,
+            freshness: Freshness::Fresh,
+            age_ms: Some(0),
+            ..located(&self.identity())
+        }
     }
+
+    fn drain_status(&self, target: &DrainTarget) -> DrainStatus {
+        let region = &self.shared.settings.region;
+        let mut in_flight = Vec::new();
+        for pool in self.pools.values() {
+            let upstreams = pool.upstreams();
+            let drained = upstreams.iter().filter(|upstream| {
+                let domain = &upstream.failure_domain;
+                matches!(target, DrainTarget::Upstream(id) if *id == upstream.id)
+                    || covers(target, region, domain)
+            });
+            in_flight.extend(drained.filter_map(|upstream| in_flight_at(pool, upstream)));
+        }
+        let domain = &self.shared.settings.failure_domain;
+        let own = covers(target, region, domain);
+        DrainStatus {
+            target: target.clone(),
+            in_flight,
+            active: own.then(|| self.shared.active.count()),
+        }
+    }
+
+    fn class_burn(&self, class: &Class) -> ClassBurn {
+        let burn = self.shared.burn.class(&class.id);
+        ClassBurn {
+            class: class.id.clone(),
+            success_target_ppm: class.success_target_ppm,
+            latency_target_ms: millis(class.latency_target),
+            buckets: burn.buckets(),
+            latency_us: burn.latencies_us(),
+        }
+    }
+}
+
+/// Whether a drain of a failure domain or region covers this one.
+fn covers(target: &DrainTarget, region: &RegionId, domain: &DomainId) -> bool {
+    match target {
+        DrainTarget::Upstream(_) => false,
+        DrainTarget::FailureDomain(in_region, id) => in_region == region && id == domain,
+        DrainTarget::Region(id) => id == region,
+    }
+}
+
+fn in_flight_at(pool: &Pool, upstream: &Upstream) -> Option<InFlight> {
+    let requests = u32::from(upstream.slots.get().in_flight);
+    (requests > 0).then(|| InFlight {
+        upstream: upstream.id.clone(),
+        service: pool.service.clone(),
+        requests,
+    })
+}
+
+/// Where an instance is; what is known of its life is filled in by the caller.
+fn located(identity: &Identity) -> InstanceStatus {
+    InstanceStatus {
+        instance: identity.instance.clone(),
+        region: identity.region.clone(),
+        failure_domain: identity.failure_domain.clone(),
+        incarnation: 0,
+        version: 0,
+        state: LeaseState::Live,
+        freshness: Freshness::Silent,
+        age_ms: None,
+        callers_addr: identity.callers_addr.clone(),
+        operator_addr: identity.operator_addr.clone(),
+    }
+}
+
+fn share_status(id: &ByteString, shared: &Share, now: Now) -> ShareStatus {
+    let member = &shared.member;
+    let row = member.row();
+    let capacity = row.map_or_else(Amounts::new, |row| row.resources.clone());
+    let used = shared.tokens.in_flight();
+    let known = capacity.keys().chain(member.held().keys());
+    let resources: BTreeSet<&ByteString> = known.collect();
+    let amount = |amounts: &Amounts, id| amounts.get(id).copied().unwrap_or(0);
+    let resources = resources.into_iter().map(|id| ResourceStatus {
+        resource: id.clone(),
+        capacity: amount(&capacity, id),
+        allotted: row.map_or(0, |row| row.allotted(member.id(), id)),
+        held: amount(member.held(), id),
+        usable: member.usable(id, now),
+        used: amount(&used, id),
+    });
+    let members = row.into_iter().flat_map(|row| row.members.keys());
+    ShareStatus {
+        pool: id.clone(),
+        epoch: member.epoch(),
+        settled: member.is_settled(),
+        members: members.map(ToString::to_string).collect(),
+        resources: resources.collect(),
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
