filing: offers fit one message; outcomes outlast an outage

A peer's frame takes 1 MiB, a ledger remembers up to 64 MiB: the offer of a busy entry would never arrive, and nothing would be handed over. Now the records of the tickets that end last go along, and the others' tickets are closed at the successor, whose answer is then unknown.

An outcome whose write failed was lost, since nobody waits for it; the batch keeps it until unpark.

--- a/crates/filing/src/batch.rs
+++ b/crates/filing/src/batch.rs
@@ -11,6 +11,13 @@
     VecDeque, //
 };
 
+/// Caller of writes that nobody waits for: outcomes of filings that were answered.
+pub const NO_CALLER: u64 = u64::MAX;
+
+/// Writes that wait for a better time; beyond it the oldest are dropped, and repeats of their
+/// filings are told `unknown`.
+const PARKED_MAX: usize = 10_000;
+
 /// Row of the table.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Row {
@@ -64,6 +71,8 @@
 pub struct Batch {
     waiting: VecDeque<Insert>,
     under_way: Vec<Insert>,
+    /// Writes of [`NO_CALLER`] that failed, until [`Batch::unpark`].
+    parked: VecDeque<Insert>,
     size_max: usize,
 }
 
@@ -73,6 +82,7 @@
         Self {
             waiting: VecDeque::new(),
             under_way: Vec::new(),
+            parked: VecDeque::new(),
             size_max: size_max.max(1),
         }
     }
@@ -94,6 +104,19 @@
         self.waiting.len()
     }
 
+    /// Puts the writes that failed and that nobody waits for back in line.
+    ///
+    /// Not done at once: while the table is down each failure would follow on the last without a
+    /// pause. To be called now and then, once the table answers.
+    pub fn unpark(&mut self) {
+        self.waiting.append(&mut self.parked);
+    }
+
+    /// How many writes wait for [`Batch::unpark`].
+    pub fn parked(&self) -> usize {
+        self.parked.len()
+    }
+
     /// Next transaction; `None` while one is under way or nothing waits.
     ///
     /// Two writes of one row never share a transaction: the second would overwrite the first.
@@ -118,20 +141,38 @@
     }
 
     /// Takes the answer of the transaction under way; returns whom to tell what.
+    ///
+    /// [`NO_CALLER`] is never told. Its writes are kept if the table is down or the answer was
+    /// lost; one that had taken effect fails its condition the second time.
     pub fn answer(&mut self, answer: CommitAnswer) -> Vec<(u64, ClaimEvent)> {
         let inserts = std::mem::take(&mut self.under_way);
         let tell_all = |event: ClaimEvent| {
             let tell = |insert: &Insert| (insert.caller, event.clone());
-            inserts.iter().map(tell).collect()
+            let awaited = |insert: &&Insert| insert.caller != NO_CALLER;
+            inserts.iter().filter(awaited).map(tell).collect()
         };
         match answer {
             CommitAnswer::Committed { version } => tell_all(ClaimEvent::Committed { version }),
-            CommitAnswer::Lost => tell_all(ClaimEvent::Lost),
-            CommitAnswer::Down => tell_all(ClaimEvent::Down),
+            CommitAnswer::Lost => {
+                self.park(&inserts);
+                tell_all(ClaimEvent::Lost)
+            }
+            CommitAnswer::Down => {
+                self.park(&inserts);
+                tell_all(ClaimEvent::Down)
+            }
             CommitAnswer::Conflict { rows } => self.split(inserts, rows),
         }
     }
 
+    fn park(&mut self, inserts: &[Insert]) {
+        let unawaited = inserts.iter().filter(|insert| insert.caller == NO_CALLER);
+        self.parked.extend(unawaited.cloned());
+        while self.parked.len() > PARKED_MAX {
+            self.parked.pop_front();
+        }
+    }
+
     /// Tells those whose rows differ; the others go first into the next transaction.
     fn split(&mut self, inserts: Vec<Insert>, rows: Vec<Option<Row>>) -> Vec<(u64, ClaimEvent)> {
         let mut told = Vec::new();
@@ -141,7 +182,7 @@
             let version = row.as_ref().map(|row| row.version);
             if version == insert.check {
                 again.push(insert);
-            } else {
+            } else if insert.caller != NO_CALLER {
                 told.push((insert.caller, ClaimEvent::Conflict(row)));
             }
         }
--- a/crates/filing/src/handover.rs
+++ b/crates/filing/src/handover.rs
@@ -28,6 +28,9 @@
 };
 use std::fmt;
 
+/// What a record takes in an encoded offer besides its headers and body, at most.
+const HANDED_BYTES: usize = 160;
+
 /// What is known of the tickets of one incarnation, besides the records.
 #[derive(
     Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
@@ -63,7 +66,7 @@
     pub to_incarnation: Incarnation,
     /// Incarnations whose unused tickets the successor may run.
     pub origins: Vec<(InstanceId, Incarnation, Origin)>,
-    /// All that the giver remembers.
+    /// What the giver remembers; tickets of records that didn't fit are closed by the origins.
     pub records: Vec<HandedRecord>,
 }
 
@@ -175,23 +178,28 @@
     }
 
     fn offer(&self, to: InstanceId, to_incarnation: Incarnation, now: Now) -> Offer {
+        let (records, dropped_until_ms) = self.handed_records();
         Offer {
             from: self.me.clone(),
             from_incarnation: self.incarnation,
             to,
             to_incarnation,
-            origins: self.origins_at(now),
-            records: self.handed_records(),
+            origins: self.origins_at(now, dropped_until_ms),
+            records,
         }
     }
 
-    /// The origins, closed for all that this clock calls expired.
+    /// The origins, closed for all that this clock calls expired and for all dropped records.
     ///
     /// The successor's clock may be behind: it would run a ticket whose outcome was forgotten
     /// here, or of which a caller was told that it expired unused.
-    fn origins_at(&self, now: Now) -> Vec<(InstanceId, Incarnation, Origin)> {
+    fn origins_at(
+        &self,
+        now: Now,
+        dropped_until_ms: u64,
+    ) -> Vec<(InstanceId, Incarnation, Origin)> {
         let wall_ms = self.clock.wall_ms(now);
-        let forgotten_until_ms = self.forgotten_until_ms(now);
+        let forgotten_until_ms = self.forgotten_until_ms(now).max(dropped_until_ms);
         let at_now = |origin: &Origin| Origin {
             closed_until_ms: origin.closed_until_ms.max(wall_ms),
             forgotten_until_ms: origin.forgotten_until_ms.max(forgotten_until_ms),
@@ -204,18 +212,32 @@
             .collect()
     }
 
-    fn handed_records(&self) -> Vec<HandedRecord> {
-        self.entries
-            .iter()
-            .map(|(nonce, entry)| HandedRecord {
-                nonce: *nonce,
-                expires_at_ms: entry.expires_at_ms,
-                record: match &entry.fate {
-                    Fate::Running => unknown_record(),
-                    Fate::Ended(record) => record.clone(),
-                },
-            })
-            .collect()
+    /// Records that fit an offer, those whose tickets end last first, and the end of the last
+    /// ticket that was dropped.
+    fn handed_records(&self) -> (Vec<HandedRecord>, u64) {
+        let mut records = Vec::new();
+        let mut bytes = 0;
+        for nonce in self.latest_first() {
+            let handed = self.handed_record(nonce);
+            bytes += HANDED_BYTES + handed.record.bytes();
+            if bytes > self.bounds.offer_bytes_max {
+                return (records, handed.expires_at_ms);
+            }
+            records.push(handed);
+        }
+        (records, 0)
+    }
+
+    fn handed_record(&self, nonce: Nonce) -> HandedRecord {
+        let entry = &self.entries[&nonce];
+        HandedRecord {
+            nonce,
+            expires_at_ms: entry.expires_at_ms,
+            record: match &entry.fate {
+                Fate::Running => unknown_record(),
+                Fate::Ended(record) => record.clone(),
+            },
+        }
     }
 }
 
--- a/crates/filing/src/ledger.rs
+++ b/crates/filing/src/ledger.rs
@@ -39,6 +39,8 @@
     pub record_bytes_max: usize,
     /// All records and what is reserved for running ones.
     pub total_bytes_max: usize,
+    /// All records of an offer to a successor, which goes in one message.
+    pub offer_bytes_max: usize,
     /// Longest life of a ticket; one that claims more was made by a wrong clock.
     pub life_max: Duration,
     /// How long an outcome is remembered past its ticket's end.
@@ -51,6 +53,7 @@
             tickets_max: 100_000,
             record_bytes_max: 16 * 1024,
             total_bytes_max: 64 * 1024 * 1024,
+            offer_bytes_max: 768 * 1024,
             life_max: Duration::from_secs(120),
             margin: Duration::from_secs(60),
         }
@@ -421,6 +424,11 @@
         }
     }
 
+    /// Nonces that are remembered, those whose tickets end last first.
+    pub(crate) fn latest_first(&self) -> impl Iterator<Item = Nonce> + '_ {
+        self.by_expiry.iter().rev().map(|(_, nonce)| *nonce)
+    }
+
     fn insert(&mut self, nonce: Nonce, expires_at_ms: u64, fate: Fate) {
         self.used_bytes += self.cost_bytes(&fate);
         self.by_expiry.insert((expires_at_ms, nonce));
--- a/crates/filing/src/lib.rs
+++ b/crates/filing/src/lib.rs
@@ -35,7 +35,8 @@
     Commit,
     CommitAnswer,
     Insert,
-    Row, //
+    Row,
+    NO_CALLER, //
 };
 pub use claim::{
     claim_key,
--- a/crates/filing/tests/batch.rs
+++ b/crates/filing/tests/batch.rs
@@ -7,7 +7,8 @@
     Commit,
     CommitAnswer,
     Insert,
-    Row, //
+    Row,
+    NO_CALLER, //
 };
 use std::collections::BTreeMap;
 
@@ -107,3 +108,27 @@
     assert!(!batch.cancel(1));
     assert!(batch.commit().is_none());
 }
+
+/// Symptom: after an outage repeats of answered orders are told `unknown` for ever. The outcome was
+/// written once, while the table was down, and nobody waited for the answer.
+#[test]
+fn an_outcome_outlasts_an_outage() {
+    let mut table = Table::default();
+    let mut batch = Batch::new(8);
+    batch.push(insert(NO_CALLER, 1));
+    batch.push(insert(2, 2));
+    batch.commit().expect("two wait");
+    let told = batch.answer(CommitAnswer::Down);
+    assert_eq!(told, vec![(2, ClaimEvent::Down)]);
+    assert!(batch.commit().is_none(), "not at once");
+    for answered in [false, true] {
+        batch.unpark();
+        let commit = batch.commit().expect("the outcome waits");
+        let answer = table.commit(&commit);
+        let answer = if answered { answer } else { CommitAnswer::Lost };
+        assert_eq!(batch.answer(answer), vec![]);
+    }
+    batch.unpark();
+    assert!(batch.commit().is_none());
+    assert!(table.rows.contains_key("claim/1"));
+}
--- a/crates/filing/tests/ledger.rs
+++ b/crates/filing/tests/ledger.rs
@@ -25,6 +25,7 @@
         tickets_max: 4,
         record_bytes_max: 100,
         total_bytes_max: 2_000,
+        offer_bytes_max: 800,
         life_max: Duration::from_secs(60),
         margin: Duration::from_secs(10),
     }
@@ -221,3 +222,24 @@
     }
     full
 }
+
+/// Symptom: at a planned stop of a busy entry an order runs twice. Its record didn't fit the offer.
+#[test]
+fn a_ticket_whose_record_does_not_fit_the_offer_never_runs() {
+    let mut x = ledger("x", 1);
+    let ticket = |nonce| Ticket {
+        expires_at_ms: START_WALL_MS + 30_000 + nonce as u64,
+        ..ticket(nonce)
+    };
+    for nonce in 1..=4 {
+        assert_eq!(x.begin(&ticket(nonce), at(0)), Begin::Run);
+        x.finish(nonce, done(&[7; 100]));
+    }
+    let offered = x.stop().offer("y".into(), 5, at(1));
+    let mut y = ledger("y", 5);
+    y.adopt(offered.offer()).expect("y has room");
+    let said = [1, 2, 4, 5].map(|nonce| y.begin(&ticket(nonce), at(1)));
+    let lost = Begin::Refuse(RefuseReason::Expired);
+    let kept = Begin::Replay(done(&[7; 100]));
+    assert_eq!(said, [lost, kept.clone(), kept, Begin::Run]);
+}
--- a/crates/model/src/filing.rs
+++ b/crates/model/src/filing.rs
@@ -67,6 +67,8 @@
     pub sheds: bool,
     /// Whether X stops and hands over to Y.
     pub hand_over: bool,
+    /// Whether the records fit the offer.
+    pub offer_fits: bool,
     /// How far Y's wall clock is behind X's.
     pub behind_ms: u64,
 }
@@ -228,6 +230,7 @@
             tickets_max: self.remembered_max,
             life_max: Duration::from_millis(10),
             margin: Duration::from_millis(MARGIN_MS),
+            offer_bytes_max: if self.offer_fits { usize::MAX } else { 0 },
             ..Bounds::default()
         };
         let clock = WallClock {
--- a/crates/model/tests/filing.rs
+++ b/crates/model/tests/filing.rs
@@ -24,6 +24,7 @@
         step_back_ms: 3,
         sheds: true,
         hand_over: false,
+        offer_fits: true,
         behind_ms: 0,
     }
 }
@@ -50,6 +51,15 @@
     }
 }
 
+/// A planned stop whose offer has no room for records.
+fn planned_stop_without_records(guards: Guards) -> TicketModel {
+    TicketModel {
+        offer_fits: false,
+        behind_ms: 1,
+        ..planned_stop(guards)
+    }
+}
+
 /// A planned stop of an entry whose memory is full, and a successor's as well.
 fn planned_stop_with_little_memory(guards: Guards) -> TicketModel {
     TicketModel {
@@ -99,6 +109,7 @@
     tickets_run_once_at_one_entry: one_entry;
     tickets_run_once_with_little_memory: little_memory;
     tickets_run_once_over_a_planned_stop: planned_stop;
+    tickets_run_once_over_a_planned_stop_without_records: planned_stop_without_records;
     tickets_run_once_over_a_planned_stop_with_little_memory: planned_stop_with_little_memory;
     claims_run_once: claims;
     claims_run_once_when_entries_die: claims_with_deaths;
@@ -130,6 +141,9 @@
     /// Symptom: as with the stepped clock. The giver calls a ticket expired, the successor's clock
     /// is behind and calls it valid.
     a_successor_with_a_late_clock: unshed(planned_stop), carry_closed, "told not-run";
+    /// Symptom: an order that a stopping entry refused, and that was filed again, arrives twice.
+    /// The record of the refusal didn't fit the offer, and the successor took the ticket for new.
+    a_record_that_does_not_fit: unshed(planned_stop_without_records), carry_closed, "told not-run";
     /// Symptom: two orders under one key. The answer to an insert was lost, it never took effect,
     /// and another entry claimed the key.
     a_lost_answer_taken_for_a_claim: claims, read_back, "ran 2 times";
