filing: a guard for the giver that calls tickets expired

A giver that has made its offer said not-run of an expired ticket that the successor may have run; the rule was there, without a search that shows what for.

--- a/crates/filing/src/guards.rs
+++ b/crates/filing/src/guards.rs
@@ -13,6 +13,8 @@
     pub burn_refused: bool,
     /// Nothing runs once the records were offered to a successor.
     pub stop_before_offer: bool,
+    /// Once it has made its offer, a ledger calls no unused ticket expired.
+    pub unknown_once_offered: bool,
     /// A repeated offer changes nothing at the successor.
     pub adopt_once: bool,
     /// An offer is valid for one incarnation of the successor.
@@ -37,6 +39,7 @@
             one_clock: true,
             burn_refused: true,
             stop_before_offer: true,
+            unknown_once_offered: true,
             adopt_once: true,
             bind_successor: true,
             carry_closed: true,
--- a/crates/filing/src/ledger.rs
+++ b/crates/filing/src/ledger.rs
@@ -330,7 +330,9 @@
         let over = match &self.phase {
             // The successor may have run it since the offer, so its expiry proves nothing here.
             Phase::Closed { successor } if self.guards.stop_before_offer => {
-                Some(RefuseReason::HandedOver(successor.clone()))
+                let over = self.over(ticket, origin, now);
+                let over = over.filter(|_| !self.guards.unknown_once_offered);
+                Some(over.unwrap_or(RefuseReason::HandedOver(successor.clone())))
             }
             _ => self.over(ticket, origin, now),
         };
--- a/crates/model/tests/filing.rs
+++ b/crates/model/tests/filing.rs
@@ -133,7 +133,10 @@
     a_ticket_refused_for_memory: little_memory, burn_refused, "told not-run";
     /// Symptom: an order arrives twice around a planned stop. Giver and successor both run it.
     a_giver_that_goes_on: unshed(planned_stop), stop_before_offer, "ran 2 times";
-    /// Symptom: as above. The offer is repeated after a lost acknowledgement, and the successor
+    /// Symptom: an order that was refused as expired, and filed again, arrives twice. The successor
+    /// had run it before its end, and a copy came to the giver after.
+    a_giver_that_calls_tickets_expired: unshed(planned_stop), unknown_once_offered, "told not-run";
+    /// Symptom: an order arrives twice around a planned stop. The offer is repeated after a lost acknowledgement, and the successor
     /// loses what it ran since the first.
     a_repeated_offer: unshed(planned_stop), adopt_once, "ran 2 times";
     /// Symptom: as above. The successor runs a ticket, restarts, and takes a copy of the offer.
