--- a/crates/load/src/drive.rs
+++ b/crates/load/src/drive.rs
@@ -9,6 +9,7 @@
         Callers,
         Daemons, //
     },
+    client::client,
     clock::Clock,
     record::{
         CallerRecord,
@@ -23,10 +24,6 @@
         Arrival, //
     },
 };
-use awc::{
-    Client,
-    Connector, //
-};
 use bytestring::ByteString;
 use std::{
     collections::BTreeMap,
@@ -42,13 +39,6 @@
 
 /// Time between the plan and the first arrival, for threads to start.
 const LEAD: Duration = Duration::from_millis(100);
-/// Connections that a thread may have at a time.
-const MOST_CONNECTIONS: usize = 50_000;
-/// Idle time after which a connection is not used again; shorter than any server's, so that no
-/// request is sent while the other end closes it for being idle.
-const IDLE: Duration = Duration::from_secs(2);
-/// Longest wait for a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Addresses that a scene leaves open.
 #[derive(Clone, Debug, Default)]
@@ -106,19 +96,6 @@
     driven
 }
 
-/// A client with connections enough for open loop.
-pub(crate) fn client() -> Client {
-    let connector = Connector::new()
-        .limit(MOST_CONNECTIONS)
-        .conn_keep_alive(IDLE)
-        .timeout(CONNECT_TIMEOUT);
-    Client::builder()
-        .connector(connector)
-        .disable_redirects()
-        .disable_timeout()
-        .finish()
-}
-
 /// Deals the arrivals out to threads; all of one caller's go to the same, which has its cache.
 fn shares(arrivals: Vec<Arrival>, threads: usize) -> Vec<Vec<Arrival>> {
     let mut shares = vec![Vec::new(); threads];
--- a/crates/load/src/gather.rs
+++ b/crates/load/src/gather.rs
@@ -1,7 +1,7 @@
 //! Fetches the upstreams' side: the list that names them and the record of what each ran.
 
 use crate::{
-    drive::client,
+    client::client,
     record::{
         Run,
         UpstreamFacts, //
--- a/crates/load/src/hop.rs
+++ b/crates/load/src/hop.rs
@@ -4,8 +4,8 @@
 //! that stay open, so that whatever else the machine does meets both alike.
 
 use crate::{
+    client::client,
     clock::micros,
-    drive::client,
     table::{
         histogram,
         ms, //
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -15,6 +15,7 @@
 //! `rig` use this crate in their own process; the binary is a thin wrapper.
 
 mod caller;
+mod client;
 mod clock;
 mod drive;
 mod gather;
--- a/crates/load/src/lookups.rs
+++ b/crates/load/src/lookups.rs
@@ -4,8 +4,8 @@
 //! random, so that no answer profits from the one before.
 
 use crate::{
+    client::client,
     clock::micros,
-    drive::client,
     table::{
         histogram,
         ms, //
--- a/crates/rig/src/rig.rs
+++ b/crates/rig/src/rig.rs
@@ -364,6 +364,13 @@
         sites
     }
 
+    /// Requests that upstreams have run so far.
+    pub fn ran(&self) -> usize {
+        let controls = [self.upstreams.as_str().into()];
+        let gathered = gather(&self.platform, &controls).expect("the stand-ins answer");
+        gathered.runs.len()
+    }
+
     /// Drives a scene, lets the fault happen meanwhile, and judges.
     pub fn run(&mut self, scene: &Scene, fault: impl FnOnce(&mut Self)) -> Trial {
         let load = {
--- a/crates/rig/tests/faults.rs
+++ b/crates/rig/tests/faults.rs
@@ -96,6 +96,29 @@
     scene
 }
 
+/// The scene with callers who repeat each filing, with the same ticket, before it can be over.
+fn impatient(layout: &Layout) -> Scene {
+    let mut scene = scene(layout);
+    for class in &mut scene.classes {
+        if class.filing != FilingWay::None {
+            class.attempt_ms = Some(15);
+        }
+    }
+    scene
+}
+
+/// The scene with callers who repeat each filing, with the same key and anywhere.
+fn impatient_keyed(layout: &Layout) -> Scene {
+    let filing = FilingWay::Key;
+    let mut scene = impatient(layout);
+    for class in &mut scene.classes {
+        if class.filing == FilingWay::Ticket {
+            class.filing = filing;
+        }
+    }
+    scene
+}
+
 /// The scene without filings.
 fn idempotent(layout: &Layout) -> Scene {
     let mut scene = scene(layout);
@@ -143,6 +166,28 @@
     /// for their faults only.
     nothing_wrong: two_regions, scene, 1.0, |_| {};
 
+    /// Symptom: a filing runs twice. Sequence: the caller gives up waiting, closes the connection
+    /// and sends the same ticket again while the first one runs. Cause: a repeat is told from a new
+    /// filing only by what the entry remembers.
+    filings_repeated_by_ticket: two_regions, impatient, 0.8, |_| {};
+
+    /// Symptom and cause as above. Sequence: the same key goes to different entries, of which none
+    /// remembers what the other did; only the table does.
+    filings_repeated_by_key: two_regions, impatient_keyed, 0.8, |_| {};
+
+    /// Symptom: a filing runs twice. Sequence: as above, while half of the answers to claims are
+    /// lost after they took effect. Cause: whoever does not know whether the claim is its own must
+    /// read it back before it sends anything.
+    filings_repeated_by_key_with_lost_answers: two_regions, impatient_keyed, 0.8, |rig| {
+        platform(rig, "table", json!({"kind": "lost-answer", "ratio": 0.5}));
+    };
+
+    /// Symptom: a filing runs twice. Sequence: as above, while the table is down: claims can't be
+    /// made, and a filing by key must be refused rather than run on trust.
+    filings_repeated_by_key_with_the_table_down: two_regions, impatient_keyed, 0.8, |rig| {
+        platform(rig, "table", json!({"kind": "down"}));
+    };
+
     /// Symptom: callers of one entry get reset connections. Sequence: one entry is killed while it
     /// carries requests. Cause: a process dies without notice; look-up answers name it until its
     /// silence is noticed, and its filings stay unknown.
