--- /dev/null
+++ b/crates/ctl/src/command/accept.rs
@@ -0,0 +1,69 @@
+//! `accept`: makes a file the configuration in force.
+
+use crate::{
+    args::AcceptArgs,
+    command::change::{
+        quoted,
+        Pending, //
+    },
+    context::{
+        read_blocks,
+        read_config,
+        Context, //
+    },
+    outcome::{
+        Failure,
+        Output, //
+    },
+};
+use base::Version;
+use op::{
+    AcceptRequest,
+    ConfigAnswer,
+    Refusal, //
+};
+use std::path::Path;
+
+/// Checks the files, then asks for them to be accepted on their base.
+pub(super) async fn run(context: &Context, args: &AcceptArgs) -> Result<Output, Failure> {
+    let (text, _) = read_config(&args.file)?;
+    let blocks = args.blocks.as_deref().map(read_blocks).transpose()?;
+    let base = match args.base {
+        Some(base) => base,
+        None => version_in_force(context).await?,
+    };
+    let command = command_line(args, base);
+    let pending = Pending::new(context, &args.change, command);
+    let request = AcceptRequest {
+        accept_id: pending.accept_id.clone(),
+        author: context.author(),
+        base_version: Some(base),
+        text,
+        blocks: blocks.map(|(text, _)| text),
+    };
+    let what = format!("{} on version {base}", args.file.display());
+    pending.run(&request, &what).await
+}
+
+/// Version in force; zero before the first.
+async fn version_in_force(context: &Context) -> Result<Version, Failure> {
+    match context.client.get::<ConfigAnswer>("/op/v1/config").await {
+        Ok(answer) => Ok(answer.head.version),
+        Err(op::Failure::Refused {
+            refusal: Refusal::NotFound { .. },
+            ..
+        }) => Ok(0),
+        Err(failure) => Err(failure.into()),
+    }
+}
+
+/// Command that repeats this one on the same base: a repeat on a newer one could undo a
+/// colleague's change that came in between.
+fn command_line(args: &AcceptArgs, base: Version) -> String {
+    let word = |path: &Path| quoted(&path.display().to_string());
+    let mut line = format!("accept {} --base {base}", word(&args.file));
+    if let Some(blocks) = &args.blocks {
+        line += &format!(" --blocks {}", word(blocks));
+    }
+    line
+}
--- /dev/null
+++ b/crates/ctl/src/command/check.rs
@@ -0,0 +1,44 @@
+//! `check`: reads a configuration as a daemon would, without one.
+
+use crate::{
+    context::{
+        read_blocks,
+        read_config, //
+    },
+    outcome::{
+        Failure,
+        Output, //
+    },
+};
+use serde_json::json;
+use std::path::Path;
+
+/// Checks both files, and gives the findings of both at once.
+pub(super) fn run(file: &Path, blocks: Option<&Path>) -> Result<Output, Failure> {
+    let config = read_config(file);
+    let blocks = blocks.map(read_blocks).transpose();
+    let (config, blocks) = match (config, blocks) {
+        (Ok((_, config)), Ok(blocks)) => (config, blocks),
+        (config, blocks) => {
+            let failures = [config.err(), blocks.err()];
+            let messages = failures.iter().flatten().map(ToString::to_string);
+            let messages: Vec<String> = messages.collect();
+            return Err(Failure::BadInput(messages.join("\n")));
+        }
+    };
+    let text = format!(
+        "{}: no findings ({} regions, {} classes{})",
+        file.display(),
+        config.regions.len(),
+        config.classes.len(),
+        if blocks.is_some() {
+            ", blocks read"
+        } else {
+            ""
+        },
+    );
+    Ok(Output::new(
+        text,
+        &json!({"file": file, "findings": [], "name": config.name}),
+    ))
+}
--- /dev/null
+++ b/crates/ctl/src/command/status.rs
@@ -0,0 +1,134 @@
+//! `status` and `instances`: a daemon's picture of the system.
+
+use crate::{
+    args::Format,
+    context::Context,
+    outcome::{
+        Failure,
+        Output, //
+    },
+    table::Table,
+};
+use op::{
+    InstanceStatus,
+    Instances,
+    PoolStatus,
+    Status, //
+};
+use std::{
+    io::{
+        stdout,
+        IsTerminal, //
+    },
+    time::Duration, //
+};
+
+/// Moves a terminal's cursor home and clears what is there.
+const CLEAR: &str = "\x1b[H\x1b[2J";
+
+/// Shows the status, once or again and again.
+pub(super) async fn run(
+    context: &Context,
+    watch: bool,
+    interval_s: u64,
+) -> Result<Output, Failure> {
+    if !watch {
+        return look(context).await;
+    }
+    let format = context.global.output;
+    loop {
+        let looked = look(context).await;
+        if format == Format::Text && stdout().is_terminal() {
+            print!("{CLEAR}");
+        }
+        match looked {
+            Ok(output) => output.print(format),
+            // A daemon that stops is what one may be watching for.
+            Err(failure) => eprintln!("{failure}"),
+        }
+        actix_rt::time::sleep(Duration::from_secs(interval_s.max(1))).await;
+    }
+}
+
+async fn look(context: &Context) -> Result<Output, Failure> {
+    let status: Status = context.client.get("/op/v1/status").await?;
+    let Status {
+        instance,
+        incarnation,
+        region,
+        failure_domain,
+        stage,
+        version,
+        highest_version,
+        ..
+    } = &status;
+    let mut text = format!(
+        "{instance}#{incarnation} in {region}/{failure_domain}: {stage}, version {version}"
+    );
+    if highest_version > version {
+        text += &format!(" (has heard of {highest_version})");
+    }
+    text += &format!(
+        "\nup {} s, lease {} ms, {} requests active, {} peers\n\n{}\n{}",
+        status.uptime_ms / 1000,
+        status.lease_left_ms,
+        status.active,
+        status.peers,
+        pools(&status.pools),
+        table_of(&status.instances, *version),
+    );
+    Ok(Output::new(text, &status))
+}
+
+/// Lists the instances that a daemon knows.
+pub(super) async fn instances(context: &Context) -> Result<Output, Failure> {
+    let known: Instances = context.client.get("/op/v1/instances").await?;
+    let highest = known.instances.iter().map(|i| i.version).max();
+    let text = table_of(&known.instances, highest.unwrap_or(0));
+    Ok(Output::new(text, &known))
+}
+
+fn pools(pools: &[PoolStatus]) -> String {
+    let mut table = Table::new(&["service", "upstreams", "open", "slots", "used", "waiting"]);
+    for pool in pools {
+        table.row(vec![
+            pool.service.to_string(),
+            pool.upstreams.to_string(),
+            pool.open.to_string(),
+            pool.slots.usable.to_string(),
+            pool.slots.used.to_string(),
+            pool.waiting.to_string(),
+        ]);
+    }
+    table.render()
+}
+
+fn table_of(instances: &[InstanceStatus], expected: u64) -> String {
+    let mut table = Table::new(&[
+        "instance",
+        "region",
+        "domain",
+        "life",
+        "state",
+        "version",
+        "news",
+        "age",
+        "operators",
+    ]);
+    for instance in instances {
+        let lag = if instance.version < expected { "*" } else { "" };
+        let age = instance.age_ms.map(|age_ms| format!("{age_ms} ms"));
+        table.row(vec![
+            instance.instance.to_string(),
+            instance.region.to_string(),
+            instance.failure_domain.to_string(),
+            instance.incarnation.to_string(),
+            instance.state.to_string(),
+            format!("{}{lag}", instance.version),
+            format!("{:?}", instance.freshness).to_lowercase(),
+            age.unwrap_or_else(|| "-".to_owned()),
+            instance.operator_addr.to_string(),
+        ]);
+    }
+    table.render()
+}
--- a/crates/op/src/lib.rs
+++ b/crates/op/src/lib.rs
@@ -40,6 +40,7 @@
     ClassBurn,
 };
 pub use client::{
+    Change,
     Client,
     Failure, //
 };
