share: search small pools, each guard with the run that needs it

A member that joined later was never asked for a promise, so two newcomers would take what others hold by each other's promises. Whoever vouches must have been a member since the lapsed one's epoch (witness_since).

A guard that the search could not justify is gone: hand-overs by a member without protection are safe, as the receiver has to be protected itself. Hand-overs taken back no longer count as given.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -9,6 +9,7 @@
 mod explore;
 mod filing;
 mod member;
+mod share;
 mod spec;
 
 pub use claims::{
@@ -34,6 +35,12 @@
     LeaseModelState,
     LeaseModelStep, //
 };
+pub use share::{
+    small_terms,
+    ShareModel,
+    Step as ShareStep,
+    World as ShareWorld, //
+};
 pub use spec::{
     AcceptModel,
     AcceptRequest,
--- /dev/null
+++ b/crates/model/tests/share.rs
@@ -0,0 +1,141 @@
+//! Searches of small pools: with every guard on no run breaks the invariant, and with one off a run
+//! does and is told.
+
+use model::{
+    explore,
+    small_terms,
+    ShareModel,
+    ShareStep, //
+};
+use share::{
+    Guards,
+    Terms, //
+};
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+/// States of a search before it gives up; no instance here may come near it.
+const LIMIT_STATES: usize = 400_000;
+
+/// A pool without promises: the leases and floors alone.
+fn plain() -> ShareModel {
+    ShareModel {
+        terms: Terms {
+            promise_term: Duration::ZERO,
+            ..small_terms()
+        },
+        ..ShareModel::default()
+    }
+}
+
+/// Searches `model` with all guards and with `off`; the first must be silent, the second must not.
+fn compare(name: &str, model: &ShareModel, off: Guards) {
+    let started = Instant::now();
+    let whole = explore(model, LIMIT_STATES);
+    println!("{name}: {whole} ({:?})", started.elapsed());
+    let started = Instant::now();
+    let mutant = ShareModel {
+        guards: off,
+        ..model.clone()
+    };
+    let broken = explore(&mutant, LIMIT_STATES);
+    println!("{name}, guard off: {broken} ({:?})", started.elapsed());
+    assert!(whole.counterexample.is_none(), "{whole}");
+    assert!(whole.complete, "{whole}");
+    assert!(
+        broken.counterexample.is_some(),
+        "{name}: the search found nothing"
+    );
+}
+
+/// Names each guard with the instance that shows what it is for.
+macro_rules! guards {
+    ($($guard:ident: $model:expr;)*) => {$(
+        #[test]
+        fn $guard() {
+            let off = Guards { $guard: false, ..Guards::default() };
+            compare(stringify!($guard), &$model, off);
+        }
+    )*};
+}
+
+guards! {
+    wait_for_acks: ShareModel { demands: vec![(0, 1), (0, 3), (1, 3)], horizon: 0, max_epoch: 2, ..plain() };
+    exact_ack: ShareModel { demands: vec![(0, 1), (0, 3), (1, 3)], horizon: 0, max_epoch: 2, ..plain() };
+    keep_minimum: ShareModel { demands: vec![(0, 1), (0, 3), (1, 3)], horizon: 0, max_epoch: 2, ..plain() };
+    ack_in_flight: ShareModel { demands: vec![(0, 3)], horizon: 0, max_epoch: 2, work: true, terms: Terms { grace: Duration::from_secs(2), ..plain().terms }, ..plain() };
+    lease_from_send: ShareModel { slow_renewals: true, max_lease: vec![2, 2], horizon: 3, max_epoch: 2, ..plain() };
+    broken_chain: ShareModel { max_lease: vec![2, 2], horizon: 4, ..plain() };
+    confirm_read: ShareModel { max_lease: vec![2, 2], late_writes: true, horizon: 2, ..plain() };
+    listed_lease: ShareModel { max_lease: vec![2, 2], rows_by_peers: true, late_writes: true, horizon: 2, ..plain() };
+    floor_bound: ShareModel { demands: vec![(1, 5)], tokens: 6, max_lease: vec![1, 2], horizon: 3, max_epoch: 2, ..plain() };
+    witness_since: newcomers_alone();
+    promise_kept: ShareModel { cut_off: vec![0], max_lease: vec![1, 2], horizon: 4, ..ShareModel::default() };
+    promise_from_ask: ShareModel { cut_off: vec![0], max_lease: vec![1, 2], late_beats: true, horizon: 3, max_epoch: 2, ..ShareModel::default() };
+    promise_same_epoch: ShareModel { cut_off: vec![0], max_lease: vec![1, 2], horizon: 4, ..ShareModel::default() };
+    clip_on_adopt: jump_over_an_epoch();
+    give_once: ShareModel { demands: vec![(0, 1), (1, 3)], horizon: 1, max_epoch: 1, ..plain() };
+    give_same_epoch: ShareModel { demands: vec![(0, 1), (1, 3)], horizon: 0, max_epoch: 2, ..plain() };
+    give_stops_first: ShareModel { demands: vec![(0, 1), (1, 3)], horizon: 0, max_epoch: 1, work: true, terms: Terms { grace: Duration::from_secs(2), ..plain().terms }, ..plain() };
+    grace: ShareModel { horizon: 4, max_lease: vec![1, 2], max_epoch: 2, work: true, terms: Terms { grace: Duration::from_secs(2), ..plain().terms }, ..plain() };
+    drift: ShareModel { horizon: 6, max_lease: vec![1, 2], max_epoch: 2, slow_clocks: vec![0], terms: Terms { drift_pct: 25, short_ttl: Duration::from_secs(4), long_ttl: Duration::from_secs(10), ..plain().terms }, ..plain() };
+}
+
+/// Two newcomers and the table, without the one member that has everything.
+fn newcomers_alone() -> ShareModel {
+    use ShareStep::{Read, Renew, Second};
+    let (b, c) = (1, 2);
+    ShareModel {
+        members: 1,
+        joiners: 2,
+        cut_off: vec![0],
+        apart: vec![(0, b), (0, c)],
+        max_lease: vec![1, 2, 2],
+        horizon: 3,
+        prefix: vec![Read(b), Read(c), Second, Renew(b), Renew(c), Second],
+        ..ShareModel::default()
+    }
+}
+
+/// Member a holds on by promises while an epoch goes by that it never sees.
+fn jump_over_an_epoch() -> ShareModel {
+    use ShareStep::{Act, Beat, Demand, Read, Renew, Second};
+    let (a, b, c) = (0, 1, 2);
+    ShareModel {
+        members: 3,
+        tokens: 6,
+        max_lease: vec![2, 3, 3],
+        apart: vec![(a, b)],
+        horizon: 3,
+        terms: Terms {
+            promise_term: Duration::from_secs(2),
+            ..small_terms()
+        },
+        prefix: vec![
+            Second,
+            Renew(b),
+            Renew(c),
+            Beat(a, b),
+            Beat(a, c),
+            Beat(b, a),
+            Beat(c, a),
+            Second,
+            Renew(b),
+            Renew(c),
+            Read(b),
+            Read(c),
+            Demand(b, 4),
+            Act(b),
+            Read(b),
+            Read(c),
+            Beat(c, b),
+            Renew(a),
+            Demand(a, 2),
+            Beat(a, c),
+            Act(c),
+        ],
+        ..ShareModel::default()
+    }
+}
--- a/crates/share/src/handover.rs
+++ b/crates/share/src/handover.rs
@@ -33,8 +33,8 @@
     }
 
     /// Picks idle tokens for the neediest other member and stops using them.
-    pub(crate) fn plan_give(&mut self, now: Now) {
-        if !self.may_give(now) {
+    pub(crate) fn plan_give(&mut self) {
+        if !self.may_give() {
             return;
         }
         let Some((resource, idle)) = self.most_idle() else {
@@ -84,22 +84,23 @@
 
     /// Takes back tokens that were never sent.
     pub(crate) fn undo_pending_give(&mut self) {
-        for give in self
-            .pending_give
-            .take()
-            .into_iter()
-            .chain(self.gives.drain(..))
-            .collect::<Vec<_>>()
-        {
+        let unsent: Vec<Give> = self.pending_give.take().into_iter().collect();
+        for give in unsent.into_iter().chain(std::mem::take(&mut self.gives)) {
             self.shift(&give.resource, give.n, true);
+            self.give_seq -= 1;
+            if let Some(peer) = self.peers.get_mut(&give.to) {
+                peer.held = peer.held.saturating_sub(give.n);
+            }
         }
     }
 
-    /// Whether a hand-over can start: the surplus is the own, and everything in flight is known.
-    fn may_give(&self, now: Now) -> bool {
-        let protected = now < self.protected_until() || !self.guards.give_protected;
+    /// Whether a hand-over can start: the allotment is held, and everything in flight is known.
+    ///
+    /// A giver needs no protection. Whoever may use the tokens after it is at the same epoch and has
+    /// to be protected itself.
+    fn may_give(&self) -> bool {
         let fresh = self.in_flight_fresh || !self.guards.give_stops_first;
-        self.settled && protected && fresh && self.pending_give.is_none() && !self.dead
+        self.settled && fresh && self.pending_give.is_none() && !self.dead
     }
 
     /// Tokens that the own demand leaves; one is kept, so that a burst finds something.
--- a/crates/share/src/lease.rs
+++ b/crates/share/src/lease.rs
@@ -58,8 +58,19 @@
     pub(crate) seq: u64,
     /// When it was first seen.
     first_seen: Now,
-    /// Start of the last read that still found it.
-    confirmed: Now,
+    /// What a read that started after the term showed.
+    confirmed: Lapse,
+}
+
+/// How far a lease has lapsed.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+enum Lapse {
+    /// It may protect everything.
+    Alive,
+    /// The short term has passed.
+    Short,
+    /// The long term has passed.
+    Long,
 }
 
 impl SeenLease {
@@ -68,37 +79,45 @@
         Self {
             seq,
             first_seen: now,
-            confirmed: now,
+            confirmed: Lapse::Alive,
         }
     }
 
     /// Notes that a read of the table which started at `read_at` found this lease.
-    pub(crate) fn confirm(&mut self, read_at: Now) {
-        self.confirmed = self.confirmed.max(read_at);
+    pub(crate) fn confirm(&mut self, read_at: Now, terms: &Terms, guards: &Guards) {
+        self.confirmed = self.confirmed.max(self.lapse_at(read_at, terms, guards));
     }
 
     /// Whether the holder has by its own clock been past the short term.
     pub(crate) fn short_lapsed(&self, now: Now, terms: &Terms, guards: &Guards) -> bool {
-        self.lapsed(
-            terms.with_drift(terms.short_ttl, guards),
-            now,
-            terms,
-            guards,
-        )
+        self.known_lapse(now, terms, guards) >= Lapse::Short
     }
 
     /// Whether the holder has by its own clock been past the long term.
     pub(crate) fn long_lapsed(&self, now: Now, terms: &Terms, guards: &Guards) -> bool {
-        self.lapsed(terms.with_drift(terms.long_ttl, guards), now, terms, guards)
+        self.known_lapse(now, terms, guards) == Lapse::Long
     }
 
-    fn lapsed(&self, ttl: Now, now: Now, terms: &Terms, guards: &Guards) -> bool {
-        let end = self.first_seen + ttl + terms.outliving(guards);
-        let at = if guards.confirm_read {
+    fn known_lapse(&self, now: Now, terms: &Terms, guards: &Guards) -> Lapse {
+        if guards.confirm_read {
             self.confirmed
         } else {
-            now
+            self.lapse_at(now, terms, guards)
+        }
+    }
+
+    /// How far a lease that nobody renews has lapsed at `at`.
+    fn lapse_at(&self, at: Now, terms: &Terms, guards: &Guards) -> Lapse {
+        let ended = |ttl| {
+            let end = self.first_seen + terms.with_drift(ttl, guards) + terms.outliving(guards);
+            at >= end
         };
-        at >= end
+        if ended(terms.long_ttl) {
+            Lapse::Long
+        } else if ended(terms.short_ttl) {
+            Lapse::Short
+        } else {
+            Lapse::Alive
+        }
     }
 }
--- a/crates/share/src/member.rs
+++ b/crates/share/src/member.rs
@@ -80,8 +80,6 @@
     pub(crate) seen_mine: u64,
     /// End of its promise to this member.
     pub(crate) promise_until: Now,
-    /// Whether it said since the last tick that it is behind.
-    pub(crate) behind: bool,
 }
 
 /// State machine of one member of one pool.
@@ -216,7 +214,8 @@
         self.see_lease(&beat.from, beat.lease_seq, now);
         self.keep_beat(beat, now);
         let same_epoch = beat.epoch == self.epoch() || !self.guards.promise_same_epoch;
-        if same_epoch && !self.dead && self.lists(&beat.from) {
+        let promises = !self.terms.promise_term.is_zero();
+        if promises && same_epoch && !self.dead && self.lists(&beat.from) {
             let (terms, guards) = (self.terms, self.guards);
             self.owed
                 .grant(&beat.from, beat.asked, now, &terms, &guards);
@@ -226,11 +225,12 @@
 
     /// Sorts the facts of a beat into what is kept of its sender.
     fn keep_beat(&mut self, beat: &PoolBeat, now: Now) {
-        let mine = self.epoch();
         let peer = self.peers.entry(beat.from.clone()).or_default();
         if let Some(asked) = beat.granted.get(&self.me) {
             let end = promise_end(*asked, now, &self.terms, &self.guards);
-            peer.promise_until = peer.promise_until.max(end);
+            if now < end {
+                peer.promise_until = peer.promise_until.max(end);
+            }
         }
         peer.released |= beat.released;
         peer.leaving |= beat.leaving;
@@ -247,7 +247,6 @@
         peer.unlisted = beat.unlisted;
         peer.demand = beat.demand;
         peer.held = beat.held;
-        peer.behind = beat.epoch < mine;
         for (member, seq) in &beat.seen {
             if *member == self.me {
                 peer.seen_mine = peer.seen_mine.max(*seq);
@@ -288,7 +287,7 @@
         self.see_lease(member, seq, now);
         if let Some(lease) = self.leases.get_mut(member) {
             if lease.seq == seq {
-                lease.confirm(read_at);
+                lease.confirm(read_at, &self.terms, &self.guards);
             }
         }
         self.try_settle(now);
@@ -355,11 +354,10 @@
     /// Lets time pass; what the daemon has to do.
     pub fn tick(&mut self, now: Now) -> Vec<Action> {
         self.touch(now);
-        self.owed.expire(now);
         self.try_settle(now);
-        self.plan_give(now);
+        self.plan_give();
         let mut actions: Vec<Action> = self.gives.drain(..).map(Action::Give).collect();
-        actions.extend(self.rows_for_those_behind());
+        actions.extend(self.rows_for_those_behind(now));
         actions.extend(self.proposal(now));
         actions
     }
@@ -430,6 +428,12 @@
         if self.is_dead(now) {
             self.die();
         }
+        self.owed.expire(now);
+        for peer in self.peers.values_mut() {
+            if now >= peer.promise_until {
+                peer.promise_until = Now::ZERO;
+            }
+        }
     }
 
     fn die(&mut self) {
@@ -480,21 +484,23 @@
             .collect()
     }
 
-    fn rows_for_those_behind(&mut self) -> Vec<Action> {
+    /// The row, for those who were heard lately and are behind: they may be cut off from the table.
+    fn rows_for_those_behind(&self, now: Now) -> Vec<Action> {
         let Some(row) = &self.row else {
             return Vec::new();
         };
-        let mut actions = Vec::new();
-        for (to, peer) in &mut self.peers {
-            if std::mem::take(&mut peer.behind) {
-                let (to, row) = (to.clone(), Arc::clone(row));
-                actions.push(Action::SendRow { to, row });
-            }
-        }
-        actions
+        let behind = |(_, peer): &(&MemberId, &Peer)| peer.epoch < row.epoch;
+        let heard = self.peers.iter().filter(behind);
+        heard
+            .filter(|(to, _)| self.owed.owes(to, now))
+            .map(|(to, _)| Action::SendRow {
+                to: to.clone(),
+                row: Arc::clone(row),
+            })
+            .collect()
     }
 
-    /// Adds `sign`·`n` to what is held and to the balance of hand-overs.
+    /// Moves `n` tokens into what is held, or out of it, and notes it in the balance of the epoch.
     pub(crate) fn shift(&mut self, resource: &ResourceId, n: u32, receive: bool) {
         let held = amount(&self.held, resource);
         let (rest, change) = if receive {
--- a/crates/share/src/propose.rs
+++ b/crates/share/src/propose.rs
@@ -25,14 +25,15 @@
             self.wanted_since = None;
         }
         let row = row?;
-        let since = *self.wanted_since.get_or_insert(now);
-        let wait = self.terms.propose_step * self.rank(&row);
-        if now < since + wait {
+        let since = self.wanted_since.unwrap_or(now);
+        if now < since + self.terms.propose_step * self.rank(&row) {
+            self.wanted_since = Some(since);
             return None;
         }
         // The next attempt waits a whole round, for the answer to this one or the others' turn.
         let members = u32::try_from(row.members.len()).unwrap_or(u32::MAX);
-        self.wanted_since = Some(now + self.terms.propose_step * members);
+        let round = self.terms.propose_step * members;
+        self.wanted_since = (!round.is_zero()).then(|| now + round);
         let expect_epoch = self.row.as_ref().map(|row| row.epoch);
         Some(Action::Propose { expect_epoch, row })
     }
--- a/crates/share/src/terms.rs
+++ b/crates/share/src/terms.rs
@@ -15,7 +15,7 @@
     pub drift_pct: u32,
     /// How long work may go on after the check that let it start: its deadline at the upstream.
     pub grace: Duration,
-    /// How long a promise lasts, counted by the holder from before it asked.
+    /// How long a promise lasts, counted by the holder from before it asked; zero for no promises.
     pub promise_term: Duration,
     /// How long a member waits for each one before it in the order of proposers.
     pub propose_step: Duration,
@@ -100,8 +100,6 @@
     pub give_same_epoch: bool,
     /// A giver stops using before it gives.
     pub give_stops_first: bool,
-    /// A member without protection hands nothing over.
-    pub give_protected: bool,
     /// Observers allow for work that outlives its lease.
     pub grace: bool,
     /// Observers allow for clocks that run slow.
@@ -128,7 +126,6 @@
             give_once: true,
             give_same_epoch: true,
             give_stops_first: true,
-            give_protected: true,
             grace: true,
             drift: true,
         }
