--- a/crates/daemon/src/process/control/beats.rs
+++ b/crates/daemon/src/process/control/beats.rs
@@ -5,7 +5,10 @@
 //! beat. The interval grows with the number of partners, so that a large deployment's beats stay
 //! within their share of bytes.
 
-use crate::process::control::Control;
+use crate::process::{
+    control::Control,
+    stop::Stage, //
+};
 use actix::{
     AsyncContext,
     Context,
@@ -14,7 +17,8 @@
 use base::{
     Incarnation,
     InstanceId,
-    Now, //
+    Now,
+    Version, //
 };
 use bytes::Bytes;
 use bytestring::ByteString;
@@ -162,7 +166,7 @@
             instance: self.shared.settings.instance.clone(),
             incarnation: self.shared.incarnation(),
             state: self.beat_state(),
-            version: self.version(),
+            version: self.serving_version(),
             digest: Bytes::new(),
             instances: self.some_summaries(to),
             regions: self.region_summaries(same_region),
@@ -171,6 +175,16 @@
         }
     }
 
+    /// Version that callers are served by; zero before the first, which keeps this entry out of
+    /// other daemons' look-up answers.
+    fn serving_version(&self) -> Version {
+        if self.stage == Stage::Starting {
+            0
+        } else {
+            self.version()
+        }
+    }
+
     fn beat_state(&self) -> BeatState {
         if self.is_stopping() {
             BeatState::Leaving
--- a/crates/daemon/src/process/control/config/adopt.rs
+++ b/crates/daemon/src/process/control/config/adopt.rs
@@ -188,6 +188,7 @@
     /// Lets time pass: gives up what was not heard and what was not answered.
     pub(in crate::process::control) fn tick_versions(&mut self, ctx: &mut Context<Self>) {
         self.tick_fetch(ctx);
+        self.serve_if_ready();
         if self.now() < self.versions.give_up_at {
             return;
         }
@@ -221,10 +222,11 @@
         }
     }
 
-    /// Begins to answer callers once the state machine says that nothing newer may be known.
+    /// Begins to answer callers once the state machine says that nothing newer may be known and
+    /// this entry has its part of the slots: one that serves before that refuses all it gets.
     fn serve_if_ready(&mut self) {
         let is_ready = self.versions.adopt.as_ref().is_some_and(Adopt::is_ready);
-        if is_ready && self.stage == Stage::Starting {
+        if self.stage == Stage::Starting && is_ready && self.shares_joined() {
             self.stage = Stage::Serving;
             self.publish();
             self.beat_soon();
--- a/crates/daemon/src/process/control/mod.rs
+++ b/crates/daemon/src/process/control/mod.rs
@@ -120,6 +120,8 @@
     shared: Arc<Shared>,
     platform: Rc<HttpPlatform>,
     rng: SmallRng,
+    /// When the incarnation was claimed.
+    started_at: Now,
     /// When the slower ticks last ran.
     slow_at: Now,
     stage: Stage,
@@ -174,6 +176,7 @@
         Self {
             platform: Rc::new(platform),
             rng: SmallRng::seed_from_u64(rand::random()),
+            started_at: Now::ZERO,
             slow_at: Now::ZERO,
             stage: Stage::Starting,
             stopping: None,
@@ -224,6 +227,7 @@
 
     /// Starts what needs an incarnation.
     fn start(&mut self, ctx: &mut Context<Self>) {
+        self.started_at = self.now();
         self.start_mesh(ctx);
         self.read_list(ctx);
         self.read_loads(ctx);
--- a/crates/daemon/src/process/control/publish.rs
+++ b/crates/daemon/src/process/control/publish.rs
@@ -97,6 +97,11 @@
     fn entries_of(&self, config: &Config, region: &RegionId) -> Vec<Entry> {
         let settings = &self.shared.settings;
         let candidates = self.picture.candidates(self.now()).into_iter();
+        // An instance that was heard of and serves no version yet has just started.
+        let candidates = candidates.filter(|candidate| {
+            let facts = self.picture.instance(&candidate.identity.instance);
+            candidate.incarnation == 0 || facts.is_some_and(|facts| facts.version > 0)
+        });
         let others = candidates.map(|candidate| (candidate.identity, candidate.incarnation));
         let me =
             (self.stage == Stage::Serving).then(|| (self.identity(), self.shared.incarnation()));
--- a/crates/daemon/src/process/control/shares.rs
+++ b/crates/daemon/src/process/control/shares.rs
@@ -64,6 +64,8 @@
 
 /// Time between reads of a pool's row while no peer tells of a newer one.
 const ROW_INTERVAL: Duration = Duration::from_secs(5);
+/// Longest that a new entry waits for its part before it serves.
+const JOIN_LIMIT: Duration = Duration::from_secs(15);
 /// Longest that a member's beats to one peer stay away when nothing changed.
 const BEAT_UNCHANGED: Duration = Duration::from_secs(2);
 
@@ -385,6 +387,20 @@
         silent
     }
 
+    /// Whether this entry has its part of every pool of slots, or has waited long enough.
+    ///
+    /// A member that died without a word holds its part until its lease has lapsed; the rest of
+    /// the region must not wait for that.
+    pub(super) fn shares_joined(&self) -> bool {
+        let joined = |shared: &Shared| match &shared.tokens {
+            Tokens::Slots(pool) => pool.upstreams().is_empty() || shared.member.is_settled(),
+            Tokens::Cap(_) => true,
+        };
+        let listed = self.picture.upstreams().next().is_some();
+        let all = listed && self.shares.values().all(joined);
+        all || self.now() >= self.started_at + JOIN_LIMIT
+    }
+
     /// Whether every pool has given its tokens back.
     pub(super) fn shares_released(&self) -> bool {
         self.shares
--- a/crates/rig/src/layout.rs
+++ b/crates/rig/src/layout.rs
@@ -19,6 +19,10 @@
     pub terms: Vec<(&'static str, u64)>,
     /// Bytes a second that may go from each region to each other.
     pub cap_bytes_per_s: u64,
+    /// Key that operators must prove.
+    pub operator_key: Option<&'static str>,
+    /// Whether each daemon reaches the platform by a relay of its own, which can be cut.
+    pub platform_relays: bool,
 }
 
 /// One region.
@@ -64,6 +68,8 @@
             between_regions_us: 0,
             terms: Self::quick_terms(),
             cap_bytes_per_s: 100_000_000,
+            operator_key: None,
+            platform_relays: false,
         }
     }
 
@@ -223,7 +229,7 @@
     daemon: &crate::Daemon,
     platform: &str,
     dial: &[(String, String)],
-    terms: &[(&'static str, u64)],
+    layout: &Layout,
 ) -> String {
     let mut text = format!(
         "instance: {}\nregion: {}\nfailure_domain: {}\ncallers_addr: {}\npeers_addr: {}\n\
@@ -231,17 +237,20 @@
          peer_key: key-of-the-rig-only-for-tests\ntraffic_threads: 1\n",
         daemon.id, daemon.region, daemon.domain, daemon.callers, daemon.peers, daemon.operator
     );
+    if let Some(key) = layout.operator_key {
+        // Writing to a string can't fail.
+        let _ = writeln!(text, "operator_key: {key}");
+    }
     if !dial.is_empty() {
         text.push_str("dial:\n");
     }
     for (listed, dialled) in dial {
-        // Writing to a string can't fail.
         let _ = writeln!(text, "  - {{listed: \"{listed}\", dial: \"{dialled}\"}}");
     }
-    if !terms.is_empty() {
+    if !layout.terms.is_empty() {
         text.push_str("terms:\n");
     }
-    for (name, value) in terms {
+    for (name, value) in &layout.terms {
         let _ = writeln!(text, "  {name}: {value}");
     }
     text
--- a/crates/rig/src/rig.rs
+++ b/crates/rig/src/rig.rs
@@ -164,7 +164,8 @@
         Ok(rig)
     }
 
-    /// Starts a relay from each region to each address of a daemon elsewhere.
+    /// Starts a relay from each region to each address of a daemon elsewhere, and those to the
+    /// platform if they are asked for.
     fn start_links(&mut self) -> Result<BTreeMap<String, String>, String> {
         let mut args = Vec::new();
         for from in &self.layout.regions {
@@ -179,6 +180,13 @@
                 }
             }
         }
+        if self.layout.platform_relays {
+            for daemon in self.daemons.values() {
+                let name = platform_relay(&daemon.id);
+                args.push("--relay".to_owned());
+                args.push(format!("name={name},to={}", self.platform));
+            }
+        }
         if args.is_empty() {
             return Ok(BTreeMap::new());
         }
@@ -199,7 +207,9 @@
                     Some((addr.clone(), dialled.clone()))
                 })
                 .collect();
-            let text = settings(daemon, &self.platform, &dial, &self.layout.terms);
+            let platform = links.get(&platform_relay(&daemon.id));
+            let platform = platform.unwrap_or(&self.platform);
+            let text = settings(daemon, platform, &dial, &self.layout);
             write(&self.dir.join(format!("{}.yaml", daemon.id)), &text)?;
         }
         Ok(())
@@ -353,6 +363,14 @@
         }
     }
 
+    /// Sets the fault of the relay from a daemon to the platform.
+    pub fn fault_platform_relay(&self, id: &str, kind: &str) {
+        let links = self.links.as_deref().unwrap_or_default();
+        let fault = json!({"name": platform_relay(id), "kind": kind});
+        let reply = ask(Method::POST, links, "/fault", Some(&fault));
+        assert_eq!(reply.status, 200, "{}", reply.body);
+    }
+
     /// Addresses for a scene.
     pub fn sites(&self) -> Sites {
         let mut sites = Sites::default();
@@ -455,6 +473,11 @@
     format!("{from}>{addr}")
 }
 
+/// Name of the relay from a daemon to the platform.
+fn platform_relay(id: &str) -> String {
+    format!("{id}>platform")
+}
+
 fn write(path: &PathBuf, text: &str) -> Result<(), String> {
     fs::write(path, text).map_err(|error| format!("{}: {error}", path.display()))
 }
