--- a/crates/daemon/src/process/control/claims.rs
+++ b/crates/daemon/src/process/control/claims.rs
@@ -95,6 +95,12 @@
         self.commit_claims(ctx);
     }
 
+    /// Tries the writes again that failed and that nobody waits for.
+    pub(super) fn unpark_claims(&mut self, ctx: &mut Context<Self>) {
+        self.claims.batch.unpark();
+        self.commit_claims(ctx);
+    }
+
     fn run_claim_step(&mut self, caller: u64, step: ClaimStep, ctx: &mut Context<Self>) {
         match step {
             ClaimStep::Nothing | ClaimStep::Send => {}
--- a/crates/daemon/src/process/control/mod.rs
+++ b/crates/daemon/src/process/control/mod.rs
@@ -13,6 +13,7 @@
 //! - `steering`: slow start, suspicion, and what other regions say of themselves.
 //! - `claims`: callers' keys, claimed in the table for traffic threads.
 //! - `config`: the accepted configuration.
+//! - `outcomes`: what came of tickets, written to the table for when this process is gone.
 //! - `publish`: the snapshot for traffic threads.
 //! - `handover`: filings at a planned stop.
 //! - `stopping`: the planned stop.
@@ -24,6 +25,7 @@
 mod handover;
 mod lease;
 mod list;
+mod outcomes;
 mod publish;
 mod shares;
 mod status;
@@ -54,6 +56,7 @@
         claims::Claims,
         config::Versions,
         lease::Lease,
+        outcomes::Outcomes,
         shares::{
             Shared as Share,
             Told, //
@@ -159,6 +162,7 @@
     shares: BTreeMap<PoolId, Share>,
     steering: Steering,
     claims: Claims,
+    outcomes: Outcomes,
 }
 
 impl Control {
@@ -201,6 +205,7 @@
             shares: BTreeMap::new(),
             steering: Steering::default(),
             claims: Claims::default(),
+            outcomes: Outcomes::default(),
             shared,
         }
     }
@@ -256,6 +261,8 @@
         self.observe_leases(ctx);
         self.set_partners();
         self.forget_filings();
+        self.tick_outcomes(ctx);
+        self.unpark_claims(ctx);
         self.export_gauges();
         // Silence alone changes who is named in look-ups.
         self.publish();
@@ -301,6 +308,7 @@
             Note::Claim(wanted) => self.claim(wanted, ctx),
             Note::Ended(insert) => self.write_outcome(insert, ctx),
             Note::Release(releaser) => self.release(releaser, ctx),
+            Note::Outcome(nonce, reply) => self.read_outcome(nonce, reply, ctx),
         }
     }
 
--- a/crates/daemon/src/process/filings.rs
+++ b/crates/daemon/src/process/filings.rs
@@ -53,6 +53,26 @@
         each!(self, ledger => ledger.begin(ticket, now))
     }
 
+    /// Decides what to tell a request that the entry won't run, for reasons of its own.
+    pub(crate) fn refuse(&mut self, ticket: &Ticket, now: Now) -> Begin {
+        each!(self, ledger => ledger.refuse(ticket, now))
+    }
+
+    /// Outcomes that are not in the table yet, up to `count`.
+    pub(crate) fn unwritten(&self, count: usize) -> Vec<(Nonce, Record)> {
+        match self {
+            Self::Open(ledger) => ledger.unwritten(count),
+            Self::Draining(stopping) => stopping.ledger().unwritten(count),
+            Self::Offered(stopping) => stopping.ledger().unwritten(count),
+            Self::HandedOver(stopping) => stopping.ledger().unwritten(count),
+        }
+    }
+
+    /// Notes that these outcomes are in the table.
+    pub(crate) fn written(&mut self, nonces: &[Nonce]) {
+        each!(self, ledger => ledger.written(nonces));
+    }
+
     /// Keeps what came of a running filing.
     pub(crate) fn finish(&mut self, nonce: Nonce, record: Record) {
         each!(self, ledger => ledger.finish(nonce, record));
--- a/crates/daemon/src/process/shared.rs
+++ b/crates/daemon/src/process/shared.rs
@@ -29,6 +29,8 @@
     Insert,
     Key,
     Ledger,
+    Nonce,
+    Record,
     Releaser,
     WallClock, //
 };
@@ -67,6 +69,8 @@
     Ended(Insert),
     /// A claim of which nothing was sent is to be given up.
     Release(Releaser),
+    /// The outcome of a ticket is wanted from the table.
+    Outcome(Nonce, oneshot::Sender<Option<Record>>),
 }
 
 /// A key to be claimed; the answer goes to the one traffic thread that waits for it.
--- a/crates/daemon/src/request/filing.rs
+++ b/crates/daemon/src/request/filing.rs
@@ -39,7 +39,8 @@
     Claimer,
     Record,
     RefuseReason,
-    Ticket, //
+    Ticket,
+    NO_CALLER, //
 };
 use actix_web::{
     http::{
@@ -56,7 +57,10 @@
 };
 use base::RunOutcome;
 use bytestring::ByteString;
-use std::time::Duration;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 use tokio::sync::oneshot;
 
 /// Longest idempotency key, in bytes.
@@ -80,16 +84,62 @@
 type Ran = Result<HttpResponse, Answer>;
 
 /// Runs a filing, or answers what came of it before.
+///
+/// `admitted` says what else is wrong with the request; a ticket that is refused for it is burned.
 pub(crate) async fn file(
     work: Work,
+    admitted: Result<(), Answer>,
     request: &HttpRequest,
     payload: web::Payload,
 ) -> Result<HttpResponse, Answer> {
-    let way = Way::of(request.headers(), &work.traffic.shared)?;
-    match way {
-        Way::Ticket(ticket) => by_ticket(work, request, payload, ticket).await,
+    match Way::of(request.headers(), &work.traffic.shared)? {
+        Way::Ticket(ticket) => {
+            let body = match admitted {
+                Ok(()) => read_for(&work, &ticket, request, payload).await,
+                Err(answer) => Err(answer),
+            };
+            match body {
+                Ok(body) => by_ticket(work, request, body, ticket).await,
+                Err(answer) => refuse(&work, &ticket, answer).await,
+            }
+        }
         Way::Key(_) if work.is_refusing() => Err(work.stopping()),
-        Way::Key(key) => by_key(work, request, payload, &key).await,
+        Way::Key(key) => {
+            admitted?;
+            by_key(work, request, payload, &key).await
+        }
+    }
+}
+
+/// Reads the body of a filing whose ticket is for this class.
+///
+/// The body comes before the ledger is asked: a caller who sends it slowly holds nothing meanwhile.
+async fn read_for(
+    work: &Work,
+    ticket: &Ticket,
+    request: &HttpRequest,
+    payload: web::Payload,
+) -> Result<Body, Answer> {
+    if ticket.class != work.class.class.id {
+        let detail = "the ticket is for another class";
+        return Err(Answer::not_run(Reason::TicketRefused, detail));
+    }
+    work.read_body(request.headers(), payload).await
+}
+
+/// Refuses a filing with a valid ticket, for reasons of this entry's own.
+///
+/// A copy of it may be running or may come later. `not-run` is only true once the ledger has made
+/// sure that no copy ran or will run; otherwise the caller is told what is known of the copy.
+async fn refuse(work: &Work, ticket: &Ticket, answer: Answer) -> Result<HttpResponse, Answer> {
+    let shared = &work.traffic.shared;
+    let begun = shared.with_filings(|filings| filings.refuse(ticket, shared.now()));
+    match begun {
+        Some(Begin::Replay(record)) if record.outcome == RunOutcome::NotRun => Err(answer),
+        Some(Begin::Replay(record)) => replay(work, record),
+        Some(Begin::Refuse(reason)) => refused(work, ticket, &reason).await,
+        Some(Begin::Wait | Begin::Run) => Err(in_progress(None)),
+        None => Err(Answer::unknown(Reason::NotReady, "no incarnation yet")),
     }
 }
 
@@ -129,29 +179,23 @@
 async fn by_ticket(
     work: Work,
     request: &HttpRequest,
-    payload: web::Payload,
+    body: Body,
     ticket: Ticket,
 ) -> Result<HttpResponse, Answer> {
-    if ticket.class != work.class.class.id {
-        let answer = Answer::not_run(Reason::TicketRefused, "the ticket is for another class");
-        return Err(answer);
-    }
-    let shared = std::sync::Arc::clone(&work.traffic.shared);
-    // The body comes first: a caller who sends it slowly holds nothing meanwhile.
-    let body = work.read_body(request.headers(), payload).await?;
+    let shared = Arc::clone(&work.traffic.shared);
     loop {
         let filed = shared.filed.notified();
         tokio::pin!(filed);
         filed.as_mut().enable();
         let begun = shared.with_filings(|filings| filings.begin(&ticket, shared.now()));
         match begun {
-            None => return Err(Answer::not_run(Reason::NotReady, "no incarnation yet")),
+            None => return Err(Answer::unknown(Reason::NotReady, "no incarnation yet")),
             Some(Begin::Run) => {
                 let out = outgoing(request, &format!("{:032x}", ticket.nonce));
                 return run_ticket(work, out, body, ticket).await;
             }
             Some(Begin::Replay(record)) => return replay(&work, record),
-            Some(Begin::Refuse(reason)) => return Err(refused(&work, &ticket, &reason)),
+            Some(Begin::Refuse(reason)) => return refused(&work, &ticket, &reason).await,
             Some(Begin::Wait) => {
                 let ended = tokio::time::timeout_at(work.deadline.at(), filed).await;
                 if ended.is_err() {
@@ -166,7 +210,7 @@
 async fn run_ticket(work: Work, out: Outgoing, body: Body, ticket: Ticket) -> Ran {
     let (answer, answered) = oneshot::channel();
     actix_rt::spawn(async move {
-        let shared = std::sync::Arc::clone(&work.traffic.shared);
+        let shared = Arc::clone(&work.traffic.shared);
         let (record, ran) = run(work, out, body).await;
         shared.with_filings(|filings| filings.finish(ticket.nonce, record));
         shared.filed.notify_waiters();
@@ -235,18 +279,25 @@
     }
 }
 
-fn refused(work: &Work, ticket: &Ticket, reason: &RefuseReason) -> Answer {
+/// Answers a ticket that doesn't run here.
+///
+/// Where the ledger can't tell, the outcome may be in the table: its entry wrote it before it went.
+async fn refused(
+    work: &Work,
+    ticket: &Ticket,
+    reason: &RefuseReason,
+) -> Result<HttpResponse, Answer> {
     let detail = format!("{reason:?}");
-    let answer = match reason.outcome() {
-        RunOutcome::NotRun => {
-            let why = match reason {
-                RefuseReason::Stopping => Reason::Stopping,
-                _ => Reason::TicketRefused,
-            };
-            Answer::not_run(why, detail).retry_after(IN_PROGRESS_RETRY)
-        }
-        _ => Answer::unknown(Reason::TicketRefused, detail),
-    };
+    if reason.outcome() == RunOutcome::NotRun {
+        let why = match reason {
+            RefuseReason::Stopping => Reason::Stopping,
+            _ => Reason::TicketRefused,
+        };
+        return Err(Answer::not_run(why, detail).retry_after(IN_PROGRESS_RETRY));
+    }
+    if let Some(record) = table_outcome(work, ticket).await {
+        return replay(work, record);
+    }
     // Whoever has the right to the ticket can tell what came of it.
     let judge = match reason {
         RefuseReason::HandedOver(Some(successor)) => Some(successor),
@@ -254,7 +305,16 @@
         _ => None,
     };
     let entry = judge.and_then(|instance| work.entry_addr(instance));
-    answer.use_entry(entry)
+    Err(Answer::unknown(Reason::TicketRefused, detail).use_entry(entry))
+}
+
+/// Outcome that the ticket's entry wrote to the table, if there is one.
+async fn table_outcome(work: &Work, ticket: &Ticket) -> Option<Record> {
+    let (reply, replied) = oneshot::channel();
+    let wanted = Note::Outcome(ticket.nonce, reply);
+    work.traffic.shared.notes.send(wanted).ok()?;
+    let replied = tokio::time::timeout_at(work.deadline.at(), replied).await;
+    replied.ok()?.ok()?
 }
 
 async fn by_key(
@@ -290,17 +350,28 @@
     if sent.is_err() {
         return Err(not_run("this process ends"));
     }
-    match tokio::time::timeout_at(work.deadline.at(), replied).await {
-        Ok(Ok(reply)) => Ok(reply),
-        // The receiver is dropped here, so control gives the claim up when it comes.
-        Ok(Err(_)) | Err(_) => Err(not_run("the key was not claimed in time")),
+    let mut replied = replied;
+    match tokio::time::timeout_at(work.deadline.at(), &mut replied).await {
+        Ok(Ok(reply)) => return Ok(reply),
+        Ok(Err(_)) => {}
+        Err(_) => {
+            // The claim may have arrived in this very moment: dropped with the channel, it would
+            // hold the key for good. After the close control gives up what comes later.
+            replied.close();
+            if let Ok(ClaimReply::Ready(mut claimer)) = replied.try_recv() {
+                if let ClaimStep::Answer(answer) = claimer.unsent() {
+                    release_later(&work.traffic.shared.notes, &answer);
+                }
+            }
+        }
     }
+    Err(not_run("the key was not claimed in time"))
 }
 
 async fn run_claim(work: Work, out: Outgoing, body: Body, mut claimer: Claimer) -> Ran {
     let (answer, answered) = oneshot::channel();
     actix_rt::spawn(async move {
-        let shared = std::sync::Arc::clone(&work.traffic.shared);
+        let shared = Arc::clone(&work.traffic.shared);
         let step = claimer.send(shared.now(), shared.lease_until());
         if step != ClaimStep::Send {
             let ran = match step {
@@ -334,9 +405,6 @@
     }
 }
 
-/// Caller number of writes that nobody waits for.
-const NO_CALLER: u64 = u64::MAX;
-
 fn over(work: &Work, answer: ClaimAnswer) -> Ran {
     match answer {
         ClaimAnswer::NotRun(_) => {
--- a/crates/daemon/src/request/work.rs
+++ b/crates/daemon/src/request/work.rs
@@ -163,18 +163,13 @@
         request: &HttpRequest,
         payload: web::Payload,
     ) -> Result<HttpResponse, Answer> {
-        let text = request.headers().get(header::DEADLINE_MS);
-        let text = text.map(|value| value.as_bytes());
-        let default = self.class.class.deadline;
-        self.deadline = Deadline::from_header(text, self.started, default).map_err(|_| {
-            let detail = format!("{}: no whole number of milliseconds", header::DEADLINE_MS);
-            Answer::not_run(Reason::BadRequest, detail)
-        })?;
+        let read = self.read_deadline(request);
         self.traffic.budget.borrow_mut().offer();
         if !self.class.class.idempotent && !self.forwarded {
-            // The ledger is the judge of filings, also while this entry stops.
-            return filing::file(self, request, payload).await;
+            // The ledger is the judge of filings, also of those that are refused.
+            return filing::file(self, read, request, payload).await;
         }
+        read?;
         if self.is_refusing() {
             return Err(self.stopping());
         }
@@ -184,6 +179,17 @@
         Ok(self.pass_on(carried))
     }
 
+    fn read_deadline(&mut self, request: &HttpRequest) -> Result<(), Answer> {
+        let text = request.headers().get(header::DEADLINE_MS);
+        let text = text.map(|value| value.as_bytes());
+        let default = self.class.class.deadline;
+        self.deadline = Deadline::from_header(text, self.started, default).map_err(|_| {
+            let detail = format!("{}: no whole number of milliseconds", header::DEADLINE_MS);
+            Answer::not_run(Reason::BadRequest, detail)
+        })?;
+        Ok(())
+    }
+
     /// Carries the request to an upstream of this region or, through an entry there, of another.
     pub(crate) async fn carry(&self, out: &Outgoing, body: Body) -> Result<Carried, Answer> {
         let drained = self.snapshot.own_region().drained;
