A planned stop ends the process; logs are JSON on standard error

Symptom: the new test of a planned stop waited 60 s for an exit that never came. Cause: control stopped the actor system, but the process waits for the callers' port, which nobody stopped. Ruled out: a stage of the stop (control reached its end). Change: control tells how it ended; the process then closes both ports gracefully and exits with that. Beats that bring a new version publish at once.

--- a/crates/daemon/src/process/control/beats.rs
+++ b/crates/daemon/src/process/control/beats.rs
@@ -259,11 +259,8 @@
             age: TRANSIT,
         };
         let before = self.picture.instance(from).map(|facts| {
-            (
-                facts.state,
-                facts.incarnation,
-                self.picture.freshness(from, now) == Freshness::Silent,
-            )
+            let silent = self.picture.freshness(from, now) == Freshness::Silent;
+            (facts.state, facts.incarnation, facts.version, silent)
         });
         self.picture.heard(from, &facts, now);
         for summary in &beat.instances {
@@ -277,7 +274,7 @@
             self.on_share(from, incarnation, share);
         }
         self.offer_version(from, beat.version, ctx);
-        if before != Some((facts.state, incarnation, false)) {
+        if before != Some((facts.state, incarnation, beat.version, false)) {
             self.publish();
         }
     }
--- a/crates/daemon/src/process/control/mod.rs
+++ b/crates/daemon/src/process/control/mod.rs
@@ -87,6 +87,7 @@
     Version, //
 };
 use blocks::Table;
+use eyre::bail;
 use member::{
     Picture,
     PictureTerms, //
@@ -110,6 +111,7 @@
         Instant, //
     },
 };
+use tokio::sync::oneshot;
 
 /// Part of an interval by which it varies, so that daemons don't act in step.
 const JITTER: f64 = 0.2;
@@ -118,6 +120,28 @@
 /// Time between the slower ticks.
 const SLOW_TICK: Duration = Duration::from_secs(1);
 
+/// How control ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum End {
+    /// By a planned stop.
+    Planned,
+    /// Another incarnation took the lease.
+    Superseded,
+    /// Control is gone without a word.
+    ControlLost,
+}
+
+impl End {
+    /// What the process ends with.
+    pub(crate) fn into_result(self) -> eyre::Result<()> {
+        match self {
+            Self::Planned => Ok(()),
+            Self::Superseded => bail!("another incarnation of this instance has the lease"),
+            Self::ControlLost => bail!("control ended without a planned stop"),
+        }
+    }
+}
+
 /// State of control.
 pub(crate) struct Control {
     shared: Arc<Shared>,
@@ -138,6 +162,8 @@
     renewal: Option<(u64, Now)>,
     /// Another incarnation took the lease.
     superseded: bool,
+    /// Told how control ended.
+    ended: Option<oneshot::Sender<End>>,
 
     peers_listener: Option<TcpListener>,
     mesh: Option<Mesh>,
@@ -167,7 +193,11 @@
 
 impl Control {
     /// Makes control of a process that has just started.
-    pub(crate) fn new(shared: Arc<Shared>, peers_listener: TcpListener) -> Self {
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        peers_listener: TcpListener,
+        ended: oneshot::Sender<End>,
+    ) -> Self {
         let settings = &shared.settings;
         let terms = &settings.terms;
         let timeout = terms.platform_timeout;
@@ -188,6 +218,7 @@
             join_sent_at: Now::ZERO,
             renewal: None,
             superseded: false,
+            ended: Some(ended),
             peers_listener: Some(peers_listener),
             mesh: None,
             picture: Picture::new(settings.instance.clone(), picture_terms),
@@ -276,6 +307,10 @@
             metrics::gauge!(metric::SLOTS_USABLE, "service" => label.clone()).set(usable);
             metrics::gauge!(metric::SLOTS_USED, "service" => label).set(used);
         }
+        for (to, link) in &self.links {
+            metrics::counter!(metric::LINK_BYTES, "to" => to.to_string())
+                .absolute(link.passed_bytes());
+        }
         if let Some(mesh) = &self.mesh {
             metrics::gauge!(metric::PEERS).set(mesh.peers().len() as f64);
             metrics::counter!(metric::PEER_BYTES).absolute(mesh.counters().sent_bytes.get());
@@ -291,7 +326,15 @@
     }
 
     fn stopped(&mut self, _ctx: &mut Self::Context) {
-        actix_rt::System::current().stop_with_code(i32::from(self.superseded));
+        let end = if self.superseded {
+            End::Superseded
+        } else {
+            End::Planned
+        };
+        if let Some(ended) = self.ended.take() {
+            // Without a receiver the process is ending already.
+            let _ = ended.send(end);
+        }
     }
 }
 
--- a/crates/daemon/src/process/metric.rs
+++ b/crates/daemon/src/process/metric.rs
@@ -63,10 +63,14 @@
         "Attempts beyond the first.";
     SHIFTED = "jasmine_shifted_total", Counter, "requests", "class",
         "Requests handed to the entry of another region.";
+    COPIES = "jasmine_probe_copies_total", Counter, "requests", "class",
+        "Copies of requests sent to upstreams that have to prove themselves.";
     BROKEN_STREAMS = "jasmine_broken_streams_total", Counter, "answers", "class",
         "Answers that streamed and were broken off, so that the caller saw them as short.";
     WAITED = "jasmine_slot_wait_seconds", Histogram, "seconds", "class",
         "Time that requests waited here for a slot.";
+    LINK_BYTES = "jasmine_link_passed_bytes_total", Counter, "bytes", "to",
+        "Bytes of shifted requests and their answers, by the region that does the work.";
     ACTIVE = "jasmine_active_requests", Gauge, "requests", "",
         "Requests that are not finished.";
     VERSION = "jasmine_config_version", Gauge, "version", "",
--- a/crates/daemon/src/process/mod.rs
+++ b/crates/daemon/src/process/mod.rs
@@ -20,6 +20,7 @@
     process::{
         control::{
             Control,
+            End,
             Stop, //
         },
         settings::{
@@ -48,7 +49,12 @@
 };
 use eyre::WrapErr;
 use metrics_exporter_prometheus::PrometheusBuilder;
-use spdlog::LevelFilter;
+use spdlog::{
+    formatter::JsonFormatter,
+    sink::StdStreamSink,
+    LevelFilter,
+    Logger, //
+};
 use std::{
     future::Future,
     net::TcpListener,
@@ -64,7 +70,10 @@
         signal,
         SignalKind, //
     },
-    sync::mpsc, //
+    sync::{
+        mpsc,
+        oneshot, //
+    },
 };
 use tokio_stream::wrappers::UnboundedReceiverStream;
 
@@ -77,7 +86,7 @@
 ///
 /// A port can't be bound, or the metrics recorder is already set.
 pub fn run(settings: Settings) -> eyre::Result<()> {
-    init_logs(settings.log_level);
+    init_logs(settings.log_level).wrap_err("the log")?;
     let metrics = PrometheusBuilder::new()
         .install_recorder()
         .wrap_err("installing the metrics recorder")?;
@@ -93,16 +102,24 @@
         });
     let shared = Arc::new(Shared::new(settings, metrics, notes, start_wall_ms));
     actix_rt::System::new().block_on(async move {
+        let (ended, end) = oneshot::channel();
         let control = Control::create(|ctx: &mut Context<Control>| {
             ctx.add_stream(UnboundedReceiverStream::new(noted));
-            Control::new(Arc::clone(&shared), peers)
+            Control::new(Arc::clone(&shared), peers, ended)
         });
         let traffic = serve_callers(callers, &shared)?;
         let operator = serve_operators(operators, &shared, control.clone())?;
+        let ports = [traffic.handle(), operator.handle()];
+        actix_rt::spawn(traffic);
         actix_rt::spawn(operator);
         actix_rt::spawn(stop_on_signal(control)?);
         spdlog::info!("started", kv: { instance = shared.settings.instance.to_string() });
-        traffic.await.wrap_err("the callers' port")
+        let end = end.await.unwrap_or(End::ControlLost);
+        for port in ports {
+            // Idle connections of callers close; nothing is in flight any more.
+            port.stop(true).await;
+        }
+        end.into_result()
     })
 }
 
@@ -159,12 +176,23 @@
     Ok(server.run())
 }
 
-fn init_logs(level: LogLevel) {
+/// Writes log lines to standard error as JSON, one for each change of state.
+fn init_logs(level: LogLevel) -> eyre::Result<()> {
     let level = match level {
         LogLevel::Debug => spdlog::Level::Debug,
         LogLevel::Info => spdlog::Level::Info,
         LogLevel::Warn => spdlog::Level::Warn,
         LogLevel::Error => spdlog::Level::Error,
     };
-    spdlog::default_logger().set_level_filter(LevelFilter::MoreSevereEqual(level));
+    let sink = StdStreamSink::builder()
+        .stderr()
+        .formatter(JsonFormatter::new())
+        .build_arc()?;
+    let logger = Logger::builder()
+        .sink(sink)
+        .level_filter(LevelFilter::MoreSevereEqual(level))
+        .flush_level_filter(LevelFilter::All)
+        .build_arc()?;
+    spdlog::set_default_logger(logger);
+    Ok(())
 }
--- a/crates/rig/tests/input.rs
+++ b/crates/rig/tests/input.rs
@@ -4,20 +4,10 @@
 //! and at what it says. After all rows no upstream has run anything, and the daemon serves on.
 
 use rig::{
+    send_raw,
     Layout,
     Rig, //
 };
-use std::{
-    io::{
-        Read,
-        Write, //
-    },
-    net::TcpStream,
-    time::Duration, //
-};
-
-/// Longest wait for an answer; generous, for a busy machine.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
 
 struct Row {
     name: &'static str,
@@ -151,31 +141,13 @@
     ]
 }
 
-/// Status and text of the answer to `request`.
-fn ask(addr: &str, request: &str) -> (u16, String) {
-    let mut stream = TcpStream::connect(addr).expect("the daemon listens");
-    stream
-        .set_read_timeout(Some(ANSWER_TIMEOUT))
-        .expect("a timeout can be set");
-    // A daemon that refuses early may close before all was written; its answer still counts.
-    let _ = stream.write_all(request.as_bytes());
-    let mut answer = Vec::new();
-    let _ = stream.read_to_end(&mut answer);
-    let text = String::from_utf8_lossy(&answer).into_owned();
-    let status = text
-        .split(' ')
-        .nth(1)
-        .and_then(|status| status.parse().ok());
-    (status.unwrap_or(0), text)
-}
-
 #[test]
 fn each_bad_request_gets_one_clear_answer_and_changes_nothing() {
     let rig = Rig::start(Layout::two_regions()).unwrap();
     let addr = rig.daemons["arusha-0"].callers.as_str();
     let mut wrong = Vec::new();
     for row in rows() {
-        let (status, text) = ask(addr, &row.request);
+        let (status, text) = send_raw(addr, &row.request);
         let claims = row.says.is_empty() || text.contains("jasmine-outcome: not-run");
         if status != row.status || !text.contains(row.says) || !claims {
             wrong.push(format!(
@@ -186,12 +158,12 @@
     }
     assert!(wrong.is_empty(), "{}", wrong.join("\n"));
     assert_eq!(rig.ran(), 0, "an upstream ran something");
-    let (status, text) = ask(addr, &get("/metrics"));
+    let (status, text) = send_raw(addr, &get("/metrics"));
     assert_eq!(status, 200);
     let counted = |reason: &str| text.contains(&format!("reason=\"{reason}\"}} "));
     for reason in ["bad-request", "unknown-class", "ticket-refused"] {
         assert!(counted(reason), "{reason} is not counted:\n{text}");
     }
-    let (status, text) = ask(addr, &get("/v1/work/menu/today"));
+    let (status, text) = send_raw(addr, &get("/v1/work/menu/today"));
     assert_eq!(status, 200, "{text}");
 }
