--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -170,7 +170,7 @@
             id: arrival.id.clone(),
             class: class.name.clone(),
             region: region.name.clone(),
-            filing: class.filing != FilingWay::None,
+            filing: class.filing,
             scheduled_us: self.clock.at(arrival.at),
             started_us: self.clock.us(started),
             finished_us: self.clock.us(Instant::now()),
@@ -324,7 +324,7 @@
 
     /// Sends one try and waits for its end.
     async fn attempt(&mut self, target: &Target) -> (TryEnd, Answer) {
-        let number = u32::try_from(self.tries.len() + 1).unwrap_or(u32::MAX);
+        let number = self.number(target);
         let limit = self.limit();
         let sent = Instant::now();
         let mut answer = Answer::default();
@@ -357,6 +357,21 @@
         }
     }
 
+    /// Number of the next try: a copy of a filing is the same request to the last byte.
+    fn number(&self, target: &Target) -> u32 {
+        let last = self.tries.last().map_or(0, |last| last.number);
+        let copy = match self.class.filing {
+            FilingWay::None => false,
+            FilingWay::Ticket => self.maybe_ran && target.ticket.is_some(),
+            FilingWay::Key => true,
+        };
+        if copy {
+            last.max(1)
+        } else {
+            last + 1
+        }
+    }
+
     /// Ticket or key that goes with a try.
     fn filing(&self, target: &Target) -> Option<ByteString> {
         match self.class.filing {
@@ -473,14 +488,12 @@
             }
             TryEnd::Unclaimed => Told::Failed,
             TryEnd::Answered(RunOutcome::Unknown) => Told::Unknown,
-            // A filing that may have run stays unknown, whatever a later try was told.
+            // A filing that may have run stays unknown, whatever a copy was told later.
             _ if self.maybe_ran && unknown => Told::Unknown,
-            TryEnd::Answered(RunOutcome::NotRun) if self.maybe_ran && lost => {
-                if self.class.filing == FilingWay::None {
-                    Told::Refused
-                } else {
-                    Told::NoAnswer
-                }
+            TryEnd::Answered(RunOutcome::NotRun)
+                if self.maybe_ran && self.class.filing != FilingWay::None =>
+            {
+                Told::Unknown
             }
             TryEnd::Answered(RunOutcome::NotRun) => Told::Refused,
             TryEnd::Cut | TryEnd::TimedOut => Told::NoAnswer,
--- a/crates/load/src/record.rs
+++ b/crates/load/src/record.rs
@@ -2,6 +2,7 @@
 //!
 //! Times are microseconds since the Unix epoch on one machine, so that both sides share a clock.
 
+use crate::scene::FilingWay;
 use base::{
     ClassId,
     RegionId,
@@ -34,8 +35,8 @@
     pub class: ClassId,
     /// Region of the caller.
     pub region: RegionId,
-    /// Whether the request may run only once.
-    pub filing: bool,
+    /// How the request is kept from running twice.
+    pub filing: FilingWay,
     /// When the schedule wanted it to start.
     pub scheduled_us: UnixUs,
     /// When it started.
@@ -98,7 +99,8 @@
 /// One request on the wire, to one entry.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Try {
-    /// Number of the try within its request, from 1; goes in the path to the upstream.
+    /// Number that goes in the path to the upstream, from 1; copies of a filing with the same ticket
+    /// or key have the same, for they are the same request.
     pub number: u32,
     /// Address of the entry.
     pub entry: ByteString,
@@ -195,7 +197,11 @@
             self.id,
             self.region,
             self.class,
-            if self.filing { " (filing)" } else { "" },
+            match self.filing {
+                FilingWay::None => "",
+                FilingWay::Ticket => " (by ticket)",
+                FilingWay::Key => " (by key)",
+            },
             self.scheduled_us,
             self.finished_us.saturating_sub(self.started_us) / 1_000,
             self.deadline_ms,
--- a/crates/load/src/scene.rs
+++ b/crates/load/src/scene.rs
@@ -10,6 +10,10 @@
     UpstreamId, //
 };
 use bytestring::ByteString;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use std::{
     net::Ipv4Addr,
     time::Duration, //
@@ -88,7 +92,8 @@
 }
 
 /// How a request is kept from running twice.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum FilingWay {
     /// Not at all: the work is idempotent.
     #[default]
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -58,7 +58,7 @@
 impl Process {
     /// Starts a binary of this workspace; its log goes to a file.
     pub(crate) fn start(program: &str, args: &[String], log: &Path) -> Result<Self, String> {
-        Self::spawn(program, args, log, Stdio::null())
+        Self::spawn(program, args, log, None)
     }
 
     /// Starts a stand-in and reads where it listens, by name, until `last` has come.
@@ -68,7 +68,7 @@
         log: &Path,
         last: &str,
     ) -> Result<(Self, BTreeMap<String, String>), String> {
-        let mut process = Self::spawn(program, args, log, Stdio::piped())?;
+        let mut process = Self::spawn(program, args, log, Some(Stdio::piped()))?;
         let stdout = process.child.stdout.take();
         let mut lines = BufReader::new(stdout.ok_or("the process has no output")?);
         let mut addresses = BTreeMap::new();
@@ -89,13 +89,20 @@
         Ok((process, addresses))
     }
 
-    fn spawn(program: &str, args: &[String], log: &Path, stdout: Stdio) -> Result<Self, String> {
+    fn spawn(
+        program: &str,
+        args: &[String],
+        log: &Path,
+        stdout: Option<Stdio>,
+    ) -> Result<Self, String> {
         let path = binary(program)?;
-        let log = File::options()
-            .create(true)
-            .append(true)
-            .open(log)
-            .map_err(|error| format!("{}: {error}", log.display()))?;
+        let failed = |error| format!("{}: {error}", log.display());
+        let opened = File::options().create(true).append(true).open(log);
+        let log = opened.map_err(failed)?;
+        let stdout = match stdout {
+            Some(stdout) => stdout,
+            None => log.try_clone().map_err(failed)?.into(),
+        };
         let child = Command::new(&path)
             .args(args)
             .stdin(Stdio::null())
