--- a/crates/daemon/src/process/control/publish.rs
+++ b/crates/daemon/src/process/control/publish.rs
@@ -8,6 +8,10 @@
         pool::Pool,
         stop::Stage, //
     },
+    request::{
+        acquire::QUEUE_MAX,
+        place::target_of, //
+    },
     version::{
         ClassView,
         Entry,
@@ -28,7 +32,11 @@
     atomic::Ordering,
     Arc, //
 };
-use steer::ShiftCap;
+use steer::{
+    Admit,
+    ClassTarget,
+    ShiftCap, //
+};
 
 impl Control {
     /// Publishes what is known now.
@@ -71,9 +79,23 @@
                 .pools
                 .entry(service.clone())
                 .or_insert_with(|| Arc::new(Pool::new(service.clone())));
+            let of_service = || {
+                let classes = config.classes.iter();
+                classes.filter(|other| other.service == *service)
+            };
+            let targets: Vec<ClassTarget> = of_service().map(target_of).collect();
+            let place = of_service().position(|other| other.id == class.id);
+            let place = place.expect("a class is one of its service's");
+            let admit = Admit::new(targets, QUEUE_MAX);
+            let before = |other: &usize| admit.goes_before(*other, place);
             let view = ClassView {
                 class: class.clone(),
                 pool: Arc::clone(pool),
+                target: target_of(class),
+                place,
+                rank: (0..of_service().count()).filter(before).count(),
+                is_probe: !of_service().any(|other| other.idempotent),
+                admit: Arc::new(admit),
             };
             let burn = self.shared.burn.class(&class.id);
             burn.set_target(class.latency_target);
@@ -87,7 +109,6 @@
             id: id.clone(),
             entries: self.entries_of(config, id),
             drained: config.has_drain(&DrainTarget::Region(id.clone())),
-            estimates: FastMap::default(),
         }
     }
 
--- /dev/null
+++ b/crates/daemon/src/process/control/steering/flows.rs
@@ -0,0 +1,142 @@
+//! How much of one service arrives here, is carried here, and goes to other regions.
+
+use crate::{
+    process::pool::{
+        CountTotals,
+        Pool, //
+    },
+    version::Flow,
+};
+use base::{
+    Now,
+    RegionId, //
+};
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::Duration, //
+};
+use steer::{
+    smooth_latency,
+    Allowance,
+    Capacity,
+    Demand, //
+};
+
+/// What came in the last tick.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Ticked {
+    /// Requests that asked for a slot or were sent elsewhere.
+    pub(super) offered: u32,
+    /// Those that waited for a slot or were refused one.
+    pub(super) unserved: u32,
+}
+
+/// Flows of one service at this entry.
+#[derive(Debug)]
+pub(super) struct Flows {
+    totals: CountTotals,
+    ticked_at: Now,
+    service: Duration,
+    gap: Duration,
+    /// Work of this region's callers.
+    pub(super) arriving: Demand,
+    /// Work for this region's upstreams.
+    pub(super) carrying: Demand,
+    /// Slots open to this entry, and those in use.
+    pub(super) capacity: Capacity,
+    /// Work that goes to other regions.
+    pub(super) away: BTreeMap<RegionId, Away>,
+}
+
+/// Work that goes to one other region.
+#[derive(Debug)]
+pub(super) struct Away {
+    pub(super) flow: Arc<Flow>,
+    total: u64,
+    pub(super) shifting: Demand,
+    pub(super) allowance: Allowance,
+}
+
+impl Away {
+    fn new(now: Now) -> Self {
+        Self {
+            flow: Arc::default(),
+            total: 0,
+            shifting: Demand::new(now),
+            allowance: Allowance::default(),
+        }
+    }
+}
+
+impl Flows {
+    pub(super) fn new(now: Now) -> Self {
+        Self {
+            totals: CountTotals::default(),
+            ticked_at: now,
+            service: Duration::ZERO,
+            gap: Duration::ZERO,
+            arriving: Demand::new(now),
+            carrying: Demand::new(now),
+            capacity: Capacity::default(),
+            away: BTreeMap::new(),
+        }
+    }
+
+    /// Takes in what traffic threads counted since the last tick, and tells them the pace.
+    pub(super) fn tick(&mut self, pool: &Pool, now: Now) -> Ticked {
+        let totals = pool.counts.totals();
+        let counts = totals.since(&self.totals);
+        self.totals = totals;
+        let elapsed = now.saturating_sub(self.ticked_at);
+        self.ticked_at = now;
+        let completed = count(counts.completed);
+        if let Some(mean) = Duration::from_micros(counts.held_us).checked_div(completed) {
+            self.service = smooth_latency(self.service, mean);
+        }
+        self.gap = if pool.waiting() == 0 {
+            Duration::ZERO
+        } else {
+            let gap = elapsed.checked_div(completed).unwrap_or(elapsed);
+            smooth_latency(self.gap, gap)
+        };
+        pool.set_pace(self.service, self.gap);
+        self.arriving.tick(now, count(counts.arrived), self.service);
+        self.carrying.tick(now, count(counts.carried), self.service);
+        for away in self.away.values_mut() {
+            let total = away.flow.total();
+            let sent = count(total - away.total);
+            away.total = total;
+            away.shifting.tick(now, sent, self.service);
+        }
+        Ticked {
+            offered: count(counts.arrived.max(counts.carried)),
+            unserved: count(counts.unserved),
+        }
+    }
+
+    /// Smoothed time that a request holds a slot.
+    pub(super) fn service(&self) -> Duration {
+        self.service
+    }
+
+    /// Counts the slots that are open, once the limits are set.
+    pub(super) fn count_open(&mut self, pool: &Pool, now: Now) {
+        let right = pool.lease.right(now);
+        let upstreams = pool.upstreams();
+        let views = upstreams.iter().map(|upstream| upstream.view(right, now));
+        let views: Vec<steer::View> = views.collect();
+        self.capacity = Capacity::of(&views);
+    }
+
+    /// Work that goes to `region`.
+    pub(super) fn away(&mut self, region: &RegionId, now: Now) -> &mut Away {
+        self.away
+            .entry(region.clone())
+            .or_insert_with(|| Away::new(now))
+    }
+}
+
+fn count(number: u64) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/daemon/src/process/control/steering/loads.rs
@@ -0,0 +1,115 @@
+//! The upstreams' own word about their load, which lags and may mislead.
+//!
+//! It may lower what an upstream is sent, and it may say that the upstream leaves or is cold; it
+//! never raises anything.
+
+use crate::process::{
+    control::Control,
+    pool::Upstream,
+    shared::Shared, //
+};
+use actix::{
+    AsyncContext,
+    Context, //
+};
+use awc::Client;
+use base::UpstreamId;
+use bytestring::ByteString;
+use serde::Deserialize;
+use std::{
+    cell::RefCell,
+    collections::BTreeSet,
+    fmt,
+    rc::Rc,
+    sync::Arc,
+    time::Duration, //
+};
+
+/// Longest answer that is read, in bytes.
+const ANSWER_MAX_BYTES: usize = 4096;
+/// Longest that one poll may take.
+const PATIENCE: Duration = Duration::from_secs(1);
+
+/// Answer of `GET /load`.
+#[derive(Debug, Deserialize)]
+struct Load {
+    slots: u32,
+    in_flight: u64,
+    queued: u64,
+    #[serde(default)]
+    state: ByteString,
+    as_of_ms: u64,
+}
+
+/// Polls under way.
+#[derive(Default)]
+pub(super) struct Loads {
+    client: Option<Client>,
+    /// Upstreams that have not answered the last poll yet; a slow one gets no second.
+    asked: Rc<RefCell<BTreeSet<UpstreamId>>>,
+}
+
+impl fmt::Debug for Loads {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Loads")
+            .field("asked", &self.asked)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Control {
+    /// Reads the upstreams' own word about their load, now and again after its interval.
+    pub(in crate::process::control) fn read_loads(&mut self, ctx: &mut Context<Self>) {
+        let client = self
+            .steering
+            .loads
+            .client
+            .get_or_insert_with(|| Client::builder().disable_timeout().finish())
+            .clone();
+        for pool in self.pools.values() {
+            for upstream in pool.upstreams().iter() {
+                self.read_load(&client, upstream);
+            }
+        }
+        let interval = self.jittered(self.shared.settings.terms.load);
+        ctx.run_later(interval, Self::read_loads);
+    }
+
+    fn read_load(&self, client: &Client, upstream: &Arc<Upstream>) {
+        let asked = Rc::clone(&self.steering.loads.asked);
+        if !asked.borrow_mut().insert(upstream.id.clone()) {
+            return;
+        }
+        let (client, upstream) = (client.clone(), Arc::clone(upstream));
+        let shared = Arc::clone(&self.shared);
+        actix_rt::spawn(async move {
+            let read = tokio::time::timeout(PATIENCE, read(&client, &upstream.addr)).await;
+            asked.borrow_mut().remove(&upstream.id);
+            if let Ok(Some(load)) = read {
+                take(&shared, &upstream, &load);
+            }
+        });
+    }
+}
+
+async fn read(client: &Client, addr: &ByteString) -> Option<Load> {
+    let mut answer = client
+        .get(format!("http://{addr}/load"))
+        .send()
+        .await
+        .ok()?;
+    answer.json::<Load>().limit(ANSWER_MAX_BYTES).await.ok()
+}
+
+fn take(shared: &Shared, upstream: &Upstream, load: &Load) {
+    let now = shared.now();
+    let wall_ms = shared.clock.wall_ms(now);
+    let age = Duration::from_millis(wall_ms.saturating_sub(load.as_of_ms));
+    upstream
+        .report
+        .set(now, age, load.slots, load.in_flight, load.queued);
+    upstream.report.set_cold(load.state == "cold");
+    if load.state == "leaving" {
+        shared.note_leaving(upstream);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/process/control/steering/upstreams.rs
@@ -0,0 +1,260 @@
+//! Slow start and suspicion: runs `steer`'s machines for each upstream of one service.
+
+use crate::process::pool::{
+    Pool,
+    Totals,
+    Upstream, //
+};
+use base::{
+    Now,
+    UpstreamId, //
+};
+use std::{
+    collections::BTreeMap,
+    sync::{
+        atomic::Ordering,
+        Arc, //
+    },
+    time::Duration, //
+};
+use steer::{
+    Freshness,
+    FreshnessLimits,
+    Ramp,
+    RampCause,
+    RampPhase,
+    RampSettings,
+    Suspect,
+    SuspectSettings,
+    Suspicion, //
+};
+
+/// Silence after whose end an upstream starts slowly.
+const LONG_SILENCE: Duration = Duration::from_secs(30);
+/// Time after which a probe without an outcome counts as failed. The request that served as the
+/// probe may be gone without a word, and no other probe would ever be sent.
+const PROBE_LOST: Duration = Duration::from_secs(10);
+
+/// Machines of the upstreams of one service.
+#[derive(Debug, Default)]
+pub(super) struct Machines {
+    by_id: BTreeMap<UpstreamId, Machine>,
+    /// Upstreams were known before: one that comes now is new, and so is its cache.
+    settled: bool,
+}
+
+/// Machines of one upstream.
+#[derive(Debug)]
+struct Machine {
+    upstream: Arc<Upstream>,
+    ramp: Ramp,
+    suspect: Suspect,
+    totals: Totals,
+    was_open: bool,
+    said_cold: bool,
+    /// When it last answered anything.
+    heard_at: Now,
+    /// A probe was offered to traffic threads.
+    offered: bool,
+    /// A probe is under way since then.
+    probing_since: Option<Now>,
+}
+
+impl Machine {
+    fn new(upstream: &Arc<Upstream>, now: Now) -> Self {
+        Self {
+            upstream: Arc::clone(upstream),
+            ramp: Ramp::warm(RampSettings::default()),
+            suspect: Suspect::trusted(SuspectSettings::default()),
+            totals: upstream.seen.totals(),
+            was_open: upstream.open(),
+            said_cold: false,
+            heard_at: now,
+            offered: false,
+            probing_since: None,
+        }
+    }
+
+    /// Whether it serves at full speed, as far as is known.
+    fn is_warm(&self) -> bool {
+        let warm = self.ramp.phase() == RampPhase::Warm && !self.suspect.is_suspected();
+        warm && self.upstream.open() && self.was_open
+    }
+
+    /// Why it has to start slowly from now on, if it has to.
+    fn restart_cause(&mut self, now: Now) -> Option<RampCause> {
+        let is_open = self.upstream.open();
+        let returned = is_open && !std::mem::replace(&mut self.was_open, is_open);
+        let says_cold = self.upstream.report.says_cold();
+        let turned_cold = says_cold && !std::mem::replace(&mut self.said_cold, says_cold);
+        let heard_at = self.upstream.report.heard_at().unwrap_or_default();
+        let silent = heard_at > self.heard_at + LONG_SILENCE;
+        self.heard_at = self.heard_at.max(heard_at).min(now);
+        if returned {
+            Some(RampCause::RegionReturn)
+        } else if turned_cold && self.ramp.phase() == RampPhase::Warm {
+            Some(RampCause::ColdStart)
+        } else {
+            silent.then_some(RampCause::Silence)
+        }
+    }
+
+    /// Takes in what traffic threads saw since the last tick.
+    fn observe(&mut self, now: Now, usable: u32, others: &Others) {
+        self.note_probe(now);
+        let totals = self.upstream.seen.totals();
+        let mut seen = totals.since(&self.totals);
+        self.totals = totals;
+        if seen.answers > 0 {
+            self.heard_at = now;
+        }
+        if seen.answers > 0 || seen.failures() > 0 {
+            self.probing_since = None;
+        }
+        if self.probing_since.is_some_and(|at| now > at + PROBE_LOST) {
+            self.probing_since = None;
+            seen.timeouts += 1;
+        }
+        let freshness = self.freshness(now);
+        self.ramp.observe(now, &seen, usable, freshness);
+        let verdict = self.suspect.observe(now, &seen, others.typical);
+        match verdict {
+            Some(Suspicion::Raised) => self.log("upstream suspected"),
+            Some(Suspicion::Cleared) => {
+                self.log("upstream trusted again");
+                let cause = RampCause::Silence;
+                self.ramp
+                    .restart(now, cause, others.typical, others.will_do);
+            }
+            None => {}
+        }
+    }
+
+    fn note_probe(&mut self, now: Now) {
+        if self.offered && !self.upstream.probe_due() {
+            self.offered = false;
+            self.probing_since = Some(now);
+            self.ramp.probe_sent(now);
+            self.suspect.probe_sent();
+        }
+    }
+
+    fn freshness(&self, now: Now) -> Freshness {
+        let age = now.saturating_sub(self.heard_at);
+        Freshness::of_age(age, &FreshnessLimits::default())
+    }
+
+    /// Publishes the verdicts; returns whether more work may go there than before.
+    fn publish(&mut self, now: Now) -> bool {
+        let upstream = &self.upstream;
+        let limit = self.ramp.limit();
+        let cold = self.ramp.phase() == RampPhase::Trickle;
+        let suspect = self.suspect.is_suspected();
+        let silent = !self.freshness(now).allows_growth();
+        let due = self.ramp.probe_due(now) && !suspect || self.suspect.probe_due(now);
+        let before = upstream.limit.swap(limit, Ordering::Relaxed);
+        let was_cold = upstream.cold.swap(cold, Ordering::Relaxed);
+        let was_suspect = upstream.suspect.swap(suspect, Ordering::Relaxed);
+        upstream.silent.store(silent, Ordering::Relaxed);
+        self.offered = due && upstream.open();
+        upstream.set_probe_due(self.offered);
+        limit > before || was_cold && !cold || was_suspect && !suspect
+    }
+
+    fn log(&self, what: &str) {
+        let upstream = self.upstream.id.to_string();
+        spdlog::info!("{}", what, kv: { upstream });
+    }
+}
+
+/// What a machine needs to know of the service's other upstreams.
+#[derive(Clone, Copy, Debug, Default)]
+struct Others {
+    /// Their typical latency.
+    typical: Option<Duration>,
+    /// There are warm ones, with slots to use.
+    will_do: bool,
+}
+
+impl Machines {
+    /// Lets a tick pass; `relieve` opens slots without proof.
+    pub(super) fn tick(&mut self, pool: &Arc<Pool>, now: Now, relieve: bool) {
+        let upstreams = pool.upstreams();
+        self.follow(&upstreams, now);
+        let others = self.others();
+        let cleared_before = self.suspected();
+        let mut grew = false;
+        for (machine, others) in self.by_id.values_mut().zip(&others) {
+            if let Some(cause) = machine.restart_cause(now) {
+                machine.log("upstream starts slowly");
+                machine
+                    .ramp
+                    .restart(now, cause, others.typical, others.will_do);
+            }
+            let usable = u32::from(machine.upstream.slots.get().full);
+            machine.observe(now, usable, others);
+            if relieve {
+                machine.ramp.relieve(now);
+            }
+        }
+        if self.suspected() < cleared_before {
+            // What brought them under suspicion together may have ended for all.
+            self.by_id
+                .values_mut()
+                .for_each(|machine| machine.suspect.hasten(now));
+        }
+        for machine in self.by_id.values_mut() {
+            grew |= machine.publish(now);
+        }
+        if grew || pool.waiting() > 0 {
+            pool.wake_all();
+        }
+    }
+
+    fn suspected(&self) -> usize {
+        let machines = self.by_id.values();
+        machines
+            .filter(|machine| machine.suspect.is_suspected())
+            .count()
+    }
+
+    /// Follows the list: forgets upstreams that are gone, and adds those that are new.
+    fn follow(&mut self, upstreams: &[Arc<Upstream>], now: Now) {
+        self.by_id.retain(|_, machine| {
+            upstreams
+                .iter()
+                .any(|upstream| Arc::ptr_eq(upstream, &machine.upstream))
+        });
+        let settled = self.settled;
+        self.settled |= !upstreams.is_empty();
+        for upstream in upstreams {
+            self.by_id.entry(upstream.id.clone()).or_insert_with(|| {
+                let mut machine = Machine::new(upstream, now);
+                // A process that has just started finds upstreams that others keep warm; to hold
+                // them back would refuse work. One that comes later is new itself.
+                machine.was_open &= !settled;
+                machine
+            });
+        }
+    }
+
+    /// For each upstream, in order, what the others are like.
+    fn others(&self) -> Vec<Others> {
+        let warm: Vec<bool> = self.by_id.values().map(Machine::is_warm).collect();
+        let latencies: Vec<Duration> = self
+            .by_id
+            .values()
+            .map(|machine| machine.upstream.seen.latency())
+            .collect();
+        (0..warm.len())
+            .map(|index| {
+                let mut others: Vec<Duration> = latencies.clone();
+                others.swap_remove(index);
+                Others {
+                    typical: Suspect::typical(&mut others),
+                    will_do: (0..warm.len()).any(|other| other != index && warm[other]),
+                }
+            })
+            .collect()
+    }
+}
--- a/crates/daemon/src/process/link.rs
+++ b/crates/daemon/src/process/link.rs
@@ -1,13 +1,13 @@
 //! The link to another region: this entry's part of its cap, and what uses it.
 //!
 //! Work leaves its region only through the entry of the other one, and each entry may send no
-//! more than its escrowed part of the cap between the two. Control sets the part; traffic threads
-//! meter what they send in a [`steer::ShiftLimit`]. The lock around it is shared by traffic
-//! threads alone and held for a few instructions.
+//! more than its escrowed part of the cap between the two. Control sets the part and reads what is
+//! in flight through atomics; traffic threads meter what they send in a [`steer::ShiftLimit`]. The
+//! lock around that is taken by traffic threads alone and held for a few instructions.
 
 use crate::process::slots::{
     LeaseClock,
-    Right, //
+    Slots, //
 };
 use base::Now;
 use bytestring::ByteString;
@@ -46,25 +46,37 @@
     /// Time up to which this entry may use its part.
     pub(crate) lease: LeaseClock,
     /// The whole cap, as configured.
-    cap: Mutex<ShiftCap>,
-    full: Part,
-    floor: Part,
+    cap: Cap,
+    /// Requests in flight and the part of them that may be, in one word.
+    requests: Slots,
+    /// Bytes that may pass; the use of this word is not counted.
+    bytes: Slots,
     demand: AtomicU32,
     meter: Mutex<ShiftLimit>,
     passed_bytes: AtomicU64,
 }
 
-/// Tokens of a part.
+/// A cap in atomics: a change while traffic threads read it gives them some of either.
 #[derive(Debug, Default)]
-struct Part {
+struct Cap {
+    bytes_per_s: AtomicU64,
     in_flight: AtomicU32,
-    bytes: AtomicU32,
+    growth_per_s: AtomicU32,
 }
 
-impl Part {
-    fn set(&self, in_flight: u32, bytes: u32) {
-        self.in_flight.store(in_flight, Ordering::Release);
-        self.bytes.store(bytes, Ordering::Release);
+impl Cap {
+    fn set(&self, cap: ShiftCap) {
+        self.bytes_per_s.store(cap.bytes_per_s, Ordering::Release);
+        self.in_flight.store(cap.in_flight, Ordering::Release);
+        self.growth_per_s.store(cap.growth_per_s, Ordering::Release);
+    }
+
+    fn get(&self) -> ShiftCap {
+        ShiftCap {
+            bytes_per_s: self.bytes_per_s.load(Ordering::Acquire),
+            in_flight: self.in_flight.load(Ordering::Acquire),
+            growth_per_s: self.growth_per_s.load(Ordering::Acquire),
+        }
     }
 }
 
@@ -75,25 +87,27 @@
 impl Link {
     /// Makes a link of which no part is held yet.
     pub(crate) fn new(cap: ShiftCap, now: Now) -> Self {
-        Self {
+        let link = Self {
             lease: LeaseClock::default(),
-            cap: Mutex::new(cap),
-            full: Part::default(),
-            floor: Part::default(),
+            cap: Cap::default(),
+            requests: Slots::default(),
+            bytes: Slots::default(),
             demand: AtomicU32::new(0),
             meter: Mutex::new(ShiftLimit::new(now, ShiftCap::default())),
             passed_bytes: AtomicU64::new(0),
-        }
+        };
+        link.cap.set(cap);
+        link
     }
 
     /// Sets the whole cap.
     pub(crate) fn set_cap(&self, cap: ShiftCap) {
-        *lock(&self.cap) = cap;
+        self.cap.set(cap);
     }
 
     /// What the cap's pool has to share.
     pub(crate) fn capacity(&self) -> Amounts {
-        let in_flight = lock(&self.cap).in_flight;
+        let in_flight = self.cap.get().in_flight;
         Amounts::from([
             (ByteString::from_static(IN_FLIGHT), in_flight),
             (ByteString::from_static(BYTES), BYTES_TOKENS),
@@ -102,13 +116,13 @@
 
     /// Sets the part that this entry may use: tokens in flight and of bytes, full and floor.
     pub(crate) fn allot(&self, full: u32, floor: u32, full_bytes: u32, floor_bytes: u32) {
-        self.full.set(full, full_bytes);
-        self.floor.set(floor, floor_bytes);
+        self.requests.allot(full, floor);
+        self.bytes.allot(full_bytes, floor_bytes);
     }
 
     /// Requests in flight.
     pub(crate) fn in_flight(&self) -> u32 {
-        lock(&self.meter).in_flight()
+        u32::from(self.requests.get().in_flight)
     }
 
     /// Requests that would use the link now; what was refused since the last call counts.
@@ -123,6 +137,10 @@
 
     /// Whether one more request would be admitted at `now`.
     pub(crate) fn is_open(&self, now: Now, freshness: Freshness) -> bool {
+        let requests = self.requests.get();
+        if requests.in_flight >= requests.usable(self.lease.right(now)) {
+            return false;
+        }
         let part = self.part(now);
         let mut meter = lock(&self.meter);
         meter.set_cap(now, part);
@@ -139,34 +157,40 @@
         now: Now,
         freshness: Freshness,
     ) -> Result<ShiftGuard, ShiftRefusal> {
+        let admitted = self.try_admit(now, freshness);
+        if admitted.is_err() {
+            self.demand.fetch_add(1, Ordering::Relaxed);
+        }
+        admitted.map(|()| ShiftGuard {
+            link: Arc::clone(self),
+            admitted_at: now,
+            since: std::time::Instant::now(),
+        })
+    }
+
+    fn try_admit(&self, now: Now, freshness: Freshness) -> Result<(), ShiftRefusal> {
+        // The token comes first, by one exchange: control may lower the part at this moment and
+        // must either see this request in flight or keep it from starting.
+        if !self.requests.take(self.lease.right(now), u32::MAX) {
+            return Err(ShiftRefusal::InFlight);
+        }
         let part = self.part(now);
         let mut meter = lock(&self.meter);
         meter.set_cap(now, part);
         let admitted = meter.admit(now, freshness);
         drop(meter);
-        match admitted {
-            Ok(()) => Ok(ShiftGuard {
-                link: Arc::clone(self),
-                admitted_at: now,
-                since: std::time::Instant::now(),
-            }),
-            Err(refusal) => {
-                self.demand.fetch_add(1, Ordering::Relaxed);
-                Err(refusal)
-            }
+        if admitted.is_err() {
+            self.requests.give_back();
         }
+        admitted
     }
 
     /// Part of the cap that may be used at `now`.
     fn part(&self, now: Now) -> ShiftCap {
-        let cap = *lock(&self.cap);
-        let part = match self.lease.right(now) {
-            Right::Full => &self.full,
-            Right::Floor => &self.floor,
-            Right::None => return ShiftCap::default(),
-        };
-        let bytes = u64::from(part.bytes.load(Ordering::Acquire));
-        let in_flight = part.in_flight.load(Ordering::Acquire);
+        let cap = self.cap.get();
+        let right = self.lease.right(now);
+        let in_flight = u32::from(self.requests.get().usable(right));
+        let bytes = u64::from(self.bytes.get().usable(right));
         // Growth is divided as requests in flight are: the region's entries together stay within
         // the cap's pace. It is rounded up, or a small part would never grow at all.
         let growth = u64::from(cap.growth_per_s) * u64::from(in_flight);
@@ -203,5 +227,6 @@
 impl Drop for ShiftGuard {
     fn drop(&mut self) {
         lock(&self.link.meter).finish(self.now());
+        self.link.requests.give_back();
     }
 }
--- /dev/null
+++ b/crates/daemon/src/process/pool/mod.rs
@@ -0,0 +1,247 @@
+//! Pools: the upstreams of one service in this region, and their use by this entry.
+//!
+//! A pool lives as long as the process. Control sets which upstreams it has, their allotments and
+//! their limits; traffic threads take slots, send, and note what they saw. Both sides meet in
+//! atomics only. Control reads the notes at each tick and runs the state machines of `steer`
+//! (slow start, suspicion) over them.
+//!
+//! - `upstream`: one upstream, with its allotment, limits and last report.
+//! - `seen`: what traffic threads saw of it.
+//! - `lanes`: the requests that wait.
+//! - `permit`: a slot in use, and when it is given back.
+
+mod lanes;
+mod permit;
+mod seen;
+mod upstream;
+
+pub(crate) use self::{
+    permit::Permit,
+    seen::Totals,
+    upstream::Upstream, //
+};
+
+use crate::process::{
+    pool::{
+        lanes::Lanes,
+        permit::Slot,
+        seen::to_us, //
+    },
+    slots::LeaseClock,
+};
+use arc_swap::ArcSwap;
+use base::{
+    Now,
+    ServiceId, //
+};
+use std::{
+    sync::{
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        },
+        Arc, //
+    },
+    time::Duration, //
+};
+use tokio::sync::futures::Notified;
+
+/// What traffic threads counted of one service since the process started.
+#[derive(Debug, Default)]
+pub(crate) struct Counts {
+    arrived: AtomicU64,
+    carried: AtomicU64,
+    unserved: AtomicU64,
+    completed: AtomicU64,
+    held_us: AtomicU64,
+}
+
+impl Counts {
+    /// Notes a request of this region's callers.
+    pub(crate) fn note_arrived(&self) {
+        self.arrived.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Notes a request that this entry is to send to one of the upstreams.
+    pub(crate) fn note_carried(&self) {
+        self.carried.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Notes a request that had to wait for a slot or was refused one.
+    pub(crate) fn note_unserved(&self) {
+        self.unserved.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Notes a request that held its slot for `held` until it was answered whole.
+    fn note_completed(&self, held: Duration) {
+        self.completed.fetch_add(1, Ordering::Relaxed);
+        self.held_us.fetch_add(to_us(held), Ordering::Relaxed);
+    }
+
+    /// Totals, for control to difference.
+    pub(crate) fn totals(&self) -> CountTotals {
+        CountTotals {
+            arrived: self.arrived.load(Ordering::Relaxed),
+            carried: self.carried.load(Ordering::Relaxed),
+            unserved: self.unserved.load(Ordering::Relaxed),
+            completed: self.completed.load(Ordering::Relaxed),
+            held_us: self.held_us.load(Ordering::Relaxed),
+        }
+    }
+}
+
+/// Totals of [`Counts`] at one moment, or their growth.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) struct CountTotals {
+    pub(crate) arrived: u64,
+    pub(crate) carried: u64,
+    pub(crate) unserved: u64,
+    pub(crate) completed: u64,
+    pub(crate) held_us: u64,
+}
+
+impl CountTotals {
+    /// Growth since `before`.
+    pub(crate) fn since(&self, before: &Self) -> Self {
+        Self {
+            arrived: self.arrived - before.arrived,
+            carried: self.carried - before.carried,
+            unserved: self.unserved - before.unserved,
+            completed: self.completed - before.completed,
+            held_us: self.held_us - before.held_us,
+        }
+    }
+}
+
+/// Upstreams of one service in this region.
+#[derive(Debug)]
+pub(crate) struct Pool {
+    pub(crate) service: ServiceId,
+    /// Time up to which this entry may use its part of the slots.
+    pub(crate) lease: LeaseClock,
+    pub(crate) counts: Counts,
+    upstreams: ArcSwap<Vec<Arc<Upstream>>>,
+    lanes: Lanes,
+    service_us: AtomicU64,
+    completion_gap_us: AtomicU64,
+}
+
+impl Pool {
+    /// Makes a pool without upstreams.
+    pub(crate) fn new(service: ServiceId) -> Self {
+        Self {
+            service,
+            lease: LeaseClock::default(),
+            counts: Counts::default(),
+            upstreams: ArcSwap::default(),
+            lanes: Lanes::default(),
+            service_us: AtomicU64::new(0),
+            completion_gap_us: AtomicU64::new(0),
+        }
+    }
+
+    /// Present upstreams, sorted by id.
+    pub(crate) fn upstreams(&self) -> Arc<Vec<Arc<Upstream>>> {
+        self.upstreams.load_full()
+    }
+
+    /// Replaces the upstreams; those that stay must be the same objects.
+    pub(crate) fn set_upstreams(&self, upstreams: Vec<Arc<Upstream>>) {
+        self.upstreams.store(Arc::new(upstreams));
+        self.wake_all();
+    }
+
+    /// Slots usable and used at `now`, over all upstreams.
+    pub(crate) fn use_now(&self, now: Now) -> (u32, u32) {
+        let right = self.lease.right(now);
+        self.upstreams()
+            .iter()
+            .map(|upstream| upstream.slots.get())
+            .fold((0, 0), |(usable, used), slots| {
+                (
+                    usable + u32::from(slots.usable(right)),
+                    used + u32::from(slots.in_flight),
+                )
+            })
+    }
+
+    /// Smoothed time that a request holds a slot; zero before the first.
+    pub(crate) fn service_time(&self) -> Duration {
+        Duration::from_micros(self.service_us.load(Ordering::Relaxed))
+    }
+
+    /// Smoothed time between two completions while requests wait; zero when none waited of late.
+    pub(crate) fn completion_gap(&self) -> Duration {
+        Duration::from_micros(self.completion_gap_us.load(Ordering::Relaxed))
+    }
+
+    /// Sets what control worked out of the counts.
+    pub(crate) fn set_pace(&self, service_time: Duration, completion_gap: Duration) {
+        self.service_us
+            .store(to_us(service_time), Ordering::Relaxed);
+        self.completion_gap_us
+            .store(to_us(completion_gap), Ordering::Relaxed);
+    }
+
+    /// Lets every waiting request look again, after allotments or limits grew.
+    pub(crate) fn wake_all(&self) {
+        self.lanes.wake_all();
+    }
+
+    /// Lets the next waiting request look again, in place of one that gave up its turn.
+    pub(crate) fn wake_next(&self) {
+        self.lanes.wake_next();
+    }
+
+    /// Requests that wait at this entry.
+    pub(crate) fn waiting(&self) -> u32 {
+        self.lanes.waiting()
+    }
+
+    /// Requests that wait and go before a class of this rank.
+    pub(crate) fn waiting_before(&self, rank: usize) -> u32 {
+        self.lanes.waiting_before(rank)
+    }
+
+    /// Ends when a slot may be free for a class of this rank.
+    pub(crate) fn freed(&self, rank: usize) -> Notified<'_> {
+        self.lanes.freed(rank)
+    }
+
+    /// Counts a request of a class of this rank as waiting until the guard is dropped.
+    pub(crate) fn wait_guard(self: &Arc<Self>, rank: usize) -> WaitGuard {
+        self.lanes.enter(rank);
+        WaitGuard {
+            pool: Arc::clone(self),
+            rank,
+        }
+    }
+
+    /// Takes a slot of `upstream`, if the lease and the limits allow one more.
+    pub(crate) fn take(self: &Arc<Self>, upstream: &Arc<Upstream>, now: Now) -> Option<Permit> {
+        let right = self.lease.right(now);
+        let limit = upstream.view(right, now).limit();
+        let taken = upstream.open() && upstream.slots.take(right, limit);
+        taken.then(|| Permit::new(Slot::new(self, upstream)))
+    }
+
+    /// Takes a slot of `upstream` whatever is allotted, for the baselines of measurements: as
+    /// published they own no slots and let the upstream queue.
+    pub(crate) fn take_unbound(self: &Arc<Self>, upstream: &Arc<Upstream>) -> Option<Permit> {
+        let taken = upstream.open() && upstream.slots.take_unbound();
+        taken.then(|| Permit::new(Slot::new(self, upstream)))
+    }
+}
+
+/// A request that waits for a slot.
+#[derive(Debug)]
+pub(crate) struct WaitGuard {
+    pool: Arc<Pool>,
+    rank: usize,
+}
+
+impl Drop for WaitGuard {
+    fn drop(&mut self) {
+        self.pool.lanes.leave(self.rank);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/process/pool/seen.rs
@@ -0,0 +1,111 @@
+//! What traffic threads saw of one upstream, in atomics that control differences.
+
+use std::{
+    sync::atomic::{
+        AtomicU64,
+        Ordering, //
+    },
+    time::Duration, //
+};
+
+/// Weight of a new sample in the moving average of latency, as a power of two.
+const EWMA_SHIFT: u32 = 3;
+
+/// What traffic threads saw of an upstream since the process started.
+#[derive(Debug, Default)]
+pub(crate) struct Seen {
+    latency_us: AtomicU64,
+    answered: AtomicU64,
+    latency_sum_us: AtomicU64,
+    timed_out: AtomicU64,
+    not_sent: AtomicU64,
+    broken: AtomicU64,
+    shed: AtomicU64,
+}
+
+impl Seen {
+    /// Notes a whole answer that took `latency` to its first byte.
+    pub(crate) fn note_answer(&self, latency: Duration) {
+        let sample_us = to_us(latency);
+        self.answered.fetch_add(1, Ordering::Relaxed);
+        self.latency_sum_us.fetch_add(sample_us, Ordering::Relaxed);
+        // Racing samples may lose one of them, which a moving average bears.
+        let old_us = self.latency_us.load(Ordering::Relaxed);
+        let new_us = if old_us == 0 {
+            sample_us
+        } else {
+            old_us - (old_us >> EWMA_SHIFT) + (sample_us >> EWMA_SHIFT)
+        };
+        self.latency_us.store(new_us, Ordering::Relaxed);
+    }
+
+    /// Notes a request that timed out.
+    pub(crate) fn note_timeout(&self) {
+        self.timed_out.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Notes an answer that was cut, short, or somebody else's.
+    pub(crate) fn note_broken(&self) {
+        self.broken.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Notes a connection that could not be opened.
+    pub(crate) fn note_not_sent(&self) {
+        self.not_sent.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Notes a refusal by the upstream itself.
+    pub(crate) fn note_shed(&self) {
+        self.shed.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Moving average of latency; zero before the first answer.
+    pub(crate) fn latency(&self) -> Duration {
+        Duration::from_micros(self.latency_us.load(Ordering::Relaxed))
+    }
+
+    /// Totals, for control to difference.
+    pub(crate) fn totals(&self) -> Totals {
+        Totals {
+            answered: self.answered.load(Ordering::Relaxed),
+            latency_sum_us: self.latency_sum_us.load(Ordering::Relaxed),
+            timed_out: self.timed_out.load(Ordering::Relaxed),
+            not_sent: self.not_sent.load(Ordering::Relaxed),
+            broken: self.broken.load(Ordering::Relaxed),
+            shed: self.shed.load(Ordering::Relaxed),
+        }
+    }
+}
+
+/// Totals of [`Seen`] at one moment.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) struct Totals {
+    answered: u64,
+    latency_sum_us: u64,
+    timed_out: u64,
+    not_sent: u64,
+    broken: u64,
+    shed: u64,
+}
+
+impl Totals {
+    /// What was seen between `before` and these totals.
+    pub(crate) fn since(&self, before: &Self) -> steer::Seen {
+        let count = |now: u64, then: u64| u32::try_from(now - then).unwrap_or(u32::MAX);
+        steer::Seen {
+            answers: count(self.answered, before.answered),
+            latency_sum: Duration::from_micros(self.latency_sum_us - before.latency_sum_us),
+            timeouts: count(self.timed_out, before.timed_out),
+            refused: count(self.not_sent, before.not_sent),
+            // An upstream that sheds now and then is at its limit and not down; like a cut answer
+            // one alone is forgiven, and a few in a row are not.
+            truncated: count(self.broken, before.broken)
+                .saturating_add(count(self.shed, before.shed)),
+        }
+    }
+}
+
+/// Microseconds of `time`, as atomics keep them.
+pub(super) fn to_us(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
--- a/crates/daemon/src/process/shared.rs
+++ b/crates/daemon/src/process/shared.rs
@@ -10,6 +10,7 @@
     },
     request::forward::ForwardKey,
     version::{
+        Outlook,
         Published,
         Snapshot, //
     },
@@ -93,6 +94,8 @@
 pub(crate) struct Shared {
     pub(crate) settings: Settings,
     pub(crate) published: Published,
+    /// What is expected of the regions, renewed at each tick of control.
+    pub(crate) outlook: ArcSwap<Outlook>,
     pub(crate) active: Active,
     pub(crate) burn: Arc<Burn>,
     pub(crate) metrics: PrometheusHandle,
@@ -125,6 +128,7 @@
             forward_key: ForwardKey::derive(&settings.peer_key),
             ticket_key: Key::derive(settings.peer_key.expose().as_bytes()),
             published: Arc::new(ArcSwap::from_pointee(snapshot)),
+            outlook: ArcSwap::default(),
             active: Active::default(),
             burn: Arc::new(Burn::new(started)),
             clock: WallClock {
--- a/crates/daemon/src/process/slots.rs
+++ b/crates/daemon/src/process/slots.rs
@@ -136,6 +136,15 @@
         .is_some()
     }
 
+    /// Takes a slot whatever is allotted, up to what can be counted.
+    pub(crate) fn take_unbound(&self) -> bool {
+        self.update(|now| {
+            let in_flight = now.in_flight.checked_add(1)?;
+            Some(Use { in_flight, ..now })
+        })
+        .is_some()
+    }
+
     /// Gives a taken slot back.
     pub(crate) fn give_back(&self) {
         self.update(|now| {
--- /dev/null
+++ b/crates/daemon/src/request/acquire.rs
@@ -0,0 +1,256 @@
+//! Finding a slot: admission, the short queue, and the choice of the upstream.
+
+use crate::{
+    process::pool::{
+        Permit,
+        Pool,
+        Upstream,
+        WaitGuard, //
+    },
+    request::{
+        answer::{
+            Answer,
+            Reason, //
+        },
+        carry::Job, //
+    },
+    version::ClassView,
+};
+use base::{
+    Now,
+    UpstreamId, //
+};
+use std::{
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+use steer::{
+    Admission,
+    Capacity,
+    Choose,
+    Load,
+    View, //
+};
+
+/// Requests of one service that wait at this entry at most.
+pub(crate) const QUEUE_MAX: u32 = 64;
+
+/// Upstreams that one request may go to, as they are now.
+struct Choice {
+    upstreams: Vec<Arc<Upstream>>,
+    views: Vec<View>,
+    now: Now,
+}
+
+impl Choice {
+    /// Whether no slot of upstreams that take new work is allotted to this entry.
+    fn owns_nothing(&self) -> bool {
+        let mut views = self.views.iter();
+        !views.any(|view| view.usable > 0 && !view.leaving)
+    }
+
+    /// Upstreams of the pool; those that were tried only when there are no others.
+    fn new(pool: &Pool, tried: &[UpstreamId], now: Now) -> Self {
+        let right = pool.lease.right(now);
+        let all = pool.upstreams();
+        let untried = all.iter().filter(|upstream| !tried.contains(&upstream.id));
+        let mut upstreams: Vec<Arc<Upstream>> = untried.cloned().collect();
+        if upstreams.is_empty() {
+            upstreams = all.to_vec();
+        }
+        let views = upstreams.iter().map(|upstream| upstream.view(right, now));
+        Self {
+            views: views.collect(),
+            upstreams,
+            now,
+        }
+    }
+}
+
+/// Wait that a request of the class would expect at `now`.
+pub(super) fn expected_wait(class: &ClassView, now: Now) -> Duration {
+    let choice = Choice::new(&class.pool, &[], now);
+    let load = load(class, &choice, false);
+    class.admit.expected_wait(class.place, &load)
+}
+
+/// Load of the class's service, for a new request or one that `waits`.
+fn load(class: &ClassView, choice: &Choice, waits: bool) -> Load {
+    let pool = &class.pool;
+    let capacity = Capacity::of(&choice.views);
+    Load {
+        slots: capacity.open,
+        in_flight: capacity.in_flight,
+        // The one that waits was woken in its turn: it is the first of its lane.
+        queued_ahead: pool.waiting_before(if waits { class.rank } else { class.rank + 1 }),
+        queued: pool.waiting(),
+        service: pool.service_time(),
+        completion_gap: pool.completion_gap(),
+    }
+}
+
+impl Job<'_> {
+    /// Takes a slot: at once, after a wait that is expected to fit the target, or not at all.
+    pub(super) async fn acquire(&self, tried: &[UpstreamId]) -> Result<Permit, Answer> {
+        if self.traffic.is_baseline() {
+            return self.take_unbound(tried);
+        }
+        if let Some(permit) = self.take_probe_of_filing() {
+            return Ok(permit);
+        }
+        let came = Instant::now();
+        let mut waiting: Option<WaitGuard> = None;
+        let mut in_time = true;
+        loop {
+            let pool = &self.class.pool;
+            let freed = pool.freed(self.class.rank);
+            tokio::pin!(freed);
+            // Listening starts before the look, or a slot freed between the two is missed.
+            freed.as_mut().enable();
+            let mut choice = Choice::new(pool, tried, self.traffic.shared.now());
+            let verdict = self.verdict(&choice, waiting.is_some());
+            if verdict == Admission::Send {
+                if let Some(permit) = self.take(&mut choice) {
+                    self.counters.waited.record(came.elapsed().as_secs_f64());
+                    return Ok(permit);
+                }
+            }
+            let refused = match verdict {
+                Admission::Refuse { retry_after } => Some(retry_after),
+                _ => (!in_time).then(|| expected_wait(self.class, choice.now)),
+            };
+            if let Some(retry_after) = refused {
+                return self.give_up(waiting, retry_after);
+            }
+            if waiting.is_none() {
+                pool.counts.note_unserved();
+                waiting = Some(pool.wait_guard(self.class.rank));
+            }
+            let until = self.deadline.within(self.started, self.queue_limit());
+            in_time = tokio::time::timeout_at(until.at(), freed).await.is_ok();
+        }
+    }
+
+    fn verdict(&self, choice: &Choice, waits: bool) -> Admission {
+        let now = Instant::now();
+        let load = load(self.class, choice, waits);
+        if choice.owns_nothing() && (waits || load.queued < QUEUE_MAX) {
+            // What goes wrong otherwise: an entry that has just started refuses all work until it
+            // is allotted its part, a tick or two later.
+            let expected_wait = Duration::ZERO;
+            return Admission::Queue { expected_wait };
+        }
+        let waited = if waits {
+            now.saturating_duration_since(self.started)
+        } else {
+            Duration::ZERO
+        };
+        let patience = self.deadline.left(now);
+        let seed = self.traffic.seed();
+        self.class
+            .admit
+            .admit(self.class.place, &load, waited, patience, seed)
+    }
+
+    /// Time after the request's start at which waiting on has no sense any more.
+    fn queue_limit(&self) -> Duration {
+        let target = self.class.class.latency_target;
+        target.saturating_sub(self.class.pool.service_time())
+    }
+
+    /// The final answer to a request that gets no slot, unless it can serve as a probe.
+    fn give_up(&self, waiting: Option<WaitGuard>, retry_after: Duration) -> Result<Permit, Answer> {
+        let pool = &self.class.pool;
+        if waiting.is_none() {
+            pool.counts.note_unserved();
+        }
+        let waited = waiting.is_some();
+        drop(waiting);
+        if waited {
+            // Its turn may have come at this very moment; the next one must not miss it.
+            pool.wake_next();
+        }
+        if let Some(permit) = self.take_due_probe() {
+            return Ok(permit);
+        }
+        let reason = if self.deadline.left(Instant::now()).is_zero() {
+            Reason::TooLate
+        } else {
+            Reason::NoCapacity
+        };
+        let answer = Answer::not_run(reason, "no slot is expected to be free in time");
+        Err(answer.retry_after(retry_after))
+    }
+
+    /// Takes a slot of the upstream that the policy chooses.
+    fn take(&self, choice: &mut Choice) -> Option<Permit> {
+        let pool = &self.class.pool;
+        // Another thread may take the chosen slot first; its view then says that it is full.
+        for _ in 0..choice.upstreams.len() {
+            let chosen = self.choose(choice)?;
+            if let Some(permit) = pool.take(&choice.upstreams[chosen], choice.now) {
+                return Some(permit);
+            }
+            choice.views[chosen].usable = 0;
+        }
+        None
+    }
+
+    /// Takes what a baseline chooses, whose slots nobody owns.
+    fn take_unbound(&self, tried: &[UpstreamId]) -> Result<Permit, Answer> {
+        let pool = &self.class.pool;
+        let choice = Choice::new(pool, tried, self.traffic.shared.now());
+        let chosen = self.choose(&choice);
+        chosen
+            .and_then(|chosen| pool.take_unbound(&choice.upstreams[chosen]))
+            .ok_or_else(|| {
+                let answer = Answer::not_run(Reason::NoCapacity, "no upstream takes new work");
+                answer.retry_after(pool.service_time())
+            })
+    }
+
+    fn choose(&self, choice: &Choice) -> Option<usize> {
+        let seed = self.traffic.seed();
+        self.traffic
+            .with_chooser(&self.class.pool.service, |chooser| {
+                chooser.choose(&choice.views, choice.now, seed)
+            })
+    }
+
+    /// Takes the probe that is due, for a class of which no copies can be sent.
+    ///
+    /// Work that must not run twice can't be copied, and without a probe a recovered upstream of
+    /// such a service would stay out for good.
+    fn take_probe_of_filing(&self) -> Option<Permit> {
+        if self.class.is_probe {
+            self.take_due_probe()
+        } else {
+            None
+        }
+    }
+
+    /// Takes the slot of a probe that is due, if there is one.
+    pub(super) fn take_due_probe(&self) -> Option<Permit> {
+        let pool = &self.class.pool;
+        let upstreams = pool.upstreams();
+        let idle = |upstream: &&Arc<Upstream>| {
+            upstream.probe_due() && upstream.open() && upstream.slots.get().in_flight == 0
+        };
+        let upstream = upstreams.iter().find(idle)?;
+        // One request alone may be the probe.
+        if !upstream.set_probe_due(false) {
+            return None;
+        }
+        let permit = pool.take(upstream, self.traffic.shared.now());
+        match &permit {
+            Some(permit) => permit.probe.set(true),
+            None => {
+                upstream.set_probe_due(true);
+            }
+        }
+        permit
+    }
+}
--- a/crates/daemon/src/request/body.rs
+++ b/crates/daemon/src/request/body.rs
@@ -124,8 +124,10 @@
 
     fn end(&mut self, whole: bool) {
         if let Some(held) = self.held.take() {
-            if let (Hold::Slot(permit), false) = (&held.hold, whole) {
-                permit.upstream.seen.note_failure();
+            match (&held.hold, whole) {
+                (Hold::Slot(permit), true) => permit.completed(),
+                (Hold::Slot(permit), false) => permit.upstream.seen.note_broken(),
+                (Hold::Shift(_), _) => {}
             }
             held.counters.stream_ended(whole, held.started.elapsed());
         }
--- a/crates/daemon/src/request/carry.rs
+++ b/crates/daemon/src/request/carry.rs
@@ -8,11 +8,7 @@
 use crate::{
     process::{
         link::ShiftGuard,
-        pool::{
-            Permit,
-            Pool,
-            Upstream, //
-        }, //
+        pool::Permit, //
     },
     request::{
         answer::{
@@ -33,34 +29,32 @@
     },
     version::ClassView,
 };
-use base::UpstreamId;
 use bytes::Bytes;
 use std::{
-    sync::Arc,
+    rc::Rc,
     time::{
         Duration,
         Instant, //
     },
 };
-use steer::{
-    Choose,
-    View, //
-};
 
 /// Most attempts at one request.
 const ATTEMPTS_MAX: u32 = 4;
-/// Shortest time after which a refused caller is told to come back.
-const RETRY_AFTER_MIN: Duration = Duration::from_millis(100);
-/// Longest time after which a refused caller is told to come back.
-const RETRY_AFTER_MAX: Duration = Duration::from_secs(10);
+/// When to come back after a failure that left nothing running.
+const RETRY_AFTER: Duration = Duration::from_millis(100);
+/// A caller's deadline below this many times an upstream's usual latency says nothing about the
+/// upstream when it passes.
+const IMPATIENT: u32 = 3;
 
 /// A request on its way, with what all its attempts share.
 pub(crate) struct Job<'a> {
-    pub(crate) traffic: &'a Traffic,
+    pub(crate) traffic: &'a Rc<Traffic>,
     pub(crate) class: &'a ClassView,
     pub(crate) counters: &'a ClassCounters,
     pub(crate) out: &'a Outgoing,
     pub(crate) deadline: Deadline,
+    /// When it came to this entry.
+    pub(crate) started: Instant,
 }
 
 /// An upstream's answer, with the slot that its body still uses.
@@ -111,23 +105,38 @@
     pub(crate) async fn run(&self, body: Body) -> Result<Carried, Answer> {
         let mut body = Resend::new(body);
         let mut tried = Vec::new();
+        let mut may_have_run = false;
+        self.class.pool.counts.note_carried();
         loop {
-            let permit = self.acquire(&tried).await?;
+            let permit = match self.acquire(&tried).await {
+                Ok(permit) => permit,
+                Err(answer) => return Err(truthful(answer, may_have_run)),
+            };
             let Some(next) = body.next() else {
-                return Err(self.gave_up("the request's body can be sent once only"));
+                let answer = Answer::not_run(
+                    Reason::UpstreamFailed,
+                    "the request's body can be sent once only",
+                );
+                return Err(answer.retry_after(RETRY_AFTER));
             };
             let failure = match self.send(&permit, next).await {
-                Ok((head, body)) => {
-                    let hold = Hold::Slot(permit);
-                    return Ok(Carried { head, body, hold });
+                Ok((head, answer)) => {
+                    if let Resend::Whole(bytes) = &body {
+                        self.copy_to_due_probe(bytes);
+                    }
+                    return Ok(Carried {
+                        head,
+                        body: answer,
+                        hold: Hold::Slot(permit),
+                    });
                 }
                 Err(failure) => failure,
             };
-            self.note(&permit, &failure);
             let attempts = u32::try_from(tried.len()).unwrap_or(u32::MAX) + 1;
             if !body.can_resend() || attempts >= ATTEMPTS_MAX || !self.may_retry(&failure) {
-                return Err(self.failed(failure));
+                return Err(truthful(self.failed(failure), may_have_run));
             }
+            may_have_run |= !failure.not_run();
             self.counters.retries.increment(1);
             tried.push(permit.upstream.id.clone());
         }
@@ -150,96 +159,31 @@
         };
         let id = self.traffic.request_id();
         let started = Instant::now();
+        permit.sent();
         let sent = attempt::send(&client, &upstream.addr, self.out, body, &id, self.deadline).await;
-        if let Ok((head, _)) = &sent {
-            upstream.seen.note_answer(started.elapsed());
-            if head.leaving {
-                self.traffic.shared.note_leaving(upstream);
-            }
-        }
-        sent
-    }
-
-    /// Notes what a failed attempt says about its upstream.
-    fn note(&self, permit: &Permit, failure: &Failure) {
-        let upstream = &permit.upstream;
-        match failure {
-            Failure::NotSent(_) => upstream.seen.note_refusal(),
-            Failure::Refused { leaving } => {
-                upstream.seen.note_refusal();
-                if *leaving {
+        match &sent {
+            Ok((head, answer)) => {
+                upstream.seen.note_answer(started.elapsed());
+                if matches!(answer, AnswerBody::Whole(_)) {
+                    permit.completed();
+                }
+                if head.leaving {
                     self.traffic.shared.note_leaving(upstream);
                 }
             }
-            Failure::Broken(_) => upstream.seen.note_failure(),
-            Failure::Timeout => {
-                upstream.seen.note_failure();
-                self.traffic.clients.retire(&upstream.addr);
-            }
-        }
-    }
-
-    /// Takes a slot, waiting for one as long as the class's target and the deadline allow.
-    async fn acquire(&self, tried: &[UpstreamId]) -> Result<Permit, Answer> {
-        let pool = &self.class.pool;
-        let started = Instant::now();
-        let patience = self.class.class.latency_target;
-        let until = self.deadline.within(started, patience);
-        let mut guard = None;
-        loop {
-            let freed = pool.freed();
-            tokio::pin!(freed);
-            // Listening starts before the look, or a slot freed between the two is missed.
-            freed.as_mut().enable();
-            if let Some(permit) = self.take(pool, tried) {
-                self.counters.waited.record(started.elapsed().as_secs_f64());
-                return Ok(permit);
-            }
-            guard.get_or_insert_with(|| pool.wait_guard());
-            if tokio::time::timeout_at(until.at(), freed).await.is_err() {
-                return Err(self.gave_up("no slot became free in time"));
-            }
+            Err(failure) => note_failure(self.traffic, permit, failure, started.elapsed()),
         }
-    }
-
-    /// Takes a slot if one is free; upstreams that were tried come last.
-    fn take(&self, pool: &Arc<Pool>, tried: &[UpstreamId]) -> Option<Permit> {
-        let upstreams = pool.upstreams();
-        let now = self.traffic.shared.now();
-        let right = pool.lease.right(now);
-        let untried = |upstream: &&Arc<Upstream>| !tried.contains(&upstream.id);
-        let fresh: Vec<&Arc<Upstream>> = upstreams.iter().filter(untried).collect();
-        let candidates = if fresh.is_empty() {
-            upstreams.iter().collect()
-        } else {
-            fresh
-        };
-        let mut views: Vec<View> = candidates
-            .iter()
-            .map(|upstream| upstream.view(right))
-            .collect();
-        // Another thread may take the chosen slot first; its view then says that it is full.
-        for _ in 0..candidates.len() {
-            let seed = self.traffic.seed();
-            let chosen = self
-                .traffic
-                .chooser
-                .borrow_mut()
-                .choose(&views, now, seed)?;
-            if let Some(permit) = pool.take(candidates[chosen], now) {
-                return Some(permit);
-            }
-            views[chosen].usable = 0;
-        }
-        None
+        sent
     }
 
     fn failed(&self, failure: Failure) -> Answer {
         match failure {
             Failure::NotSent(why) => {
-                Answer::not_run(Reason::UpstreamFailed, why).retry_after(RETRY_AFTER_MIN)
+                Answer::not_run(Reason::UpstreamFailed, why).retry_after(RETRY_AFTER)
+            }
+            Failure::Refused { .. } => {
+                Answer::not_run(Reason::NoCapacity, "the upstream refused").retry_after(RETRY_AFTER)
             }
-            Failure::Refused { .. } => self.gave_up("the upstream refused"),
             Failure::Broken(why) => Answer::unknown(Reason::UpstreamFailed, why),
             Failure::Timeout => Answer::unknown(
                 Reason::UpstreamTimeout,
@@ -247,31 +191,43 @@
             ),
         }
     }
+}
 
-    /// Final answer to a request that did not run.
-    fn gave_up(&self, detail: &'static str) -> Answer {
-        let reason = if self.deadline.left(Instant::now()).is_zero() {
-            Reason::TooLate
-        } else {
-            Reason::NoCapacity
-        };
-        Answer::not_run(reason, detail).retry_after(self.retry_after())
+/// The answer, or that nothing is known, if an earlier attempt may have run.
+///
+/// What goes wrong otherwise: an idempotent request whose first attempt broke off finds no slot for
+/// the second, and its caller is told that it did not run.
+fn truthful(answer: Answer, may_have_run: bool) -> Answer {
+    if may_have_run {
+        Answer::unknown(answer.reason, answer.detail)
+    } else {
+        answer
     }
+}
 
-    /// When a slot is likely: the time that the queue here takes at the rate seen.
-    fn retry_after(&self) -> Duration {
-        let pool = &self.class.pool;
-        let upstreams = pool.upstreams();
-        let slots: u32 = upstreams
-            .iter()
-            .map(|upstream| u32::from(upstream.slots.get().full))
-            .sum();
-        let busiest = upstreams
-            .iter()
-            .map(|upstream| upstream.seen.latency())
-            .max()
-            .unwrap_or_default();
-        let turns = (pool.waiting() + 1).div_ceil(slots.max(1));
-        (busiest * turns).clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX)
+/// Notes what a failed attempt, `took` after its start, says about its upstream.
+pub(super) fn note_failure(traffic: &Traffic, permit: &Permit, failure: &Failure, took: Duration) {
+    let upstream = &permit.upstream;
+    match failure {
+        Failure::NotSent(_) => {
+            permit.ended();
+            upstream.seen.note_not_sent();
+        }
+        Failure::Refused { leaving } => {
+            permit.ended();
+            upstream.seen.note_shed();
+            if *leaving {
+                traffic.shared.note_leaving(upstream);
+            }
+        }
+        Failure::Broken(_) => upstream.seen.note_broken(),
+        Failure::Timeout => {
+            // What goes wrong otherwise: one caller with deadlines that nothing could meet brings
+            // every upstream under suspicion, and all callers are refused.
+            if permit.probe.get() || took >= upstream.seen.latency() * IMPATIENT {
+                upstream.seen.note_timeout();
+            }
+            traffic.clients.retire(&upstream.addr);
+        }
     }
 }
--- a/crates/daemon/src/request/counters.rs
+++ b/crates/daemon/src/request/counters.rs
@@ -35,6 +35,8 @@
     pub(crate) waited: Histogram,
     pub(crate) retries: Counter,
     pub(crate) shifted: Counter,
+    /// Copies sent as probes.
+    pub(crate) copies: Counter,
     broken_streams: Counter,
     burn: Arc<ClassBurn>,
 }
@@ -57,6 +59,7 @@
             waited: metrics::histogram!(metric::WAITED, "class" => name.clone()),
             retries: metrics::counter!(metric::RETRIES, "class" => name.clone()),
             shifted: metrics::counter!(metric::SHIFTED, "class" => name.clone()),
+            copies: metrics::counter!(metric::COPIES, "class" => name.clone()),
             broken_streams: metrics::counter!(metric::BROKEN_STREAMS, "class" => name),
             burn,
         }
--- a/crates/daemon/src/request/mod.rs
+++ b/crates/daemon/src/request/mod.rs
@@ -6,12 +6,15 @@
 //!
 //! - [`lookup`] answers which entries to use.
 //! - [`work`] checks a request for work and answers it.
-//! - [`carry`] finds a slot, sends, tries again where that is safe.
+//! - [`place`] asks which region is to do it.
+//! - [`carry`] sends it to an upstream here and tries again where that is safe; [`acquire`] finds
+//!   the slot for it, [`probe`] sends copies to upstreams that have to prove themselves.
 //! - [`filing`] makes work that is not idempotent run at most once.
 //! - [`shift`] hands a request to the entry of another region; [`forward`] proves that it did.
 //! - [`attempt`] sends once and says whether the request may have run.
 //! - [`body`] streams a long answer.
 
+pub(crate) mod acquire;
 pub(crate) mod answer;
 pub(crate) mod attempt;
 pub(crate) mod body;
@@ -22,6 +25,8 @@
 pub(crate) mod forward;
 pub(crate) mod header;
 pub(crate) mod lookup;
+pub(crate) mod place;
+pub(crate) mod probe;
 pub(crate) mod shift;
 pub(crate) mod work;
 
@@ -43,7 +48,11 @@
     HttpRequest,
     HttpResponse, //
 };
-use base::ClassId;
+use base::{
+    ClassId,
+    FastMap,
+    ServiceId, //
+};
 use rand::{
     rngs::SmallRng,
     RngExt,
@@ -54,15 +63,28 @@
     rc::Rc,
     sync::Arc, //
 };
-use steer::BaselineLimits;
+use steer::{
+    BaselineLimits,
+    Chooser,
+    Policy,
+    RetryBudget, //
+};
+
+/// Copies sent as probes, in thousandths of the offered work.
+const COPIES_PERMILLE: u32 = 40;
 
 /// State of one traffic thread.
 pub(crate) struct Traffic {
     pub(crate) shared: Arc<Shared>,
     pub(crate) clients: Clients,
     pub(crate) counters: Counters,
-    pub(crate) budget: RefCell<steer::RetryBudget>,
-    pub(crate) chooser: RefCell<steer::Chooser>,
+    pub(crate) budget: RefCell<RetryBudget>,
+    /// Budget of copies that serve as probes; with that of retries below a tenth of the work.
+    pub(crate) copies: RefCell<RetryBudget>,
+    /// One for each service: what a policy remembers is of one service's upstreams.
+    choosers: RefCell<FastMap<ServiceId, Chooser>>,
+    /// Region to which the last request of a class was shifted.
+    previous: RefCell<FastMap<ClassId, usize>>,
     rng: RefCell<SmallRng>,
 }
 
@@ -73,7 +95,9 @@
             clients: Clients::new(shared.settings.terms.connect_timeout),
             counters: Counters::new(Arc::clone(&shared.burn)),
             budget: RefCell::default(),
-            chooser: RefCell::new(shared.settings.policy.chooser(BaselineLimits::None)),
+            copies: RefCell::new(RetryBudget::new(COPIES_PERMILLE)),
+            choosers: RefCell::default(),
+            previous: RefCell::default(),
             rng: RefCell::new(SmallRng::seed_from_u64(rand::random())),
             shared,
         }
@@ -84,6 +108,40 @@
         self.rng.borrow_mut().random()
     }
 
+    /// Whether a baseline of the measurements chooses upstreams: it owns no slots.
+    pub(crate) fn is_baseline(&self) -> bool {
+        self.shared.settings.policy != Policy::Ours
+    }
+
+    /// Uses the policy of one service.
+    pub(crate) fn with_chooser<T>(
+        &self,
+        service: &ServiceId,
+        call: impl FnOnce(&mut Chooser) -> T,
+    ) -> T {
+        let mut choosers = self.choosers.borrow_mut();
+        if let Some(chooser) = choosers.get_mut(service) {
+            return call(chooser);
+        }
+        let policy = self.shared.settings.policy;
+        let chooser = policy.chooser(BaselineLimits::None);
+        call(choosers.entry(service.clone()).or_insert(chooser))
+    }
+
+    /// Region to which the last request of the class was shifted, if it was.
+    pub(crate) fn previous(&self, class: &ClassId) -> Option<usize> {
+        self.previous.borrow().get(class).copied()
+    }
+
+    /// Notes where the last request of the class went; `None` is this region.
+    pub(crate) fn set_previous(&self, class: &ClassId, region: Option<usize>) {
+        let mut previous = self.previous.borrow_mut();
+        match region {
+            Some(region) => previous.insert(class.clone(), region),
+            None => previous.remove(class),
+        };
+    }
+
     /// Makes a ticket for one filing at `entry`.
     pub(crate) fn mint_ticket(&self, class: &ClassId, entry: &Entry) -> String {
         let shared = &self.shared;
--- /dev/null
+++ b/crates/daemon/src/request/place.rs
@@ -0,0 +1,146 @@
+//! The region of one request: fills in what changes with each request and asks `steer`.
+
+use crate::{
+    request::{
+        acquire::expected_wait,
+        work::Work, //
+    },
+    version::{
+        ClassOutlook,
+        Outlook, //
+    },
+};
+use base::Now;
+use std::{
+    sync::Arc,
+    time::Instant, //
+};
+use steer::{
+    place,
+    ClassTarget,
+    Estimate,
+    Freshness,
+    PlaceSettings,
+    Placement,
+    Question, //
+};
+
+impl Work {
+    /// Region for the request, by the last outlook.
+    pub(super) fn place(&self) -> Placement {
+        let outlook = self.traffic.shared.outlook.load();
+        let Some(class) = self.class_outlook(&outlook) else {
+            return self.place_blindly();
+        };
+        let spilled = class.spilled_to(self.traffic.seed());
+        let placement = self.ask(class, spilled, spilled.is_some());
+        let previous = match placement {
+            Placement::Shift(region) => Some(region),
+            _ => None,
+        };
+        self.traffic.set_previous(&self.class.class.id, previous);
+        placement
+    }
+
+    /// Region for a request that has no room here, whatever the headroom says.
+    pub(super) fn place_away(&self) -> Option<usize> {
+        let outlook = self.traffic.shared.outlook.load();
+        let class = self.class_outlook(&outlook)?;
+        match self.ask(class, None, true) {
+            Placement::Shift(region) => Some(region),
+            _ => None,
+        }
+    }
+
+    /// Notes that the request goes to the region of this index.
+    pub(super) fn note_flow(&self, region: usize) {
+        let outlook = self.traffic.shared.outlook.load();
+        if let Some(flow) = self
+            .class_outlook(&outlook)
+            .and_then(|class| class.flows.get(region))
+        {
+            flow.note();
+        }
+    }
+
+    fn class_outlook<'a>(&self, outlook: &'a Outlook) -> Option<&'a Arc<ClassOutlook>> {
+        let current = outlook.version == self.snapshot.version;
+        let class = outlook.classes.get(&self.class.class.id)?;
+        (current && class.estimates.len() == self.snapshot.regions.len()).then_some(class)
+    }
+
+    fn ask(&self, class: &ClassOutlook, only: Option<usize>, excess: bool) -> Placement {
+        let own = self.snapshot.own;
+        let now = self.traffic.shared.now();
+        let estimates: Vec<Estimate> = class
+            .estimates
+            .iter()
+            .enumerate()
+            .map(|(index, estimate)| {
+                if index == own {
+                    return self.estimate_here(estimate);
+                }
+                let wanted = only.is_none_or(|only| only == index);
+                Estimate {
+                    shift_open: wanted && self.is_link_open(index, now),
+                    ..*estimate
+                }
+            })
+            .collect();
+        let preference: Vec<usize> = (0..estimates.len()).collect();
+        let question = Question {
+            here: own,
+            preference: &preference,
+            estimates: &estimates,
+            target: &self.class.target,
+            previous: self.traffic.previous(&self.class.class.id),
+            excess,
+            deadline_left: self.deadline.left(Instant::now()),
+        };
+        place(&question, &PlaceSettings::default())
+    }
+
+    fn estimate_here(&self, estimate: &Estimate) -> Estimate {
+        Estimate {
+            // The request is here, so an entry of the region has it, named in look-ups or not.
+            admitting: true,
+            wait: expected_wait(&self.class, self.traffic.shared.now()),
+            service: self.class.pool.service_time(),
+            ..*estimate
+        }
+    }
+
+    fn is_link_open(&self, region: usize, now: Now) -> bool {
+        let id = &self.snapshot.regions[region].id;
+        let link = self.snapshot.links.get(id);
+        link.is_some_and(|link| link.is_open(now, Freshness::Fresh))
+    }
+
+    /// Without an outlook: home, or anywhere else when it is drained.
+    fn place_blindly(&self) -> Placement {
+        if !self.snapshot.own_region().drained {
+            return Placement::Here;
+        }
+        let mut others = self.snapshot.regions.iter().enumerate();
+        let other = others.find(|(index, region)| {
+            *index != self.snapshot.own && !region.drained && !region.entries.is_empty()
+        });
+        match other {
+            Some((index, _)) => Placement::Shift(index),
+            None => Placement::Refuse {
+                retry_after: PlaceSettings::default().retry_max,
+            },
+        }
+    }
+}
+
+/// What `steer` needs of a class's configuration.
+pub(crate) fn target_of(class: &spec::Class) -> ClassTarget {
+    ClassTarget {
+        latency_target: class.latency_target,
+        headroom_pct: u32::from(class.headroom_pct),
+        idempotent: class.idempotent,
+        // Operators rank by what is refused last, beginning with 0.
+        priority: Some(u32::from(u8::MAX - class.priority)),
+    }
+}
--- a/crates/daemon/src/request/shift.rs
+++ b/crates/daemon/src/request/shift.rs
@@ -51,12 +51,14 @@
         &self,
         out: &Outgoing,
         body: Bytes,
-        regions: &[&RegionView],
+        regions: &[usize],
     ) -> Result<Carried, Answer> {
-        for region in regions {
+        for &index in regions {
+            let region = &self.snapshot.regions[index];
             let Some(guard) = self.admit_shift(region) else {
                 continue;
             };
+            self.note_flow(index);
             if let Some(ended) = self.shift_to(region, out, &body, guard).await {
                 return ended;
             }
--- a/crates/daemon/src/request/work.rs
+++ b/crates/daemon/src/request/work.rs
@@ -33,7 +33,6 @@
     },
     version::{
         ClassView,
-        RegionView,
         Snapshot, //
     },
 };
@@ -52,7 +51,10 @@
     HttpResponseBuilder, //
 };
 use base::RunOutcome;
-use bytes::BytesMut;
+use bytes::{
+    Bytes,
+    BytesMut, //
+};
 use bytestring::ByteString;
 use futures_util::StreamExt;
 use std::{
@@ -63,6 +65,7 @@
         Instant, //
     },
 };
+use steer::Placement;
 
 /// Path under which work is served.
 const PREFIX: &str = "/v1/work/";
@@ -154,7 +157,7 @@
     forwarded: bool,
     /// Id that the sender gave it on this hop.
     request_id: Option<HeaderValue>,
-    started: Instant,
+    pub(crate) started: Instant,
 }
 
 impl Work {
@@ -165,6 +168,7 @@
     ) -> Result<HttpResponse, Answer> {
         let read = self.read_deadline(request);
         self.traffic.budget.borrow_mut().offer();
+        self.traffic.copies.borrow_mut().offer();
         if !self.class.class.idempotent && !self.forwarded {
             // The ledger is the judge of filings, also of those that are refused.
             return filing::file(self, read, request, payload).await;
@@ -202,22 +206,61 @@
                 self.carry_here(out, body).await
             };
         }
+        self.class.pool.counts.note_arrived();
         let Body::Whole(bytes) = body else {
             return self.carry_here(out, body).await;
         };
-        if !drained {
-            let here = self.carry_here(out, Body::Whole(bytes.clone())).await;
-            match here {
-                Err(answer) if answer.reason == Reason::NoCapacity => {}
-                ended => return ended,
+        let placement = if self.traffic.is_baseline() && !drained {
+            Placement::Here
+        } else {
+            self.place()
+        };
+        match placement {
+            Placement::Here => self.carry_here_first(out, bytes).await,
+            Placement::Shift(region) if drained => self.shift_out(out, bytes, region).await,
+            Placement::Shift(region) => match self.shift(out, bytes.clone(), &[region]).await {
+                Err(answer) if is_refusal(&answer) => {
+                    self.carry_here(out, Body::Whole(bytes)).await
+                }
+                ended => ended,
+            },
+            Placement::Refuse { retry_after } => {
+                let answer = Answer::not_run(Reason::NoCapacity, "no region takes the request");
+                Err(answer.retry_after(retry_after))
             }
         }
-        let own = &self.snapshot.own_region().id;
-        let others = self.snapshot.preference(None).into_iter();
-        let others: Vec<&RegionView> = others
-            .filter(|region| region.id != *own && !region.drained)
-            .collect();
-        self.shift(out, bytes, &others).await
+    }
+
+    /// Carries the request here, or elsewhere if it is refused here.
+    async fn carry_here_first(&self, out: &Outgoing, bytes: Bytes) -> Result<Carried, Answer> {
+        let refused = match self.carry_here(out, Body::Whole(bytes.clone())).await {
+            Err(answer) if is_refusal(&answer) => answer,
+            ended => return ended,
+        };
+        let Some(region) = self.place_away() else {
+            return Err(refused);
+        };
+        match self.shift(out, bytes, &[region]).await {
+            Err(answer) if is_refusal(&answer) => Err(refused),
+            ended => ended,
+        }
+    }
+
+    /// Sends the request out of a drained region: to the one placed first, else to any other.
+    async fn shift_out(
+        &self,
+        out: &Outgoing,
+        bytes: Bytes,
+        region: usize,
+    ) -> Result<Carried, Answer> {
+        let regions = self.snapshot.regions.iter().enumerate();
+        let others = regions
+            .filter(|(index, other)| {
+                *index != region && *index != self.snapshot.own && !other.drained
+            })
+            .map(|(index, _)| index);
+        let order: Vec<usize> = std::iter::once(region).chain(others).collect();
+        self.shift(out, bytes, &order).await
     }
 
     async fn carry_here(&self, out: &Outgoing, body: Body) -> Result<Carried, Answer> {
@@ -227,6 +270,7 @@
             counters: &self.counters,
             out,
             deadline: self.deadline,
+            started: self.started,
         };
         job.run(body).await
     }
@@ -330,6 +374,11 @@
     }
 }
 
+/// Whether the request did not run for want of room, so that another region may have some.
+fn is_refusal(answer: &Answer) -> bool {
+    answer.reason == Reason::NoCapacity && answer.outcome == RunOutcome::NotRun
+}
+
 /// Names who answered.
 fn mark(traffic: &Traffic, headers: &mut HeaderMap) {
     let settings = &traffic.shared.settings;
--- a/crates/daemon/src/version/mod.rs
+++ b/crates/daemon/src/version/mod.rs
@@ -5,13 +5,23 @@
 //! never wait for control. What changes with every request, such as the use of slots, is in the
 //! process-long [`crate::process::pool::Pool`]s that the snapshot points to.
 
+mod outlook;
 mod snapshot;
 
-pub(crate) use self::snapshot::{
-    ClassView,
-    Entry,
-    RegionView,
-    Snapshot, //
+pub(crate) use self::{
+    outlook::{
+        ClassOutlook,
+        Flow,
+        Outlook,
+        Spill,
+        LINK_UNKNOWN, //
+    },
+    snapshot::{
+        ClassView,
+        Entry,
+        RegionView,
+        Snapshot, //
+    },
 };
 
 use arc_swap::ArcSwap;
--- a/crates/daemon/src/version/snapshot.rs
+++ b/crates/daemon/src/version/snapshot.rs
@@ -22,6 +22,10 @@
     net::IpAddr,
     sync::Arc, //
 };
+use steer::{
+    Admit,
+    ClassTarget, //
+};
 
 /// One entry, as look-up answers name it.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -42,8 +46,6 @@
     pub(crate) entries: Vec<Entry>,
     /// Whether operators drain it.
     pub(crate) drained: bool,
-    /// What its entries said of their pools.
-    pub(crate) estimates: FastMap<ClassId, steer::Estimate>,
 }
 
 /// One class with its pool in this region.
@@ -51,6 +53,16 @@
 pub(crate) struct ClassView {
     pub(crate) class: Class,
     pub(crate) pool: Arc<Pool>,
+    /// The class's target, as decisions take it.
+    pub(crate) target: ClassTarget,
+    /// Admission of the classes that share the service.
+    pub(crate) admit: Arc<Admit>,
+    /// Index of this class in it.
+    pub(crate) place: usize,
+    /// Classes of the service that go before this one.
+    pub(crate) rank: usize,
+    /// Its own requests are probes, since no class of the service can be copied.
+    pub(crate) is_probe: bool,
 }
 
 /// All that a traffic thread decides from; never changed once published.
@@ -78,7 +90,6 @@
                 id: own,
                 entries: Vec::new(),
                 drained: false,
-                estimates: FastMap::default(),
             }],
             classes: FastMap::default(),
             blocks: Arc::new(Table::default()),
--- a/crates/peer/src/frame.rs
+++ b/crates/peer/src/frame.rs
@@ -178,6 +178,12 @@
     pub latency_us: u64,
     /// Age of the news at the sender, in milliseconds.
     pub age_ms: u64,
+    /// Work of the region's own callers, in thousandths of a slot kept busy.
+    #[serde(default)]
+    pub arriving_milli_slots: u64,
+    /// Work for the region's upstreams, in thousandths of a slot kept busy.
+    #[serde(default)]
+    pub carrying_milli_slots: u64,
 }
 
 /// An upstream seen leaving.
--- a/crates/peer/src/opening.rs
+++ b/crates/peer/src/opening.rs
@@ -287,8 +287,8 @@
 
 /// Closes after the other end has, or a short while.
 ///
-/// A socket closed with bytes unread is reset by the kernel, and the reset overtakes the refusal:
-/// the other end would see a broken connection and no reason.
+/// A socket closed with bytes unread is reset by the kernel, which drops what it has not sent yet
+/// and fails the other end's writes: it would see a broken connection and no reason.
 async fn linger(mut stream: Counted) {
     let drain = async {
         let mut scrap = [0; 1024];
--- a/crates/peer/tests/codec.rs
+++ b/crates/peer/tests/codec.rs
@@ -62,6 +62,8 @@
             in_use: 60,
             latency_us: 4000,
             age_ms: 100,
+            arriving_milli_slots: 60_000,
+            carrying_milli_slots: 60_000,
         })
         .collect();
     Frame::Beat(beat)
--- a/crates/peer/tests/silence.rs
+++ b/crates/peer/tests/silence.rs
@@ -26,6 +26,7 @@
     silent_twice: reopens(true, false, 2);
     both_dial_silent_twice: reopens(true, true, 2);
     new_ones_silent_too: gives_up();
+    one_end_notices: one_notices();
     slow_is_not_silent: slow();
 }
 
@@ -75,6 +76,32 @@
     assert!(found >= u64::from(times), "{found} found silent");
 }
 
+/// Symptom: new connections are refused as duplicates of a dead one. Sequence: the session dialled
+/// by the smaller id goes silent, only the larger one notices yet and dials. Cause: the rule for
+/// duplicates applied to a session that one end knows to be silent.
+async fn one_notices() {
+    let patient = Options {
+        pong_timeout: Duration::from_secs(3600),
+        ..quick()
+    };
+    let mut a = node("a", 1, patient);
+    let mut b = node("b", 1, quick());
+    let relay = Relay::start(b.mesh.local_addr()).await;
+    a.mesh.set_partners(vec![through(&relay, "b")]);
+    a.until_up("b").await;
+    b.until_up("a").await;
+    b.mesh.set_partners(vec![a.partner("a")]);
+    relay.silence_old();
+    b.until("reopening", |event| matches!(event, Event::Reopened(_)))
+        .await;
+    a.mesh.send(&"b".into(), share(1));
+    b.mesh.send(&"a".into(), share(2));
+    b.until_share(1).await;
+    a.until_share(2).await;
+    assert!(never_down(&a) && never_down(&b));
+    assert_eq!(a.mesh.counters().silent_sessions.get(), 0);
+}
+
 /// Symptom: a peer that cannot be reached counts as up for ever. Sequence: old and new connections
 /// go silent. Cause: reopening without an end.
 async fn gives_up() {
--- a/crates/peer/tests/strangers.rs
+++ b/crates/peer/tests/strangers.rs
@@ -10,6 +10,7 @@
     Hello,
     Key,
     Options,
+    Partner,
     Refusal, //
 };
 use std::time::Duration;
@@ -33,7 +34,10 @@
     },
     net::TcpStream, //
 };
-use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::{
+    accept_async,
+    tungstenite::Message, //
+};
 
 /// Close codes of RFC 6455, section 7.4.1.
 const PROTOCOL_ERROR: u16 = 1002;
@@ -69,6 +73,7 @@
     );
     wrong_key: wrong_proof();
     meshes_of_two_keys: two_keys();
+    our_own_proof_sent_back: reflected();
     another_instance_at_the_address: another_instance();
     newer_peer: newer();
     proven_sends_no_frame: bad_frame(Message::Binary(Bytes::from_static(b"\xa1")), INVALID_DATA);
@@ -174,6 +179,33 @@
     refused(a, Refusal::WrongProof).await;
 }
 
+/// Symptom: someone without the key counts as a partner. Sequence: we dial an address that the list
+/// gives wrongly; who listens there names itself as the partner and sends our proof back to us.
+/// Cause: a proof that is the same in both directions.
+async fn reflected() {
+    let mut a = node("a", 1, quick());
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    a.mesh.set_partners(vec![Partner {
+        instance: "b".into(),
+        addr: listener.local_addr().unwrap(),
+    }]);
+    let (stream, _) = listener.accept().await.unwrap();
+    let socket = accept_async(stream).await.unwrap();
+    let mut mirror = RawPeer { socket };
+    mirror.receive().await.expect("a hello");
+    mirror.send(greeting(hello("b"))).await;
+    let proof = mirror.receive().await.expect("a proof");
+    mirror.send(proof).await;
+    let closed = mirror.receive().await.unwrap_err();
+    assert_eq!(closed, (POLICY, "wrong proof".to_owned()));
+    a.until(
+        "stranger",
+        |event| matches!(event, Event::Stranger { why, .. } if *why == Refusal::WrongProof),
+    )
+    .await;
+    assert!(a.mesh.peers().is_empty());
+}
+
 /// Symptom: frames for one instance reach another. Sequence: an address is given to a new
 /// instance while the list still names the old one. Cause: trust in the list's address.
 async fn another_instance() {
