jasmine-report: burn of each class over all daemons

Merges every daemon's buckets and latencies, computes the burn over 1, 5, 30 and 60 minutes with a fast and a slow alert, names who did not answer and how much of each window is covered; text, JSON, or one page with inline plots that needs no network.

--- a/crates/ctl/src/command/drain.rs
+++ b/crates/ctl/src/command/drain.rs
@@ -77,25 +77,28 @@
 
 /// Shows each drain with what is in flight there, added up over all instances.
 pub(super) async fn status(context: &Context) -> Result<Output, Failure> {
-    let everyone = context.everyone().await?;
+    let everyone = context.client.known_daemons().await?;
     let answers = context
         .client
         .get_from_each::<Drains>(&everyone, "/op/v1/drain")
         .await;
     let mut totals: BTreeMap<DrainTarget, Total> = BTreeMap::new();
-    let mut seen = Vec::new();
+    let mut seen: BTreeMap<InstanceId, Drains> = BTreeMap::new();
     let mut not_answered = Vec::new();
     for (daemon, answer) in everyone.iter().zip(answers) {
         match answer {
-            Ok(drains) => seen.push(drains),
-            Err(_) => not_answered.push(daemon.clone()),
+            // A daemon may be known by two addresses; its requests count once.
+            Ok(drains) => {
+                let _ = seen.insert(drains.instance.clone(), drains);
+            }
+            Err(_) => not_answered.push(daemon.to_string()),
         }
     }
-    for drain in seen.iter().flat_map(|drains| &drains.drains) {
+    for drain in seen.values().flat_map(|drains| &drains.drains) {
         totals.entry(drain.target.clone()).or_default();
     }
     for (target, total) in &mut totals {
-        for drains in &seen {
+        for drains in seen.values() {
             let drain = drains.drains.iter().find(|drain| drain.target == *target);
             match drain {
                 Some(drain) => total.add(&drains.instance, drain),
--- a/crates/ctl/src/context.rs
+++ b/crates/ctl/src/context.rs
@@ -6,24 +6,20 @@
 };
 use bytestring::ByteString;
 use op::{
-    Client,
-    Instances, //
+    read_key,
+    Client, //
 };
 use spec::{
     BlockChange,
     Config, //
 };
 use std::{
-    collections::BTreeSet,
     env,
     fs,
     path::Path,
     time::Duration, //
 };
 
-/// Variable that holds the operators' key where no file is named.
-const KEY_VARIABLE: &str = "JASMINE_KEY";
-
 /// What every command needs.
 pub(crate) struct Context {
     pub(crate) global: Global,
@@ -42,7 +38,8 @@
                 "no daemon: name one by --daemon HOST:PORT or the variable JASMINE_DAEMON".into(),
             ));
         }
-        let key = read_key(global.key_file.as_deref())?;
+        let key = read_key(global.key_file.as_deref());
+        let key = key.map_err(|error| Failure::BadInput(error.to_string()))?;
         let timeout = Duration::from_secs(global.request_timeout_s);
         let client = Client::new(global.daemon.clone(), key, timeout);
         Ok(Self { global, client })
@@ -54,31 +51,6 @@
         let author = self.global.author.clone().or_else(user);
         author.unwrap_or_else(|| "operator".to_owned()).into()
     }
-
-    /// Operators' addresses of all instances that are known, those on the command line included.
-    pub(crate) async fn everyone(&self) -> Result<Vec<String>, Failure> {
-        let known: Instances = self.client.get("/op/v1/instances").await?;
-        let addrs = known.instances.into_iter().map(|i| i.operator_addr);
-        let mut all: BTreeSet<String> = addrs.map(|addr| addr.to_string()).collect();
-        all.extend(self.client.daemons().iter().cloned());
-        Ok(all.into_iter().collect())
-    }
-}
-
-fn read_key(file: Option<&Path>) -> Result<Option<String>, Failure> {
-    let Some(file) = file else {
-        return Ok(env::var(KEY_VARIABLE).ok().filter(|key| !key.is_empty()));
-    };
-    let key = read_file(file)?.trim().to_owned();
-    // The text of the key must not be shown, so neither is what a header can't carry.
-    let is_plain = !key.is_empty() && key.bytes().all(|byte| byte.is_ascii_graphic());
-    if is_plain {
-        return Ok(Some(key));
-    }
-    let name = file.display();
-    Err(Failure::BadInput(format!(
-        "{name}: not a key on one line without spaces"
-    )))
 }
 
 /// Reads a text file.
--- a/crates/op/src/client.rs
+++ b/crates/op/src/client.rs
@@ -4,6 +4,7 @@
     AcceptRequest,
     Accepted,
     DrainRequest,
+    Instances,
     Refusal,
     TargetRequest, //
 };
@@ -15,7 +16,9 @@
     http::header::AUTHORIZATION,
     ClientRequest, //
 };
+use base::InstanceId;
 use futures_util::future::join_all;
+use member::LeaseState;
 use plat::strict_connector;
 use serde::{
     de::DeserializeOwned,
@@ -99,6 +102,24 @@
     const PATH: &'static str = "/op/v1/target";
 }
 
+/// A daemon that is known.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Daemon {
+    /// Operators' address.
+    pub addr: String,
+    /// Its instance, if another daemon named it.
+    pub instance: Option<InstanceId>,
+}
+
+impl fmt::Display for Daemon {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.instance {
+            Some(instance) => write!(f, "{instance} ({})", self.addr),
+            None => f.write_str(&self.addr),
+        }
+    }
+}
+
 /// What became of one request to one daemon.
 enum Exchange {
     /// It answered.
@@ -143,11 +164,6 @@
         }
     }
 
-    /// Addresses of the daemons that are tried.
-    pub fn daemons(&self) -> &[String] {
-        &self.daemons
-    }
-
     /// Reads `path` from the first daemon that answers.
     ///
     /// # Errors
@@ -187,13 +203,47 @@
         }
     }
 
-    /// Reads `path` from each of `daemons` at once.
+    /// The daemons that this client was given.
+    pub fn given_daemons(&self) -> Vec<Daemon> {
+        let to_daemon = |addr: &String| Daemon {
+            addr: addr.clone(),
+            instance: None,
+        };
+        self.daemons.iter().map(to_daemon).collect()
+    }
+
+    /// All daemons that are known: those that the first one to answer knows and that have not left,
+    /// and those that this client was given.
+    ///
+    /// # Errors
+    ///
+    /// When no daemon answered.
+    pub async fn known_daemons(&self) -> Result<Vec<Daemon>, Failure> {
+        let known: Instances = self.get("/op/v1/instances").await?;
+        let present = known.instances.into_iter();
+        let present = present.filter(|instance| instance.state != LeaseState::Left);
+        let mut daemons: Vec<Daemon> = present
+            .map(|instance| Daemon {
+                addr: instance.operator_addr.to_string(),
+                instance: Some(instance.instance),
+            })
+            .collect();
+        for given in self.given_daemons() {
+            if daemons.iter().all(|daemon| daemon.addr != given.addr) {
+                daemons.push(given);
+            }
+        }
+        Ok(daemons)
+    }
+
+    /// Reads `path` from each of `daemons` at once, answers in their order.
     pub async fn get_from_each<T: DeserializeOwned>(
         &self,
-        daemons: &[String],
+        daemons: &[Daemon],
         path: &str,
     ) -> Vec<Result<T, Failure>> {
-        join_all(daemons.iter().map(|daemon| self.get_from(daemon, path))).await
+        let asked = daemons.iter();
+        join_all(asked.map(|daemon| self.get_from(&daemon.addr, path))).await
     }
 
     /// Asks for a change, and repeats it at the next daemon when an answer was lost.
--- a/crates/op/src/lib.rs
+++ b/crates/op/src/lib.rs
@@ -13,6 +13,7 @@
 mod answer;
 mod burn;
 mod client;
+mod key;
 mod refusal;
 mod request;
 
@@ -42,8 +43,14 @@
 pub use client::{
     Change,
     Client,
+    Daemon,
     Failure, //
 };
+pub use key::{
+    read_key,
+    KeyError,
+    KEY_VARIABLE, //
+};
 pub use refusal::Refusal;
 pub use request::{
     AcceptRequest,
--- /dev/null
+++ b/crates/report/tests/system.rs
@@ -0,0 +1,118 @@
+//! `jasmine-report` over real daemons.
+
+use rig::{
+    Layout,
+    Rig, //
+};
+use serde_json::Value;
+use std::{
+    io::{
+        Read,
+        Write, //
+    },
+    net::TcpStream,
+    process::{
+        Command,
+        Output,
+        Stdio, //
+    },
+};
+
+fn run(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_jasmine-report"))
+        .env_remove("JASMINE_DAEMON")
+        .env_remove("JASMINE_KEY")
+        .env_remove("JASMINE_KEY_FILE")
+        .args(args)
+        .stdin(Stdio::null())
+        .output()
+        .unwrap()
+}
+
+fn text(bytes: &[u8]) -> &str {
+    std::str::from_utf8(bytes).unwrap()
+}
+
+/// One request, over a connection of its own.
+fn work(rig: &Rig, id: &str) {
+    let mut stream = TcpStream::connect(&rig.daemons[id].callers).unwrap();
+    let head = "GET /v1/work/menu/x HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+    stream.write_all(head.as_bytes()).unwrap();
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).unwrap();
+    assert!(answer.starts_with(b"HTTP/1.1 200"), "{}", text(&answer));
+}
+
+/// Symptom: a report misses an instance's failures and nobody notices. Sequence: requests at two
+/// daemons, then one is killed and, later, replaced. Cause: counts live in the process; what is
+/// missing or gone has to be said.
+#[test]
+fn the_report_counts_all_daemons_and_names_the_missing() {
+    let mut rig = Rig::start(Layout::one_region()).unwrap();
+    for _ in 0..5 {
+        work(&rig, "arusha-0");
+        work(&rig, "arusha-1");
+    }
+    let daemon = rig.daemons["arusha-0"].operator.clone();
+    let json = |args: &[&str]| -> Value {
+        let output = run(&[&["--daemon", &daemon, "--output", "json"], args].concat());
+        assert!(output.status.success(), "{output:?}");
+        serde_json::from_slice(&output.stdout).unwrap()
+    };
+    let report = json(&[]);
+    let class = &report["classes"][0];
+    assert_eq!(class["class"], "menu");
+    assert_eq!(class["success_target_ppm"], 999_000);
+    let hour = &class["windows"][3];
+    let all = hour["good"].as_u64().unwrap() + hour["bad"].as_u64().unwrap();
+    assert_eq!(all, 10, "{report}");
+    assert_eq!(class["latency"]["count"], 10);
+    assert_eq!(report["not_answered"], serde_json::json!([]));
+    assert_eq!(json(&["--only"])["counted"].as_array().unwrap().len(), 1);
+
+    rig.kill("arusha-1");
+    let report = json(&[]);
+    assert_eq!(report["counted"].as_array().unwrap().len(), 1);
+    let missing = report["not_answered"][0]["daemon"].as_str().unwrap();
+    assert!(missing.starts_with("arusha-1 ("), "{report}");
+    assert_eq!(report["classes"][0]["latency"]["count"], 5);
+
+    rig.start_daemon("arusha-1").unwrap();
+    rig.wait_ready("arusha-1").unwrap();
+    let report = json(&[]);
+    assert_eq!(report["counted"].as_array().unwrap().len(), 2, "{report}");
+    assert_eq!(
+        report["classes"][0]["latency"]["count"], 5,
+        "the past is gone"
+    );
+
+    let output = run(&["--daemon", &daemon]);
+    assert!(
+        text(&output.stdout).contains("menu: 99.9% whole within 200 ms"),
+        "{output:?}"
+    );
+    let output = run(&["--daemon", &daemon, "--output", "html"]);
+    assert!(text(&output.stdout).contains("<svg"), "{output:?}");
+}
+
+#[test]
+fn bad_input_and_no_daemon_are_told() {
+    for (args, code, message) in [
+        (&[][..], 2, "--daemon"),
+        (&["--daemon", "127.0.0.1:9"], 1, "127.0.0.1:9"),
+        (&["--daemon", "127.0.0.1:9", "--only"], 1, "127.0.0.1:9"),
+        (
+            &["--daemon", "127.0.0.1:9", "--key-file", "/nowhere"],
+            2,
+            "/nowhere",
+        ),
+    ] {
+        let output = run(args);
+        assert_eq!(output.status.code(), Some(code), "{args:?} {output:?}");
+        assert!(
+            text(&output.stderr).contains(message),
+            "{args:?} {output:?}"
+        );
+        assert!(output.stdout.is_empty(), "{args:?}");
+    }
+}
