--- a/crates/daemon/src/process/control/lease.rs
+++ b/crates/daemon/src/process/control/lease.rs
@@ -53,7 +53,7 @@
 /// Where the process is with its lease.
 pub(super) enum Lease {
     /// It has none yet.
-    Joining(Option<Joining>),
+    Joining(Option<Box<Joining>>),
     /// It holds one, or held one.
     Held(Box<Held>),
 }
@@ -92,7 +92,7 @@
     pub(super) fn join(&mut self, ctx: &mut Context<Self>) {
         let joining = Joining::new(self.identity(), self.lease_terms(), Guards::default());
         let step = joining.read();
-        self.lease = Lease::Joining(Some(joining));
+        self.lease = Lease::Joining(Some(Box::new(joining)));
         self.run_lease_step(step, ctx);
     }
 
@@ -171,13 +171,13 @@
         match joined {
             Joined::Not(joining, LeaseStep::Idle) => {
                 let step = joining.read();
-                self.lease = Lease::Joining(Some(joining));
+                self.lease = Lease::Joining(Some(Box::new(joining)));
                 ctx.run_later(JOIN_RETRY, move |control, ctx| {
                     control.run_lease_step(step, ctx);
                 });
             }
             Joined::Not(joining, step) => {
-                self.lease = Lease::Joining(Some(joining));
+                self.lease = Lease::Joining(Some(Box::new(joining)));
                 self.join_sent_at = self.now();
                 self.run_lease_step(step, ctx);
             }
