--- a/crates/standin/tests/link.rs
+++ b/crates/standin/tests/link.rs
@@ -110,7 +110,9 @@
     let end = timeout(AMPLE, old.read_u8()).await.unwrap();
     assert!(end.is_err());
     let refused = |e: std::io::Error| e.kind() == ErrorKind::ConnectionRefused;
+    let mut steps = 0..6000;
     while !TcpStream::connect(relay.addr()).await.is_err_and(refused) {
+        assert!(steps.next().is_some(), "still accepts");
         sleep(Duration::from_millis(5)).await;
     }
     relay.set_fault(Kind::None);
@@ -119,6 +121,7 @@
             Ok(stream) => break stream,
             Err(_) => sleep(Duration::from_millis(5)).await,
         }
+        assert!(steps.next().is_some(), "still refuses");
     };
     assert!(echoes(&mut new, AMPLE).await);
 }
@@ -149,3 +152,22 @@
     silent_old: SilentOld => new works true;
     blackhole: Blackhole => new works false;
 }
+
+// Symptom: on a line gone silent one end saw the other's reset, so the fault looked like a cut.
+// Sequence: silence, then the near end closes with unread bytes, which resets its connection.
+// Cause: the relay's own error closed both ends.
+#[actix_web::test]
+async fn silence_hides_the_other_ends_reset() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let to = listener.local_addr().unwrap();
+    let relay = Relay::start(format!("to={to}").parse().unwrap())
+        .await
+        .unwrap();
+    let near = connect(&relay).await;
+    let (mut far, _) = listener.accept().await.unwrap();
+    far.write_all(b"unread").await.unwrap();
+    timeout(AMPLE, near.readable()).await.unwrap().unwrap();
+    relay.set_fault(Kind::SilentOld);
+    drop(near);
+    assert!(timeout(A_WHILE, far.read_u8()).await.is_err());
+}
--- a/crates/standin/tests/upstream.rs
+++ b/crates/standin/tests/upstream.rs
@@ -37,6 +37,8 @@
 
 /// Step of waits for something that must happen.
 const STEP: Duration = Duration::from_millis(5);
+/// Steps after which it counts as not happening, and longest wait for a byte of an answer.
+const STEPS: u32 = 6000;
 
 /// Starts an upstream with two slots and these further fields.
 fn start(fields: &str) -> Arc<Upstream> {
@@ -53,6 +55,7 @@
 /// Sends a request on a connection of its own.
 fn send(addr: SocketAddr, path: &str, headers: &str) -> TcpStream {
     let mut stream = TcpStream::connect(addr).unwrap();
+    stream.set_read_timeout(Some(STEPS * STEP)).unwrap();
     let head = format!("GET {path} HTTP/1.1\r\nhost: u\r\nconnection: close\r\n{headers}\r\n");
     stream.write_all(head.as_bytes()).unwrap();
     stream
@@ -83,13 +86,14 @@
 
 /// Waits until the record is as it must become.
 async fn until(upstream: &Upstream, becomes: impl Fn(&Record) -> bool) -> Record {
-    loop {
+    for _ in 0..STEPS {
         let record = upstream.record();
         if becomes(&record) {
             return record;
         }
         sleep(STEP).await;
     }
+    panic!("still {:?}", upstream.record());
 }
 
 fn ended(entry: &Entry, outcome: Ended) -> bool {
@@ -305,7 +309,10 @@
     let running = thread::spawn(move || read(send(addr, "/x", "")));
     until(&upstream, |r| r.max_in_flight == 1).await;
     set(&upstream, json!({"drain": {"refuse_after_ms": 0}}));
-    while !TcpStream::connect(addr).is_err_and(|e| e.kind() == io::ErrorKind::ConnectionRefused) {
+    let refused = |e: io::Error| e.kind() == io::ErrorKind::ConnectionRefused;
+    let mut steps = 0..STEPS;
+    while !TcpStream::connect(addr).is_err_and(refused) {
+        assert!(steps.next().is_some(), "still accepts");
         sleep(STEP).await;
     }
     let (head, body) = get(control, "/record?id=u", "").await;
