--- a/crates/daemon/src/process/control/shares.rs
+++ b/crates/daemon/src/process/control/shares/mod.rs
@@ -4,14 +4,30 @@
 //! limits go out to the traffic threads first and the requests in flight are read after that: the
 //! other way round a request could start under the old limits and not be counted.
 
-use crate::process::{
-    control::Control,
-    link::{
-        Link,
-        BYTES,
-        IN_FLIGHT, //
+mod message;
+mod rows;
+mod tokens;
+
+pub(super) use self::{
+    message::Told,
+    tokens::Tokens, //
+};
+
+use self::{
+    message::{
+        to_share,
+        ShareMessage, //
+    },
+    rows::{
+        commit_row,
+        read_row,
+        row_key,
+        Found, //
     },
-    pool::Pool,
+};
+use crate::process::control::{
+    lease::parse_lease,
+    Control, //
 };
 use actix::{
     ActorFutureExt,
@@ -31,32 +47,16 @@
     Frame,
     Share, //
 };
-use plat::{
-    Check,
-    Commit,
-    HttpPlatform,
-    Outcome,
-    Table,
-    Txn,
-    Write, //
-};
-use serde::{
-    Deserialize,
-    Serialize, //
-};
+use plat::Table;
 use share::{
     Action,
-    Amounts,
-    Give,
-    Limits,
     Member,
     MemberId,
-    PoolBeat,
     PoolId,
     Row, //
 };
 use std::{
-    collections::BTreeMap,
+    future::Future,
     rc::Rc,
     sync::Arc,
     time::Duration, //
@@ -64,30 +64,10 @@
 
 /// Time between reads of a pool's row while no peer tells of a newer one.
 const ROW_INTERVAL: Duration = Duration::from_secs(5);
+/// Wait between reads of a row that a peer told of.
+const RETRY: Duration = Duration::from_millis(200);
 /// Longest that a new entry waits for its part before it serves.
 const JOIN_LIMIT: Duration = Duration::from_secs(15);
-/// Longest that a member's beats to one peer stay away when nothing changed.
-const BEAT_UNCHANGED: Duration = Duration::from_secs(2);
-
-/// What members of a pool tell each other.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub(super) enum ShareMessage {
-    /// Heartbeat of a member.
-    Beat(PoolBeat),
-    /// Tokens handed over.
-    Give(Give),
-    /// A row that the receiver may not be able to read.
-    Row(Arc<Row>),
-}
-
-/// What a pool's tokens are for.
-pub(super) enum Tokens {
-    /// Slots of upstreams.
-    Slots(Arc<Pool>),
-    /// Parts of the cap to another region.
-    Cap(Arc<Link>),
-}
 
 /// One pool that this instance is a member of.
 pub(super) struct Shared {
@@ -102,13 +82,6 @@
     heard_epoch: Epoch,
 }
 
-/// What a read or a proposal found in the table.
-enum Found {
-    Row(u64, Row),
-    Absent,
-    Nothing,
-}
-
 impl Control {
     /// Joins the pools that the configuration and the list name, once each.
     pub(super) fn join_pools(&mut self) {
@@ -265,7 +238,7 @@
         &mut self,
         id: PoolId,
         call: &'static str,
-        found: impl std::future::Future<Output = Found> + 'static,
+        found: impl Future<Output = Found> + 'static,
         ctx: &mut Context<Self>,
     ) {
         ctx.spawn(found.into_actor(self).map(move |found, control, _| {
@@ -351,7 +324,7 @@
             control.note_call("leases", read.is_ok());
             let now = control.now();
             let rows = read.unwrap_or_default();
-            let leases = rows.iter().flatten().filter_map(super::lease::parse_lease);
+            let leases = rows.iter().flatten().filter_map(parse_lease);
             for lease in leases {
                 let member = MemberId {
                     instance: lease.row.identity.instance.clone(),
@@ -408,170 +381,3 @@
             .all(|shared| shared.member.is_released())
     }
 }
-
-/// Wait between reads of a row that a peer told of.
-const RETRY: Duration = Duration::from_millis(200);
-
-/// What a member last told one peer of a pool.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub(super) struct Told {
-    at: Now,
-    epoch: Epoch,
-    acked: bool,
-    released: bool,
-    leaving: bool,
-    unlisted: bool,
-    demand: u32,
-}
-
-impl Told {
-    fn of(beat: &PoolBeat, at: Now) -> Self {
-        Self {
-            at,
-            epoch: beat.epoch,
-            acked: beat.acked,
-            released: beat.released,
-            leaving: beat.leaving,
-            unlisted: beat.unlisted,
-            demand: beat.demand,
-        }
-    }
-
-    fn is_news_after(&self, last: &Self) -> bool {
-        let as_before = Self {
-            at: last.at,
-            ..self.clone()
-        };
-        as_before != *last || self.at >= last.at + BEAT_UNCHANGED
-    }
-}
-
-impl Tokens {
-    fn capacity_and_demand(&self) -> (Amounts, u32) {
-        match self {
-            Self::Slots(pool) => {
-                let upstreams = pool.upstreams();
-                let capacity = upstreams
-                    .iter()
-                    .map(|upstream| (upstream.id.clone(), upstream.listed_slots))
-                    .collect();
-                let used: u32 = upstreams
-                    .iter()
-                    .map(|upstream| u32::from(upstream.slots.get().in_flight))
-                    .sum();
-                (capacity, used + pool.waiting())
-            }
-            Self::Cap(link) => (link.capacity(), link.demand()),
-        }
-    }
-
-    pub(super) fn in_flight(&self) -> Amounts {
-        match self {
-            Self::Slots(pool) => pool
-                .upstreams()
-                .iter()
-                .map(|upstream| {
-                    (
-                        upstream.id.clone(),
-                        u32::from(upstream.slots.get().in_flight),
-                    )
-                })
-                .filter(|(_, used)| *used > 0)
-                .collect(),
-            Self::Cap(link) => {
-                BTreeMap::from([(ByteString::from_static(IN_FLIGHT), link.in_flight())])
-            }
-        }
-    }
-
-    fn publish(&self, limits: &Limits) {
-        match self {
-            Self::Slots(pool) => publish_slots(pool, limits),
-            Self::Cap(link) => {
-                let amount = |amounts: &Amounts, name| amounts.get(name).copied().unwrap_or(0);
-                link.allot(
-                    amount(&limits.full, IN_FLIGHT),
-                    amount(&limits.floor, IN_FLIGHT),
-                    amount(&limits.full, BYTES),
-                    amount(&limits.floor, BYTES),
-                );
-                link.lease.set(limits.full_until, limits.floor_until);
-            }
-        }
-    }
-}
-
-fn publish_slots(pool: &Pool, limits: &Limits) {
-    let mut grew = false;
-    for upstream in pool.upstreams().iter() {
-        let amount = |amounts: &Amounts| amounts.get(&upstream.id).copied().unwrap_or(0);
-        let before = upstream.slots.get();
-        let after = upstream
-            .slots
-            .allot(amount(&limits.full), amount(&limits.floor));
-        grew |= after.full > before.full;
-    }
-    pool.lease.set(limits.full_until, limits.floor_until);
-    if grew {
-        pool.wake_all();
-    }
-}
-
-fn to_share(pool: &PoolId, message: &ShareMessage) -> Option<Share> {
-    let payload = peer::to_payload(message).ok()?;
-    Some(Share {
-        pool: pool.clone(),
-        payload,
-    })
-}
-
-fn row_key(id: &PoolId) -> ByteString {
-    format!("share/{id}").into()
-}
-
-async fn read_row(platform: &HttpPlatform, key: ByteString) -> Found {
-    match platform.read(&[key]).await {
-        Ok(rows) => found(rows.into_iter().next().flatten()),
-        Err(_) => Found::Nothing,
-    }
-}
-
-fn found(row: Option<plat::Row>) -> Found {
-    match row {
-        None => Found::Absent,
-        Some(row) => match serde_json::from_str(&row.value) {
-            Ok(parsed) => Found::Row(row.version, parsed),
-            Err(_) => Found::Nothing,
-        },
-    }
-}
-
-async fn commit_row(
-    platform: &HttpPlatform,
-    key: ByteString,
-    check: Option<u64>,
-    row: Row,
-) -> Found {
-    let check = match check {
-        Some(version) => Check::Version {
-            key: key.clone(),
-            version,
-        },
-        None => Check::Absent { key: key.clone() },
-    };
-    let value = serde_json::to_string(&row).expect("a row is plain data");
-    let txn = Txn {
-        checks: vec![check],
-        writes: vec![Write::Put {
-            key: key.clone(),
-            value: value.into(),
-        }],
-    };
-    match platform.commit(txn).await {
-        Outcome::Done(Commit::Committed { version }) => Found::Row(version, row),
-        Outcome::Done(Commit::Conflict { rows }) => found(rows.into_iter().next().flatten()),
-        // The row is read back: whether it was written is then known.
-        Outcome::Unknown(_) => read_row(platform, key).await,
-        Outcome::NotDone(_) => Found::Nothing,
-    }
-}
--- /dev/null
+++ b/crates/daemon/src/process/control/shares/tokens.rs
@@ -0,0 +1,101 @@
+//! What a pool's tokens are for, and where traffic threads find them.
+
+use crate::process::{
+    link::{
+        Link,
+        BYTES,
+        IN_FLIGHT, //
+    },
+    pool::Pool, //
+};
+use bytestring::ByteString;
+use share::{
+    Amounts,
+    Limits, //
+};
+use std::{
+    collections::BTreeMap,
+    sync::Arc, //
+};
+
+/// What a pool's tokens are for.
+pub(in crate::process::control) enum Tokens {
+    /// Slots of upstreams.
+    Slots(Arc<Pool>),
+    /// Parts of the cap to another region.
+    Cap(Arc<Link>),
+}
+
+impl Tokens {
+    /// What the pool has to share, and how many tokens this entry could use now.
+    pub(super) fn capacity_and_demand(&self) -> (Amounts, u32) {
+        match self {
+            Self::Slots(pool) => {
+                let upstreams = pool.upstreams();
+                let capacity = upstreams
+                    .iter()
+                    .map(|upstream| (upstream.id.clone(), upstream.listed_slots))
+                    .collect();
+                let used: u32 = upstreams
+                    .iter()
+                    .map(|upstream| u32::from(upstream.slots.get().in_flight))
+                    .sum();
+                (capacity, used + pool.waiting())
+            }
+            Self::Cap(link) => (link.capacity(), link.demand()),
+        }
+    }
+
+    /// Tokens in use.
+    pub(in crate::process::control) fn in_flight(&self) -> Amounts {
+        match self {
+            Self::Slots(pool) => pool
+                .upstreams()
+                .iter()
+                .map(|upstream| {
+                    (
+                        upstream.id.clone(),
+                        u32::from(upstream.slots.get().in_flight),
+                    )
+                })
+                .filter(|(_, used)| *used > 0)
+                .collect(),
+            Self::Cap(link) => {
+                BTreeMap::from([(ByteString::from_static(IN_FLIGHT), link.in_flight())])
+            }
+        }
+    }
+
+    /// Lets traffic threads use what the limits say.
+    pub(super) fn publish(&self, limits: &Limits) {
+        match self {
+            Self::Slots(pool) => publish_slots(pool, limits),
+            Self::Cap(link) => {
+                let amount = |amounts: &Amounts, name| amounts.get(name).copied().unwrap_or(0);
+                link.allot(
+                    amount(&limits.full, IN_FLIGHT),
+                    amount(&limits.floor, IN_FLIGHT),
+                    amount(&limits.full, BYTES),
+                    amount(&limits.floor, BYTES),
+                );
+                link.lease.set(limits.full_until, limits.floor_until);
+            }
+        }
+    }
+}
+
+fn publish_slots(pool: &Pool, limits: &Limits) {
+    let mut grew = false;
+    for upstream in pool.upstreams().iter() {
+        let amount = |amounts: &Amounts| amounts.get(&upstream.id).copied().unwrap_or(0);
+        let before = upstream.slots.get();
+        let after = upstream
+            .slots
+            .allot(amount(&limits.full), amount(&limits.floor));
+        grew |= after.full > before.full;
+    }
+    pool.lease.set(limits.full_until, limits.floor_until);
+    if grew {
+        pool.wake_all();
+    }
+}
