--- a/crates/load/src/bin/jasmine-load.rs
+++ b/crates/load/src/bin/jasmine-load.rs
@@ -174,7 +174,7 @@
     let cli = Cli::parse();
     let done = match cli.command {
         Command::Run(args) => run(&args),
-        Command::Check { scene } => read_scene(&scene).map(|_| ExitCode::SUCCESS),
+        Command::Check { scene } => check(&scene),
         Command::Lookups(args) => lookups(&args),
         Command::Hop(args) => measure_hop(&args),
     };
@@ -190,6 +190,12 @@
     Scene::read(&name, &text).map_err(|findings| eyre!("{findings}"))
 }
 
+fn check(path: &Path) -> eyre::Result<ExitCode> {
+    read_scene(path)?;
+    println!("{}: no findings", path.display());
+    Ok(ExitCode::SUCCESS)
+}
+
 fn run(args: &RunArgs) -> eyre::Result<ExitCode> {
     let scene = read_scene(&args.scene)?;
     let sites = sites(args);
@@ -266,17 +272,23 @@
     )
 }
 
-/// Upstreams that left by an event that was accepted.
+/// Upstreams that left, and came back, by events that were accepted.
 fn leaving(driven: &Driven) -> Vec<Leaving> {
-    let mut leaving = Vec::new();
+    let mut leaving: Vec<Leaving> = Vec::new();
     for record in &driven.events {
-        if record.answer.as_ref().is_ok_and(|status| *status < 300) {
-            leaving.extend(record.event.leaves.iter().map(|upstream| Leaving {
-                upstream: upstream.clone(),
-                since_us: record.answered_us,
-                until_us: None,
-            }));
+        if !record.answer.as_ref().is_ok_and(|status| *status < 300) {
+            continue;
+        }
+        let returned = |gone: &&mut Leaving| record.event.returns.contains(&gone.upstream);
+        for gone in leaving.iter_mut().filter(returned) {
+            // Work may come again from the moment at which the return was asked for.
+            gone.until_us.get_or_insert(record.asked_us);
         }
+        leaving.extend(record.event.leaves.iter().map(|upstream| Leaving {
+            upstream: upstream.clone(),
+            since_us: record.answered_us,
+            until_us: None,
+        }));
     }
     leaving
 }
--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -96,6 +96,16 @@
     ticket: Option<ByteString>,
 }
 
+/// What came of a look-up.
+enum Lookup {
+    /// At least one entry.
+    Found(Entries),
+    /// The caller's own mistake, as an unknown class; every daemon would say the same.
+    Wrong,
+    /// Another daemon may know more.
+    Failed,
+}
+
 /// Entry in the answer to a look-up.
 #[derive(Deserialize)]
 struct Entry {
@@ -297,9 +307,10 @@
         while !self.left().is_zero() {
             for daemon in self.callers.daemons_for(&self.region.name) {
                 let limit = LOOKUP_TIMEOUT.min(self.left());
-                let found = timeout(limit, self.look_up_at(&daemon)).await;
-                if let Ok(Some(found)) = found {
-                    return Some(found);
+                match timeout(limit, self.look_up_at(&daemon)).await {
+                    Ok(Lookup::Found(found)) => return Some(found),
+                    Ok(Lookup::Wrong) => return None,
+                    Ok(Lookup::Failed) | Err(_) => {}
                 }
             }
             sleep(LOOKUP_PAUSE.min(self.left())).await;
@@ -307,19 +318,26 @@
         None
     }
 
-    async fn look_up_at(&self, daemon: &ByteString) -> Option<Entries> {
+    async fn look_up_at(&self, daemon: &ByteString) -> Lookup {
         let block = self.region.address(self.arrival.caller);
         let class = &self.class.name;
         let url = format!("http://{daemon}/v1/entries?class={class}&block={block}");
         self.travel().await;
-        let mut answer = self.callers.client.get(url).send().await.ok()?;
-        if !answer.status().is_success() {
-            return None;
-        }
-        let body = answer.body().await.ok()?;
+        let Ok(mut answer) = self.callers.client.get(url).send().await else {
+            return Lookup::Failed;
+        };
+        let body = answer.body().await;
         self.travel().await;
-        let found: Entries = serde_json::from_slice(&body).ok()?;
-        (!found.entries.is_empty()).then_some(found)
+        if answer.status().is_client_error() {
+            return Lookup::Wrong;
+        }
+        let found = body
+            .ok()
+            .and_then(|body| serde_json::from_slice(&body).ok());
+        match found {
+            Some(found @ Entries { .. }) if !found.entries.is_empty() => Lookup::Found(found),
+            _ => Lookup::Failed,
+        }
     }
 
     /// Sends one try and waits for its end.
--- a/crates/load/src/drive.rs
+++ b/crates/load/src/drive.rs
@@ -63,6 +63,8 @@
 pub struct EventRecord {
     /// The event.
     pub event: Event,
+    /// When it was sent.
+    pub asked_us: UnixUs,
     /// When it was answered.
     pub answered_us: UnixUs,
     /// Status of the answer, or why there was none.
@@ -153,9 +155,11 @@
     let mut records = Vec::new();
     for event in events {
         sleep_until(clock.start() + Duration::from_millis(event.at_ms));
+        let asked_us = clock.us(Instant::now());
         let answer = post(&event, sites);
         records.push(EventRecord {
             event,
+            asked_us,
             answered_us: clock.us(Instant::now()),
             answer,
         });
--- a/crates/load/src/scene.rs
+++ b/crates/load/src/scene.rs
@@ -132,6 +132,8 @@
     pub body: ByteString,
     /// Upstreams that leave by this event, for the judge.
     pub leaves: Vec<UpstreamId>,
+    /// Upstreams that are back by this event, for the judge.
+    pub returns: Vec<UpstreamId>,
 }
 
 impl Scene {
--- a/crates/load/src/scene/read.rs
+++ b/crates/load/src/scene/read.rs
@@ -194,6 +194,7 @@
     let path = path_field.text();
     let body = map.optional("body").text();
     let leaves = map.optional("leaves").list();
+    let returns = map.optional("returns").list();
     if path.as_ref().is_some_and(|path| !path.starts_with('/')) {
         path_field.fail("must start with `/`");
     }
@@ -203,6 +204,7 @@
         path: path?,
         body: body.unwrap_or_default(),
         leaves: leaves.into_iter().filter_map(Field::text).collect(),
+        returns: returns.into_iter().filter_map(Field::text).collect(),
     })
 }
 
