--- a/crates/model/src/share.rs
+++ b/crates/model/src/share.rs
@@ -51,6 +51,8 @@
     pub members: usize,
     /// Further members, with a lease and in no row yet.
     pub joiners: usize,
+    /// Member whose next life the last joiner is; it starts at any time, even beside the earlier.
+    pub restarted: Option<usize>,
     /// Tokens of the one resource at the start.
     pub tokens: u32,
     /// Other capacities that may be reported.
@@ -98,6 +100,7 @@
         Self {
             members: 2,
             joiners: 0,
+            restarted: None,
             tokens: 4,
             capacities: Vec::new(),
             demands: Vec::new(),
@@ -178,7 +181,7 @@
 #[derive(Clone, Eq, Hash, PartialEq)]
 struct Node {
     cell: Cell,
-    /// Its lease in the table.
+    /// Its lease in the table; zero before the first.
     lease: u64,
     renewal: Option<Renewal>,
     /// Seconds at which each piece of work in flight ends at the latest.
@@ -202,6 +205,8 @@
 pub enum Step {
     /// A second passes.
     Second,
+    /// The next life of a member begins.
+    Restart,
     /// A member reads the row and all leases.
     Read(usize),
     /// A member renews its lease and learns of it at once.
@@ -253,6 +258,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Second => f.write_str("a second passes"),
+            Self::Restart => f.write_str("the next life begins"),
             Self::Read(i) => write!(f, "{} reads the row and the leases", name(*i)),
             Self::Renew(i) => write!(f, "{} renews its lease", name(*i)),
             Self::SendRenewal(i) => write!(f, "{} sends a renewal of its lease", name(*i)),
@@ -285,13 +291,6 @@
     Amounts::from([(resource(), n)])
 }
 
-fn member_id(index: usize) -> MemberId {
-    MemberId {
-        instance: name(index).to_string().into(),
-        incarnation: 1,
-    }
-}
-
 impl World {
     /// Seconds since the start.
     pub fn seconds(&self) -> u64 {
@@ -330,6 +329,20 @@
         uses.collect()
     }
 
+    fn member_id(&self, index: usize) -> MemberId {
+        let earlier = self.restarted.filter(|_| index + 1 == self.count());
+        MemberId {
+            instance: name(earlier.unwrap_or(index)).to_string().into(),
+            incarnation: if earlier.is_some() { 2 } else { 1 },
+        }
+    }
+
+    /// Whether the lease of member `index` has given way to one of its next life.
+    fn is_replaced(&self, index: usize, world: &World) -> bool {
+        let next = world.nodes.last().is_some_and(|node| node.lease > 0);
+        next && self.restarted == Some(index)
+    }
+
     fn count(&self) -> usize {
         self.members + self.joiners
     }
@@ -360,7 +373,7 @@
             demand: 1,
             state: PlanState::Live,
         };
-        let members = (0..self.members).map(|i| (member_id(i), member(i)));
+        let members = (0..self.members).map(|i| (self.member_id(i), member(i)));
         let members: BTreeMap<_, _> = members.collect();
         plan(None, &tokens(self.tokens), &members, &self.terms)
     }
@@ -368,7 +381,7 @@
     /// Every step that could come next.
     fn steps(&self, world: &World) -> Vec<Step> {
         let mut steps = vec![Step::Second];
-        for i in 0..self.count() {
+        for i in (0..self.count()).filter(|i| world.nodes[*i].lease > 0) {
             self.steps_of(i, world, &mut steps);
             if self.broadcast {
                 steps.push(Step::BeatAll(i));
@@ -385,6 +398,9 @@
                 }
             }
         }
+        if world.nodes.iter().any(|node| node.lease == 0) {
+            steps.push(Step::Restart);
+        }
         if world.late_beat.is_some() {
             steps.push(Step::LateBeat);
         }
@@ -437,6 +453,7 @@
         let mut next = world.clone();
         match *step {
             Step::Second => self.second(&mut next)?,
+            Step::Restart => self.restart(&mut next)?,
             Step::Read(i) => {
                 self.read(&mut next, i);
                 if !self.late_writes {
@@ -521,25 +538,36 @@
         Some(())
     }
 
+    fn restart(&self, world: &mut World) -> Option<()> {
+        let i = self.count() - 1;
+        let now = self.clock(i, world);
+        world.nodes[i].lease = 1;
+        world.change(i, |member| member.set_lease(1, now, now));
+        self.restarted.map(|_| ())
+    }
+
     fn read(&self, world: &mut World, i: usize) {
         let now = self.clock(i, world);
         let row = Arc::clone(&world.row);
-        let leases: Vec<u64> = world.nodes.iter().map(|node| node.lease).collect();
+        let current = |j: &usize| world.nodes[*j].lease > 0 && !self.is_replaced(*j, world);
+        let lease = |j| (self.member_id(j), world.nodes[j].lease);
+        let leases: Vec<_> = (0..self.count()).filter(current).map(lease).collect();
         world.change(i, |member| {
             member.on_row(&row, now);
             if !self.work {
                 member.set_in_flight(Amounts::new());
             }
-            for (j, seq) in leases.iter().enumerate() {
-                member.observe_lease(&member_id(j), *seq, now, now);
+            for (id, seq) in &leases {
+                member.observe_lease(id, *seq, now, now);
             }
         });
     }
 
     fn take_renewal(&self, world: &mut World, i: usize) -> Option<u64> {
         let seq = world.nodes[i].lease + 1;
+        let taken = seq <= self.lease_limit(i) && !self.is_replaced(i, world);
         world.nodes[i].lease = seq;
-        (seq <= self.lease_limit(i)).then_some(seq)
+        taken.then_some(seq)
     }
 
     fn beat(&self, world: &mut World, i: usize) -> PoolBeat {
@@ -627,12 +655,15 @@
         let pool = share::slots_pool(&"s".into(), &"r".into());
         let node = |i| {
             let mut member =
-                Member::with_guards(member_id(i), pool.clone(), self.terms, self.guards);
+                Member::with_guards(self.member_id(i), pool.clone(), self.terms, self.guards);
             member.set_capacity(tokens(self.tokens));
-            member.set_lease(1, Duration::from_secs(1), Duration::from_secs(1));
+            let starts = self.restarted.is_none() || i + 1 < self.count();
+            if starts {
+                member.set_lease(1, Duration::from_secs(1), Duration::from_secs(1));
+            }
             Node {
                 cell: Cell::new(member),
-                lease: 1,
+                lease: u64::from(starts),
                 renewal: None,
                 work: Vec::new(),
             }
--- a/crates/model/tests/share.rs
+++ b/crates/model/tests/share.rs
@@ -73,6 +73,7 @@
     confirm_read: ShareModel { max_lease: vec![2, 2], late_writes: true, horizon: 2, ..plain() };
     listed_lease: ShareModel { max_lease: vec![2, 2], rows_by_peers: true, late_writes: true, horizon: 2, ..plain() };
     floor_bound: ShareModel { demands: vec![(1, 5)], tokens: 6, max_lease: vec![1, 2], horizon: 3, max_epoch: 2, ..plain() };
+    replaced_from_sight: restarted();
     witness_since: newcomers_alone();
     promise_kept: ShareModel { cut_off: vec![0], max_lease: vec![1, 2], horizon: 4, ..ShareModel::default() };
     promise_from_ask: ShareModel { cut_off: vec![0], max_lease: vec![1, 2], late_beats: true, horizon: 3, max_epoch: 2, ..ShareModel::default() };
@@ -81,10 +82,44 @@
     give_once: ShareModel { demands: vec![(0, 1), (1, 3)], horizon: 1, max_epoch: 1, ..plain() };
     give_same_epoch: ShareModel { demands: vec![(0, 1), (1, 3)], horizon: 0, max_epoch: 2, ..plain() };
     give_stops_first: ShareModel { demands: vec![(0, 1), (1, 3)], horizon: 0, max_epoch: 1, work: true, terms: Terms { grace: Duration::from_secs(2), ..plain().terms }, ..plain() };
-    grace: ShareModel { horizon: 4, max_lease: vec![1, 2], max_epoch: 2, work: true, terms: Terms { grace: Duration::from_secs(2), ..plain().terms }, ..plain() };
+    grace: reclaimed_beside_work();
     drift: ShareModel { horizon: 6, max_lease: vec![1, 2], max_epoch: 2, slow_clocks: vec![0], terms: Terms { drift_pct: 25, short_ttl: Duration::from_secs(4), long_ttl: Duration::from_secs(10), ..plain().terms }, ..plain() };
 }
 
+/// Member a may go on beside its own next life, which only the table hears.
+fn restarted() -> ShareModel {
+    use ShareStep::{Renew, Second};
+    let (a, b, next) = (0, 1, 2);
+    ShareModel {
+        joiners: 1,
+        restarted: Some(a),
+        apart: vec![(a, next), (b, next)],
+        max_lease: vec![2, 2],
+        horizon: 3,
+        max_epoch: 2,
+        prefix: vec![Second, Renew(b)],
+        ..plain()
+    }
+}
+
+/// Work of member a outlives its lease, and member b waits for the lapse.
+fn reclaimed_beside_work() -> ShareModel {
+    use ShareStep::{Renew, Second, Start};
+    let (a, b) = (0, 1);
+    ShareModel {
+        max_lease: vec![1, 4],
+        max_epoch: 2,
+        horizon: 4,
+        work: true,
+        terms: Terms {
+            grace: Duration::from_secs(2),
+            ..plain().terms
+        },
+        prefix: vec![Second, Start(a), Start(a), Renew(b), Second, Renew(b)],
+        ..plain()
+    }
+}
+
 /// Two newcomers and the table, without the one member that has everything.
 fn newcomers_alone() -> ShareModel {
     use ShareStep::{Read, Renew, Second};
@@ -221,6 +256,8 @@
         |model, world| world.seconds() >= 3 && model.uses(world) == [2, 2];
     promises_give_a_lapsed_surplus_back: ShareModel { cut_off: vec![0], max_lease: vec![1, 2], horizon: 3, prefix: vec![ShareStep::Second, ShareStep::Renew(1), ShareStep::Second], ..ShareModel::default() },
         |model, world| world.seconds() >= 2 && model.uses(world) == [2, 2];
+    next_life_gets_its_part: ShareModel { joiners: 1, restarted: Some(0), max_lease: vec![1, 2], horizon: 3, ..plain() },
+        |model, world| model.uses(world)[2] > 0;
     joiner_gets_its_part: ShareModel { joiners: 1, horizon: 0, ..plain() },
         |model, world| model.uses(world)[2] > 0;
     stop_frees_everything: ShareModel { leaving: true, horizon: 0, ..plain() },
--- a/crates/share/src/lease.rs
+++ b/crates/share/src/lease.rs
@@ -51,6 +51,11 @@
     }
 }
 
+/// Stands for the last lease of a member whose instance has begun a new life.
+///
+/// Its number is unknown: it may have been renewed after the last look and before the new life began.
+pub(crate) const REPLACED: u64 = u64::MAX;
+
 /// Another member's lease as seen from here.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub(crate) struct SeenLease {
@@ -99,7 +104,8 @@
     }
 
     fn known_lapse(&self, now: Now, terms: &Terms, guards: &Guards) -> Lapse {
-        if guards.confirm_read {
+        let may_be_renewed = self.seq != REPLACED;
+        if may_be_renewed && guards.confirm_read {
             self.confirmed
         } else {
             self.lapse_at(now, terms, guards)
--- a/crates/share/src/member.rs
+++ b/crates/share/src/member.rs
@@ -14,7 +14,8 @@
 use crate::{
     lease::{
         OwnLease,
-        SeenLease, //
+        SeenLease,
+        REPLACED, //
     },
     message::{
         Action,
@@ -212,6 +213,9 @@
             return;
         }
         self.see_lease(&beat.from, beat.lease_seq, now);
+        if beat.lease_seq > 0 {
+            self.see_next_life(&beat.from, now, now);
+        }
         self.keep_beat(beat, now);
         let same_epoch = beat.epoch == self.epoch() || !self.guards.promise_same_epoch;
         let promises = !self.terms.promise_term.is_zero();
@@ -279,18 +283,49 @@
     }
 
     /// Notes that a read of the table which started at `read_at` found `member` at lease `seq`.
+    ///
+    /// The table has one lease an instance. One of a higher incarnation shows that those before can't
+    /// be renewed any more; they lapse counted from the first sight of that.
     pub fn observe_lease(&mut self, member: &MemberId, seq: u64, read_at: Now, now: Now) {
         self.touch(now);
         if *member == self.me {
             return;
         }
         self.see_lease(member, seq, now);
+        self.confirm_lease(member, seq, read_at);
+        self.see_next_life(member, read_at, now);
+        self.try_settle(now);
+    }
+
+    /// Notes that `member` holds its instance's lease: no earlier life can renew any more.
+    fn see_next_life(&mut self, member: &MemberId, read_at: Now, now: Now) {
+        for earlier in self.earlier_lives(member) {
+            if self.guards.replaced_from_sight {
+                self.see_lease(&earlier, REPLACED, now);
+            } else {
+                let last = self
+                    .leases
+                    .get(&earlier)
+                    .map_or(REPLACED, |lease| lease.seq);
+                self.confirm_lease(&earlier, last, read_at);
+            }
+        }
+    }
+
+    fn confirm_lease(&mut self, member: &MemberId, seq: u64, read_at: Now) {
         if let Some(lease) = self.leases.get_mut(member) {
             if lease.seq == seq {
                 lease.confirm(read_at, &self.terms, &self.guards);
             }
         }
-        self.try_settle(now);
+    }
+
+    /// Members of the row that are an earlier life of the instance of `member`.
+    fn earlier_lives(&self, member: &MemberId) -> Vec<MemberId> {
+        let listed = self.row.iter().flat_map(|row| row.members.keys());
+        let earlier =
+            |id: &&MemberId| id.instance == member.instance && id.incarnation < member.incarnation;
+        listed.filter(earlier).cloned().collect()
     }
 
     fn see_lease(&mut self, member: &MemberId, seq: u64, now: Now) {
--- a/crates/share/src/propose.rs
+++ b/crates/share/src/propose.rs
@@ -9,6 +9,7 @@
         PlanState, //
     },
     row::{
+        amount,
         total,
         MemberId,
         Row, //
@@ -42,7 +43,7 @@
         let alive = self
             .lease
             .is_some_and(|lease| now < lease.short_end(&self.terms));
-        if !alive || self.dead || self.is_released() || !(self.row.is_some() || self.row_absent) {
+        if !alive || self.dead || !(self.row.is_some() || self.row_absent) {
             return None;
         }
         let capacity = self.capacity.as_ref()?;
@@ -51,12 +52,13 @@
         let Some(row) = &self.row else {
             return Some(next);
         };
-        let needed = row.resources != next.resources
+        let needed = capacity_fell(row, &next)
             || self.members_differ(row, &next)
             || self.lapsed_hold_too_much(row, &next, &members)
             || self.someone_waits_to_be_listed(row, &next, now);
         let rested = now >= self.adopted_at + self.terms.rebalance_every;
-        (needed || (rested && demand_moved(row, &next, &members))).then_some(next)
+        let useful = row.resources != next.resources || demand_moved(row, &next, &members);
+        (needed || (rested && useful)).then_some(next)
     }
 
     /// Everybody that the next row should list.
@@ -179,6 +181,16 @@
     }
 }
 
+/// Whether a resource has less than the row says.
+///
+/// More of it waits for the next regular row. The entries' pictures of the upstreams lag by different
+/// times, and two that disagree would otherwise replace each other's row without end.
+fn capacity_fell(row: &Row, next: &Row) -> bool {
+    row.resources
+        .iter()
+        .any(|(resource, n)| amount(&next.resources, resource) < *n)
+}
+
 /// Whether the next row gives a token to a live member that lacks it.
 fn demand_moved(row: &Row, next: &Row, members: &BTreeMap<MemberId, PlanMember>) -> bool {
     members.iter().any(|(id, member)| {
--- a/crates/share/src/terms.rs
+++ b/crates/share/src/terms.rs
@@ -80,6 +80,8 @@
     pub broken_chain: bool,
     /// A lapse needs a read of the table that started after it.
     pub confirm_read: bool,
+    /// The last lease of an earlier life is counted from the first sight of the next.
+    pub replaced_from_sight: bool,
     /// A lapse of a lease older than the row lists counts for nothing.
     pub listed_lease: bool,
     /// What is left to a lapsed member covers every floor that it may still be using.
@@ -116,6 +118,7 @@
             lease_from_send: true,
             broken_chain: true,
             confirm_read: true,
+            replaced_from_sight: true,
             listed_lease: true,
             floor_bound: true,
             witness_since: true,
