--- /dev/null
+++ b/crates/ctl/examples/spread.rs
@@ -0,0 +1,75 @@
+//! Measures how long an accepted version takes to be in force at every daemon.
+//!
+//! `cargo run -p ctl --example spread -- [ENTRIES_PER_REGION [SLOW_MS]]`, after `cargo build -p
+//! daemon -p standin`: three regions on loopback with 5 ms between them, the terms at their
+//! defaults, each call of the platform `SLOW_MS` slower than else.
+
+use rig::{
+    Layout,
+    RegionLayout,
+    Rig, //
+};
+use serde_json::json;
+use std::{
+    env, thread,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+/// Accepts that are measured.
+const ROUNDS: u64 = 10;
+/// Longest wait for a version to be in force.
+const LIMIT: Duration = Duration::from_secs(60);
+
+fn main() {
+    let arg = |index: usize, default: u64| {
+        let arg = env::args().nth(index);
+        arg.map_or(default, |arg| arg.parse().expect("a number"))
+    };
+    let entries = usize::try_from(arg(1, 4)).expect("few");
+    let slow_ms = arg(2, 0);
+    let region = |name| RegionLayout { name, entries };
+    let rig = Rig::start(Layout {
+        regions: ["arusha", "moshi", "dar"].map(region).to_vec(),
+        between_regions_us: 5_000,
+        terms: Vec::new(),
+        ..Layout::one_region()
+    })
+    .expect("the rig starts");
+    let slow = json!({"kind": "slow", "delay_ms": slow_ms});
+    rig.fault_platform(&json!({"table": slow, "objects": slow, "list": slow}));
+    println!(
+        "{} daemons, platform slower by {slow_ms} ms",
+        rig.daemons.len()
+    );
+    println!("round  accept ms  in force everywhere after ms");
+    for round in 0..ROUNDS {
+        let text = rig.layout.config();
+        let text = text.replace("name: rig", &format!("name: round-{round}"));
+        let body = json!({
+            "accept_id": format!("round-{round}"), "author": "spread",
+            "base_version": round + 1, "text": text,
+        });
+        let sent = Instant::now();
+        let reply = rig.operator("arusha-0", "/op/v1/accept", Some(&body));
+        assert_eq!(reply.status, 200, "{}", reply.body);
+        let accepted = Instant::now();
+        while !rig.daemons.keys().all(|id| version(&rig, id) == round + 2) {
+            assert!(accepted.elapsed() < LIMIT, "not in force everywhere");
+            thread::sleep(Duration::from_millis(5));
+        }
+        println!(
+            "{round:>5}  {:>9}  {:>28}",
+            (accepted - sent).as_millis(),
+            accepted.elapsed().as_millis()
+        );
+        thread::sleep(Duration::from_millis(500));
+    }
+}
+
+fn version(rig: &Rig, id: &str) -> u64 {
+    let reply = rig.operator(id, "/op/v1/status", None);
+    reply.body["version"].as_u64().unwrap_or(0)
+}
--- a/crates/report/src/plot.rs
+++ b/crates/report/src/plot.rs
@@ -16,6 +16,8 @@
 
 /// Size of a plot, in pixels.
 const SIZE: (u32, u32) = (560, 260);
+/// Space on the right for half of the last label.
+const RIGHT_MARGIN: u32 = 24;
 /// Least top of the scale of burn.
 const BURN_TOP: f64 = 20.0;
 /// Largest burn that is plotted; higher ones end at the top.
@@ -58,8 +60,12 @@
     let highest = burns.fold(BURN_TOP, f64::max).min(BURN_MAX);
     let minutes = MINUTES as f64;
     let mut chart = ChartBuilder::on(area)
-        .caption("burn by minute", ("sans-serif", 14))
+        .caption(
+            "burn by minute; lines: 1 in time, 6 slow alert, 14.4 fast alert",
+            ("sans-serif", 14),
+        )
         .margin(8)
+        .margin_right(RIGHT_MARGIN)
         .x_label_area_size(34)
         .y_label_area_size(48)
         .build_cartesian_2d(-minutes..0.0, (BURN_LEAST..highest).log_scale())?;
@@ -67,7 +73,7 @@
         .configure_mesh()
         .light_line_style(WHITE)
         .x_desc("minutes ago")
-        .x_label_formatter(&|x| format!("{:.0}", -x))
+        .x_label_formatter(&|x| format!("{:.0}", x.abs()))
         .y_label_formatter(&|y| format!("{y}"))
         .draw()?;
     for (level, color) in [
@@ -122,8 +128,12 @@
     let least = values().fold(f64::MAX, f64::min) / 2.0;
     let highest = values().fold(LATENCY_LEAST_MS, f64::max) * 2.0;
     let mut chart = ChartBuilder::on(area)
-        .caption("latency by percentile, ms", ("sans-serif", 14))
+        .caption(
+            "latency by percentile, ms; line: target",
+            ("sans-serif", 14),
+        )
         .margin(8)
+        .margin_right(RIGHT_MARGIN)
         .x_label_area_size(34)
         .y_label_area_size(48)
         .build_cartesian_2d(0.0..4.0, (least.max(LATENCY_LEAST_MS)..highest).log_scale())?;
