standin: service times finer than a tick of the runtime

Cause: tokio rounds each wait up to its next millisecond, so that an upstream with service_ms=0 answered 863 requests/s to one caller, one in 1.16 ms, and would hide what a hop adds. Ruled out: the relay and the client, which were the same before and after. Change: the links' fine alarm serves the upstreams, too.

--- a/crates/standin/src/link/alarm.rs
+++ b/crates/standin/src/alarm.rs
@@ -1,4 +1,7 @@
 //! Waits that are finer than the runtime's milliseconds, by one thread for the process.
+//!
+//! The runtime rounds each wait up to its next tick of a millisecond, even one of no length. That
+//! is several times what a hop through an entry may add, and would hide it.
 
 use std::{
     collections::BTreeMap,
@@ -47,7 +50,7 @@
 });
 
 /// Waits until `due`.
-pub(super) async fn wait_until(due: Instant) {
+pub(crate) async fn wait_until(due: Instant) {
     if due <= Instant::now() {
         return;
     }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -26,6 +26,7 @@
     },
 };
 
+mod alarm;
 pub mod link;
 pub mod pattern;
 pub mod platform;
--- a/crates/standin/src/link/mod.rs
+++ b/crates/standin/src/link/mod.rs
@@ -44,7 +44,6 @@
     time::sleep, //
 };
 
-mod alarm;
 mod pump;
 
 /// Pause before the address of a cut relay is tried again.
--- a/crates/standin/src/link/pump.rs
+++ b/crates/standin/src/link/pump.rs
@@ -1,12 +1,12 @@
 //! One connection over a link.
 
 use super::{
-    alarm,
     Direction,
     Kind,
     Relay,
     State, //
 };
+use crate::alarm;
 use bytes::{
     Bytes,
     BytesMut, //
--- a/crates/standin/src/upstream/mod.rs
+++ b/crates/standin/src/upstream/mod.rs
@@ -1,7 +1,7 @@
 //! Upstreams: each does work in its slots, on a port of its own, and records what it ran.
 //!
 //! [`Upstream::serve`] starts one; any path is work but `/health`, `/load`, `/fault`, `/record` and
-//! `/record/clear`. [`control`] serves the last three for all upstreams of a process, by `?id=`,
+//! `/record/clear`. [`control()`] serves the last three for all upstreams of a process, by `?id=`,
 //! so that the record of an upstream that is gone can still be read.
 //!
 //! Life of a request: its body is read and digested; it may be shed; it waits for a slot; it is
--- a/crates/standin/src/upstream/work.rs
+++ b/crates/standin/src/upstream/work.rs
@@ -8,6 +8,7 @@
     Upstream, //
 };
 use crate::{
+    alarm,
     lock,
     pattern::Pattern,
     wall_ms, //
@@ -151,7 +152,8 @@
     if hangs {
         future::pending::<()>().await;
     }
-    if timeout_at(deadline, sleep(service_time)).await.is_err() {
+    let service = alarm::wait_until(std::time::Instant::now() + service_time);
+    if timeout_at(deadline, service).await.is_err() {
         job.end(Ended::Expired);
         return answer(&upstream, StatusCode::GATEWAY_TIMEOUT, Some(&request)).finish();
     }
