strict: one connector for every HTTP client, in place of three

The same stream, whose end is an error, stood in the daemon, in the platform's client and in the load driver. It is now a crate of its own; connections have no delay everywhere.

--- a/crates/daemon/src/connection/mod.rs
+++ b/crates/daemon/src/connection/mod.rs
@@ -7,26 +7,14 @@
 //! new connection works. Whoever misses a deadline on an address therefore calls
 //! [`Clients::retire`], and the next request opens a fresh connection.
 
-mod io;
-
-use self::io::NoEof;
-use actix_service::fn_service;
-use actix_service::Service;
-use actix_tls::connect::{
-    ConnectInfo,
-    ConnectorService, //
-};
-use awc::{
-    http::Uri,
-    Client,
-    Connector, //
-};
+use awc::Client;
 use base::FastMap;
 use bytestring::ByteString;
 use std::{
     cell::RefCell,
     time::Duration, //
 };
+use strict::strict_connector;
 
 /// Time after which an idle connection is closed.
 const KEEP_ALIVE: Duration = Duration::from_secs(30);
@@ -70,16 +58,7 @@
 }
 
 fn new_client(connect_timeout: Duration) -> Client {
-    let connect = fn_service(|info: ConnectInfo<Uri>| async move {
-        let connection = ConnectorService::default().call(info).await?;
-        let (stream, request) = connection.into_parts();
-        // Small requests on a warm connection must not wait for the other end's delayed
-        // acknowledgement; failing to set the option only costs time.
-        let _ = stream.set_nodelay(true);
-        Ok(actix_tls::connect::Connection::new(request, NoEof(stream)))
-    });
-    let connector = Connector::new()
-        .connector(connect)
+    let connector = strict_connector()
         .timeout(connect_timeout)
         .conn_keep_alive(KEEP_ALIVE)
         .limit(0);
--- a/crates/op/src/client.rs
+++ b/crates/op/src/client.rs
@@ -19,7 +19,6 @@
 use base::InstanceId;
 use futures_util::future::join_all;
 use member::LeaseState;
-use plat::strict_connector;
 use serde::{
     de::DeserializeOwned,
     Serialize, //
@@ -28,6 +27,7 @@
     fmt,
     time::Duration, //
 };
+use strict::strict_connector;
 
 /// Longest answer that is read: a configuration with its block table.
 const ANSWER_LIMIT_BYTES: usize = 256 << 20;
--- a/crates/plat/src/http.rs
+++ b/crates/plat/src/http.rs
@@ -6,7 +6,6 @@
         ReadError,
         Reason, //
     },
-    strict::strict_connector,
     types::{
         Commit,
         List,
@@ -49,6 +48,7 @@
     fmt,
     time::Duration, //
 };
+use strict::strict_connector;
 
 /// Longest answer that is read, so that a broken platform can't fill the daemon's memory.
 const ANSWER_LIMIT_BYTES: usize = 256 << 20;
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -10,9 +10,6 @@
 //! have reached the platform. Nothing is sent twice by one call. A connection on which a call
 //! timed out is closed, along with its idle siblings.
 //!
-//! [`strict_connector`] is for every client of HTTP in the system: without it, awc passes an answer
-//! that was cut short as whole.
-//!
 //! The futures are not `Send`: control runs on one thread, inside an actix system.
 
 use bytes::Bytes;
@@ -20,7 +17,6 @@
 
 mod http;
 mod outcome;
-mod strict;
 mod types;
 mod wire;
 
@@ -30,10 +26,6 @@
     ReadError,
     Reason, //
 };
-pub use strict::{
-    strict_connector,
-    StrictStream, //
-};
 pub use types::{
     Check,
     Commit,
--- /dev/null
+++ b/crates/strict/src/lib.rs
@@ -0,0 +1,18 @@
+//! HTTP clients that tell a cut answer from a whole one.
+//!
+//! awc ends a body without an error when the connection closes early, both for a declared length
+//! and for chunks, as long as what came could be parsed. A caller would take half an answer for a
+//! whole one, and nothing would show it. Here the end of a connection is an error, so that a body
+//! ends well only by its own framing. An answer framed by nothing but the end of its connection
+//! is refused along with the cut ones: no one can tell whether it is whole.
+//!
+//! Invariant: no answer that a client of [`strict_connector`] calls whole lacks a byte that its
+//! sender declared. Whoever needs a client for HTTP starts here and adds limits and timeouts of his
+//! own; the entry's are in the daemon's `connection`, the platform's in `plat`.
+
+mod stream;
+
+pub use stream::{
+    strict_connector,
+    StrictStream, //
+};
--- a/crates/plat/src/strict.rs
+++ b/crates/strict/src/stream.rs
@@ -1,10 +1,4 @@
-//! A transport that tells a cut answer from a whole one.
-//!
-//! awc ends a body without an error when the connection closes early, both for a declared length
-//! and for chunks, as long as what came could be parsed. A caller would take half an answer for a
-//! whole one, and nothing would show it. Here the end of a connection is an error, so that a body
-//! ends well only by its own framing. An answer framed by nothing but the end of its connection
-//! is refused along with the cut ones: no one can tell whether it is whole.
+//! The stream and the connector.
 
 use actix_rt::net::{
     ActixStream,
@@ -46,7 +40,9 @@
 
 /// The connector of every awc client here: a connection that ends within an answer breaks it.
 ///
-/// The answer's body then gives an error, or the request does when no answer had come.
+/// The answer's body then gives an error, or the request does when no answer had come. Connections
+/// are without delay: a small request on a warm one must not wait for the other end's delayed
+/// acknowledgement.
 pub fn strict_connector() -> Connector<
     impl Service<ConnectInfo<Uri>, Response = Connection<Uri, StrictStream>, Error = ConnectError>
         + Clone,
@@ -54,6 +50,8 @@
     let tcp = TcpConnector::default().service();
     let strict = tcp.map(|connection: Connection<Uri, TcpStream>| {
         let (stream, connection) = connection.replace_io(());
+        // Failing to set the option only costs time.
+        let _ = stream.set_nodelay(true);
         connection.replace_io(StrictStream(stream)).1
     });
     Connector::new().connector(strict)
