Queue to half the deadline; rig: measure scenes under policies

Refused at the latency target, callers of a burst only asked again. What other regions shift here waits behind local work.

A sample of three times the average counts for half of it.

--- a/crates/daemon/src/process/control/publish.rs
+++ b/crates/daemon/src/process/control/publish.rs
@@ -10,7 +10,10 @@
     },
     request::{
         acquire::QUEUE_MAX,
-        place::target_of, //
+        place::{
+            admission_of,
+            target_of, //
+        },
     },
     version::{
         ClassView,
@@ -83,7 +86,7 @@
                 let classes = config.classes.iter();
                 classes.filter(|other| other.service == *service)
             };
-            let targets: Vec<ClassTarget> = of_service().map(target_of).collect();
+            let targets: Vec<ClassTarget> = of_service().map(admission_of).collect();
             let place = of_service().position(|other| other.id == class.id);
             let place = place.expect("a class is one of its service's");
             let admit = Admit::new(targets, QUEUE_MAX);
--- a/crates/daemon/src/process/pool/lanes.rs
+++ b/crates/daemon/src/process/pool/lanes.rs
@@ -14,6 +14,8 @@
 
 /// Lanes of a service; classes beyond share the last.
 const LANES: usize = 8;
+/// Rank of the last lane.
+pub(crate) const LAST_RANK: usize = LANES - 1;
 
 /// Lanes by the rank of their class, first ranked first.
 #[derive(Debug, Default)]
--- a/crates/daemon/src/process/pool/mod.rs
+++ b/crates/daemon/src/process/pool/mod.rs
@@ -16,6 +16,7 @@
 mod upstream;
 
 pub(crate) use self::{
+    lanes::LAST_RANK,
     permit::Permit,
     seen::Totals,
     upstream::Upstream, //
--- a/crates/daemon/src/process/pool/seen.rs
+++ b/crates/daemon/src/process/pool/seen.rs
@@ -10,6 +10,11 @@
 
 /// Weight of a new sample in the moving average of latency, as a power of two.
 const EWMA_SHIFT: u32 = 3;
+/// A sample above this many times the average counts for half.
+///
+/// An upstream that has become slow answers seldom: at the usual weight it goes on looking quick,
+/// and draws work, for as many of its slow answers as the average needs to follow.
+const JUMP: u64 = 3;
 
 /// What traffic threads saw of an upstream since the process started.
 #[derive(Debug, Default)]
@@ -31,10 +36,10 @@
         self.latency_sum_us.fetch_add(sample_us, Ordering::Relaxed);
         // Racing samples may lose one of them, which a moving average bears.
         let old_us = self.latency_us.load(Ordering::Relaxed);
-        let new_us = if old_us == 0 {
-            sample_us
-        } else {
-            old_us - (old_us >> EWMA_SHIFT) + (sample_us >> EWMA_SHIFT)
+        let new_us = match old_us {
+            0 => sample_us,
+            _ if sample_us / JUMP > old_us => old_us / 2 + sample_us / 2,
+            _ => old_us - (old_us >> EWMA_SHIFT) + (sample_us >> EWMA_SHIFT),
         };
         self.latency_us.store(new_us, Ordering::Relaxed);
     }
--- a/crates/daemon/src/request/acquire.rs
+++ b/crates/daemon/src/request/acquire.rs
@@ -6,13 +6,15 @@
         Pool,
         Upstream,
         WaitGuard, //
+        LAST_RANK,
     },
     request::{
         answer::{
             Answer,
             Reason, //
         },
-        carry::Job, //
+        carry::Job,
+        place::admission_of, //
     },
     version::ClassView,
 };
@@ -36,7 +38,7 @@
 };
 
 /// Requests of one service that wait at this entry at most.
-pub(crate) const QUEUE_MAX: u32 = 64;
+pub(crate) const QUEUE_MAX: u32 = 256;
 
 /// Upstreams that one request may go to, as they are now.
 struct Choice {
@@ -73,19 +75,19 @@
 /// Wait that a request of the class would expect at `now`.
 pub(super) fn expected_wait(class: &ClassView, now: Now) -> Duration {
     let choice = Choice::new(&class.pool, &[], now);
-    let load = load(class, &choice, false);
+    let load = load(class, &choice, class.rank, false);
     class.admit.expected_wait(class.place, &load)
 }
 
 /// Load of the class's service, for a new request or one that `waits`.
-fn load(class: &ClassView, choice: &Choice, waits: bool) -> Load {
+fn load(class: &ClassView, choice: &Choice, rank: usize, waits: bool) -> Load {
     let pool = &class.pool;
     let capacity = Capacity::of(&choice.views);
     Load {
         slots: capacity.open,
         in_flight: capacity.in_flight,
         // The one that waits was woken in its turn: it is the first of its lane.
-        queued_ahead: pool.waiting_before(if waits { class.rank } else { class.rank + 1 }),
+        queued_ahead: pool.waiting_before(if waits { rank } else { rank + 1 }),
         queued: pool.waiting(),
         service: pool.service_time(),
         completion_gap: pool.completion_gap(),
@@ -106,7 +108,7 @@
         let mut in_time = true;
         loop {
             let pool = &self.class.pool;
-            let freed = pool.freed(self.class.rank);
+            let freed = pool.freed(self.rank());
             tokio::pin!(freed);
             // Listening starts before the look, or a slot freed between the two is missed.
             freed.as_mut().enable();
@@ -127,16 +129,25 @@
             }
             if waiting.is_none() {
                 pool.counts.note_unserved();
-                waiting = Some(pool.wait_guard(self.class.rank));
+                waiting = Some(pool.wait_guard(self.rank()));
             }
             let until = self.deadline.within(self.started, self.queue_limit());
             in_time = tokio::time::timeout_at(until.at(), freed).await.is_ok();
         }
     }
 
+    /// Rank in the queue: what other regions shift here waits behind this region's own work.
+    fn rank(&self) -> usize {
+        if self.forwarded {
+            LAST_RANK
+        } else {
+            self.class.rank
+        }
+    }
+
     fn verdict(&self, choice: &Choice, waits: bool) -> Admission {
         let now = Instant::now();
-        let load = load(self.class, choice, waits);
+        let load = load(self.class, choice, self.rank(), waits);
         if choice.owns_nothing() && (waits || load.queued < QUEUE_MAX) {
             // What goes wrong otherwise: an entry that has just started refuses all work until it
             // is allotted its part, a tick or two later.
@@ -157,7 +168,7 @@
 
     /// Time after the request's start at which waiting on has no sense any more.
     fn queue_limit(&self) -> Duration {
-        let target = self.class.class.latency_target;
+        let target = admission_of(&self.class.class).latency_target;
         target.saturating_sub(self.class.pool.service_time())
     }
 
--- a/crates/daemon/src/request/carry.rs
+++ b/crates/daemon/src/request/carry.rs
@@ -55,6 +55,8 @@
     pub(crate) deadline: Deadline,
     /// When it came to this entry.
     pub(crate) started: Instant,
+    /// Another region sent it here.
+    pub(crate) forwarded: bool,
 }
 
 /// An upstream's answer, with the slot that its body still uses.
--- a/crates/daemon/src/request/place.rs
+++ b/crates/daemon/src/request/place.rs
@@ -134,6 +134,19 @@
     }
 }
 
+/// The target by which requests of the class are admitted.
+///
+/// A request that misses its latency target is still of use to its caller until his deadline. In
+/// a burst, refusing it at the target only makes him ask again: most of the work is then tries.
+/// It may wait for half the class's deadline, and what is left of its own bounds the wait, too.
+pub(crate) fn admission_of(class: &spec::Class) -> ClassTarget {
+    let target = target_of(class);
+    ClassTarget {
+        latency_target: target.latency_target.max(class.deadline / 2),
+        ..target
+    }
+}
+
 /// What `steer` needs of a class's configuration.
 pub(crate) fn target_of(class: &spec::Class) -> ClassTarget {
     ClassTarget {
--- a/crates/daemon/src/request/work.rs
+++ b/crates/daemon/src/request/work.rs
@@ -271,6 +271,7 @@
             out,
             deadline: self.deadline,
             started: self.started,
+            forwarded: self.forwarded,
         };
         job.run(body).await
     }
--- a/crates/rig/src/layout.rs
+++ b/crates/rig/src/layout.rs
@@ -19,6 +19,8 @@
     pub terms: Vec<(&'static str, u64)>,
     /// Bytes a second that may go from each region to each other.
     pub cap_bytes_per_s: u64,
+    /// Way of choosing an upstream, as the daemons' settings name it.
+    pub policy: &'static str,
     /// Key that operators must prove.
     pub operator_key: Option<&'static str>,
     /// Whether each daemon reaches the platform by a relay of its own, which can be cut.
@@ -51,6 +53,10 @@
     pub service_ms: f64,
     /// Headroom target.
     pub headroom_pct: u8,
+    /// Requests that warm an upstream; 0 for one that is never cold.
+    pub cold_requests: u64,
+    /// How many times longer the first request takes on a cold one.
+    pub cold_factor: f64,
 }
 
 /// Names of the two failure domains of each region.
@@ -68,6 +74,7 @@
             between_regions_us: 0,
             terms: Self::quick_terms(),
             cap_bytes_per_s: 100_000_000,
+            policy: "ours",
             operator_key: None,
             platform_relays: false,
         }
@@ -165,6 +172,8 @@
                         "slots": class.slots,
                         "service_ms": class.service_ms,
                         "seed": index,
+                        "cold_requests": class.cold_requests,
+                        "cold_factor": class.cold_factor,
                     }));
                 }
             }
@@ -184,6 +193,8 @@
             slots: 9,
             service_ms: 10.0,
             headroom_pct: 20,
+            cold_requests: 0,
+            cold_factor: 1.0,
         }
     }
 
@@ -234,8 +245,14 @@
     let mut text = format!(
         "instance: {}\nregion: {}\nfailure_domain: {}\ncallers_addr: {}\npeers_addr: {}\n\
          operator_addr: {}\nplatform_url: http://{platform}\n\
-         peer_key: key-of-the-rig-only-for-tests\ntraffic_threads: 1\n",
-        daemon.id, daemon.region, daemon.domain, daemon.callers, daemon.peers, daemon.operator
+         peer_key: key-of-the-rig-only-for-tests\ntraffic_threads: 1\npolicy: {}\n",
+        daemon.id,
+        daemon.region,
+        daemon.domain,
+        daemon.callers,
+        daemon.peers,
+        daemon.operator,
+        layout.policy
     );
     if let Some(key) = layout.operator_key {
         // Writing to a string can't fail.
--- a/crates/rig/src/rig.rs
+++ b/crates/rig/src/rig.rs
@@ -351,6 +351,16 @@
         assert_eq!(reply.status, 200, "{}", reply.body);
     }
 
+    /// Forgets what upstreams ran so far, as after a run that only warmed them.
+    pub fn clear_records(&self) {
+        for upstream in self.layout.upstreams() {
+            let id = upstream["id"].as_str().unwrap_or_default();
+            let path = format!("/record/clear?id={id}");
+            let reply = ask(Method::POST, &self.upstreams, &path, None);
+            assert_eq!(reply.status, 200, "{}", reply.body);
+        }
+    }
+
     /// Notes for the judge that an upstream leaves from now on.
     pub fn note_leaving(&mut self, id: &str) {
         self.leaving.push(Leaving {
