--- a/crates/peer/tests/support/mod.rs
+++ b/crates/peer/tests/support/mod.rs
@@ -50,7 +50,9 @@
     },
     time::{
         sleep,
-        timeout, //
+        timeout,
+        timeout_at,
+        Instant, //
     }, //
 };
 use tokio_tungstenite::{
@@ -137,8 +139,9 @@
 
     /// Reads events until `wanted` says yes to one.
     pub(crate) async fn until(&mut self, what: &str, wanted: impl Fn(&Event) -> bool) -> Event {
+        let deadline = Instant::now() + PATIENCE;
         loop {
-            let next = timeout(PATIENCE, self.events.recv()).await;
+            let next = timeout_at(deadline, self.events.recv()).await;
             let Ok(Some(event)) = next else {
                 panic!("{what} did not come; seen: {:?}", self.seen);
             };
@@ -168,9 +171,10 @@
         .await;
     }
 
-    /// Takes the events that have come by now.
+    /// Takes the events that come within `time`.
     pub(crate) async fn settle(&mut self, time: Duration) {
-        while let Ok(Some(event)) = timeout(time, self.events.recv()).await {
+        let deadline = Instant::now() + time;
+        while let Ok(Some(event)) = timeout_at(deadline, self.events.recv()).await {
             self.seen.push(event);
         }
     }
@@ -369,8 +373,9 @@
 
     /// Next message, or the close's code and reason.
     pub(crate) async fn receive(&mut self) -> Result<Bytes, (u16, String)> {
+        let deadline = Instant::now() + PATIENCE;
         loop {
-            match timeout(PATIENCE, self.socket.next()).await.unwrap() {
+            match timeout_at(deadline, self.socket.next()).await.unwrap() {
                 Some(Ok(Message::Binary(message))) => return Ok(message),
                 Some(Ok(Message::Close(Some(close)))) => {
                     return Err((close.code.into(), close.reason.as_str().to_owned()));
