--- a/crates/ctl/tests/system.rs
+++ b/crates/ctl/tests/system.rs
@@ -428,6 +428,26 @@
     assert_eq!(version(&rig, "arusha-1"), 4);
 }
 
+/// Symptom: a replaced instance stays out while the object store is down, although every other
+/// daemon has all that it needs. Sequence: the store goes down, then a daemon is killed and started
+/// anew. Cause: body, snapshot and differences can come from peers; the table still has the lease.
+#[test]
+fn a_new_daemon_gets_all_objects_from_peers() {
+    let _turn = turn();
+    let mut rig = one_region();
+    let file = config_named(&rig, "store");
+    for blocks in ["10.9.0.0/16 arusha\n10.8.0.0/16 arusha\n", "-10.8.0.0/16\n"] {
+        let blocks = TempFile::new("store.blocks", blocks.as_bytes());
+        let accept = ["accept", file.path(), "--wait", "--blocks", blocks.path()];
+        ctl_at(&rig, "arusha-0", &accept).expect(0, "block table");
+    }
+    rig.fault_platform(&json!({"objects": {"kind": "down"}}));
+    rig.kill("arusha-1");
+    rig.start_daemon("arusha-1").unwrap();
+    rig.wait_ready("arusha-1").unwrap();
+    assert_eq!(version(&rig, "arusha-1"), 3);
+}
+
 /// Symptom: an accepted version takes as long as the platform is slow to reach each daemon.
 /// Sequence: each call of the platform takes a second and a half. Cause: only the daemon that
 /// accepts needs the platform; the others hear of the version and fetch it from it.
