--- a/crates/rig/src/layout.rs
+++ b/crates/rig/src/layout.rs
@@ -95,6 +95,22 @@
         }
     }
 
+    /// Two regions whose few slots are often all taken, so that a slot with two owners shows as a
+    /// queue at its upstream.
+    pub fn tight() -> Self {
+        let menu = ClassLayout {
+            upstreams_per_region: 2,
+            slots: 4,
+            service_ms: 60.0,
+            headroom_pct: 0,
+            ..ClassLayout::menu()
+        };
+        Self {
+            classes: vec![menu],
+            ..Self::two_regions()
+        }
+    }
+
     /// Terms that make lapses and silences short enough for a test.
     pub fn quick_terms() -> Vec<(&'static str, u64)> {
         vec![
--- a/crates/rig/tests/faults.rs
+++ b/crates/rig/tests/faults.rs
@@ -6,6 +6,7 @@
 //! bounds, never on a short time.
 
 use load::{
+    Burst,
     CallerRegion,
     ClassLoad,
     FilingWay,
@@ -119,6 +120,34 @@
     scene
 }
 
+/// Quick lookups that take about two fifths of a tight layout's slots, with peaks above them.
+fn heavy(layout: &Layout) -> Scene {
+    scene(layout)
+}
+
+/// The scene with a burst in one region of several times what it can serve.
+fn burst(layout: &Layout) -> Scene {
+    let mut scene = heavy(layout);
+    scene.bursts.push(Burst {
+        class: None,
+        region: Some("arusha".into()),
+        from_ms: 4_000,
+        to_ms: 7_000,
+        factor: 6.0,
+    });
+    scene
+}
+
+/// The scene with callers who go away before their answer can come, and ask once more.
+fn going_away(layout: &Layout) -> Scene {
+    let mut scene = heavy(layout);
+    for class in &mut scene.classes {
+        class.attempt_ms = Some(30);
+        class.tries = 2;
+    }
+    scene
+}
+
 /// The scene without filings.
 fn idempotent(layout: &Layout) -> Scene {
     let mut scene = scene(layout);
@@ -130,6 +159,7 @@
 
 fn assert_kept(trial: &Trial, least_done: f64) {
     let report = &trial.report;
+    println!("{report}");
     assert!(report.requests > 0, "nothing was asked");
     assert!(report.violations.is_empty(), "\n{report}");
     let done = report.done_ratio();
@@ -329,6 +359,60 @@
         rig.freeze("moshi-0", Duration::from_secs(5));
     };
 
+    /// Symptom: an upstream queues. Sequence: none but load with peaks above the slots. Shows that
+    /// the rows below fail for their faults only.
+    tight_nothing_wrong: tight, heavy, SINGLE, |_| {};
+
+    /// Symptom: an upstream queues. Sequence: callers close their connections while the upstream
+    /// serves them. Cause: the entry gives the slot to the next request before the upstream has
+    /// seen that the first one is gone.
+    tight_callers_go_away: tight, going_away, 0.9, |_| {};
+
+    /// Symptom: an upstream queues, or callers wait for refusals. Sequence: a burst that no region
+    /// can serve. Cause: whoever hopes for a slot sends too much; what can't run is refused.
+    tight_burst: tight, burst, 0.6, |_| {};
+
+    /// Symptom: an upstream queues. Sequence: a burst while the platform is down. Cause: slots
+    /// can't move through the table, and those who lack some must not help themselves.
+    tight_burst_with_the_platform_down: tight, burst, 0.6, |rig| {
+        for part in ["table", "objects", "list"] {
+            platform(rig, part, json!({"kind": "down"}));
+        }
+    };
+
+    /// Symptom: an upstream queues. Sequence: an entry is killed and its slots go to others.
+    /// Cause: its requests still run there.
+    tight_entry_killed: tight, heavy, 0.9, |rig| rig.kill("arusha-0");
+
+    /// Symptom: an upstream queues. Sequence: an entry sleeps past its lease and wakes. Cause: it
+    /// still believes that its slots are its own.
+    tight_entry_frozen: tight, heavy, 0.9, |rig| {
+        rig.freeze("arusha-0", Duration::from_secs(6));
+    };
+
+    /// Symptom: an upstream queues. Sequence: half of the table's answers are lost after their
+    /// effect, and an entry restarts. Cause: two entries believe in the same allotment.
+    tight_lost_answers_and_restart: tight, heavy, 0.9, |rig| {
+        platform(rig, "table", json!({"kind": "lost-answer", "ratio": 0.5}));
+        let status = rig.terminate("arusha-0").expect("the entry ends");
+        assert!(status.success(), "{status}");
+        rig.start_daemon("arusha-0").unwrap();
+        rig.wait_ready("arusha-0").unwrap();
+    };
+
+    /// Symptom: an upstream queues. Sequence: it becomes slow and reports room that it lacks.
+    /// Cause: a report is believed where it says more.
+    tight_upstream_lies_low: tight, heavy, 0.9, |rig| {
+        let lie = json!({"slots": 100, "in_flight": 0, "queued": 0, "state": "up"});
+        rig.fault_upstream("arusha-menu-0", &json!({"slow_factor": 3.0, "lie": lie}));
+    };
+
+    /// Symptom: callers wait for an upstream that never answers. Sequence: one of ten requests is
+    /// begun and never ended. Cause: its slot is lost, and only the caller's time ends the wait.
+    tight_upstream_hangs: tight, heavy, 0.9, |rig| {
+        rig.fault_upstream("arusha-menu-0", &json!({"hang": 0.1}));
+    };
+
     /// Symptom: callers of a region without entries get no answer. Sequence: both entries of one
     /// region are killed at once. Cause: a whole region fails; its callers go to another.
     region_without_entries: two_regions, scene, 0.8, |rig| {
