Beats carry what the receiver lacks; pongs tell that a peer lives

Cause: at 12 daemons in 3 regions each daemon sent 9.4 KB/s when idle (bound 5). By parts (examples/beat_bytes.rs: bare beat 127 bytes, an instance 137, a service's load 121, a share beat of four members 424) about half of it were instances, most of which the receiver hears itself, told nine times a second in all; then shares and loads that had not changed.

Ruled out: pings, at most 0.4 KB/s; platform calls, which are counted apart.

Change: a beat leaves out instances of the receiver's own region unless they are news to it, loads that did not change for two seconds, places that the list gives. Beats go out per peer, less often, and at once when a load changes by an eighth of the slots. So that a killed peer is still noticed in time, a pong counts as a sign of life: before, at 31 peers and more, beats came less often than the 3 s after which a peer is silent.

--- a/crates/daemon/src/process/control/beats.rs
+++ b/crates/daemon/src/process/control/beats.rs
@@ -1,12 +1,19 @@
 //! Heartbeats and the sessions between daemons.
 //!
-//! A beat says what the sender is and carries, a few at a time, what it knows of others. News (a
-//! leaving upstream, a new version, a planned stop) goes out at once; all else waits for the next
-//! beat. The interval grows with the number of partners, so that a large deployment's beats stay
-//! within their share of bytes.
+//! A beat says what the sender is and carries what the receiver doesn't know yet: its region's load
+//! where that changed, and a few of the instances that the receiver has no sessions to. News (a
+//! leaving upstream, a new version, a planned stop) goes out at once, and so does a marked change
+//! of load; all else waits for the next beat. The interval grows with the number of peers, so that
+//! a large deployment's beats stay within their share of bytes.
+//!
+//! That a peer lives is not told by its beats but by the pongs of its session, which cost a few
+//! bytes: with beats seconds apart a killed peer would else be named in look-ups for as long.
 
 use crate::process::{
-    control::Control,
+    control::{
+        Control,
+        TICK, //
+    },
     stop::Stage, //
 };
 use actix::{
@@ -18,6 +25,7 @@
     Incarnation,
     InstanceId,
     Now,
+    ServiceId,
     Version, //
 };
 use bytes::Bytes;
@@ -42,9 +50,12 @@
     LeavingUpstream,
     Mesh,
     Options,
-    Partner, //
+    Partner,
+    PeerInfo,
+    RegionSummary, //
 };
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     time::Duration, //
 };
@@ -53,13 +64,104 @@
 const PARTNERS_PER_REGION: usize = 2;
 /// Seed of the choice of partners; the same everywhere.
 const PARTNERS_SEED: u64 = 0;
-/// Least time between beats for each partner: 50 partners are told every five seconds.
-const BEAT_PER_PARTNER: Duration = Duration::from_millis(100);
-/// Summaries of other instances in one beat.
-const SUMMARIES_PER_BEAT: usize = 4;
+/// Least time between beats for each peer, within the region: it pays for the shares on them.
+const OWN_BEAT_PER_PEER: Duration = Duration::from_millis(350);
+/// Longest time between beats within the region. Promises on capacity ride on them and must come
+/// well within a lease, whatever that costs.
+const OWN_BEAT_MAX: Duration = Duration::from_secs(3);
+/// Least time between beats for each peer, to other regions. Twelve daemons have nine peers each,
+/// which makes it 60% of the time after which an instance that isn't heard of is silent.
+const OTHER_BEAT_PER_PEER: Duration = Duration::from_millis(200);
+/// Longest time between beats to other regions.
+const OTHER_BEAT_MAX: Duration = Duration::from_secs(10);
+/// Summaries of the own region's instances in one beat to another region.
+const OWN_SUMMARIES: usize = 8;
+/// Summaries of other instances in one beat that are not news.
+const FAR_SUMMARIES: usize = 1;
+/// Summaries in one beat that are news.
+const NEWS_SUMMARIES: usize = 16;
+/// Longest that a load that didn't change goes unsaid; receivers use it fully for three seconds.
+const LOAD_UNCHANGED: Duration = Duration::from_secs(2);
+/// Part of a service's slots by which its load changes so much that it can't wait for a beat.
+const MARKED_PART: u64 = 8;
+/// Part of a service's slots by which its load changes enough to be told with the next beat.
+const CHANGED_PART: u64 = 32;
+/// Least change of a load that counts: a request or less comes and goes all the time.
+const LEAST_CHANGE_MILLI_SLOTS: u64 = 1500;
+/// Beats between two that pass on instances of third regions.
+const FAR_EVERY: usize = 4;
 /// Longest that a beat is taken to have been under way when no round trip is known.
 const TRANSIT: Duration = Duration::from_millis(200);
 
+/// What one peer was told, and what its session says of it.
+#[derive(Debug, Default)]
+pub(super) struct Telling {
+    /// When it was last sent a beat.
+    beat_at: Option<Now>,
+    /// Round trip as of its last pong.
+    rtt: Duration,
+    /// Instances as they were last told.
+    instances: BTreeMap<InstanceId, (Incarnation, LeaseState, Version)>,
+    /// Load of each service as it was last told.
+    loads: BTreeMap<ServiceId, (Now, RegionSummary)>,
+    /// Place in the summaries that are no news.
+    cursor: usize,
+}
+
+impl Telling {
+    /// Whether a beat is due after `interval`, or before it, but not before `least`, for a load
+    /// that changed markedly.
+    fn is_due(
+        &self,
+        loads: &[RegionSummary],
+        interval: Duration,
+        least: Duration,
+        now: Now,
+    ) -> bool {
+        let Some(beat_at) = self.beat_at else {
+            return true;
+        };
+        let changed = || loads.iter().any(|load| self.differs(load, MARKED_PART));
+        now >= beat_at + interval || now >= beat_at + least && changed()
+    }
+
+    /// Whether a load differs from what was told by more than one `part`th of its slots.
+    fn differs(&self, load: &RegionSummary, part: u64) -> bool {
+        let Some((_, told)) = self.loads.get(&load.service) else {
+            return true;
+        };
+        let limit = (load.slots * 1000 / part).max(LEAST_CHANGE_MILLI_SLOTS);
+        [
+            (load.slots * 1000, told.slots * 1000),
+            (load.in_use * 1000, told.in_use * 1000),
+            (load.arriving_milli_slots, told.arriving_milli_slots),
+            (load.carrying_milli_slots, told.carrying_milli_slots),
+        ]
+        .into_iter()
+        .any(|(now, told)| now.abs_diff(told) > limit)
+    }
+
+    /// Loads that changed or were not told for a while; they count as told from now on.
+    fn loads_to_tell(&mut self, loads: &[RegionSummary], now: Now) -> Vec<RegionSummary> {
+        let is_old = |load: &RegionSummary| {
+            let told = self.loads.get(&load.service);
+            told.is_none_or(|(at, _)| now >= *at + LOAD_UNCHANGED)
+        };
+        let is_due = |load: &&RegionSummary| is_old(load) || self.differs(load, CHANGED_PART);
+        let due: Vec<RegionSummary> = loads.iter().filter(is_due).cloned().collect();
+        for load in &due {
+            self.loads.insert(load.service.clone(), (now, load.clone()));
+        }
+        due
+    }
+
+    /// Whether the peer was told of no such life, state or version.
+    fn is_news(&self, instance: &InstanceId, summary: &Summary) -> bool {
+        let said = (summary.incarnation, summary.state, summary.version);
+        self.instances.get(instance) != Some(&said)
+    }
+}
+
 impl Control {
     /// Opens the peers' port.
     pub(super) fn start_mesh(&mut self, ctx: &mut Context<Self>) {
@@ -76,6 +178,8 @@
         let key = Key::from_text(settings.peer_key.expose());
         let options = Options {
             seed: rand::random(),
+            // Known before silence would tell: look-ups must soon stop naming who is gone.
+            reopen_timeout: settings.terms.beat_silent / 2,
             ..Options::default()
         };
         match Mesh::start(listener, identity, key, options) {
@@ -129,21 +233,64 @@
             return;
         };
         let peers = mesh.peers();
-        let count = u32::try_from(peers.len()).unwrap_or(u32::MAX);
-        let interval = self
-            .shared
-            .settings
-            .terms
-            .beat
-            .max(BEAT_PER_PARTNER * count);
-        if now < self.beat_at + interval && !self.beat_news {
-            return;
+        self.hear_pongs(&peers, now);
+        self.tellings
+            .retain(|id, _| peers.iter().any(|peer| peer.instance == *id));
+        let news = std::mem::take(&mut self.beat_news);
+        let own = self.shared.settings.region.clone();
+        let (here, abroad) = (self.region_summaries(true), self.region_summaries(false));
+        for peer in &peers {
+            let same_region = peer.region == own;
+            let loads = if same_region { &here } else { &abroad };
+            let interval = self.beat_interval(same_region, peers.len());
+            let least = self.shared.settings.terms.beat;
+            let telling = self.tellings.entry(peer.instance.clone()).or_default();
+            if news || telling.is_due(loads, interval, least, now) {
+                let beat = self.make_beat(peer, loads, now);
+                mesh.send(&peer.instance, Frame::Beat(beat));
+            }
         }
-        self.beat_at = now;
-        self.beat_news = false;
+    }
+
+    /// Time between beats to one peer, of `count` in all.
+    fn beat_interval(&self, same_region: bool, count: usize) -> Duration {
+        let count = u32::try_from(count).unwrap_or(u32::MAX);
+        let paced = if same_region {
+            (OWN_BEAT_PER_PEER * count).min(OWN_BEAT_MAX)
+        } else {
+            (OTHER_BEAT_PER_PEER * count).min(OTHER_BEAT_MAX)
+        };
+        self.shared.settings.terms.beat.max(paced)
+    }
+
+    /// Takes the pongs that came since the last tick as signs of life.
+    ///
+    /// Whatever changes at a peer it says at once, so that between its beats the last one holds.
+    fn hear_pongs(&mut self, peers: &[PeerInfo], now: Now) {
         for peer in peers {
-            let beat = self.make_beat(&peer.instance, peer.region == self.shared.settings.region);
-            mesh.send(&peer.instance, Frame::Beat(beat));
+            let telling = self.tellings.entry(peer.instance.clone()).or_default();
+            // Each pong brings a new round trip; the same one to the nanosecond is rare and only
+            // makes that pong count for nothing.
+            if telling.rtt == peer.rtt {
+                continue;
+            }
+            telling.rtt = peer.rtt;
+            let Some(known) = self.picture.instance(&peer.instance) else {
+                continue;
+            };
+            // What goes wrong otherwise: a life of which only the session is known would count
+            // as the one before, with that one's version.
+            if known.incarnation != peer.incarnation {
+                continue;
+            }
+            let facts = BeatFacts {
+                identity: known.identity.clone(),
+                incarnation: known.incarnation,
+                version: known.version,
+                state: known.state,
+                age: peer.rtt + TICK,
+            };
+            self.picture.heard(&peer.instance, &facts, now);
         }
     }
 
@@ -152,14 +299,17 @@
         self.beat_news = true;
     }
 
-    fn make_beat(&mut self, to: &InstanceId, same_region: bool) -> Beat {
-        let now = self.now();
+    fn make_beat(&mut self, to: &PeerInfo, loads: &[RegionSummary], now: Now) -> Beat {
         self.beat_seq += 1;
-        let shares = if same_region {
-            self.share_beats(to)
+        let shares = if to.region == self.shared.settings.region {
+            self.share_beats(&to.instance)
         } else {
             Vec::new()
         };
+        let instances = self.some_summaries(to, now);
+        let telling = self.tellings.entry(to.instance.clone()).or_default();
+        telling.beat_at = Some(now);
+        let regions = telling.loads_to_tell(loads, now);
         let leaving = self.picture.upstream_marks(now);
         Beat {
             seq: self.beat_seq,
@@ -168,8 +318,8 @@
             state: self.beat_state(),
             version: self.serving_version(),
             digest: Bytes::new(),
-            instances: self.some_summaries(to),
-            regions: self.region_summaries(same_region),
+            instances,
+            regions,
             leaving_upstreams: leaving.into_iter().map(to_leaving).collect(),
             shares,
         }
@@ -193,28 +343,55 @@
         }
     }
 
-    /// A few summaries of others, the next ones with each beat.
-    fn some_summaries(&mut self, to: &InstanceId) -> Vec<InstanceSummary> {
-        let all = self.picture.summaries(to, self.now());
-        if all.is_empty() {
-            return Vec::new();
+    /// Summaries of others: what is news to the receiver, and the next few of what isn't.
+    ///
+    /// Who is in the receiver's region it hears itself. Its sessions to the sender's region are
+    /// the only ones that tell it of the rest of that region, so those come first.
+    fn some_summaries(&mut self, to: &PeerInfo, now: Now) -> Vec<InstanceSummary> {
+        let own = self.shared.settings.region.clone();
+        let all = self.picture.summaries(&to.instance, now);
+        let region_of = |id: &InstanceId| self.picture.instance(id).map(|f| &f.identity.region);
+        let mut telling = self.tellings.remove(&to.instance).unwrap_or_default();
+        let (mut news, mut near, mut far) = (Vec::new(), Vec::new(), Vec::new());
+        for (index, (id, summary)) in all.iter().enumerate() {
+            let region = region_of(id);
+            if telling.is_news(id, summary) {
+                news.push(index);
+            } else if region == Some(&to.region) {
+                continue;
+            } else if region == Some(&own) {
+                near.push(index);
+            } else {
+                far.push(index);
+            }
+        }
+        news.truncate(NEWS_SUMMARIES);
+        telling.cursor = telling.cursor.wrapping_add(1);
+        news.extend(window(&near, telling.cursor, OWN_SUMMARIES));
+        if telling.cursor % FAR_EVERY == 0 {
+            let turn = telling.cursor / FAR_EVERY;
+            news.extend(window(&far, turn, FAR_SUMMARIES));
         }
-        let count = all.len().min(SUMMARIES_PER_BEAT);
-        let first = self.summary_cursor % all.len();
-        self.summary_cursor = self.summary_cursor.wrapping_add(1);
-        (0..count)
-            .map(|offset| &all[(first + offset) % all.len()])
+        for index in &news {
+            let (id, summary) = &all[*index];
+            let said = (summary.incarnation, summary.state, summary.version);
+            telling.instances.insert(id.clone(), said);
+        }
+        self.tellings.insert(to.instance.clone(), telling);
+        news.into_iter()
+            .map(|index| &all[index])
             .map(|(instance, summary)| self.to_wire(instance, summary))
             .collect()
     }
 
     fn to_wire(&self, instance: &InstanceId, summary: &Summary) -> InstanceSummary {
         let listed = self.picture.instance(instance).map(|facts| &facts.identity);
-        let place = listed.map_or_else(
+        // Places and addresses of listed instances are left out: everyone can read the list.
+        let unlisted = listed.filter(|_| summary.identity.is_some());
+        let place = unlisted.map_or_else(
             || (ByteString::new(), ByteString::new()),
             |identity| (identity.region.clone(), identity.failure_domain.clone()),
         );
-        // Addresses of listed instances are left out: everyone can read the list.
         let addrs = summary.identity.as_ref().map_or_else(
             || [ByteString::new(), ByteString::new(), ByteString::new()],
             |identity| {
@@ -331,7 +508,11 @@
 impl StreamHandler<Event> for Control {
     fn handle(&mut self, event: Event, ctx: &mut Context<Self>) {
         match event {
-            Event::Up(_) | Event::Reopened(_) => self.beat_soon(),
+            // What was on its way is lost; all is news to this peer, and at the next tick.
+            Event::Up(peer) | Event::Reopened(peer) => {
+                self.tellings.remove(&peer.instance);
+                self.beats_sent.remove(&peer.instance);
+            }
             Event::Frame {
                 from,
                 incarnation,
@@ -367,6 +548,17 @@
     }
 }
 
+/// `count` of `all` at most, beginning at a place that moves by as many with each `turn`.
+fn window(all: &[usize], turn: usize, count: usize) -> impl Iterator<Item = usize> + '_ {
+    let len = all.len().max(1);
+    let first = turn.wrapping_mul(count) % len;
+    all.iter()
+        .cycle()
+        .skip(first)
+        .take(count.min(all.len()))
+        .copied()
+}
+
 fn place_of(identity: &Identity) -> Place {
     Place {
         instance: identity.instance.clone(),
--- a/crates/daemon/src/process/control/mod.rs
+++ b/crates/daemon/src/process/control/mod.rs
@@ -53,6 +53,7 @@
 
 use crate::process::{
     control::{
+        beats::Telling,
         claims::Claims,
         config::Versions,
         lease::Lease,
@@ -171,10 +172,10 @@
     /// Those that sessions are kept to.
     partners: Vec<InstanceId>,
     beat_seq: u64,
-    beat_at: Now,
     /// Something was learnt that partners should hear at once.
     beat_news: bool,
-    summary_cursor: usize,
+    /// What each peer was told.
+    tellings: BTreeMap<InstanceId, Telling>,
     beats_sent: BTreeMap<InstanceId, BTreeMap<PoolId, Told>>,
 
     versions: Versions,
@@ -187,6 +188,8 @@
     links: BTreeMap<RegionId, Arc<Link>>,
     shares: BTreeMap<PoolId, Share>,
     steering: Steering,
+    /// Since when operators drain the whole region.
+    drained_at: Option<Now>,
     claims: Claims,
     outcomes: Outcomes,
 }
@@ -224,9 +227,8 @@
             picture: Picture::new(settings.instance.clone(), picture_terms),
             partners: Vec::new(),
             beat_seq: 0,
-            beat_at: Now::ZERO,
             beat_news: true,
-            summary_cursor: 0,
+            tellings: BTreeMap::new(),
             beats_sent: BTreeMap::new(),
             versions: Versions::default(),
             config: None,
@@ -235,6 +237,7 @@
             links: BTreeMap::new(),
             shares: BTreeMap::new(),
             steering: Steering::default(),
+            drained_at: None,
             claims: Claims::default(),
             outcomes: Outcomes::default(),
             shared,
