--- a/crates/share/src/plan.rs
+++ b/crates/share/src/plan.rs
@@ -126,6 +126,7 @@
         // A new member holds nothing at the epochs before its first.
         adopted: old.map_or(epoch, |old| old.adopted.max(member.adopted)),
         leaving: member.state == PlanState::Leaving,
+        lapsed: member.state == PlanState::Lapsed,
         allot,
     }
 }
--- a/crates/share/src/row.rs
+++ b/crates/share/src/row.rs
@@ -105,6 +105,8 @@
     pub adopted: Epoch,
     /// Whether it stops: it gets nothing more.
     pub leaving: bool,
+    /// Whether the writer saw its short term lapse: it keeps what it may be using.
+    pub lapsed: bool,
 }
 
 /// Allotment of a pool at one epoch.
@@ -139,6 +141,9 @@
             if entry.leaving {
                 f.write_str(" leaving")?;
             }
+            if entry.lapsed {
+                f.write_str(" lapsed")?;
+            }
         }
         Ok(())
     }
