--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -1,17 +1,17 @@
 //! jasmine-load: an open-loop load and look-up driver with a judge.
 //!
-//! A [`Scene`] says who asks for what and when; [`schedule`] turns it and its seed into arrivals
-//! that no answer delays. [`drive`] lets callers act on them as the interface allows, each a
-//! client that caches look-ups, and records what each was told. [`gather`] fetches what upstreams
-//! ran, and [`judge`] compares the two sides: it names each broken promise with the request that
+//! A [`Scene`] says who asks for what and when; [`schedule()`] turns it and its seed into arrivals
+//! that no answer delays. [`drive()`] lets callers act on them as the interface allows, each a
+//! client that caches look-ups, and records what each was told. [`gather()`] fetches what upstreams
+//! ran, and [`judge()`] compares the two sides: it names each broken promise with the request that
 //! shows it and that request's history. [`Report`] adds up latencies, counted from the scheduled
 //! time, so that a stalled system can't hide the requests that waited for it.
 //!
 //! Invariants: the schedule depends on nothing but the scene; the judge is a pure function of the
 //! evidence and takes no daemon's word; a request that arrived has exactly one record.
 //!
-//! Start with [`scene`](Scene) for the file, `caller` for what a caller does, [`judge`] for the
-//! promises. [`look_up`] and [`hop`] measure look-ups and the entry's own part alone. The tests of
+//! Start with [`scene`](Scene) for the file, `caller` for what a caller does, [`judge()`] for the
+//! promises. [`look_up`] and [`hop()`] measure look-ups and the entry's own part alone. The tests of
 //! `rig` use this crate in their own process; the binary is a thin wrapper.
 
 mod caller;
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -12,7 +12,7 @@
 //! when it was true at its source at worst; its [`Freshness`] narrows what it is used for. Leaving
 //! is one-way within an incarnation, whichever sign came first.
 //!
-//! The *partners* ([`partners`]) are those that a daemon exchanges heartbeats with: all of its
+//! The *partners* ([`partners()`]) are those that a daemon exchanges heartbeats with: all of its
 //! failure domain and few of elsewhere, so that the graph stays connected and small.
 //!
 //! Start with `lease`, then `holder`. Reasons are in `docs/design/member.md`; the searches are in
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -1,7 +1,7 @@
 //! Exhaustive search of small instances of the protocols that the daemon runs.
 //!
 //! Each module wraps the transition functions of one pure crate in a [`Model`]: a few members, a
-//! few messages, and every fault that can happen between two steps. [`explore`] walks all states;
+//! few messages, and every fault that can happen between two steps. [`explore()`] walks all states;
 //! the tests print how many, and show for each guard that the search finds the counterexample once
 //! that guard is off. Start with `explore`, then read the model of the protocol you change.
 
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Start here. A request passes three decisions, each a pure function of what this entry knows:
 //!
-//! 1. [`place`]: the region. Home as long as it beats the link plus the other region, and only
+//! 1. [`place()`]: the region. Home as long as it beats the link plus the other region, and only
 //!    what exceeds the class's headroom target ([`Demand`]) leaves it. A shift also needs room in
 //!    [`ShiftLimit`], the entry's part of the cap between the two regions.
 //! 2. [`Admit`]: send now, wait in the entry's short queue, or refuse at once with an honest
