Queue: wake as many as there are free slots, in their order

Control woke all that waited at each tick; those that found no slot went to the end of the queue. Spill follows a burst that the own part shows before beats tell of it.

--- a/crates/daemon/src/process/control/config/adopt.rs
+++ b/crates/daemon/src/process/control/config/adopt.rs
@@ -120,9 +120,8 @@
 
     /// Time to the next read of the head, which grows with the number of daemons that read it.
     fn head_interval(&mut self) -> Duration {
-        let daemons = u32::try_from(self.picture.instances().count() + 1).unwrap_or(u32::MAX);
-        let interval = self.shared.settings.terms.head;
-        self.jittered(interval.max(HEAD_READ_SPACING * daemons))
+        let interval = self.spaced(self.shared.settings.terms.head, HEAD_READ_SPACING);
+        self.jittered(interval)
     }
 
     /// Takes another daemon's word that it has `version` in force; asks it for a higher one.
--- a/crates/daemon/src/process/control/lease.rs
+++ b/crates/daemon/src/process/control/lease.rs
@@ -50,6 +50,9 @@
 /// Wait before a join is tried again.
 const JOIN_RETRY: Duration = Duration::from_millis(500);
 
+/// Time between two daemons' renewals, on average: 125 writes a second in all.
+const RENEWAL_SPACING: Duration = Duration::from_millis(8);
+
 /// Where the process is with its lease.
 pub(super) enum Lease {
     /// It has none yet.
@@ -105,10 +108,27 @@
         let left = held.holder.valid_until().saturating_sub(now);
         self.shared.set_lease_until(held.holder.valid_until());
         metrics::gauge!(metric::LEASE_LEFT).set(left.as_secs_f64());
+        if self.renewal_waits(now) {
+            return;
+        }
+        let Lease::Held(held) = &mut self.lease else {
+            return;
+        };
         let step = held.holder.tick(now);
         self.run_lease_step(step, ctx);
     }
 
+    /// Whether the next renewal is put off because many daemons renew.
+    ///
+    /// Never beyond half of the lease, so that one that is lost can be made up for.
+    fn renewal_waits(&self, now: Now) -> bool {
+        let terms = &self.shared.settings.terms;
+        let interval = self.spaced(terms.lease_renew, RENEWAL_SPACING);
+        let interval = interval.min(terms.lease / 2);
+        let renewed = self.renewal.is_some_and(|(_, at)| now < at + interval);
+        renewed && !self.is_stopping()
+    }
+
     fn run_lease_step(&mut self, step: LeaseStep, ctx: &mut Context<Self>) {
         let key = lease_key(&self.shared.settings.instance);
         let platform = Rc::clone(&self.platform);
--- a/crates/daemon/src/process/control/list.rs
+++ b/crates/daemon/src/process/control/list.rs
@@ -39,6 +39,9 @@
     time::Duration, //
 };
 
+/// Time between two daemons' reads of the list, on average: a hundred a second in all.
+const LIST_SPACING: Duration = Duration::from_millis(10);
+
 impl Control {
     /// Reads the list now and again after its interval.
     pub(super) fn read_list(&mut self, ctx: &mut Context<Self>) {
@@ -50,7 +53,8 @@
                 control.take_list(list);
             }
             control.begin_adoption(ctx);
-            let interval = control.jittered(control.shared.settings.terms.list);
+            let interval = control.spaced(control.shared.settings.terms.list, LIST_SPACING);
+            let interval = control.jittered(interval);
             ctx.run_later(interval, Self::read_list);
         }));
     }
--- a/crates/daemon/src/process/control/mod.rs
+++ b/crates/daemon/src/process/control/mod.rs
@@ -76,6 +76,7 @@
 };
 use actix::{
     Actor,
+    ActorContext,
     AsyncContext,
     Context,
     StreamHandler, //
@@ -128,6 +129,8 @@
     Planned,
     /// Another incarnation took the lease.
     Superseded,
+    /// The long term of its lease is over, so that only the next incarnation can take part.
+    Lapsed,
     /// Control is gone without a word.
     ControlLost,
 }
@@ -138,6 +141,7 @@
         match self {
             Self::Planned => Ok(()),
             Self::Superseded => bail!("another incarnation of this instance has the lease"),
+            Self::Lapsed => bail!("the lease lapsed for good; start this instance anew"),
             Self::ControlLost => bail!("control ended without a planned stop"),
         }
     }
@@ -163,6 +167,8 @@
     renewal: Option<(u64, Now)>,
     /// Another incarnation took the lease.
     superseded: bool,
+    /// The long term of this incarnation's lease is over.
+    lapsed: bool,
     /// Told how control ended.
     ended: Option<oneshot::Sender<End>>,
 
@@ -221,6 +227,7 @@
             join_sent_at: Now::ZERO,
             renewal: None,
             superseded: false,
+            lapsed: false,
             ended: Some(ended),
             peers_listener: Some(peers_listener),
             mesh: None,
@@ -259,6 +266,17 @@
         interval.mul_f64(factor)
     }
 
+    /// `interval`, longer where so many daemons do the same that they would be closer together than
+    /// `spacing` on average.
+    ///
+    /// What goes wrong otherwise: the platform takes several hundred writes and about two thousand
+    /// reads a second, whatever the number of daemons, and a large deployment's routine would
+    /// leave no room for what cannot wait. One would notice slow renewals all over.
+    fn spaced(&self, interval: Duration, spacing: Duration) -> Duration {
+        let daemons = u32::try_from(self.picture.instances().count() + 1).unwrap_or(u32::MAX);
+        interval.max(spacing * daemons)
+    }
+
     fn note_call(&self, call: &'static str, done: bool) {
         let result = if done { "done" } else { "failed" };
         metrics::counter!(metric::PLATFORM_CALLS, "call" => call, "result" => result).increment(1);
@@ -292,6 +310,12 @@
             return;
         }
         self.slow_at = now;
+        if self.shares_dead() && !self.is_stopping() {
+            spdlog::error!("this incarnation lapsed for good; this process ends");
+            self.lapsed = true;
+            ctx.stop();
+            return;
+        }
         self.observe_leases(ctx);
         self.set_partners();
         self.forget_filings();
@@ -331,6 +355,8 @@
     fn stopped(&mut self, _ctx: &mut Self::Context) {
         let end = if self.superseded {
             End::Superseded
+        } else if self.lapsed {
+            End::Lapsed
         } else {
             End::Planned
         };
--- a/crates/daemon/src/process/control/outcomes.rs
+++ b/crates/daemon/src/process/control/outcomes.rs
@@ -34,6 +34,10 @@
 
 /// Outcomes in one transaction.
 const BATCH_MAX: usize = 64;
+/// Least time between two transactions of one daemon.
+const INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two daemons' transactions, on average: a hundred a second in all.
+const SPACING: Duration = Duration::from_millis(10);
 /// Time that an outcome stays in the table; well past any ticket's life and its caller's retries.
 const KEPT: Duration = Duration::from_secs(600);
 
@@ -41,13 +45,19 @@
 #[derive(Debug, Default)]
 pub(super) struct Outcomes {
     busy: bool,
+    sent_at: Option<Now>,
     written: VecDeque<(Now, Nonce)>,
 }
 
 impl Control {
     /// Writes outcomes that are not in the table yet, and removes those that nobody asks for.
     pub(super) fn tick_outcomes(&mut self, ctx: &mut Context<Self>) {
-        if self.outcomes.busy {
+        let now = self.now();
+        let interval = self.spaced(INTERVAL, SPACING);
+        // An interval as long as the ticks that call this must not skip every other one.
+        let waits =
+            interval > INTERVAL && self.outcomes.sent_at.is_some_and(|at| now < at + interval);
+        if self.outcomes.busy || waits {
             return;
         }
         let unwritten = self
@@ -71,6 +81,7 @@
         };
         let written: Vec<Nonce> = unwritten.into_iter().map(|(nonce, _)| nonce).collect();
         self.outcomes.busy = true;
+        self.outcomes.sent_at = Some(now);
         let platform = Rc::clone(&self.platform);
         let commit = async move { platform.commit(txn).await };
         ctx.spawn(commit.into_actor(self).map(move |done, control, _| {
--- a/crates/daemon/src/process/control/shares/mod.rs
+++ b/crates/daemon/src/process/control/shares/mod.rs
@@ -25,9 +25,12 @@
         Found, //
     },
 };
-use crate::process::control::{
-    lease::parse_lease,
-    Control, //
+use crate::process::{
+    control::{
+        lease::parse_lease,
+        Control, //
+    },
+    stop::Stage,
 };
 use actix::{
     ActorFutureExt,
@@ -55,6 +58,10 @@
     PoolId,
     Row, //
 };
+use spec::{
+    Class,
+    Config, //
+};
 use std::{
     future::Future,
     rc::Rc,
@@ -66,6 +73,13 @@
 const ROW_INTERVAL: Duration = Duration::from_secs(5);
 /// Wait between reads of a row that a peer told of.
 const RETRY: Duration = Duration::from_millis(200);
+/// Times that work in flight may outlive its lease, of which the least that suffices is taken.
+const GRACE_STEPS: [Duration; 4] = [
+    Duration::from_secs(5),
+    Duration::from_secs(30),
+    Duration::from_secs(120),
+    Duration::from_secs(600),
+];
 /// Longest that a new entry waits for its part before it serves.
 const JOIN_LIMIT: Duration = Duration::from_secs(15);
 
@@ -85,6 +99,10 @@
 impl Control {
     /// Joins the pools that the configuration and the list name, once each.
     pub(super) fn join_pools(&mut self) {
+        // The terms of a pool depend on the classes, so a configuration comes first.
+        let Some((_, config)) = self.config.clone() else {
+            return;
+        };
         if self.shared.incarnation() == 0 {
             return;
         }
@@ -100,19 +118,19 @@
         let wanted: Vec<(PoolId, Tokens)> = slots.chain(caps).collect();
         for (id, tokens) in wanted {
             if !self.shares.contains_key(&id) {
-                let joined = self.new_share(id.clone(), tokens);
+                let joined = self.new_share(id.clone(), tokens, &config);
                 self.shares.insert(id, joined);
             }
         }
     }
 
-    fn new_share(&self, id: PoolId, tokens: Tokens) -> Shared {
+    fn new_share(&self, id: PoolId, tokens: Tokens, config: &Config) -> Shared {
         let me = MemberId {
             instance: self.shared.settings.instance.clone(),
             incarnation: self.shared.incarnation(),
         };
         Shared {
-            member: Member::new(me, id, self.share_terms()),
+            member: Member::new(me, id, self.share_terms(&tokens, config)),
             tokens,
             row_version: None,
             busy: false,
@@ -121,11 +139,31 @@
         }
     }
 
-    fn share_terms(&self) -> share::Terms {
+    /// Terms of a pool, alike at all its members.
+    ///
+    /// What is in flight when a lease lapses may go on until its deadline: an entry that is frozen
+    /// holds its connections, and its upstreams their slots. Whoever took those slots earlier would
+    /// have an upstream queue. So the lapse allows for the longest deadline of the pool's classes,
+    /// which callers can't exceed. It is rounded up to a step, so that a small change of a target
+    /// does not set the members' terms apart.
+    fn share_terms(&self, tokens: &Tokens, config: &Config) -> share::Terms {
         let terms = &self.shared.settings.terms;
+        let concerns = |class: &&Class| match tokens {
+            Tokens::Slots(pool) => class.service == pool.service,
+            Tokens::Cap(_) => true,
+        };
+        let longest = config
+            .classes
+            .iter()
+            .filter(concerns)
+            .map(|class| class.deadline)
+            .max()
+            .unwrap_or_default();
+        let grace = GRACE_STEPS.into_iter().find(|step| longest <= *step);
         share::Terms {
             short_ttl: terms.lease,
             long_ttl: terms.lease_floor,
+            grace: grace.unwrap_or(longest),
             ..share::Terms::default()
         }
     }
@@ -141,7 +179,7 @@
     /// Lets time pass for all pools.
     pub(super) fn tick_shares(&mut self, ctx: &mut Context<Self>) {
         let now = self.now();
-        let leaving = self.is_stopping();
+        let leaving = self.stage == Stage::Refusing;
         let renewal = self.renewal;
         let mut actions = Vec::new();
         for (id, shared) in &mut self.shares {
@@ -374,10 +412,26 @@
         all || self.now() >= self.started_at + JOIN_LIMIT
     }
 
-    /// Whether every pool has given its tokens back.
+    /// Whether every pool has given its tokens back, and its row says so.
+    ///
+    /// A member that ends while the row still lists it keeps its floor from the others until its
+    /// long term has lapsed.
     pub(super) fn shares_released(&self) -> bool {
-        self.shares
-            .values()
-            .all(|shared| shared.member.is_released())
+        let gone = |member: &Member| {
+            let listed = member
+                .row()
+                .is_some_and(|row| row.members.contains_key(member.id()));
+            member.is_released() && !listed
+        };
+        self.shares.values().all(|shared| gone(&shared.member))
+    }
+
+    /// Whether a pool counts this incarnation as gone for good.
+    ///
+    /// It can take part again only as the next incarnation, which a new process takes.
+    pub(super) fn shares_dead(&self) -> bool {
+        let now = self.now();
+        let mut members = self.shares.values();
+        members.any(|shared| shared.member.is_dead(now))
     }
 }
--- a/crates/daemon/src/process/control/shares/tokens.rs
+++ b/crates/daemon/src/process/control/shares/tokens.rs
@@ -81,17 +81,11 @@
 }
 
 fn publish_slots(pool: &Pool, limits: &Limits) {
-    let mut grew = false;
     for upstream in pool.upstreams().iter() {
         let amount = |amounts: &Amounts| amounts.get(&upstream.id).copied().unwrap_or(0);
-        let before = upstream.slots.get();
-        let after = upstream
+        upstream
             .slots
             .allot(amount(&limits.full), amount(&limits.floor));
-        grew |= after.full > before.full;
     }
     pool.lease.set(limits.full_until, limits.floor_until);
-    if grew {
-        pool.wake_all();
-    }
 }
--- a/crates/daemon/src/process/control/steering/regions.rs
+++ b/crates/daemon/src/process/control/steering/regions.rs
@@ -40,6 +40,9 @@
 
 /// Age at which what one daemon of the own region said is not counted any more.
 const PART_LIFE: Duration = Duration::from_secs(10);
+/// Part of the demand heard of, in percent, from which the own part shows a burst: beyond what
+/// chance makes of it.
+const BURST_PCT: u64 = 130;
 /// Time in which a made-up demand arrives; see [`demand_of`].
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -103,6 +106,17 @@
         self.entries += other.entries;
     }
 
+    /// Takes the own part for typical once it is far above what was heard of the others.
+    ///
+    /// Their word lags by a beat or two, and the queues of a burst grow meanwhile. Callers spread
+    /// over the region's entries, so that a burst shows at each of them at once.
+    fn follow_burst(&mut self, own: &Demand) {
+        let typical = own.milli_slots() * u64::from(self.entries);
+        if typical > self.arriving.milli_slots() / 100 * BURST_PCT {
+            self.arriving = demand_of(typical);
+        }
+    }
+
     fn tell(&self, region: &RegionId, service: &ServiceId) -> RegionSummary {
         RegionSummary {
             region: region.clone(),
@@ -321,7 +335,8 @@
         let Some(flows) = self.steering.services.get(service).map(|s| &s.flows) else {
             return Vec::new();
         };
-        let here = self.own_region_sum(service, flows, now);
+        let mut here = self.own_region_sum(service, flows, now);
+        here.follow_burst(&flows.arriving);
         let of_service = config.classes.iter();
         let of_service = of_service.filter(|class| class.service == *service);
         let headroom_pct = of_service.map(|class| u32::from(class.headroom_pct)).max();
--- a/crates/daemon/src/process/control/steering/upstreams.rs
+++ b/crates/daemon/src/process/control/steering/upstreams.rs
@@ -144,21 +144,20 @@
         Freshness::of_age(age, &FreshnessLimits::default())
     }
 
-    /// Publishes the verdicts; returns whether more work may go there than before.
-    fn publish(&mut self, now: Now) -> bool {
+    /// Publishes the verdicts.
+    fn publish(&mut self, now: Now) {
         let upstream = &self.upstream;
         let limit = self.ramp.limit();
         let cold = self.ramp.phase() == RampPhase::Trickle;
         let suspect = self.suspect.is_suspected();
         let silent = !self.freshness(now).allows_growth();
         let due = self.ramp.probe_due(now) && !suspect || self.suspect.probe_due(now);
-        let before = upstream.limit.swap(limit, Ordering::Relaxed);
-        let was_cold = upstream.cold.swap(cold, Ordering::Relaxed);
-        let was_suspect = upstream.suspect.swap(suspect, Ordering::Relaxed);
+        upstream.limit.store(limit, Ordering::Relaxed);
+        upstream.cold.store(cold, Ordering::Relaxed);
+        upstream.suspect.store(suspect, Ordering::Relaxed);
         upstream.silent.store(silent, Ordering::Relaxed);
         self.offered = due && upstream.open();
         upstream.set_probe_due(self.offered);
-        limit > before || was_cold && !cold || was_suspect && !suspect
     }
 
     fn log(&self, what: &str) {
@@ -183,7 +182,6 @@
         self.follow(&upstreams, now);
         let others = self.others();
         let cleared_before = self.suspected();
-        let mut grew = false;
         for (machine, others) in self.by_id.values_mut().zip(&others) {
             if let Some(cause) = machine.restart_cause(now) {
                 machine.log("upstream starts slowly");
@@ -204,11 +202,9 @@
                 .for_each(|machine| machine.suspect.hasten(now));
         }
         for machine in self.by_id.values_mut() {
-            grew |= machine.publish(now);
-        }
-        if grew || pool.waiting() > 0 {
-            pool.wake_all();
+            machine.publish(now);
         }
+        pool.wake_free(now);
     }
 
     fn suspected(&self) -> usize {
--- a/crates/daemon/src/process/pool/lanes.rs
+++ b/crates/daemon/src/process/pool/lanes.rs
@@ -61,18 +61,16 @@
             .sum()
     }
 
-    /// Wakes the first request of the first lane in which one waits.
-    pub(super) fn wake_next(&self) {
-        let mut lanes = self.0.iter();
-        if let Some(lane) = lanes.find(|lane| lane.waiting.load(Ordering::Acquire) > 0) {
-            lane.freed.notify_one();
-        }
-    }
-
-    /// Lets every request look again.
-    pub(super) fn wake_all(&self) {
+    /// Wakes the first `count` requests: by lane, and in a lane by their coming.
+    ///
+    /// To wake all of them for a few slots would cost them their places: who finds none free goes
+    /// to the end of its lane, and some wait for as long as the queue lasts.
+    pub(super) fn wake(&self, count: u32) {
+        let mut left = count;
         for lane in &self.0 {
-            lane.freed.notify_waiters();
+            let woken = lane.waiting.load(Ordering::Acquire).min(left);
+            (0..woken).for_each(|_| lane.freed.notify_one());
+            left -= woken;
         }
     }
 }
--- a/crates/daemon/src/process/pool/mod.rs
+++ b/crates/daemon/src/process/pool/mod.rs
@@ -46,6 +46,10 @@
     },
     time::Duration, //
 };
+use steer::{
+    Capacity,
+    View, //
+};
 use tokio::sync::futures::Notified;
 
 /// What traffic threads counted of one service since the process started.
@@ -152,7 +156,6 @@
     /// Replaces the upstreams; those that stay must be the same objects.
     pub(crate) fn set_upstreams(&self, upstreams: Vec<Arc<Upstream>>) {
         self.upstreams.store(Arc::new(upstreams));
-        self.wake_all();
     }
 
     /// Whether any upstream takes new work.
@@ -216,14 +219,20 @@
         self.usual.store(usual, Ordering::Relaxed);
     }
 
-    /// Lets every waiting request look again, after allotments or limits grew.
-    pub(crate) fn wake_all(&self) {
-        self.lanes.wake_all();
-    }
-
     /// Lets the next waiting request look again, in place of one that gave up its turn.
     pub(crate) fn wake_next(&self) {
-        self.lanes.wake_next();
+        self.lanes.wake(1);
+    }
+
+    /// Lets as many waiting requests look again as there are free slots.
+    pub(crate) fn wake_free(&self, now: Now) {
+        if self.waiting() == 0 {
+            return;
+        }
+        let right = self.lease.right(now);
+        let upstreams = self.upstreams.load();
+        let views: Vec<View> = upstreams.iter().map(|it| it.view(right, now)).collect();
+        self.lanes.wake(Capacity::of(&views).free());
     }
 
     /// Requests that wait at this entry.
--- a/crates/daemon/src/process/settings.rs
+++ b/crates/daemon/src/process/settings.rs
@@ -141,7 +141,7 @@
     fn default() -> Self {
         Self {
             lease: Duration::from_secs(10),
-            lease_floor: Duration::from_secs(900),
+            lease_floor: Duration::from_secs(14_400),
             lease_renew: Duration::from_secs(2),
             beat: Duration::from_millis(500),
             beat_silent: Duration::from_secs(3),
--- a/crates/daemon/src/request/deadline.rs
+++ b/crates/daemon/src/request/deadline.rs
@@ -5,9 +5,6 @@
     Instant, //
 };
 
-/// Longest deadline that a caller can ask for.
-const MAX_DEADLINE: Duration = Duration::from_secs(3600);
-
 /// Moment after which nobody waits for the answer.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) struct Deadline(Instant);
@@ -19,26 +16,28 @@
 impl Deadline {
     /// Deadline `left` after `now`.
     pub(crate) fn after(now: Instant, left: Duration) -> Self {
-        Self(now + left.min(MAX_DEADLINE))
+        Self(now + left)
     }
 
     /// Reads the header; without one, the class's own deadline holds.
     ///
-    /// A caller may shorten the class's deadline or lengthen it.
+    /// A caller may shorten the class's deadline, not lengthen it: slots of a lapsed entry are
+    /// given to others once that time is over, and work that went on would make upstreams queue.
     pub(crate) fn from_header(
         text: Option<&[u8]>,
         now: Instant,
-        default: Duration,
+        class_deadline: Duration,
     ) -> Result<Self, BadDeadline> {
         let Some(text) = text else {
-            return Ok(Self::after(now, default));
+            return Ok(Self::after(now, class_deadline));
         };
         let left_ms = std::str::from_utf8(text)
             .ok()
             .and_then(|text| text.trim().parse::<u64>().ok())
             .filter(|&left_ms| left_ms > 0)
             .ok_or(BadDeadline)?;
-        Ok(Self::after(now, Duration::from_millis(left_ms)))
+        let left = Duration::from_millis(left_ms).min(class_deadline);
+        Ok(Self::after(now, left))
     }
 
     /// What is left; zero once it has passed.
