--- a/crates/spec/src/config.rs
+++ b/crates/spec/src/config.rs
@@ -62,7 +62,7 @@
     pub latency_target: Duration,
     /// Part of a region's slots that this class leaves free for bursts, in percent.
     pub headroom_pct: u8,
-    /// Time after which a caller without a deadline of its own is answered for good.
+    /// Time after which a caller is answered for good; he may ask for less, not for more.
     pub deadline: Duration,
     /// Requests that should be answered whole and within the latency target, per million.
     pub success_target_ppm: u32,
