--- a/crates/rig/src/layout.rs
+++ b/crates/rig/src/layout.rs
@@ -95,6 +95,15 @@
         }
     }
 
+    /// Two regions whose work takes long, so that whatever ends an entry finds requests in flight.
+    pub fn long_work() -> Self {
+        let mut layout = Self::two_regions();
+        for class in &mut layout.classes {
+            class.service_ms *= 15.0;
+        }
+        layout
+    }
+
     /// Two regions whose few slots are often all taken, so that a slot with two owners shows as a
     /// queue at its upstream.
     pub fn tight() -> Self {
--- a/crates/rig/src/rig.rs
+++ b/crates/rig/src/rig.rs
@@ -28,6 +28,7 @@
     Evidence,
     Leaving,
     Report,
+    Run,
     Scene,
     Sites,
     UnixUs, //
@@ -101,6 +102,8 @@
     pub report: Report,
     /// Callers' records and events.
     pub driven: Driven,
+    /// What upstreams ran.
+    pub runs: Vec<Run>,
 }
 
 impl Rig {
@@ -459,7 +462,11 @@
             &evidence.upstreams,
             violations,
         );
-        Trial { report, driven }
+        Trial {
+            report,
+            driven,
+            runs: evidence.runs,
+        }
     }
 }
 
