--- a/measure/lib.sh
+++ b/measure/lib.sh
@@ -81,7 +81,15 @@
         jq -nc --arg id "e$i" --arg r "$(region_of "$i")" --arg d "$(domain_of "$i")" --arg h "$host" \
             '{id:$id,region:$r,failure_domain:$d,callers_addr:($h+":7001"),
               peers_addr:($h+":7002"),operator_addr:($h+":7003"),state:"live"}'
-    done | jq -sc '{instances:.,upstreams:[]}' >"$DIR/list.json"
+    done >"$DIR/instances"
+    # Listed instances that don't run, in the regions there are: they show what depends on the
+    # number of instances alone, such as intervals.
+    for ((i = DAEMONS; i < DAEMONS + ${PHANTOMS:-0}; i++)); do
+        echo "{\"id\":\"e$i\",\"region\":\"$(region_of "$i")\",\"failure_domain\":\"$(domain_of "$i")\"," \
+            "\"callers_addr\":\"127.0.0.1:1\",\"peers_addr\":\"127.0.0.1:1\",\"operator_addr\":\"127.0.0.1:1\"," \
+            "\"state\":\"live\"}"
+    done >>"$DIR/instances"
+    jq -sc '{instances:.,upstreams:[]}' "$DIR/instances" >"$DIR/list.json"
     start "$DIR/platform.log" "$DIR/bin/standin-platform" --list "$DIR/list.json"
     PLATFORM=$(announced "$DIR/platform.log" "")
     local r s u
