--- a/crates/daemon/src/process/control/beats.rs
+++ b/crates/daemon/src/process/control/beats.rs
@@ -86,8 +86,8 @@
 const MARKED_PART: u64 = 8;
 /// Part of a service's slots by which its load changes enough to be told with the next beat.
 const CHANGED_PART: u64 = 32;
-/// Least change of a load that counts: a request or less comes and goes all the time.
-const LEAST_CHANGE_MILLI_SLOTS: u64 = 1500;
+/// Least change of a load that counts: a request or two come and go all the time.
+const LEAST_CHANGE_MILLI_SLOTS: u64 = 2500;
 /// Beats between two that pass on instances of third regions.
 const FAR_EVERY: usize = 4;
 /// Longest that a beat is taken to have been under way when no round trip is known.
