--- a/crates/daemon/src/request/acquire.rs
+++ b/crates/daemon/src/request/acquire.rs
@@ -42,28 +42,33 @@
 
 /// Upstreams that one request may go to, as they are now.
 struct Choice {
-    upstreams: Vec<Arc<Upstream>>,
+    upstreams: Arc<Vec<Arc<Upstream>>>,
     views: Vec<View>,
     now: Now,
 }
 
 impl Choice {
-    /// Whether no slot of upstreams that take new work is allotted to this entry.
+    /// Whether upstreams take new work and this entry was allotted no slot of theirs.
     fn owns_nothing(&self) -> bool {
-        let mut views = self.views.iter();
-        !views.any(|view| view.usable > 0 && !view.leaving)
+        let open = || self.views.iter().filter(|view| !view.leaving);
+        let may_come = self.views.is_empty() || open().next().is_some();
+        may_come && open().all(|view| view.usable == 0)
     }
 
     /// Upstreams of the pool; those that were tried only when there are no others.
     fn new(pool: &Pool, tried: &[UpstreamId], now: Now) -> Self {
         let right = pool.lease.right(now);
-        let all = pool.upstreams();
-        let untried = all.iter().filter(|upstream| !tried.contains(&upstream.id));
-        let mut upstreams: Vec<Arc<Upstream>> = untried.cloned().collect();
-        if upstreams.is_empty() {
-            upstreams = all.to_vec();
-        }
-        let views = upstreams.iter().map(|upstream| upstream.view(right, now));
+        let upstreams = pool.upstreams();
+        let is_tried = |upstream: &Arc<Upstream>| tried.contains(&upstream.id);
+        let others = upstreams.iter().any(|it| it.open() && !is_tried(it));
+        let views = upstreams.iter().map(|upstream| {
+            let view = upstream.view(right, now);
+            View {
+                // One that was tried is as good as leaving to this request.
+                leaving: view.leaving || others && is_tried(upstream),
+                ..view
+            }
+        });
         Self {
             views: views.collect(),
             upstreams,
