--- a/crates/rig/tests/faults.rs
+++ b/crates/rig/tests/faults.rs
@@ -11,6 +11,7 @@
     ClassLoad,
     FilingWay,
     Scene,
+    Told,
     Work, //
 };
 use rig::{
@@ -193,7 +194,22 @@
     assert!(report.requests > 0, "nothing was asked");
     assert!(report.violations.is_empty(), "\n{report}");
     let done = report.done_ratio();
-    assert!(done >= least_done, "only {done:.4} done\n{report}");
+    let others: Vec<String> = not_done(trial).take(5).collect();
+    assert!(
+        done >= least_done,
+        "only {done:.4} done\n{}",
+        others.join("\n")
+    );
+}
+
+/// What callers were told who were not told `done`, with all their tries.
+fn not_done(trial: &Trial) -> impl Iterator<Item = String> + '_ {
+    let callers = trial.driven.callers.iter();
+    let others = callers.filter(|caller| caller.told != Told::Done);
+    others.map(|caller| {
+        let tries: Vec<String> = caller.tries.iter().map(ToString::to_string).collect();
+        format!("{caller}\n{}", tries.join("\n"))
+    })
 }
 
 fn try_row(layout: Layout, scene: fn(&Layout) -> Scene, least_done: f64, fault: fn(&mut Rig)) {
