--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -67,6 +67,9 @@
 /// Characters of a ticket that a record keeps.
 const KEPT_CHARS: usize = 24;
 
+/// Characters of a refusal's body that a record keeps.
+const KEPT_DETAIL: usize = 200;
+
 /// Daemons that callers know from the start, by region.
 pub type Daemons = BTreeMap<RegionId, Vec<ByteString>>;
 
@@ -128,6 +131,7 @@
     retry_after: Option<Duration>,
     instead: Option<ByteString>,
     flaw: Option<Flaw>,
+    detail: Option<ByteString>,
 }
 
 /// What a caller does after a try.
@@ -360,6 +364,7 @@
             request: answer.request.clone(),
             instance: answer.instance.clone(),
             status: answer.status,
+            detail: answer.detail.clone(),
         });
         (end, answer)
     }
@@ -436,10 +441,13 @@
             .and_then(|text| text.parse::<RunOutcome>().ok());
         let mut checker = payload.checker();
         while let Some(part) = response.next().await {
-            match part {
-                Ok(part) => checker.feed(&part),
-                Err(_) => return TryEnd::Cut,
+            let Ok(part) = part else {
+                return TryEnd::Cut;
+            };
+            if outcome != Some(RunOutcome::Done) && answer.detail.is_none() {
+                answer.detail = Some(detail(&part));
             }
+            checker.feed(&part);
         }
         self.travel().await;
         match outcome {
@@ -550,6 +558,12 @@
     headers.get(name)?.to_str().ok()
 }
 
+/// Start of a body, on one line.
+fn detail(body: &[u8]) -> ByteString {
+    let text = String::from_utf8_lossy(body).replace('\n', " ");
+    text.chars().take(KEPT_DETAIL).collect::<String>().into()
+}
+
 /// Start of a long text.
 fn shortened(text: &ByteString) -> ByteString {
     text.chars().take(KEPT_CHARS).collect::<String>().into()
--- a/crates/load/src/record.rs
+++ b/crates/load/src/record.rs
@@ -118,6 +118,8 @@
     pub instance: Option<ByteString>,
     /// Status of the answer.
     pub status: Option<u16>,
+    /// Start of the body of an answer that is not an upstream's.
+    pub detail: Option<ByteString>,
 }
 
 /// How a try ended.
@@ -227,8 +229,14 @@
         if let Some(filing) = &self.filing {
             write!(f, " filing {filing}")?;
         }
-        if let (Some(instance), Some(request)) = (&self.instance, &self.request) {
-            write!(f, " by {instance} as {request}")?;
+        if let Some(instance) = &self.instance {
+            write!(f, " by {instance}")?;
+        }
+        if let Some(request) = &self.request {
+            write!(f, " as {request}")?;
+        }
+        if let Some(detail) = &self.detail {
+            write!(f, ": {detail}")?;
         }
         Ok(())
     }
--- a/crates/load/tests/judge.rs
+++ b/crates/load/tests/judge.rs
@@ -37,6 +37,7 @@
         request: None,
         instance: None,
         status: None,
+        detail: None,
     }
 }
 
