Beats: a version is news only among a few instances

That grows with instances times peers: by the sizes of the parts 7 MB a version at 530.

Change: beyond 32 known instances a version of a third instance waits for its turn in the beats.

--- a/crates/daemon/src/process/control/beats.rs
+++ b/crates/daemon/src/process/control/beats.rs
@@ -72,8 +72,9 @@
 /// Least time between beats for each peer, to other regions. Twelve daemons have nine peers each,
 /// which makes it two thirds of the time after which an instance that isn't heard of is silent.
 const OTHER_BEAT_PER_PEER: Duration = Duration::from_millis(230);
-/// Longest time between beats to other regions.
-const OTHER_BEAT_MAX: Duration = Duration::from_secs(10);
+/// Longest time between beats to other regions, so that an instance without sessions to the receiver
+/// is heard of before it counts as silent.
+const OTHER_BEAT_MAX: Duration = Duration::from_millis(2500);
 /// Summaries of the own region's instances in one beat to another region.
 const OWN_SUMMARIES: usize = 8;
 /// Summaries of other instances in one beat that are not news.
@@ -86,6 +87,10 @@
 const MARKED_PART: u64 = 8;
 /// Part of a service's slots by which its load changes enough to be told with the next beat.
 const CHANGED_PART: u64 = 32;
+/// Instances up to which each is told at once of each other's new version, which lets an accept
+/// that waits end soon. A version is news of everyone at the same time: among hundreds it would
+/// take more bytes than all else, and the next turns have to do.
+const VERSION_NEWS_MAX: usize = 32;
 /// Least change of a load that counts: a request or two come and go all the time.
 const LEAST_CHANGE_MILLI_SLOTS: u64 = 2500;
 /// Beats between two that pass on instances of third regions.
@@ -155,10 +160,13 @@
         due
     }
 
-    /// Whether the peer was told of no such life, state or version.
-    fn is_news(&self, instance: &InstanceId, summary: &Summary) -> bool {
-        let said = (summary.incarnation, summary.state, summary.version);
-        self.instances.get(instance) != Some(&said)
+    /// Whether the peer was told of no such life or state, or version where that counts.
+    fn is_news(&self, instance: &InstanceId, summary: &Summary, with_versions: bool) -> bool {
+        let Some((incarnation, state, version)) = self.instances.get(instance) else {
+            return true;
+        };
+        let known_life = (*incarnation, *state) == (summary.incarnation, summary.state);
+        !known_life || with_versions && *version != summary.version
     }
 }
 
@@ -352,10 +360,11 @@
         let all = self.picture.summaries(&to.instance, now);
         let region_of = |id: &InstanceId| self.picture.instance(id).map(|f| &f.identity.region);
         let mut telling = self.tellings.remove(&to.instance).unwrap_or_default();
+        let with_versions = all.len() <= VERSION_NEWS_MAX;
         let (mut news, mut near, mut far) = (Vec::new(), Vec::new(), Vec::new());
         for (index, (id, summary)) in all.iter().enumerate() {
             let region = region_of(id);
-            if telling.is_news(id, summary) {
+            if telling.is_news(id, summary, with_versions) {
                 news.push(index);
             } else if region == Some(&to.region) {
                 continue;
--- a/measure/blocks.sh
+++ b/measure/blocks.sh
@@ -96,10 +96,8 @@
 fresh=$(memory 0)
 write_blocks
 begun=$(now)
-ctl 0 --request-timeout-s 120 accept "$DIR/config2.yaml" --blocks "$DIR/blocks.txt" >"$DIR/accept.log" 2>&1 ||
-    { cat "$DIR/accept.log" >&2; exit 1; }
-until [ "$(ctl 1 --output json instances | jq '[.instances[]? | .version] | min' 2>/dev/null)" = 2 ] ||
-    [ "$(awk "BEGIN { print ($(now) - $begun > 30) }")" = 1 ]; do sleep 0.2; done
+ctl 0 --request-timeout-s 120 accept "$DIR/config2.yaml" --blocks "$DIR/blocks.txt" --wait \
+    >"$DIR/accept.log" 2>&1 || { cat "$DIR/accept.log" >&2; exit 1; }
 took=$(awk "BEGIN { printf \"%.1f\", $(now) - $begun }")
 accepted="$(memory 0) | $(memory 1)"
 start_daemon 2
