--- a/crates/load/src/table.rs
+++ b/crates/load/src/table.rs
@@ -84,6 +84,8 @@
     pub mean_in_flight: f64,
     /// Runs that began.
     pub runs: u64,
+    /// Requests that came and never got a slot.
+    pub turned_away: u64,
     /// Most requests that waited for a slot at a time, added up over the upstreams.
     pub queued: u64,
 }
@@ -190,6 +192,7 @@
         let key = (&facts.region, &facts.service);
         let used = uses.entry(key).or_default();
         let Some(started_us) = run.started_us else {
+            used.turned_away += 1;
             continue;
         };
         used.runs += 1;
@@ -290,14 +293,19 @@
 fn write_uses(f: &mut fmt::Formatter<'_>, uses: &BTreeMap<String, Use>) -> fmt::Result {
     writeln!(
         f,
-        "{:<24}{:>8}{:>8}{:>8}{:>8}{:>8}",
-        "upstreams", "slots", "runs", "peak", "mean", "queued"
+        "{:<24}{:>8}{:>8}{:>8}{:>8}{:>8}{:>14}",
+        "upstreams", "slots", "runs", "peak", "mean", "queued", "turned away"
     )?;
     for (key, used) in uses {
         writeln!(
             f,
-            "{key:<24}{:>8}{:>8}{:>8}{:>8.1}{:>8}",
-            used.slots, used.runs, used.peak_in_flight, used.mean_in_flight, used.queued
+            "{key:<24}{:>8}{:>8}{:>8}{:>8.1}{:>8}{:>14}",
+            used.slots,
+            used.runs,
+            used.peak_in_flight,
+            used.mean_in_flight,
+            used.queued,
+            used.turned_away
         )?;
     }
     Ok(())
