--- a/crates/daemon/src/process/control/beats.rs
+++ b/crates/daemon/src/process/control/beats.rs
@@ -101,8 +101,10 @@
 /// What one peer was told, and what its session says of it.
 #[derive(Debug, Default)]
 pub(super) struct Telling {
-    /// When it was last sent a beat.
+    /// When it was last sent a whole beat.
     beat_at: Option<Now>,
+    /// When it was last sent any beat.
+    said_at: Option<Now>,
     /// Round trip as of its last pong.
     rtt: Duration,
     /// Instances as they were last told.
@@ -114,23 +116,21 @@
 }
 
 impl Telling {
-    /// Whether a beat is due after `interval`, or before it, but not before `least`, for a load
-    /// that changed markedly.
-    fn is_due(
-        &self,
-        loads: &[RegionSummary],
-        interval: Duration,
-        least: Duration,
-        now: Now,
-    ) -> bool {
-        let Some(beat_at) = self.beat_at else {
-            return true;
-        };
-        let changed = || loads.iter().any(|load| self.differs(load, MARKED_PART));
-        now >= beat_at + interval || now >= beat_at + least && changed()
+    /// Whether a whole beat is due.
+    fn is_due(&self, interval: Duration, now: Now) -> bool {
+        self.beat_at.is_none_or(|at| now >= at + interval)
+    }
+
+    /// Whether a load changed markedly, and the last beat is `least` ago.
+    fn has_load_news(&self, loads: &[RegionSummary], least: Duration, now: Now) -> bool {
+        let may = self.said_at.is_none_or(|at| now >= at + least);
+        may && loads.iter().any(|load| self.differs(load, MARKED_PART))
     }
 
     /// Whether a load differs from what was told by more than one `part`th of its slots.
+    ///
+    /// What is in use at this moment doesn't count: it jumps with each request, and what is made
+    /// of it are the two demands, which are smoothed.
     fn differs(&self, load: &RegionSummary, part: u64) -> bool {
         let Some((_, told)) = self.loads.get(&load.service) else {
             return true;
@@ -138,7 +138,6 @@
         let limit = (load.slots * 1000 / part).max(LEAST_CHANGE_MILLI_SLOTS);
         [
             (load.slots * 1000, told.slots * 1000),
-            (load.in_use * 1000, told.in_use * 1000),
             (load.arriving_milli_slots, told.arriving_milli_slots),
             (load.carrying_milli_slots, told.carrying_milli_slots),
         ]
@@ -253,8 +252,9 @@
             let interval = self.beat_interval(same_region, peers.len());
             let least = self.shared.settings.terms.beat;
             let telling = self.tellings.entry(peer.instance.clone()).or_default();
-            if news || telling.is_due(loads, interval, least, now) {
-                let beat = self.make_beat(peer, loads, now);
+            let whole = news || telling.is_due(interval, now);
+            if whole || telling.has_load_news(loads, least, now) {
+                let beat = self.make_beat(peer, loads, whole, now);
                 mesh.send(&peer.instance, Frame::Beat(beat));
             }
         }
@@ -307,16 +307,20 @@
         self.beat_news = true;
     }
 
-    fn make_beat(&mut self, to: &PeerInfo, loads: &[RegionSummary], now: Now) -> Beat {
+    /// Makes a beat; one that is not `whole` says nothing of instances that is no news.
+    fn make_beat(&mut self, to: &PeerInfo, loads: &[RegionSummary], whole: bool, now: Now) -> Beat {
         self.beat_seq += 1;
         let shares = if to.region == self.shared.settings.region {
             self.share_beats(&to.instance)
         } else {
             Vec::new()
         };
-        let instances = self.some_summaries(to, now);
+        let instances = self.some_summaries(to, whole, now);
         let telling = self.tellings.entry(to.instance.clone()).or_default();
-        telling.beat_at = Some(now);
+        telling.said_at = Some(now);
+        if whole {
+            telling.beat_at = Some(now);
+        }
         let regions = telling.loads_to_tell(loads, now);
         let leaving = self.picture.upstream_marks(now);
         Beat {
@@ -355,7 +359,7 @@
     ///
     /// Who is in the receiver's region it hears itself. Its sessions to the sender's region are
     /// the only ones that tell it of the rest of that region, so those come first.
-    fn some_summaries(&mut self, to: &PeerInfo, now: Now) -> Vec<InstanceSummary> {
+    fn some_summaries(&mut self, to: &PeerInfo, whole: bool, now: Now) -> Vec<InstanceSummary> {
         let own = self.shared.settings.region.clone();
         let all = self.picture.summaries(&to.instance, now);
         let region_of = |id: &InstanceId| self.picture.instance(id).map(|f| &f.identity.region);
@@ -375,9 +379,11 @@
             }
         }
         news.truncate(NEWS_SUMMARIES);
-        telling.cursor = telling.cursor.wrapping_add(1);
-        news.extend(window(&near, telling.cursor, OWN_SUMMARIES));
-        if telling.cursor % FAR_EVERY == 0 {
+        if whole {
+            telling.cursor = telling.cursor.wrapping_add(1);
+            news.extend(window(&near, telling.cursor, OWN_SUMMARIES));
+        }
+        if whole && telling.cursor % FAR_EVERY == 0 {
             let turn = telling.cursor / FAR_EVERY;
             news.extend(window(&far, turn, FAR_SUMMARIES));
         }
--- a/crates/daemon/src/process/control/shares/tokens.rs
+++ b/crates/daemon/src/process/control/shares/tokens.rs
@@ -3,7 +3,6 @@
 use crate::process::{
     link::{
         Link,
-        BYTES,
         IN_FLIGHT, //
     },
     pool::Pool, //
@@ -71,8 +70,6 @@
                 link.allot(
                     amount(&limits.full, IN_FLIGHT),
                     amount(&limits.floor, IN_FLIGHT),
-                    amount(&limits.full, BYTES),
-                    amount(&limits.floor, BYTES),
                 );
                 link.lease.set(limits.full_until, limits.floor_until);
             }
--- a/crates/daemon/src/process/link.rs
+++ b/crates/daemon/src/process/link.rs
@@ -33,12 +33,14 @@
     ShiftRefusal, //
 };
 
-/// Resource of a cap's pool: requests in flight.
+/// The one resource of a cap's pool: requests in flight.
+///
+/// Bytes and growth are divided as these are. With tokens of their own for bytes, a member could
+/// hold its fair number of tokens, all of one kind, and send nothing: one would notice queues at
+/// one entry while the others shift.
 pub(crate) const IN_FLIGHT: &str = "in-flight";
-/// Resource of a cap's pool: bytes a second, in hundredths of the cap.
-pub(crate) const BYTES: &str = "bytes";
-/// Tokens that the bytes of a cap are divided into.
-const BYTES_TOKENS: u32 = 100;
+/// Part of the cap, as a divisor, that an idle entry does not give away.
+const IDLE_PART: u32 = 32;
 
 /// Use of the cap from this region to another.
 #[derive(Debug)]
@@ -49,8 +51,6 @@
     cap: Cap,
     /// Requests in flight and the part of them that may be, in one word.
     requests: Slots,
-    /// Bytes that may pass; the use of this word is not counted.
-    bytes: Slots,
     demand: AtomicU32,
     meter: Mutex<ShiftLimit>,
     passed_bytes: AtomicU64,
@@ -91,7 +91,6 @@
             lease: LeaseClock::default(),
             cap: Cap::default(),
             requests: Slots::default(),
-            bytes: Slots::default(),
             demand: AtomicU32::new(0),
             meter: Mutex::new(ShiftLimit::new(now, ShiftCap::default())),
             passed_bytes: AtomicU64::new(0),
@@ -108,16 +107,12 @@
     /// What the cap's pool has to share.
     pub(crate) fn capacity(&self) -> Amounts {
         let in_flight = self.cap.get().in_flight;
-        Amounts::from([
-            (ByteString::from_static(IN_FLIGHT), in_flight),
-            (ByteString::from_static(BYTES), BYTES_TOKENS),
-        ])
+        Amounts::from([(ByteString::from_static(IN_FLIGHT), in_flight)])
     }
 
-    /// Sets the part that this entry may use: tokens in flight and of bytes, full and floor.
-    pub(crate) fn allot(&self, full: u32, floor: u32, full_bytes: u32, floor_bytes: u32) {
+    /// Sets the part that this entry may use, full and floor, in requests in flight.
+    pub(crate) fn allot(&self, full: u32, floor: u32) {
         self.requests.allot(full, floor);
-        self.bytes.allot(full_bytes, floor_bytes);
     }
 
     /// Requests in flight.
@@ -125,9 +120,10 @@
         u32::from(self.requests.get().in_flight)
     }
 
-    /// Requests that would use the link now; what was refused since the last call counts.
+    /// Requests that would use the link now; what found no part since the last call counts.
     pub(crate) fn demand(&self) -> u32 {
-        self.in_flight() + self.demand.swap(0, Ordering::Relaxed)
+        let wanted = self.in_flight() + self.demand.swap(0, Ordering::Relaxed);
+        wanted.max(self.cap.get().in_flight / IDLE_PART)
     }
 
     /// Bytes passed so far.
@@ -158,7 +154,8 @@
         freshness: Freshness,
     ) -> Result<ShiftGuard, ShiftRefusal> {
         let admitted = self.try_admit(now, freshness);
-        if admitted.is_err() {
+        // A larger part would not let a shift grow that has grown enough for now.
+        if admitted.is_err_and(|refusal| refusal != ShiftRefusal::Growth) {
             self.demand.fetch_add(1, Ordering::Relaxed);
         }
         admitted.map(|()| ShiftGuard {
@@ -190,13 +187,13 @@
         let cap = self.cap.get();
         let right = self.lease.right(now);
         let in_flight = u32::from(self.requests.get().usable(right));
-        let bytes = u64::from(self.bytes.get().usable(right));
-        // Growth is divided as requests in flight are: the region's entries together stay within
-        // the cap's pace. It is rounded up, or a small part would never grow at all.
-        let growth = u64::from(cap.growth_per_s) * u64::from(in_flight);
-        let growth = growth.div_ceil(u64::from(cap.in_flight.max(1)));
+        // The region's entries together stay within the cap. Growth is rounded up, or a small part
+        // would never grow at all.
+        let whole = u64::from(cap.in_flight.max(1));
+        let part = u64::from(in_flight).min(whole);
+        let growth = (u64::from(cap.growth_per_s) * part).div_ceil(whole);
         ShiftCap {
-            bytes_per_s: cap.bytes_per_s / u64::from(BYTES_TOKENS) * bytes,
+            bytes_per_s: cap.bytes_per_s / whole * part,
             in_flight,
             growth_per_s: u32::try_from(growth).unwrap_or(u32::MAX),
         }
