Allowance: count what was shifted when the other region spoke

The shift through a burst swung between 0 and 130 requests in flight: what is shifted now was added to room that the other region told of a round trip and a beat ago.

--- a/crates/daemon/src/process/control/steering/flows.rs
+++ b/crates/daemon/src/process/control/steering/flows.rs
@@ -12,7 +12,10 @@
     RegionId, //
 };
 use std::{
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        VecDeque, //
+    },
     sync::Arc,
     time::Duration, //
 };
@@ -23,6 +26,9 @@
     Demand, //
 };
 
+/// Ticks that the shift to another region is remembered.
+const HISTORY: usize = 50;
+
 /// What came in the last tick.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Ticked {
@@ -54,8 +60,10 @@
 pub(super) struct Away {
     pub(super) flow: Arc<Flow>,
     total: u64,
-    pub(super) shifting: Demand,
+    shifting: Demand,
     pub(super) allowance: Allowance,
+    /// Work that went there lately, in thousandths of a slot, oldest first.
+    history: VecDeque<(Now, u64)>,
 }
 
 impl Away {
@@ -65,10 +73,27 @@
             total: 0,
             shifting: Demand::new(now),
             allowance: Allowance::default(),
+            history: VecDeque::new(),
         }
     }
 }
 
+impl Away {
+    fn remember(&mut self, now: Now) {
+        if self.history.len() == HISTORY {
+            self.history.pop_front();
+        }
+        self.history.push_back((now, self.shifting.milli_slots()));
+    }
+
+    /// Work that went there at a moment of the last seconds, in thousandths of a slot.
+    pub(super) fn shifting_at(&self, at: Now) -> u64 {
+        let before = self.history.partition_point(|&(then, _)| then <= at);
+        let known = self.history.get(before.saturating_sub(1));
+        known.map_or(0, |&(_, milli_slots)| milli_slots)
+    }
+}
+
 impl Flows {
     pub(super) fn new(now: Now) -> Self {
         Self {
@@ -109,6 +134,7 @@
             let sent = count(total - away.total);
             away.total = total;
             away.shifting.tick(now, sent, self.service);
+            away.remember(now);
         }
         Ticked {
             offered: count(counts.arrived.max(counts.carried)),
--- a/crates/daemon/src/process/control/steering/regions.rs
+++ b/crates/daemon/src/process/control/steering/regions.rs
@@ -6,7 +6,8 @@
 use crate::{
     process::control::{
         steering::flows::Flows,
-        Control, //
+        Control,
+        TICK, //
     },
     version::{
         ClassOutlook,
@@ -393,14 +394,19 @@
             .regions
             .others
             .get(&(service.clone(), region.clone()));
+        let known_at = heard.map_or(now, |heard| heard.true_at);
+        let known_at = known_at.saturating_sub(estimate.link + TICK);
         let there = heard.filter(|_| usable).map(|heard| heard.sum);
         let there = there.unwrap_or_default();
         let Some(state) = self.steering.services.get_mut(service) else {
             return Allowance::default();
         };
         let away = state.flows.away(region, now);
+        // What the other region carries, as far as is known here, holds what was shifted a round trip
+        // before its word came. Were all that is shifted now added to the room that it told of, the
+        // shift would grow past the room and then stop altogether, over and over.
         // Callers spread over the region's entries, so that all of them shift about alike.
-        let shifting = away.shifting.milli_slots() * u64::from(here.entries);
+        let shifting = away.shifting_at(known_at) * u64::from(here.entries);
         away.allowance.tick(
             &there.carrying,
             there.open,
