Tickets of a daemon whose clock is ahead are honest ones

Cause: the ledger took a ticket's longest life to be exactly the setting, so a ticket minted a millisecond ahead by another daemon's clock looked as if it ended too late. Ruled out: expiry (the tickets were fresh) and the upstreams (nothing ran). Change: an allowance of 10 s for skew between daemons.

--- a/crates/daemon/src/process/shared.rs
+++ b/crates/daemon/src/process/shared.rs
@@ -59,6 +59,12 @@
     Notify, //
 };
 
+/// How far the clocks of two daemons may be apart.
+///
+/// A ticket minted by a daemon whose clock is ahead ends later, by the judge's clock, than a ticket
+/// can. Without this allowance a skew of a millisecond turns honest tickets away as `unknown`.
+const CLOCK_SKEW: Duration = Duration::from_secs(10);
+
 /// What traffic threads tell control.
 #[derive(Debug)]
 pub(crate) enum Note {
@@ -173,7 +179,7 @@
 
     fn ledger_bounds(&self) -> Bounds {
         Bounds {
-            life_max: self.settings.terms.ticket,
+            life_max: self.settings.terms.ticket + CLOCK_SKEW,
             ..Bounds::default()
         }
     }
