A shift keeps its cap in each second: bytes are booked at the admission

Cause: an answer of up to 64 KiB was booked when it had come, that is, when the link had carried it; until the meter was in debt every admission was free. Ruled out: heads (2 %), and the steady pace, which leaves 6 %. Change: an admission needs the balance for what requests usually pass and books it; what is not passed is given back; a request larger than the burst lowers the refill by its size.

--- a/crates/daemon/src/process/link.rs
+++ b/crates/daemon/src/process/link.rs
@@ -13,6 +13,7 @@
 use bytestring::ByteString;
 use share::Amounts;
 use std::{
+    cell::Cell,
     sync::{
         atomic::{
             AtomicU32,
@@ -42,6 +43,15 @@
 /// Part of the cap, as a divisor, that an idle entry does not give away.
 const IDLE_PART: u32 = 32;
 
+/// Bytes of the heads of one request and its answer, with room to spare.
+const HEADS_BYTES: u64 = 1024;
+/// Most bytes that are booked when a request is admitted.
+const BOOKED_MAX_BYTES: u64 = 64 * 1024 + HEADS_BYTES;
+/// Weight of a new size in the moving average, as a divisor.
+const SMOOTH_PART: u64 = 8;
+/// The meter refills by so many parts of its rate, and keeps one part more as its burst.
+const METER_PARTS: u64 = 15;
+
 /// Use of the cap from this region to another.
 #[derive(Debug)]
 pub(crate) struct Link {
@@ -54,6 +64,8 @@
     demand: AtomicU32,
     meter: Mutex<ShiftLimit>,
     passed_bytes: AtomicU64,
+    /// Moving average of what one request passes, heads included.
+    usual_bytes: AtomicU64,
 }
 
 /// A cap in atomics: a change while traffic threads read it gives them some of either.
@@ -94,6 +106,7 @@
             demand: AtomicU32::new(0),
             meter: Mutex::new(ShiftLimit::new(now, ShiftCap::default())),
             passed_bytes: AtomicU64::new(0),
+            usual_bytes: AtomicU64::new(BOOKED_MAX_BYTES),
         };
         link.cap.set(cap);
         link
@@ -140,7 +153,9 @@
         let part = self.part(now);
         let mut meter = lock(&self.meter);
         meter.set_cap(now, part);
-        meter.check(now, freshness).is_ok()
+        meter
+            .check_sized(now, freshness, self.expected_bytes())
+            .is_ok()
     }
 
     /// Admits one request, in flight until the guard is dropped.
@@ -153,7 +168,8 @@
         now: Now,
         freshness: Freshness,
     ) -> Result<ShiftGuard, ShiftRefusal> {
-        let admitted = self.try_admit(now, freshness);
+        let expected_bytes = self.expected_bytes();
+        let admitted = self.try_admit(now, freshness, expected_bytes);
         // A larger part would not let a shift grow that has grown enough for now.
         if admitted.is_err_and(|refusal| refusal != ShiftRefusal::Growth) {
             self.demand.fetch_add(1, Ordering::Relaxed);
@@ -162,10 +178,34 @@
             link: Arc::clone(self),
             admitted_at: now,
             since: std::time::Instant::now(),
+            booked_bytes: Cell::new(expected_bytes),
+            bytes: Cell::new(HEADS_BYTES),
         })
     }
 
-    fn try_admit(&self, now: Now, freshness: Freshness) -> Result<(), ShiftRefusal> {
+    /// Bytes that one request is expected to pass both ways.
+    ///
+    /// Answers longer than what is read whole are paced as they come, so that no more is booked.
+    fn expected_bytes(&self) -> u64 {
+        self.usual_bytes
+            .load(Ordering::Relaxed)
+            .min(BOOKED_MAX_BYTES)
+    }
+
+    /// Notes what one request passed.
+    fn note_size(&self, bytes: u64) {
+        // Racing notes may lose one of them, which a moving average bears.
+        let usual = self.usual_bytes.load(Ordering::Relaxed);
+        let next = usual - usual / SMOOTH_PART + bytes / SMOOTH_PART;
+        self.usual_bytes.store(next, Ordering::Relaxed);
+    }
+
+    fn try_admit(
+        &self,
+        now: Now,
+        freshness: Freshness,
+        expected_bytes: u64,
+    ) -> Result<(), ShiftRefusal> {
         // The token comes first, by one exchange: control may lower the part at this moment and
         // must either see this request in flight or keep it from starting.
         if !self.requests.take(self.lease.right(now), u32::MAX) {
@@ -174,7 +214,7 @@
         let part = self.part(now);
         let mut meter = lock(&self.meter);
         meter.set_cap(now, part);
-        let admitted = meter.admit(now, freshness);
+        let admitted = meter.admit_sized(now, freshness, expected_bytes);
         drop(meter);
         if admitted.is_err() {
             self.requests.give_back();
@@ -193,27 +233,48 @@
         let part = u64::from(in_flight).min(whole);
         let growth = (u64::from(cap.growth_per_s) * part).div_ceil(whole);
         ShiftCap {
-            bytes_per_s: cap.bytes_per_s / whole * part,
+            bytes_per_s: self.metered(cap.bytes_per_s / whole * part),
             in_flight,
             growth_per_s: u32::try_from(growth).unwrap_or(u32::MAX),
         }
     }
 }
 
+impl Link {
+    /// Rate to meter by, so that `bytes_per_s` is kept in each second.
+    ///
+    /// A request that is larger than the meter's burst puts it into debt by the difference. The
+    /// refill is lowered by as much as one request, which makes up for that.
+    fn metered(&self, bytes_per_s: u64) -> u64 {
+        let one = self.expected_bytes().min(bytes_per_s / 2);
+        ((bytes_per_s - one) / METER_PARTS * (METER_PARTS + 1)).min(bytes_per_s)
+    }
+}
+
 /// One shifted request.
 #[derive(Debug)]
 pub(crate) struct ShiftGuard {
     link: Arc<Link>,
     admitted_at: Now,
     since: std::time::Instant,
+    /// Booked at the admission and not passed yet.
+    booked_bytes: Cell<u64>,
+    /// Passed so far, heads included.
+    bytes: Cell<u64>,
 }
 
 impl ShiftGuard {
-    /// Books `bytes`; returns how long they must wait before they are passed on.
+    /// Passes `bytes`; returns how long they must wait, for those that were not booked before.
     pub(crate) fn pass(&self, bytes: usize) -> Duration {
         let bytes = bytes as u64;
         self.link.passed_bytes.fetch_add(bytes, Ordering::Relaxed);
-        lock(&self.link.meter).pass(self.now(), bytes)
+        self.bytes.set(self.bytes.get() + bytes);
+        let booked = self.booked_bytes.get().min(bytes);
+        self.booked_bytes.set(self.booked_bytes.get() - booked);
+        if bytes == booked {
+            return Duration::ZERO;
+        }
+        lock(&self.link.meter).pass(self.now(), bytes - booked)
     }
 
     fn now(&self) -> Now {
@@ -223,7 +284,13 @@
 
 impl Drop for ShiftGuard {
     fn drop(&mut self) {
-        lock(&self.link.meter).finish(self.now());
+        let now = self.now();
+        let unused = self.booked_bytes.get().saturating_sub(HEADS_BYTES);
+        let mut meter = lock(&self.link.meter);
+        meter.finish(now);
+        meter.give_back(now, unused);
+        drop(meter);
+        self.link.note_size(self.bytes.get());
         self.link.requests.give_back();
     }
 }
--- a/crates/steer/src/shift.rs
+++ b/crates/steer/src/shift.rs
@@ -13,6 +13,7 @@
 /// Thousandths of a request: the unit in which the growth of a shift is counted.
 const MILLI: u64 = 1000;
 const NANOS_PER_S: u128 = 1_000_000_000;
+const NANOS_PER_S_SIGNED: i128 = 1_000_000_000;
 
 /// This entry's part of the cap of one ordered pair of regions.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -86,6 +87,53 @@
         later.admit(now, freshness)
     }
 
+    /// Whether one more request, of which `expected_bytes` are expected, would be admitted.
+    ///
+    /// # Errors
+    ///
+    /// The first limit that holds it back.
+    pub fn check_sized(
+        &self,
+        now: Now,
+        freshness: Freshness,
+        expected_bytes: u64,
+    ) -> Result<(), ShiftRefusal> {
+        let mut later = *self;
+        later.admit_sized(now, freshness, expected_bytes)
+    }
+
+    /// Admits one request and books what it is expected to pass.
+    ///
+    /// Bytes that are booked when they have come were on the link before: many requests admitted
+    /// in one moment, none of them booked, pass together and exceed the cap for a second. So the
+    /// balance must hold what is expected, or be as full as it gets.
+    ///
+    /// # Errors
+    ///
+    /// The first limit that holds it back.
+    pub fn admit_sized(
+        &mut self,
+        now: Now,
+        freshness: Freshness,
+        expected_bytes: u64,
+    ) -> Result<(), ShiftRefusal> {
+        self.refill(now);
+        let expected = i128::from(expected_bytes) * NANOS_PER_S_SIGNED;
+        if self.balance < expected.min(self.burst()) {
+            return Err(ShiftRefusal::Bytes);
+        }
+        self.admit(now, freshness)?;
+        self.balance -= expected;
+        Ok(())
+    }
+
+    /// Gives back `bytes` that were booked and are not passed.
+    pub fn give_back(&mut self, now: Now, bytes: u64) {
+        self.refill(now);
+        let given = i128::from(bytes) * NANOS_PER_S_SIGNED;
+        self.balance = (self.balance + given).min(self.burst());
+    }
+
     /// Admits one request, which is then in flight until [`ShiftLimit::finish`].
     ///
     /// `freshness` is that of what is known of the other region: nothing grows on an old picture.
@@ -126,7 +174,7 @@
         if refill == 0 {
             return Duration::MAX;
         }
-        self.balance -= i128::from(bytes) * 1_000_000_000;
+        self.balance -= i128::from(bytes) * NANOS_PER_S_SIGNED;
         let debt = self.balance.min(0).unsigned_abs();
         let wait_ns = debt.div_ceil(u128::from(refill));
         Duration::from_nanos(u64::try_from(wait_ns).unwrap_or(u64::MAX))
@@ -147,7 +195,7 @@
     }
 
     fn burst(&self) -> i128 {
-        i128::from(self.cap.bytes_per_s / BURST_PART) * 1_000_000_000
+        i128::from(self.cap.bytes_per_s / BURST_PART) * NANOS_PER_S_SIGNED
     }
 
     /// Adds the refill since the last call, up to the burst.
