Callers wait a minute for their head: no 408 without a claim after a pause

Cause: the HTTP library's five seconds for a request's head ran out while the process was paused, and are looked at before the socket is read. Ruled out: the daemon's own handlers (no request reached them). Change: client_request_timeout of 60 s.

--- a/crates/daemon/src/process/mod.rs
+++ b/crates/daemon/src/process/mod.rs
@@ -61,6 +61,7 @@
     rc::Rc,
     sync::Arc,
     time::{
+        Duration,
         SystemTime,
         UNIX_EPOCH, //
     },
@@ -77,6 +78,8 @@
 };
 use tokio_stream::wrappers::UnboundedReceiverStream;
 
+/// Time that a caller has to send the head of a request.
+const HEAD_TIMEOUT_S: u64 = 60;
 /// Time that an idle connection of a caller is kept.
 const KEEP_ALIVE_S: u64 = 75;
 
@@ -150,7 +153,12 @@
         App::new().app_data(traffic).configure(request::routes)
     })
     .workers(threads)
-    .keep_alive(std::time::Duration::from_secs(KEEP_ALIVE_S))
+    .keep_alive(Duration::from_secs(KEEP_ALIVE_S))
+    // What goes wrong with the library's five seconds: the process is paused for longer, requests
+    // arrive meanwhile, and on waking their timers have run out before their bytes are read. Their
+    // callers get 408 without a claim about the run. A longer time bounds the pause that they can
+    // notice in this way; a caller who sends nothing holds a connection for as long.
+    .client_request_timeout(Duration::from_secs(HEAD_TIMEOUT_S))
     // A caller who goes away ends its request, which cancels it at the upstream.
     .h1_allow_half_closed(false)
     .disable_signals()
