--- a/crates/daemon/src/process/control/shares/mod.rs
+++ b/crates/daemon/src/process/control/shares/mod.rs
@@ -69,6 +69,8 @@
     time::Duration, //
 };
 
+/// Least time between two rows of a pool that only follow demand; a burst lasts a few seconds.
+const REBALANCE: Duration = Duration::from_secs(3);
 /// Time between reads of a pool's row while no peer tells of a newer one.
 const ROW_INTERVAL: Duration = Duration::from_secs(5);
 /// Wait between reads of a row that a peer told of.
@@ -163,6 +165,7 @@
         share::Terms {
             short_ttl: terms.lease,
             long_ttl: terms.lease_floor,
+            rebalance_every: REBALANCE,
             grace: grace.unwrap_or(longest),
             ..share::Terms::default()
         }
--- a/crates/daemon/src/process/control/steering/regions.rs
+++ b/crates/daemon/src/process/control/steering/regions.rs
@@ -271,7 +271,8 @@
                 ..self.estimate(service, &region.id, now)
             })
             .collect();
-        let spill = self.spill(config, service, &estimates, now);
+        let headroom_away_pct = self.headroom_away_pct(config, service, now);
+        let spill = self.spill(config, service, &estimates, headroom_away_pct, now);
         let flows: Vec<Arc<Flow>> = match self.steering.services.get_mut(service) {
             Some(state) => config
                 .regions
@@ -283,6 +284,7 @@
         debug_assert!(config.regions.iter().any(|region| region.id == own) || spill.is_empty());
         ClassOutlook {
             estimates,
+            headroom_away_pct,
             spill,
             flows,
         }
@@ -331,6 +333,7 @@
         config: &Config,
         service: &ServiceId,
         estimates: &[Estimate],
+        headroom_away_pct: u32,
         now: Now,
     ) -> Vec<Spill> {
         let Some(flows) = self.steering.services.get(service).map(|s| &s.flows) else {
@@ -339,10 +342,7 @@
         let mut here = self.own_region_sum(service, flows, now);
         let own_part = Sum::of(flows);
         here.follow_burst(&own_part.arriving);
-        let of_service = config.classes.iter();
-        let of_service = of_service.filter(|class| class.service == *service);
-        let headroom_pct = of_service.map(|class| u32::from(class.headroom_pct)).max();
-        let headroom_pct = headroom_pct.unwrap_or(0);
+        let headroom_pct = headroom_of(config, service);
         let senders = u32::try_from(config.regions.len().saturating_sub(1)).unwrap_or(1);
         let own = self.shared.settings.region.clone();
         let mut order: Vec<usize> = (0..estimates.len())
@@ -367,7 +367,7 @@
                 region,
                 &estimates[index],
                 &here,
-                (headroom_pct, senders),
+                (headroom_away_pct, senders),
                 now,
             );
             let permille = here
@@ -388,6 +388,25 @@
         spill
     }
 
+    /// Percent of their slots that other regions keep free when work is shifted to them.
+    ///
+    /// It is the target as long as there is a way to keep it. When the work here exceeds all slots
+    /// of this region, half of it is given up: callers here would else wait for seconds while slots
+    /// stay free elsewhere.
+    fn headroom_away_pct(&self, config: &Config, service: &ServiceId, now: Now) -> u32 {
+        let headroom_pct = headroom_of(config, service);
+        let Some(state) = self.steering.services.get(service) else {
+            return headroom_pct;
+        };
+        let here = self.own_region_sum(service, &state.flows, now);
+        let is_over = here.arriving.milli_slots() > u64::from(here.open) * 1000;
+        if is_over && here.open > 0 {
+            headroom_pct / 2
+        } else {
+            headroom_pct
+        }
+    }
+
     /// Follows the room of one other region for this region's spill.
     fn allow(
         &mut self,
@@ -429,6 +448,14 @@
     }
 }
 
+/// The largest headroom target of the service's classes.
+fn headroom_of(config: &Config, service: &ServiceId) -> u32 {
+    let classes = config.classes.iter();
+    let of_service = classes.filter(|class| class.service == *service);
+    let most = of_service.map(|class| u32::from(class.headroom_pct)).max();
+    most.unwrap_or(0)
+}
+
 /// Allowance that holds nothing back.
 fn boundless() -> Allowance {
     let mut allowance = Allowance::default();
--- a/crates/daemon/src/request/place.rs
+++ b/crates/daemon/src/request/place.rs
@@ -92,7 +92,10 @@
             here: own,
             preference: &preference,
             estimates: &estimates,
-            target: &self.class.target,
+            target: &ClassTarget {
+                headroom_pct: class.headroom_away_pct.min(self.class.target.headroom_pct),
+                ..self.class.target
+            },
             previous: self.traffic.previous(&self.class.class.id),
             excess,
             deadline_left: self.deadline.left(Instant::now()),
--- a/crates/daemon/src/version/outlook.rs
+++ b/crates/daemon/src/version/outlook.rs
@@ -34,6 +34,8 @@
 pub(crate) struct ClassOutlook {
     /// One for each region; what changes with each request is filled in by the traffic thread.
     pub(crate) estimates: Vec<Estimate>,
+    /// Percent of their slots that other regions keep free when work is shifted to them.
+    pub(crate) headroom_away_pct: u32,
     /// Parts of the arriving work that exceed the headroom here, by where they may go.
     pub(crate) spill: Vec<Spill>,
     /// One for each region: what this entry sends there.
