--- a/crates/daemon/src/process/pool/permit.rs
+++ b/crates/daemon/src/process/pool/permit.rs
@@ -17,8 +17,9 @@
 ///
 /// What goes wrong without it: a request is given up on, its slot is given back and used at once,
 /// while the upstream still works on the first, so that the second queues there. One would notice
-/// it as queues at upstreams after timeouts and callers that went away.
-const CANCELLATION: Duration = Duration::from_millis(30);
+/// it as queues at upstreams after timeouts and callers that went away. It is short: a slot that is
+/// held for longer than that is one that impatient callers, who ask again, take from each other.
+const CANCELLATION: Duration = Duration::from_millis(5);
 
 /// Where a request that holds a slot is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/rig/examples/measure.rs
+++ b/crates/rig/examples/measure.rs
@@ -114,6 +114,10 @@
         bursts: Vec::new(),
         events: Vec::new(),
     };
+    if name == "impatient" {
+        // About a tenth of the answers take longer.
+        scene.classes[0].attempt_ms = Some(55);
+    }
     if name == "burst" {
         scene.bursts.push(Burst {
             class: None,
@@ -190,7 +194,15 @@
         }
         _ => {}
     }
-    sleep(FAULT);
+    if env::var("MEASURE_SHARES").is_ok() {
+        for _ in 0..4 {
+            sleep(FAULT / 5);
+            print_shares(rig);
+        }
+        sleep(FAULT / 5);
+    } else {
+        sleep(FAULT);
+    }
     if name == "slow" || name == "lies" {
         rig.fault_upstream(&slow, &json!({}));
     }
@@ -243,6 +255,27 @@
     println!("  violations: {}", report.violations.len());
 }
 
+/// Prints what the entries at home hold of their pools.
+fn print_shares(rig: &Rig) {
+    for index in 0..3 {
+        let reply = rig.operator(&format!("{HOME}-{index}"), "/op/v1/shares", None);
+        for pool in reply.body["pools"].as_array().into_iter().flatten() {
+            let sum = |field: &str| -> u64 {
+                let resources = pool["resources"].as_array().into_iter().flatten();
+                resources.map(|it| it[field].as_u64().unwrap_or(0)).sum()
+            };
+            println!(
+                "  {HOME}-{index} {}: epoch {} held {} usable {} used {}",
+                pool["pool"],
+                pool["epoch"],
+                sum("held"),
+                sum("usable"),
+                sum("used")
+            );
+        }
+    }
+}
+
 /// Prints the slowest requests of one class and region, as `class/region`, with their tries.
 fn print_slowest(callers: &[CallerRecord], wanted: &str) {
     let is_wanted =
