--- a/measure/hop.sh
+++ b/measure/hop.sh
@@ -34,8 +34,14 @@
 echo "look-ups: $(look_up)"
 echo "one at a time:"
 hop
-echo "eight at a time, 2 ms apart:"
-hop --connections 8 --pause-ms 2
+echo "as many as one traffic thread carries, 32 at a time:"
+hop --connections 32
+echo "one at a time, beside another load:"
+hop --connections "${BESIDE:-5}" >"$DIR/background.log" &
+background=$!
+hop
+wait "$background"
+sed 's/^/  the load: /' "$DIR/background.log"
 before=$(status_kib "${DAEMON_PIDS[0]}" VmRSS)
 bytes=$(curl -s "http://$(host 0):7001/v1/work/menu/bytes/200000000" | wc -c)
 after=$(status_kib "${DAEMON_PIDS[0]}" VmHWM)
