rig: one scene, one turn and one check for the three suites

The scene over all regions, the lock that lets one system run at a time and the check of a trial stood in faults.rs, promises.rs and steering.rs. They are now Layout::scene, turn and Trial::assert_kept in rig; every assertion and bound is as it was. faults.rs keeps its own check, which also names the requests that were not done.

--- a/crates/rig/src/layout.rs
+++ b/crates/rig/src/layout.rs
@@ -1,5 +1,10 @@
 //! What a rig consists of, and the files that say so to the processes.
 
+use load::{
+    CallerRegion,
+    ClassLoad,
+    Scene, //
+};
 use serde_json::{
     json,
     Value, //
@@ -140,6 +145,30 @@
         format!("10.{}.0.0/16", index + 1)
     }
 
+    /// A load of `classes` for `duration_ms`, from callers at home in every region alike.
+    pub fn scene(&self, duration_ms: u64, classes: Vec<ClassLoad>) -> Scene {
+        let regions = self.regions.iter().enumerate();
+        Scene {
+            seed: 1,
+            duration_ms,
+            allowance_ms: 5_000,
+            leaving_bound_ms: 3_000,
+            threads: 1,
+            regions: regions
+                .map(|(index, region)| CallerRegion {
+                    name: region.name.into(),
+                    block: Self::block(index).into(),
+                    callers: 20,
+                    share: 1.0,
+                    one_way_ms: 0,
+                })
+                .collect(),
+            classes,
+            bursts: Vec::new(),
+            events: Vec::new(),
+        }
+    }
+
     /// The operators' configuration.
     pub fn config(&self) -> String {
         let mut text = String::from("name: rig\nregions:\n");
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -25,6 +25,7 @@
     RegionLayout, //
 };
 pub use rig::{
+    turn,
     Daemon,
     Rig,
     Trial, //
--- a/crates/rig/src/rig.rs
+++ b/crates/rig/src/rig.rs
@@ -43,9 +43,14 @@
     env, fs,
     path::PathBuf,
     process::ExitStatus,
-    sync::atomic::{
-        AtomicU32,
-        Ordering, //
+    sync::{
+        atomic::{
+            AtomicU32,
+            Ordering, //
+        },
+        Mutex,
+        MutexGuard,
+        PoisonError, //
     },
     thread,
     time::{
@@ -106,6 +111,29 @@
     pub runs: Vec<Run>,
 }
 
+impl Trial {
+    /// Checks that something was asked, that no promise was broken, and that at least `least_done`
+    /// of the requests were answered `done`.
+    ///
+    /// # Panics
+    ///
+    /// With the report, if not.
+    pub fn assert_kept(&self, least_done: f64) {
+        let report = &self.report;
+        assert!(report.requests > 0, "nothing was asked");
+        assert!(report.violations.is_empty(), "\n{report}");
+        let done = report.done_ratio();
+        assert!(done >= least_done, "only {done:.4} done\n{report}");
+    }
+}
+
+/// Turn of one test of this process: each is a whole system, and a machine that can't keep up with
+/// several would show as a fault of its own.
+pub fn turn() -> MutexGuard<'static, ()> {
+    static TURN: Mutex<()> = Mutex::new(());
+    TURN.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 impl Rig {
     /// Brings up a layout, accepts its configuration and waits until all daemons are ready.
     ///
--- a/crates/rig/tests/faults.rs
+++ b/crates/rig/tests/faults.rs
@@ -7,7 +7,6 @@
 
 use load::{
     Burst,
-    CallerRegion,
     ClassLoad,
     FilingWay,
     Scene,
@@ -15,17 +14,13 @@
     Work, //
 };
 use rig::{
+    turn,
     Layout,
     Rig,
     Trial, //
 };
 use serde_json::json;
 use std::{
-    sync::{
-        Mutex,
-        MutexGuard,
-        PoisonError, //
-    },
     thread::sleep,
     time::Duration, //
 };
@@ -35,13 +30,6 @@
 /// Time before the fault, in which all is well.
 const WELL: Duration = Duration::from_secs(2);
 
-/// Rows run one after another: each is a whole system, and a machine that can't keep up would show
-/// as a fault of its own.
-fn turn() -> MutexGuard<'static, ()> {
-    static TURN: Mutex<()> = Mutex::new(());
-    TURN.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 fn class(name: &'static str, rate_per_s: f64, work: Work, filing: FilingWay) -> ClassLoad {
     ClassLoad {
         name: name.into(),
@@ -58,7 +46,6 @@
 
 /// Ten seconds of quick lookups, filings by ticket and downloads, far below the capacity.
 fn scene(layout: &Layout) -> Scene {
-    let regions = layout.regions.iter().enumerate();
     let mut classes = vec![class("menu", 100.0, Work::Bytes, FilingWay::None)];
     if layout.classes.len() > 1 {
         classes.push(class("orders", 20.0, Work::Echo, FilingWay::Ticket));
@@ -66,25 +53,7 @@
         let bytes = 200_000;
         classes.push(ClassLoad { bytes, ..binders });
     }
-    Scene {
-        seed: 1,
-        duration_ms: 10_000,
-        allowance_ms: 5_000,
-        leaving_bound_ms: 3_000,
-        threads: 1,
-        regions: regions
-            .map(|(index, region)| CallerRegion {
-                name: region.name.into(),
-                block: Layout::block(index).into(),
-                callers: 20,
-                share: 1.0,
-                one_way_ms: 0,
-            })
-            .collect(),
-        classes,
-        bursts: Vec::new(),
-        events: Vec::new(),
-    }
+    layout.scene(10_000, classes)
 }
 
 /// The scene with filings by key in place of tickets.
--- a/crates/rig/tests/promises.rs
+++ b/crates/rig/tests/promises.rs
@@ -8,7 +8,6 @@
 use load::{
     judge,
     unix_us,
-    CallerRegion,
     ClassLoad,
     Evidence,
     FilingWay,
@@ -18,11 +17,11 @@
 };
 use rig::{
     send_raw,
+    turn,
     ClassLayout,
     Layout,
     RegionLayout,
-    Rig,
-    Trial, //
+    Rig, //
 };
 use serde_json::{
     json,
@@ -44,9 +43,7 @@
             Ordering, //
         },
         Arc,
-        Mutex,
-        MutexGuard,
-        PoisonError, //
+        Mutex, //
     },
     thread::{
         self,
@@ -66,12 +63,6 @@
 /// Bound on waits for what takes well under a tenth of it.
 const PATIENCE: Duration = Duration::from_secs(40);
 
-/// Rows run one after another: each is a whole system.
-fn turn() -> MutexGuard<'static, ()> {
-    static TURN: Mutex<()> = Mutex::new(());
-    TURN.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// Quick lookups at this rate over all regions.
 fn menu(rate_per_s: f64) -> ClassLoad {
     ClassLoad {
@@ -116,26 +107,7 @@
 }
 
 fn scene(layout: &Layout, duration_s: u64, classes: Vec<ClassLoad>) -> Scene {
-    let regions = layout.regions.iter().enumerate();
-    Scene {
-        seed: 1,
-        duration_ms: duration_s * 1_000,
-        allowance_ms: 5_000,
-        leaving_bound_ms: 3_000,
-        threads: 1,
-        regions: regions
-            .map(|(index, region)| CallerRegion {
-                name: region.name.into(),
-                block: Layout::block(index).into(),
-                callers: 20,
-                share: 1.0,
-                one_way_ms: 0,
-            })
-            .collect(),
-        classes,
-        bursts: Vec::new(),
-        events: Vec::new(),
-    }
+    layout.scene(duration_s * 1_000, classes)
 }
 
 /// The scene with callers in the first region only.
@@ -194,14 +166,6 @@
     }
 }
 
-fn assert_kept(trial: &Trial, least_done: f64) {
-    let report = &trial.report;
-    assert!(report.requests > 0, "nothing was asked");
-    assert!(report.violations.is_empty(), "\n{report}");
-    let done = report.done_ratio();
-    assert!(done >= least_done, "only {done:.4} done\n{report}");
-}
-
 fn all_parts(rig: &Rig, fault: &Value) {
     rig.fault_platform(&json!({"table": fault, "objects": fault, "list": fault}));
 }
@@ -252,7 +216,7 @@
                 sleep(WELL);
                 fault(rig);
             });
-            assert_kept(&trial, $least);
+            trial.assert_kept($least);
         }
     )*};
 }
@@ -409,7 +373,7 @@
     let addr = rig.daemons["arusha-1"].callers.clone();
     let scene = scene(&rig.layout, 3, vec![menu(100.0)]);
     let trial = rig.run(&scene, |_| disperse(crowd_at(&addr)));
-    assert_kept(&trial, SINGLE);
+    trial.assert_kept(SINGLE);
 }
 
 /// Symptom: a link is saturated by a shift. Sequence: the home region is full for long, its answers
@@ -459,7 +423,7 @@
         ..Evidence::default()
     });
     assert!(violations.is_empty(), "{violations:#?}");
-    assert_kept(&trial, 0.3);
+    trial.assert_kept(0.3);
 }
 
 /// Bytes that went between callers' ports of the first region and the second so far, both ways.
@@ -752,7 +716,7 @@
         .map(ToString::to_string)
         .collect();
     assert!(refused.is_empty(), "{refused:#?}\n{}", trial.report);
-    assert_kept(&trial, 1.0);
+    trial.assert_kept(1.0);
 }
 
 /// Symptom: a planned stop cuts a long request. Sequence: an entry is asked to stop while it carries
@@ -784,7 +748,7 @@
         let status = rig.terminate("arusha-0").expect("the entry ends");
         assert!(status.success(), "{status}");
     });
-    assert_kept(&trial, SINGLE);
+    trial.assert_kept(SINGLE);
 }
 
 /// Symptom: two operators both believe that their configuration is in force. Sequence: both base
--- a/crates/rig/tests/steering.rs
+++ b/crates/rig/tests/steering.rs
@@ -15,6 +15,7 @@
     Work, //
 };
 use rig::{
+    turn,
     ClassLayout,
     Layout,
     Rig,
@@ -22,11 +23,6 @@
 };
 use serde_json::json;
 use std::{
-    sync::{
-        Mutex,
-        MutexGuard,
-        PoisonError, //
-    },
     thread::sleep,
     time::Duration, //
 };
@@ -38,12 +34,6 @@
 /// Time before the fault, in which all is well.
 const WELL: Duration = Duration::from_secs(2);
 
-/// Tests run one after another: each is a whole system.
-fn turn() -> MutexGuard<'static, ()> {
-    static TURN: Mutex<()> = Mutex::new(());
-    TURN.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// Two regions with three upstreams each: 270 requests a second for either.
 fn layout() -> Layout {
     Layout {
@@ -86,14 +76,6 @@
     }
 }
 
-fn assert_kept(trial: &Trial, least_done: f64) {
-    let report = &trial.report;
-    assert!(report.requests > 0, "nothing was asked");
-    assert!(report.violations.is_empty(), "\n{report}");
-    let done = report.done_ratio();
-    assert!(done >= least_done, "only {done:.4} done\n{report}");
-}
-
 /// When callers at home got answers that entries there had from the other region.
 fn shifted_us(trial: &Trial) -> Vec<UnixUs> {
     let away = |tried: &load::Try| {
@@ -146,7 +128,7 @@
         factor: 4.0,
     });
     let trial = rig.run(&scene, |_| {});
-    assert_kept(&trial, 0.97);
+    trial.assert_kept(0.97);
     let shifted = shifted_us(&trial);
     assert!(shifted.len() >= 30, "only {} shifted", shifted.len());
     // Callers' clocks blur the second; two seconds hold twice the cap and what that blurs.
@@ -172,7 +154,7 @@
         rig.fault_upstream("arusha-menu-0", &json!({"slow_factor": 10.0}));
         slow_us = unix_us();
     });
-    assert_kept(&trial, 0.99);
+    trial.assert_kept(0.99);
     let judged = (slow_us + 3_000_000, slow_us + 8_000_000);
     let slow = runs(&trial, "arusha-menu-0", judged.0, judged.1);
     let other = runs(&trial, "arusha-menu-1", judged.0, judged.1);
@@ -202,7 +184,7 @@
             rig.fault_upstream(&format!("{HOME}-menu-{index}"), &json!({"lie": lie}));
         }
     });
-    assert_kept(&trial, 0.97);
+    trial.assert_kept(0.97);
     let used = &trial.report.uses["arusha/menu"];
     assert!(used.peak_in_flight <= used.slots, "\n{}", trial.report);
 }
@@ -234,7 +216,7 @@
         drain(rig, "stop");
         back_us = unix_us();
     });
-    assert_kept(&trial, 0.99);
+    trial.assert_kept(0.99);
     let after = trial
         .runs
         .iter()
@@ -276,5 +258,5 @@
         let reply = rig.operator("moshi-0", "/op/v1/drain", Some(&body));
         assert_eq!(reply.status, 200, "{}", reply.body);
     });
-    assert_kept(&trial, 0.99);
+    trial.assert_kept(0.99);
 }
