load: headroom, drain time, shifted bytes and retries in the report

Change: four modules compute them from what callers saw and upstreams ran, and the report has them in text and JSON: headroom of each service and region by second (least and mean, seconds below the target), the time from the request for a drain to the last new work there, bytes by second for each ordered pair of regions against its cap, and entries' own retries beside callers'. A shift is an entry in one region and an upstream in another; its bytes are body and whole answer without headers.

In rig: a layout may name the configuration's text and the folder of another `jasmined`, which the measuring driver will use.

HDR histograms by class and region were there and are unchanged.

--- a/crates/load/src/bin/jasmine-load.rs
+++ b/crates/load/src/bin/jasmine-load.rs
@@ -1,5 +1,6 @@
 //! The load driver's command line; see the crate `load`.
 
+use base::RegionId;
 use bytestring::ByteString;
 use clap::{
     Args,
@@ -22,12 +23,14 @@
     Gathered,
     HopLoad,
     Leaving,
+    Limits,
     LookupLoad,
     Report,
     Scene,
     Sites, //
 };
 use std::{
+    collections::BTreeMap,
     fs,
     path::{
         Path,
@@ -83,6 +86,9 @@
     /// A target of the scene's events, as NAME=ADDR; may be repeated.
     #[arg(long = "target", value_name = "NAME=ADDR")]
     targets: Vec<Binding>,
+    /// The configuration in force, whose headroom targets and caps go in the report.
+    #[arg(long)]
+    config: Option<PathBuf>,
     /// An entry that is killed or frozen during the run, whose cuts prove nothing.
     #[arg(long = "disturbed", value_name = "ADDR")]
     disturbed: Vec<ByteString>,
@@ -198,6 +204,7 @@
 
 fn run(args: &RunArgs) -> eyre::Result<ExitCode> {
     let scene = read_scene(&args.scene)?;
+    let limits = limits(args)?;
     let sites = sites(args);
     for event in &scene.events {
         if !sites.targets.contains_key(&event.target) {
@@ -222,7 +229,7 @@
     for missing in &gathered.missing {
         println!("no record from {missing}");
     }
-    let report = verdict(&scene, args, &driven, gathered);
+    let report = verdict(&scene, args, limits, &driven, gathered);
     if let Some(path) = &args.records {
         write_records(path, &driven)?;
     }
@@ -246,7 +253,13 @@
     sites
 }
 
-fn verdict(scene: &Scene, args: &RunArgs, driven: &Driven, gathered: Gathered) -> Report {
+fn verdict(
+    scene: &Scene,
+    args: &RunArgs,
+    limits: Limits,
+    driven: &Driven,
+    gathered: Gathered,
+) -> Report {
     let disturbed = args.disturbed.iter().map(|entry| Disturbed {
         entry: entry.clone(),
         from_us: 0,
@@ -260,16 +273,31 @@
         leaving: leaving(driven),
         disturbed: disturbed.collect(),
         links: Vec::new(),
+        entries: entries(args),
+        limits,
         allowance_us: scene.allowance_ms * 1_000,
         leaving_bound_us: scene.leaving_bound_ms * 1_000,
     };
     let violations = judge(&evidence);
-    Report::new(
-        &evidence.callers,
-        &evidence.runs,
-        &evidence.upstreams,
-        violations,
-    )
+    Report::new(&evidence, violations)
+}
+
+/// Regions of the entries by their addresses.
+fn entries(args: &RunArgs) -> BTreeMap<ByteString, RegionId> {
+    let daemons = args.daemons.iter();
+    daemons
+        .map(|daemon| (daemon.addr.clone(), daemon.name.clone()))
+        .collect()
+}
+
+/// What the configuration promises, if one is named.
+fn limits(args: &RunArgs) -> eyre::Result<Limits> {
+    let Some(path) = &args.config else {
+        return Ok(Limits::default());
+    };
+    let name = path.display().to_string();
+    let text = fs::read_to_string(path).wrap_err_with(|| name.clone())?;
+    Limits::read(&name, &text).map_err(|findings| eyre!("{findings}"))
 }
 
 /// Upstreams that left, and came back, by events that were accepted.
@@ -286,6 +314,7 @@
         }
         leaving.extend(record.event.leaves.iter().map(|upstream| Leaving {
             upstream: upstream.clone(),
+            asked_us: record.asked_us,
             since_us: record.answered_us,
             until_us: None,
         }));
--- a/crates/load/src/gather.rs
+++ b/crates/load/src/gather.rs
@@ -121,6 +121,10 @@
 fn run(upstream: &UpstreamId, entry: Entry) -> Run {
     let us = |ms: u64| ms.saturating_mul(1_000);
     let try_number = query(&entry.path, "try").and_then(|text| text.parse().ok());
+    let answer_bytes = match entry.outcome {
+        Ended::Ran => asked_bytes(&entry.path),
+        _ => 0,
+    };
     Run {
         upstream: upstream.clone(),
         id: query(&entry.path, "caller").unwrap_or_default().into(),
@@ -130,9 +134,18 @@
         started_us: entry.started_ms.map(us),
         ended_us: entry.finished_ms.map(us),
         end: ByteString::from_static(end(entry.outcome)),
+        bytes: entry.body_bytes.unwrap_or(0) + answer_bytes,
     }
 }
 
+/// Bytes of the answer that a path asks for; none where the answer is no more than an echo.
+fn asked_bytes(path: &str) -> u64 {
+    let (path, _) = path.split_once('?').unwrap_or((path, ""));
+    let asked = ["/bytes/", "/chunked/"];
+    let asked = asked.iter().find_map(|prefix| path.strip_prefix(prefix));
+    asked.and_then(|text| text.parse().ok()).unwrap_or(0)
+}
+
 /// Value of a field of a path's query.
 fn query<'a>(path: &'a str, name: &str) -> Option<&'a str> {
     let (_, query) = path.split_once('?')?;
--- a/crates/load/src/judge.rs
+++ b/crates/load/src/judge.rs
@@ -6,6 +6,7 @@
 //! order.
 
 use crate::{
+    limits::Limits,
     record::{
         CallerRecord,
         Run,
@@ -46,6 +47,10 @@
     pub disturbed: Vec<Disturbed>,
     /// Bytes that links carried, against their caps.
     pub links: Vec<LinkUse>,
+    /// Region of each entry, by its callers' address.
+    pub entries: BTreeMap<ByteString, RegionId>,
+    /// Headroom targets and caps of the configuration; the report compares the run with them.
+    pub limits: Limits,
     /// Time over its deadline after which a request must have its final answer.
     pub allowance_us: u64,
     /// Time after which an upstream that leaves may get no new work.
@@ -62,6 +67,8 @@
 pub struct Leaving {
     /// The upstream.
     pub upstream: UpstreamId,
+    /// When it was asked to leave.
+    pub asked_us: UnixUs,
     /// Since when, at the first sign that the system could have seen.
     pub since_us: UnixUs,
     /// Until when, if it came back.
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -17,18 +17,24 @@
 mod caller;
 mod client;
 mod clock;
+mod drain;
 mod drive;
 mod gather;
+mod headroom;
 mod hop;
 mod judge;
+mod limits;
 mod lookups;
 mod payload;
 mod record;
 mod scene;
 mod schedule;
+mod shifted;
 mod table;
+mod window;
 
 pub use caller::Daemons;
+pub use drain::DrainTime;
 pub use drive::{
     drive,
     Driven,
@@ -39,6 +45,10 @@
     gather,
     Gathered, //
 };
+pub use headroom::{
+    FreeSecond,
+    Headroom, //
+};
 pub use hop::{
     hop,
     HopFigures,
@@ -53,6 +63,7 @@
     LinkUse,
     Violation, //
 };
+pub use limits::Limits;
 pub use lookups::{
     look_up,
     LookupFigures,
@@ -86,6 +97,7 @@
     schedule,
     Arrival, //
 };
+pub use shifted::Shifted;
 pub use table::{
     Report,
     Row,
--- a/crates/load/src/record.rs
+++ b/crates/load/src/record.rs
@@ -157,6 +157,8 @@
     pub ended_us: Option<UnixUs>,
     /// Upstream's own word for how it ended.
     pub end: ByteString,
+    /// Bytes of its body and of its answer as far as that was handed over whole.
+    pub bytes: u64,
 }
 
 /// An upstream as the platform's list names it.
--- a/crates/load/src/table.rs
+++ b/crates/load/src/table.rs
@@ -1,16 +1,33 @@
 //! Figures of a run: by class, by the callers' region, and of the upstreams' use.
 
 use crate::{
-    judge::Violation,
+    drain::{
+        self,
+        DrainTime, //
+    },
+    headroom::{
+        self,
+        Headroom, //
+    },
+    judge::{
+        Evidence,
+        Violation, //
+    },
     record::{
         CallerRecord,
         Run,
         Told,
         UnixUs,
         UpstreamFacts, //
-    }, //
+    },
+    shifted::{
+        self,
+        Shifted, //
+    },
+    window::Window, //
 };
 use base::{
+    FastMap,
     RegionId,
     ServiceId,
     UpstreamId, //
@@ -40,6 +57,12 @@
     pub class_regions: BTreeMap<String, Row>,
     /// Use of the upstreams by region and service, as `region/service`.
     pub uses: BTreeMap<String, Use>,
+    /// Headroom over time, as `service/region`.
+    pub headroom: BTreeMap<String, Headroom>,
+    /// How long drains took.
+    pub drains: Vec<DrainTime>,
+    /// What regions sent to each other, as `from>to`.
+    pub shifted: BTreeMap<String, Shifted>,
     /// Requests of callers.
     pub requests: usize,
     /// Broken promises.
@@ -61,8 +84,12 @@
     pub unknown: u64,
     /// Without a final answer.
     pub unanswered: u64,
-    /// Tries beyond the first.
+    /// Callers' tries beyond the first.
     pub retries: u64,
+    /// Requests that reached an upstream beyond the first of the same try: the entries' own retries.
+    pub entry_retries: u64,
+    /// Both kinds of retries for each request that was offered.
+    pub retries_per_request: f64,
     /// Median latency of the done, from the scheduled time.
     pub p50_us: u64,
     /// 99th percentile of the same.
@@ -92,19 +119,19 @@
 
 impl Report {
     /// Adds up a run.
-    pub fn new(
-        callers: &[CallerRecord],
-        runs: &[Run],
-        upstreams: &BTreeMap<UpstreamId, UpstreamFacts>,
-        violations: Vec<Violation>,
-    ) -> Self {
+    pub fn new(evidence: &Evidence, violations: Vec<Violation>) -> Self {
+        let callers = &evidence.callers;
+        let window = Window::of(callers);
+        let repeats = repeats(&evidence.runs);
+        let rows = |key: fn(&CallerRecord) -> String| rows(callers, &repeats, key);
         Self {
-            classes: rows(callers, |caller| caller.class.to_string()),
-            regions: rows(callers, |caller| caller.region.to_string()),
-            class_regions: rows(callers, |caller| {
-                format!("{}/{}", caller.class, caller.region)
-            }),
-            uses: uses(runs, upstreams),
+            classes: rows(|caller| caller.class.to_string()),
+            regions: rows(|caller| caller.region.to_string()),
+            class_regions: rows(|caller| format!("{}/{}", caller.class, caller.region)),
+            uses: uses(&evidence.runs, &evidence.upstreams),
+            headroom: headroom::headroom(evidence, window),
+            drains: drain::drains(evidence),
+            shifted: shifted::shifted(evidence, window),
             requests: callers.len(),
             violations,
         }
@@ -130,6 +157,8 @@
             unknown: 0,
             unanswered: 0,
             retries: 0,
+            entry_retries: 0,
+            retries_per_request: 0.0,
             p50_us: 0,
             p99_us: 0,
             p999_us: 0,
@@ -137,8 +166,9 @@
         }
     }
 
-    fn add(&mut self, caller: &CallerRecord) {
+    fn add(&mut self, caller: &CallerRecord, entry_retries: u64) {
         self.offered += 1;
+        self.entry_retries += entry_retries;
         self.retries += (caller.tries.len() as u64).saturating_sub(1);
         match caller.told {
             Told::Done => {
@@ -156,6 +186,8 @@
     }
 
     fn settle(&mut self) {
+        let retries = self.retries + self.entry_retries;
+        self.retries_per_request = retries as f64 / self.offered.max(1) as f64;
         self.p50_us = self.latency_us.value_at_quantile(0.5);
         self.p99_us = self.latency_us.value_at_quantile(0.99);
         self.p999_us = self.latency_us.value_at_quantile(0.999);
@@ -167,10 +199,29 @@
     Histogram::new_with_bounds(1, LONGEST_US, DIGITS).expect("the bounds are in order")
 }
 
-fn rows(callers: &[CallerRecord], key: impl Fn(&CallerRecord) -> String) -> BTreeMap<String, Row> {
+/// Requests that reached upstreams beyond the first of each try, by the caller's id.
+fn repeats(runs: &[Run]) -> FastMap<&str, u64> {
+    let mut arrived: FastMap<(&str, u32), u64> = FastMap::default();
+    for run in runs {
+        *arrived.entry((&*run.id, run.try_number)).or_default() += 1;
+    }
+    let mut repeats: FastMap<&str, u64> = FastMap::default();
+    for ((id, _), arrived) in arrived {
+        *repeats.entry(id).or_default() += arrived - 1;
+    }
+    repeats
+}
+
+fn rows(
+    callers: &[CallerRecord],
+    repeats: &FastMap<&str, u64>,
+    key: impl Fn(&CallerRecord) -> String,
+) -> BTreeMap<String, Row> {
     let mut rows = BTreeMap::new();
     for caller in callers {
-        rows.entry(key(caller)).or_insert_with(Row::new).add(caller);
+        let repeated = repeats.get(&*caller.id).copied().unwrap_or(0);
+        let row = rows.entry(key(caller)).or_insert_with(Row::new);
+        row.add(caller, repeated);
     }
     rows.values_mut().for_each(Row::settle);
     rows
@@ -241,6 +292,11 @@
         write_rows(f, "region", &self.regions)?;
         writeln!(f)?;
         write_uses(f, &self.uses)?;
+        writeln!(f)?;
+        headroom::write(f, &self.headroom)?;
+        writeln!(f)?;
+        shifted::write(f, &self.shifted)?;
+        drain::write(f, &self.drains)?;
         if !self.violations.is_empty() {
             writeln!(f)?;
         }
@@ -259,7 +315,7 @@
 fn write_rows(f: &mut fmt::Formatter<'_>, name: &str, rows: &BTreeMap<String, Row>) -> fmt::Result {
     writeln!(
         f,
-        "{name:<16}{:>9}{:>9}{:>8}{:>9}{:>9}{:>12}{:>10}{:>10}{:>10}{:>9}",
+        "{name:<16}{:>9}{:>9}{:>8}{:>9}{:>9}{:>12}{:>10}{:>10}{:>10}{:>9}{:>9}",
         "offered",
         "done",
         "failed",
@@ -270,11 +326,12 @@
         "p99 ms",
         "p99.9 ms",
         "retries",
+        "each",
     )?;
     for (key, row) in rows {
         writeln!(
             f,
-            "{key:<16}{:>9}{:>9}{:>8}{:>9}{:>9}{:>12}{:>10}{:>10}{:>10}{:>9}",
+            "{key:<16}{:>9}{:>9}{:>8}{:>9}{:>9}{:>12}{:>10}{:>10}{:>10}{:>9}{:>9.3}",
             row.offered,
             row.done,
             row.failed,
@@ -284,7 +341,8 @@
             ms(row.p50_us),
             ms(row.p99_us),
             ms(row.p999_us),
-            row.retries,
+            row.retries + row.entry_retries,
+            row.retries_per_request,
         )?;
     }
     Ok(())
--- a/crates/load/tests/judge.rs
+++ b/crates/load/tests/judge.rs
@@ -71,6 +71,7 @@
         started_us: Some(START_US + 1_000),
         ended_us: Some(START_US + 5_000),
         end: "ran".into(),
+        bytes: 0,
     }
 }
 
@@ -172,6 +173,7 @@
 fn with_leaving(evidence: Evidence, until_us: Option<u64>) -> Evidence {
     let leaving = Leaving {
         upstream: "u1".into(),
+        asked_us: START_US,
         since_us: START_US,
         until_us,
     };
--- a/crates/rig/src/layout.rs
+++ b/crates/rig/src/layout.rs
@@ -9,7 +9,10 @@
     json,
     Value, //
 };
-use std::fmt::Write;
+use std::{
+    fmt::Write,
+    path::PathBuf, //
+};
 
 /// What a rig consists of.
 #[derive(Clone, Debug)]
@@ -30,6 +33,10 @@
     pub operator_key: Option<&'static str>,
     /// Whether each daemon reaches the platform by a relay of its own, which can be cut.
     pub platform_relays: bool,
+    /// Configuration to accept in place of the one that follows from the rest.
+    pub config_text: Option<String>,
+    /// Folder of the `jasmined` to run, as one of an earlier commit; beside the test's own if none.
+    pub daemon_folder: Option<PathBuf>,
 }
 
 /// One region.
@@ -56,6 +63,8 @@
     pub slots: u32,
     /// Mean time of service.
     pub service_ms: f64,
+    /// Time within which an entry must have answered.
+    pub deadline_ms: u64,
     /// Headroom target.
     pub headroom_pct: u8,
     /// Requests that warm an upstream; 0 for one that is never cold.
@@ -82,6 +91,8 @@
             policy: "ours",
             operator_key: None,
             platform_relays: false,
+            config_text: None,
+            daemon_folder: None,
         }
     }
 
@@ -171,6 +182,9 @@
 
     /// The operators' configuration.
     pub fn config(&self) -> String {
+        if let Some(text) = &self.config_text {
+            return text.clone();
+        }
         let mut text = String::from("name: rig\nregions:\n");
         let mut line = |line: String| text.push_str(&(line + "\n"));
         for region in &self.regions {
@@ -246,6 +260,7 @@
             upstreams_per_region: 3,
             slots: 9,
             service_ms: 10.0,
+            deadline_ms: 5_000,
             headroom_pct: 20,
             cold_requests: 0,
             cold_factor: 1.0,
@@ -278,8 +293,8 @@
     fn config(&self) -> String {
         format!(
             "{{id: {0}, service: {0}, idempotent: {1}, priority: {2}, latency_ms: 200, \
-             headroom_pct: {3}, deadline_ms: 5000, success_pct: 99.9}}",
-            self.name, self.idempotent, self.priority, self.headroom_pct
+             headroom_pct: {3}, deadline_ms: {4}, success_pct: 99.9}}",
+            self.name, self.idempotent, self.priority, self.headroom_pct, self.deadline_ms
         )
     }
 }
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -56,9 +56,16 @@
 }
 
 impl Process {
-    /// Starts a binary of this workspace; its log goes to a file.
-    pub(crate) fn start(program: &str, args: &[String], log: &Path) -> Result<Self, String> {
-        Self::spawn(program, args, log, None)
+    /// Starts a binary of this workspace, from another folder if one is named; its log goes to a
+    /// file.
+    pub(crate) fn start(
+        program: &str,
+        folder: Option<&Path>,
+        args: &[String],
+        log: &Path,
+    ) -> Result<Self, String> {
+        let path = binary(program, folder)?;
+        Self::spawn(&path, args, log, None)
     }
 
     /// Starts a stand-in and reads where it listens, by name, until `last` has come.
@@ -68,7 +75,8 @@
         log: &Path,
         last: &str,
     ) -> Result<(Self, BTreeMap<String, String>), String> {
-        let mut process = Self::spawn(program, args, log, Some(Stdio::piped()))?;
+        let path = binary(program, None)?;
+        let mut process = Self::spawn(&path, args, log, Some(Stdio::piped()))?;
         let stdout = process.child.stdout.take();
         let mut lines = BufReader::new(stdout.ok_or("the process has no output")?);
         let mut addresses = BTreeMap::new();
@@ -90,12 +98,11 @@
     }
 
     fn spawn(
-        program: &str,
+        path: &Path,
         args: &[String],
         log: &Path,
         stdout: Option<Stdio>,
     ) -> Result<Self, String> {
-        let path = binary(program)?;
         let failed = |error| format!("{}: {error}", log.display());
         let opened = File::options().create(true).append(true).open(log);
         let log = opened.map_err(failed)?;
@@ -103,7 +110,7 @@
             Some(stdout) => stdout,
             None => log.try_clone().map_err(failed)?.into(),
         };
-        let child = Command::new(&path)
+        let child = Command::new(path)
             .args(args)
             .stdin(Stdio::null())
             .stdout(stdout)
@@ -157,12 +164,13 @@
     }
 }
 
-/// Path of a binary beside the test's own.
-fn binary(program: &str) -> Result<PathBuf, String> {
+/// Path of a binary in a folder, or else beside the test's own.
+fn binary(program: &str, folder: Option<&Path>) -> Result<PathBuf, String> {
     let own = env::current_exe().map_err(|error| error.to_string())?;
     // Tests run from `target/<profile>/deps`, binaries are one above.
-    let folder = own.parent().and_then(Path::parent);
-    let path = folder.unwrap_or(Path::new(".")).join(program);
+    let beside = own.parent().and_then(Path::parent);
+    let folder = folder.or(beside).unwrap_or(Path::new("."));
+    let path = folder.join(program);
     if path.is_file() {
         return Ok(path);
     }
--- a/crates/rig/src/rig.rs
+++ b/crates/rig/src/rig.rs
@@ -27,6 +27,7 @@
     Driven,
     Evidence,
     Leaving,
+    Limits,
     Report,
     Run,
     Scene,
@@ -97,6 +98,8 @@
     running: BTreeMap<String, Process>,
     disturbed: Vec<Disturbed>,
     leaving: Vec<Leaving>,
+    /// What the layout's configuration promises.
+    limits: Limits,
     _stand_ins: Vec<Process>,
 }
 
@@ -145,7 +148,9 @@
         for id in rig.daemons.keys().cloned().collect::<Vec<_>>() {
             rig.start_daemon(&id)?;
         }
-        rig.accept(&rig.layout.config())?;
+        let config = rig.layout.config();
+        rig.accept(&config)?;
+        rig.limits = Limits::read("rig", &config).map_err(|findings| findings.to_string())?;
         for id in rig.daemons.keys().cloned().collect::<Vec<_>>() {
             rig.wait_ready(&id)?;
         }
@@ -189,6 +194,7 @@
             running: BTreeMap::new(),
             disturbed: Vec::new(),
             leaving: Vec::new(),
+            limits: Limits::default(),
             _stand_ins: stand_ins,
         };
         let addresses = rig.start_links()?;
@@ -255,7 +261,9 @@
     pub fn start_daemon(&mut self, id: &str) -> Result<(), String> {
         let settings = self.dir.join(format!("{id}.yaml"));
         let log = self.dir.join(format!("{id}.log"));
-        let process = Process::start("jasmined", &[settings.display().to_string()], &log)?;
+        let args = [settings.display().to_string()];
+        let folder = self.layout.daemon_folder.as_deref();
+        let process = Process::start("jasmined", folder, &args, &log)?;
         self.running.insert(id.to_owned(), process);
         Ok(())
     }
@@ -396,6 +404,7 @@
     pub fn note_leaving(&mut self, id: &str) {
         self.leaving.push(Leaving {
             upstream: id.into(),
+            asked_us: unix_us(),
             since_us: unix_us(),
             until_us: None,
         });
@@ -451,6 +460,14 @@
         sites
     }
 
+    /// Regions of the entries by their callers' addresses.
+    fn entries(&self) -> BTreeMap<ByteString, ByteString> {
+        let daemons = self.daemons.values();
+        daemons
+            .map(|it| (it.callers.as_str().into(), it.region.as_str().into()))
+            .collect()
+    }
+
     /// Requests that upstreams have run so far.
     pub fn ran(&self) -> usize {
         let controls = [self.upstreams.as_str().into()];
@@ -479,17 +496,14 @@
             leaving: self.leaving.clone(),
             disturbed: self.disturbed.clone(),
             links: Vec::new(),
+            entries: self.entries(),
+            limits: self.limits.clone(),
             allowance_us: scene.allowance_ms * 1_000,
             leaving_bound_us: scene.leaving_bound_ms * 1_000,
             runs_complete: true,
         };
         let violations = judge(&evidence);
-        let report = Report::new(
-            &evidence.callers,
-            &evidence.runs,
-            &evidence.upstreams,
-            violations,
-        );
+        let report = Report::new(&evidence, violations);
         Trial {
             report,
             driven,
--- a/demo.sh
+++ b/demo.sh
@@ -249,7 +249,8 @@
 ) &
 started+=($!)
 
-load=("$bin/jasmine-load" run "scenes/$user.yaml" --platform "$platform" --upstreams "$upstreams")
+load=("$bin/jasmine-load" run "scenes/$user.yaml" --config "examples/$user.yaml")
+load+=(--platform "$platform" --upstreams "$upstreams")
 for id in "${ids[@]}"; do
     load+=(--daemon "${region_of[$id]}=${callers_of[$id]}")
 done
