Slow start: a second drain or coldness is seen, and cold probes are no suspects

Causes, by the daemons' logs of failed runs: (1) `is_open && !replace(..)` skipped the replace while an upstream was closed, so that a return was never seen, and a second coldness neither (no "starts slowly" after the drain's end; a returned cold upstream got its whole part at once). (2) Eight slow probes brought a cold upstream under suspicion, whose backoff then left it with next to no probes ("upstream suspected" 2.8 s after the start). Ruled out: shares (it owned slots), the machine's noise (fails in the same way with 8 in place of 4 as its cold factor). Change: what held before is always followed; the latency of a trickle is not held against an upstream, its failures are.

Not whole yet: 3.2 probes a second are what the budget of copies gives at 80 requests a second.

--- a/crates/daemon/src/process/control/steering/upstreams.rs
+++ b/crates/daemon/src/process/control/steering/upstreams.rs
@@ -83,10 +83,8 @@
 
     /// Why it has to start slowly from now on, if it has to.
     fn restart_cause(&mut self, now: Now) -> Option<RampCause> {
-        let is_open = self.upstream.open();
-        let returned = is_open && !std::mem::replace(&mut self.was_open, is_open);
-        let says_cold = self.upstream.report.says_cold();
-        let turned_cold = says_cold && !std::mem::replace(&mut self.said_cold, says_cold);
+        let returned = has_begun(&mut self.was_open, self.upstream.open());
+        let turned_cold = has_begun(&mut self.said_cold, self.upstream.report.says_cold());
         let heard_at = self.upstream.report.heard_at().unwrap_or_default();
         let silent = heard_at > self.heard_at + LONG_SILENCE;
         self.heard_at = self.heard_at.max(heard_at).min(now);
@@ -116,8 +114,9 @@
             seen.timeouts += 1;
         }
         let freshness = self.freshness(now);
+        let phase = self.ramp.phase();
         self.ramp.observe(now, &seen, usable, freshness);
-        let verdict = self.suspect.observe(now, &seen, others.typical);
+        let verdict = self.suspect.observe(now, &seen, others.typical, phase);
         match verdict {
             Some(Suspicion::Raised) => self.log("upstream suspected"),
             Some(Suspicion::Cleared) => {
@@ -166,6 +165,16 @@
     }
 }
 
+/// Whether what did not hold before holds now; `held` follows in either case.
+///
+/// Were it to follow only what begins, the second time that it begins would go unseen: one would
+/// notice an upstream that comes back from its second drain, or turns cold once more, and is sent
+/// its whole part at once.
+fn has_begun(held: &mut bool, holds: bool) -> bool {
+    let held_before = std::mem::replace(held, holds);
+    holds && !held_before
+}
+
 /// What a machine needs to know of the service's other upstreams.
 #[derive(Clone, Copy, Debug, Default)]
 struct Others {
--- a/crates/steer/src/suspect.rs
+++ b/crates/steer/src/suspect.rs
@@ -1,6 +1,9 @@
 //! Suspicion of an upstream, from what this entry saw itself, and recovery by single probes.
 
-use crate::latency::Seen;
+use crate::{
+    latency::Seen,
+    ramp::RampPhase, //
+};
 use base::Now;
 use std::{
     fmt,
@@ -116,12 +119,18 @@
     /// Takes in what this entry saw of the upstream since the last call.
     ///
     /// `siblings` is the typical latency of the service's other upstreams, see
-    /// [`Suspect::typical`].
+    /// [`Suspect::typical`]; `phase` is where the upstream is in its slow start.
+    ///
+    /// The probes of a trickle are slow because the upstream is cold, and the trickle waits for
+    /// that to pass. Were their latency held against it, its probes would come with a growing
+    /// backoff, and the few that still warm it would never be enough: one would notice an
+    /// upstream that gets next to nothing long after it has come back.
     pub fn observe(
         &mut self,
         now: Now,
         seen: &Seen,
         siblings: Option<Duration>,
+        phase: RampPhase,
     ) -> Option<Suspicion> {
         let verdict = match &mut self.state {
             State::Trusted {
@@ -130,7 +139,8 @@
                 window,
             } => {
                 let failed = count_strikes(&self.settings, strikes, answers, seen);
-                let slow = is_slow(&self.settings, window, seen, siblings);
+                let slow =
+                    phase != RampPhase::Trickle && is_slow(&self.settings, window, seen, siblings);
                 (failed || slow).then_some(Suspicion::Raised)
             }
             State::Suspected {
