--- a/crates/load/src/bin/jasmine-load.rs
+++ b/crates/load/src/bin/jasmine-load.rs
@@ -16,15 +16,17 @@
     gather,
     hop,
     judge,
+    leaving,
     look_up,
+    not_done,
     Disturbed,
     Driven,
     Evidence,
     Gathered,
     HopLoad,
-    Leaving,
     Limits,
     LookupLoad,
+    Plan,
     Report,
     Scene,
     Sites, //
@@ -40,7 +42,7 @@
     time::Duration, //
 };
 
-/// Exit status when a promise was broken.
+/// Exit status when a promise was broken or an event of the scene was not done.
 const BROKEN: u8 = 1;
 /// Exit status on bad input.
 const BAD_INPUT: u8 = 2;
@@ -190,20 +192,26 @@
     })
 }
 
-fn read_scene(path: &Path) -> eyre::Result<Scene> {
+fn read_plan(path: &Path) -> eyre::Result<Plan> {
     let name = path.display().to_string();
     let text = fs::read_to_string(path).wrap_err_with(|| name.clone())?;
-    Scene::read(&name, &text).map_err(|findings| eyre!("{findings}"))
+    Plan::read(&name, &text).map_err(|findings| eyre!("{findings}"))
 }
 
 fn check(path: &Path) -> eyre::Result<ExitCode> {
-    read_scene(path)?;
+    read_plan(path)?;
     println!("{}: no findings", path.display());
     Ok(ExitCode::SUCCESS)
 }
 
 fn run(args: &RunArgs) -> eyre::Result<ExitCode> {
-    let scene = read_scene(&args.scene)?;
+    let plan = read_plan(&args.scene)?;
+    if !plan.kills.is_empty() {
+        return Err(eyre!(
+            "`kills` need a driver that holds the processes: use `measure`"
+        ));
+    }
+    let scene = plan.scene;
     let limits = limits(args)?;
     let sites = sites(args);
     for event in &scene.events {
@@ -229,17 +237,17 @@
     for missing in &gathered.missing {
         println!("no record from {missing}");
     }
+    let not_done = not_done(&driven.events, &gathered.upstreams);
     let report = verdict(&scene, args, limits, &driven, gathered);
     if let Some(path) = &args.records {
         write_records(path, &driven)?;
     }
     write_json(args.output.as_deref(), &report)?;
     println!("{report}");
-    Ok(if report.violations.is_empty() {
-        ExitCode::SUCCESS
-    } else {
-        ExitCode::from(BROKEN)
-    })
+    for event in &not_done {
+        println!("not done, so that the run proves nothing: {event}");
+    }
+    Ok(exit(report.violations.is_empty() && not_done.is_empty()))
 }
 
 fn sites(args: &RunArgs) -> Sites {
@@ -270,7 +278,7 @@
         runs_complete: gathered.missing.is_empty() && !args.controls.is_empty(),
         runs: gathered.runs,
         upstreams: gathered.upstreams,
-        leaving: leaving(driven),
+        leaving: leaving(&driven.events),
         disturbed: disturbed.collect(),
         links: Vec::new(),
         entries: entries(args),
@@ -300,28 +308,6 @@
     Limits::read(&name, &text).map_err(|findings| eyre!("{findings}"))
 }
 
-/// Upstreams that left, and came back, by events that were accepted.
-fn leaving(driven: &Driven) -> Vec<Leaving> {
-    let mut leaving: Vec<Leaving> = Vec::new();
-    for record in &driven.events {
-        if !record.answer.as_ref().is_ok_and(|status| *status < 300) {
-            continue;
-        }
-        let returned = |gone: &&mut Leaving| record.event.returns.contains(&gone.upstream);
-        for gone in leaving.iter_mut().filter(returned) {
-            // Work may come again from the moment at which the return was asked for.
-            gone.until_us.get_or_insert(record.asked_us);
-        }
-        leaving.extend(record.event.leaves.iter().map(|upstream| Leaving {
-            upstream: upstream.clone(),
-            asked_us: record.asked_us,
-            since_us: record.answered_us,
-            until_us: None,
-        }));
-    }
-    leaving
-}
-
 fn write_records(path: &Path, driven: &Driven) -> eyre::Result<()> {
     let mut text = String::new();
     for caller in &driven.callers {
--- a/crates/load/src/drive.rs
+++ b/crates/load/src/drive.rs
@@ -11,9 +11,11 @@
     },
     client::client,
     clock::Clock,
+    judge::Leaving,
     record::{
         CallerRecord,
-        UnixUs, //
+        UnixUs,
+        UpstreamFacts, //
     },
     scene::{
         Event,
@@ -24,6 +26,7 @@
         Arrival, //
     },
 };
+use base::UpstreamId;
 use bytestring::ByteString;
 use std::{
     collections::BTreeMap,
@@ -98,6 +101,51 @@
     driven
 }
 
+/// Upstreams that left, and came back, by events that were accepted.
+pub fn leaving(events: &[EventRecord]) -> Vec<Leaving> {
+    let mut leaving: Vec<Leaving> = Vec::new();
+    for record in events {
+        if !record.answer.as_ref().is_ok_and(|status| *status < 300) {
+            continue;
+        }
+        let returned = |gone: &&mut Leaving| record.event.returns.contains(&gone.upstream);
+        for gone in leaving.iter_mut().filter(returned) {
+            // Work may come again from the moment at which the return was asked for.
+            gone.until_us.get_or_insert(record.asked_us);
+        }
+        leaving.extend(record.event.leaves.iter().map(|upstream| Leaving {
+            upstream: upstream.clone(),
+            asked_us: record.asked_us,
+            since_us: record.answered_us,
+            until_us: None,
+        }));
+    }
+    leaving
+}
+
+/// What events did not do: requests that were not accepted, and upstreams that nobody knows.
+///
+/// What goes wrong otherwise: a scene that misspells an upstream breaks nothing, so that its run
+/// passes without having shown anything.
+pub fn not_done(
+    events: &[EventRecord],
+    upstreams: &BTreeMap<UpstreamId, UpstreamFacts>,
+) -> Vec<String> {
+    let mut found = Vec::new();
+    for record in events {
+        let event = &record.event;
+        if !record.answer.as_ref().is_ok_and(|status| *status < 300) {
+            let (at_ms, target, path) = (event.at_ms, &event.target, &event.path);
+            found.push(format!("{at_ms} ms: {target} {path}: {:?}", record.answer));
+        }
+        let named = event.leaves.iter().chain(&event.returns);
+        for id in named.filter(|id| !upstreams.contains_key(*id)) {
+            found.push(format!("{} ms: no upstream `{id}`", event.at_ms));
+        }
+    }
+    found
+}
+
 /// Deals the arrivals out to threads; all of one caller's go to the same, which has its cache.
 fn shares(arrivals: Vec<Arrival>, threads: usize) -> Vec<Vec<Arrival>> {
     let mut shares = vec![Vec::new(); threads];
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -37,6 +37,8 @@
 pub use drain::DrainTime;
 pub use drive::{
     drive,
+    leaving,
+    not_done,
     Driven,
     EventRecord,
     Sites, //
@@ -90,6 +92,8 @@
     ClassLoad,
     Event,
     FilingWay,
+    Kill,
+    Plan,
     Scene,
     Work, //
 };
--- a/crates/load/src/scene.rs
+++ b/crates/load/src/scene.rs
@@ -2,7 +2,8 @@
 //!
 //! A scene file is YAML. It names no address of the system: daemons, upstreams and targets of
 //! events come from the command line, so that one scene runs on any free ports. [`Scene::read`]
-//! reads one and reports every wrong value with its place.
+//! reads one and reports every wrong value with its place; [`Plan::read`] reads what a file says of
+//! the system besides.
 
 use base::{
     ClassId,
@@ -19,8 +20,14 @@
     time::Duration, //
 };
 
+mod plan;
 mod read;
 
+pub use plan::{
+    Kill,
+    Plan, //
+};
+
 /// Everything that a run of load does, given a seed.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Scene {
--- /dev/null
+++ b/crates/load/src/scene/plan.rs
@@ -0,0 +1,127 @@
+//! What a scene file says beyond the load: the system that it is meant for and how to measure it.
+//!
+//! The load driver alone needs none of it. `measure`, an example of `rig`, brings up the system,
+//! runs the scene under each policy and does what no request can do: it kills instances.
+
+use super::{
+    read::{
+        listed,
+        scene,
+        LONGEST_MS, //
+    },
+    Scene, //
+};
+use base::{
+    InstanceId,
+    RegionId, //
+};
+use bytestring::ByteString;
+use conf::{
+    Document,
+    Field,
+    Findings,
+    Map, //
+};
+use steer::Policy;
+
+/// Warm-up where none is stated.
+const WARM_UP_MS: u64 = 4_000;
+
+/// A scene with everything that its file says.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    /// The load and the events.
+    pub scene: Scene,
+    /// User whose sizes the system has.
+    pub user: Option<ByteString>,
+    /// Policies that are worth comparing here; all where the file names none.
+    pub policies: Vec<Policy>,
+    /// Region in question, whose quick lookups are judged; all where the file names none.
+    pub focus: Option<RegionId>,
+    /// Time of load without bursts and events before what is measured.
+    pub warm_up_ms: u64,
+    /// When the region in question takes load back, from the start of the run.
+    pub back_at_ms: Option<u64>,
+    /// Instances that die without notice.
+    pub kills: Vec<Kill>,
+}
+
+/// Instances that die at one moment.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Kill {
+    /// When, from the start of the run.
+    pub at_ms: u64,
+    /// The instances.
+    pub instances: Vec<InstanceId>,
+}
+
+impl Plan {
+    /// Reads a scene file whole; `file` names it in findings.
+    ///
+    /// # Errors
+    ///
+    /// All findings with their places.
+    pub fn read(file: &str, text: &str) -> Result<Self, Findings> {
+        let document = Document::parse(file, text);
+        let plan = document.map().and_then(|mut map| plan(&mut map));
+        document.finish(plan)
+    }
+
+    /// The load alone, as it is before anything happens.
+    pub fn warm_up(&self) -> Scene {
+        Scene {
+            seed: self.scene.seed.wrapping_add(1),
+            duration_ms: self.warm_up_ms,
+            bursts: Vec::new(),
+            events: Vec::new(),
+            ..self.scene.clone()
+        }
+    }
+}
+
+fn plan(map: &mut Map<'_>) -> Option<Plan> {
+    let user = map.optional("user").text();
+    let policies = policies(map.optional("policies"));
+    let focus_field = map.optional("focus");
+    let focus = focus_field.text();
+    let warm_up_ms = map.optional("warm_up_ms").integer(0..=LONGEST_MS, "ms");
+    let back_field = map.optional("back_at_ms");
+    let back_at_ms = back_field.integer(0..=LONGEST_MS, "ms");
+    let kills = listed(map.optional("kills"), kill);
+    let scene = scene(map)?;
+    let known = |name: &RegionId| scene.regions.iter().any(|region| region.name == *name);
+    if !focus.as_ref().is_none_or(known) {
+        focus_field.fail("names no region of this scene");
+    }
+    if back_at_ms.is_some() && focus.is_none() {
+        back_field.fail("needs `focus` to say which region is back");
+    }
+    Some(Plan {
+        scene,
+        user,
+        policies,
+        focus,
+        warm_up_ms: warm_up_ms.unwrap_or(WARM_UP_MS),
+        back_at_ms,
+        kills: kills.into_iter().map(|(_, kill)| kill).collect(),
+    })
+}
+
+fn policies(field: Field<'_>) -> Vec<Policy> {
+    if field.is_absent() {
+        return Policy::ALL.to_vec();
+    }
+    let named = field.list().into_iter();
+    named
+        .filter_map(|field| field.parse("the name of a policy"))
+        .collect()
+}
+
+fn kill(map: &mut Map<'_>) -> Option<Kill> {
+    let at_ms = map.required("at_ms").integer(0..=LONGEST_MS, "ms");
+    let instances = map.required("instances").list();
+    Some(Kill {
+        at_ms: at_ms?,
+        instances: instances.into_iter().filter_map(Field::text).collect(),
+    })
+}
--- a/crates/load/src/scene/read.rs
+++ b/crates/load/src/scene/read.rs
@@ -7,6 +7,7 @@
     ClassLoad,
     Event,
     FilingWay,
+    Plan,
     Scene,
     Work, //
 };
@@ -16,7 +17,6 @@
 };
 use bytestring::ByteString;
 use conf::{
-    Document,
     Field,
     Findings,
     Map, //
@@ -24,28 +24,28 @@
 use std::collections::BTreeSet;
 
 /// Longest run and longest time of any other field.
-const LONGEST_MS: u64 = 24 * 3_600_000;
+pub(super) const LONGEST_MS: u64 = 24 * 3_600_000;
 /// Most threads, callers of a region and tries.
 const MOST_THREADS: usize = 64;
 const MOST_CALLERS: u32 = 1_000_000;
 const MOST_TRIES: u32 = 100;
+/// Place of each id in an event's path.
+const EACH_ID: &str = "{id}";
 /// Largest body.
 const MOST_BYTES: u64 = 1 << 32;
 
 impl Scene {
-    /// Reads a scene; `file` names it in findings.
+    /// Reads the load and the events of a scene file; `file` names it in findings.
     ///
     /// # Errors
     ///
     /// All findings with their places.
     pub fn read(file: &str, text: &str) -> Result<Self, Findings> {
-        let document = Document::parse(file, text);
-        let scene = document.map().and_then(|mut map| scene(&mut map));
-        document.finish(scene)
+        Plan::read(file, text).map(|plan| plan.scene)
     }
 }
 
-fn scene(map: &mut Map<'_>) -> Option<Scene> {
+pub(super) fn scene(map: &mut Map<'_>) -> Option<Scene> {
     let seed = map.optional("seed").integer(0..=u64::MAX, "");
     let duration_ms = map.required("duration_ms").integer(1..=LONGEST_MS, "ms");
     let allowance_ms = map.optional("allowance_ms").integer(0..=LONGEST_MS, "ms");
@@ -71,12 +71,12 @@
         regions: named_once(regions, |region| &region.name),
         classes: named_once(classes, |class| &class.name),
         bursts,
-        events: events.into_iter().map(|(_, event)| event).collect(),
+        events: events.into_iter().flat_map(|(_, events)| events).collect(),
     })
 }
 
 /// Items of a list with the fields that they were read from.
-fn listed<'a, T>(
+pub(super) fn listed<'a, T>(
     field: Field<'a>,
     read: impl Fn(&mut Map<'a>) -> Option<T>,
 ) -> Vec<(Field<'a>, T)> {
@@ -187,25 +187,55 @@
     })
 }
 
-fn event(map: &mut Map<'_>) -> Option<Event> {
+/// Reads an event; one that names several ids is one event for each.
+fn event(map: &mut Map<'_>) -> Option<Vec<Event>> {
     let at_ms = map.required("at_ms").integer(0..=LONGEST_MS, "ms");
     let target = map.required("target").text();
     let path_field = map.required("path");
     let path = path_field.text();
-    let body = map.optional("body").text();
-    let leaves = map.optional("leaves").list();
-    let returns = map.optional("returns").list();
+    let each_field = map.optional("each");
+    let body_field = map.optional("body");
+    let body = body_field.text();
+    let leaves = texts(map.optional("leaves"));
+    let returns = texts(map.optional("returns"));
     if path.as_ref().is_some_and(|path| !path.starts_with('/')) {
         path_field.fail("must start with `/`");
     }
-    Some(Event {
+    if body.as_ref().is_some_and(|body| !is_json(body)) {
+        body_field.fail("must be JSON");
+    }
+    let has_place = path.as_ref().is_some_and(|path| path.contains(EACH_ID));
+    if path.is_some() && has_place == each_field.is_absent() {
+        path_field.fail(format_args!(
+            "must have `{EACH_ID}` exactly if there is `each`"
+        ));
+    }
+    let event = Event {
         at_ms: at_ms?,
         target: target?,
         path: path?,
         body: body.unwrap_or_default(),
-        leaves: leaves.into_iter().filter_map(Field::text).collect(),
-        returns: returns.into_iter().filter_map(Field::text).collect(),
-    })
+        leaves,
+        returns,
+    };
+    if each_field.is_absent() {
+        return Some(vec![event]);
+    }
+    let ids = texts(each_field).into_iter();
+    let events = ids.map(|id| Event {
+        path: event.path.replace(EACH_ID, &id).into(),
+        ..event.clone()
+    });
+    Some(events.collect())
+}
+
+fn texts(field: Field<'_>) -> Vec<ByteString> {
+    let items = field.list().into_iter();
+    items.filter_map(Field::text).collect()
+}
+
+fn is_json(text: &str) -> bool {
+    serde_json::from_str::<serde::de::IgnoredAny>(text).is_ok()
 }
 
 /// A number that is neither negative nor endless.
--- a/crates/load/tests/scene.rs
+++ b/crates/load/tests/scene.rs
@@ -5,11 +5,16 @@
     Checker,
     Flaw,
     Payload,
+    Plan,
     Scene,
     Work, //
 };
 use standin::pattern::Pattern;
-use std::time::Duration;
+use std::{
+    fs,
+    time::Duration, //
+};
+use steer::Policy;
 
 const SCENE: &str = "
 seed: 7
@@ -24,6 +29,19 @@
   - {class: menu, region: moshi, from_ms: 4000, to_ms: 6000, factor: 5}
 ";
 
+/// What a file may say besides.
+const MORE: &str = "
+user: kilima
+policies: [ours, hot-cold]
+focus: arusha
+back_at_ms: 5000
+events:
+  - {at_ms: 1000, target: upstreams, path: '/fault?id={id}', each: [m0, m1], body: '{\"cold\":true}'}
+  - {at_ms: 2000, target: operator, path: /op/v1/drain, body: '{}', leaves: [m0]}
+kills:
+  - {at_ms: 3000, instances: [arusha-0, arusha-1]}
+";
+
 fn scene() -> Scene {
     Scene::read("scene.yaml", SCENE).unwrap()
 }
@@ -32,8 +50,9 @@
     ($($name:ident: $from:expr => $to:expr, [$($finding:expr),+ $(,)?];)*) => {$(
         #[test]
         fn $name() {
-            let text = SCENE.replace($from, $to);
-            assert_ne!(text, SCENE);
+            let whole = format!("{SCENE}{MORE}");
+            let text = whole.replace($from, $to);
+            assert_ne!(text, whole);
             let found = Scene::read("scene.yaml", &text).unwrap_err().to_string();
             let found: Vec<_> = found.lines().collect();
             assert_eq!(found, [$($finding),+]);
@@ -59,6 +78,69 @@
         "scene.yaml:6:5: `regions` names `arusha` twice",
         "scene.yaml:11:27: `region` names no region of this scene",
     ];
+    unknown_policy: "hot-cold" => "hot", [
+        "scene.yaml:14:18: `policies` must be the name of a policy, found `hot`",
+    ];
+    focus_on_an_unknown_region: "focus: arusha" => "focus: dar", [
+        "scene.yaml:15:8: `focus` names no region of this scene",
+    ];
+    return_of_no_region: "focus: arusha\n" => "", [
+        "scene.yaml:15:13: `back_at_ms` needs `focus` to say which region is back",
+    ];
+    path_without_place_for_each: "?id={id}" => "?id=m0", [
+        "scene.yaml:18:44: `path` must have `{id}` exactly if there is `each`",
+    ];
+    place_without_each: "each: [m0, m1], " => "", [
+        "scene.yaml:18:44: `path` must have `{id}` exactly if there is `each`",
+    ];
+    body_that_is_no_json: "body: '{}'" => "body: '{'", [
+        "scene.yaml:19:63: `body` must be JSON",
+    ];
+    kill_of_nobody: "instances: [arusha-0, arusha-1]" => "instance: arusha-0", [
+        "scene.yaml:21:5: missing field `instances`",
+        "scene.yaml:21:19: unknown field `instance`, did you mean `instances`?",
+    ];
+}
+
+#[test]
+fn file_says_for_which_system_and_policies() {
+    let plan = Plan::read("scene.yaml", &format!("{SCENE}{MORE}")).unwrap();
+    assert_eq!(plan.user.as_deref(), Some("kilima"));
+    assert_eq!(plan.policies, [Policy::Ours, Policy::HotCold]);
+    assert_eq!(
+        (plan.focus.as_deref(), plan.back_at_ms),
+        (Some("arusha"), Some(5_000))
+    );
+    assert_eq!(plan.kills[0].instances, ["arusha-0", "arusha-1"]);
+    assert!(plan.warm_up().events.is_empty() && plan.warm_up().bursts.is_empty());
+}
+
+#[test]
+fn event_for_each_is_one_for_each() {
+    let scene = Plan::read("scene.yaml", &format!("{SCENE}{MORE}"))
+        .unwrap()
+        .scene;
+    let paths: Vec<_> = scene.events.iter().map(|event| &*event.path).collect();
+    assert_eq!(paths, ["/fault?id=m0", "/fault?id=m1", "/op/v1/drain"]);
+}
+
+#[test]
+fn file_that_names_no_policy_compares_all() {
+    let plan = Plan::read("scene.yaml", SCENE).unwrap();
+    assert_eq!(plan.policies, Policy::ALL);
+}
+
+/// Symptom: a run of minutes ends at a scene that can't be read. Cause: nobody read it before.
+#[test]
+fn every_scene_of_the_repository_reads() {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../../scenes");
+    for entry in fs::read_dir(folder).unwrap() {
+        let path = entry.unwrap().path();
+        let text = fs::read_to_string(&path).unwrap();
+        let plan = Plan::read(&path.display().to_string(), &text);
+        let plan = plan.unwrap_or_else(|findings| panic!("{findings}"));
+        assert!(plan.user.is_some(), "{} names no user", path.display());
+    }
 }
 
 #[test]
--- /dev/null
+++ b/crates/rig/examples/measure/table.rs
@@ -0,0 +1,254 @@
+//! The table's rows, from a run's report and records.
+
+use crate::run::{
+    Contender,
+    Outcome, //
+};
+use load::{
+    Breach,
+    CallerRecord,
+    Plan,
+    Report,
+    Told, //
+};
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    fmt,
+    ops::Range, //
+};
+use steer::Policy;
+
+/// The table's head.
+pub(crate) const HEAD: &str = "\
+| scene | policy | quick: p50 / p99 / p99.9 ms | filings | downloads | whole % | refused | unknown | \
+least headroom %, s below | drain ms | retries each | queued | broken | load |
+| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |";
+
+/// Figures of one run.
+pub(crate) struct Row {
+    scene: String,
+    contender: String,
+    is_baseline: bool,
+    /// Of quick lookups, in the region in question if the scene names one.
+    quick: Latency,
+    others: Vec<Latency>,
+    whole_pct: f64,
+    refused: u64,
+    unknown: u64,
+    least_headroom_pct: f64,
+    seconds_below: usize,
+    drain_ms: Option<u64>,
+    retries_per_request: f64,
+    queued: u64,
+    broken: BTreeMap<String, usize>,
+    load_average: [f64; 2],
+    back: Option<Back>,
+}
+
+/// Latencies of one class.
+#[derive(Clone, Copy)]
+struct Latency {
+    p50_us: u64,
+    p99_us: u64,
+    p999_us: u64,
+}
+
+/// Quick lookups that ran in a region before it was drained and after it took its load back.
+struct Back {
+    warm_p99_us: u64,
+    back_p99_us: u64,
+}
+
+impl Row {
+    pub(crate) fn new(scene: &str, plan: &Plan, contender: &Contender, outcome: &Outcome) -> Self {
+        let report = &outcome.trial.report;
+        let quick = &plan.scene.classes[0].name;
+        let totals = |figure: fn(&load::Row) -> u64| report.classes.values().map(figure).sum();
+        let offered: u64 = totals(|row| row.offered);
+        let retries: u64 = totals(|row| row.retries + row.entry_retries);
+        let earlier = contender.daemon_folder.is_some();
+        Self {
+            scene: scene.to_owned(),
+            contender: format!(
+                "{}{}",
+                contender.policy,
+                if earlier { ", earlier" } else { "" }
+            ),
+            is_baseline: contender.policy != Policy::Ours,
+            quick: match &plan.focus {
+                Some(region) => Latency::of(&report.class_regions, &format!("{quick}/{region}")),
+                None => Latency::of(&report.classes, quick),
+            },
+            others: plan.scene.classes[1..]
+                .iter()
+                .map(|class| Latency::of(&report.classes, &class.name))
+                .collect(),
+            whole_pct: 100.0 * report.done_ratio(),
+            refused: totals(|row| row.refused),
+            unknown: totals(|row| row.unknown + row.unanswered + row.failed),
+            least_headroom_pct: least_headroom_pct(report, quick),
+            seconds_below: report.headroom.values().map(|it| it.seconds_below).sum(),
+            drain_ms: report.drains.iter().map(|drain| drain.took_ms).max(),
+            retries_per_request: retries as f64 / offered.max(1) as f64,
+            queued: report.uses.values().map(|used| used.queued).sum(),
+            broken: broken(report),
+            load_average: outcome.load_average,
+            back: back(plan, outcome),
+        }
+    }
+}
+
+/// Least mean headroom of a second, over the regions of a service.
+fn least_headroom_pct(report: &Report, service: &str) -> f64 {
+    let pools = report.headroom.iter();
+    let pools = pools.filter(|(pool, _)| pool.split('/').next() == Some(service));
+    let seconds = pools.flat_map(|(_, headroom)| &headroom.seconds);
+    let means = seconds.map(|second| second.mean_pct);
+    means.fold(100.0, f64::min)
+}
+
+/// Broken promises by kind; what queued has a column of its own.
+fn broken(report: &Report) -> BTreeMap<String, usize> {
+    let mut kinds = BTreeMap::new();
+    for violation in &report.violations {
+        if !matches!(violation.breach, Breach::Queued { .. }) {
+            let kind = format!("{:?}", violation.breach);
+            let kind = kind.split(' ').next().unwrap_or_default().to_owned();
+            *kinds.entry(kind).or_default() += 1;
+        }
+    }
+    kinds
+}
+
+impl Latency {
+    fn of(rows: &BTreeMap<String, load::Row>, key: &str) -> Self {
+        let figure = |figure: fn(&load::Row) -> u64| rows.get(key).map_or(0, figure);
+        Self {
+            p50_us: figure(|row| row.p50_us),
+            p99_us: figure(|row| row.p99_us),
+            p999_us: figure(|row| row.p999_us),
+        }
+    }
+}
+
+fn back(plan: &Plan, outcome: &Outcome) -> Option<Back> {
+    let region = plan.focus.as_ref()?;
+    let back_at_ms = plan.back_at_ms?;
+    let leaves = plan
+        .scene
+        .events
+        .iter()
+        .filter(|event| !event.leaves.is_empty());
+    let left_at_ms = leaves.map(|event| event.at_ms).min().unwrap_or(back_at_ms);
+    let trial = &outcome.trial;
+    let prefix = format!("{region}-");
+    let here = trial
+        .runs
+        .iter()
+        .filter(|run| run.upstream.starts_with(&prefix));
+    let here: BTreeSet<&str> = here.map(|run| &*run.id).collect();
+    let callers = trial.driven.callers.iter();
+    let first_us = callers.clone().map(|it| it.scheduled_us).min()?;
+    let quick = callers.filter(|caller| {
+        caller.class == plan.scene.classes[0].name
+            && caller.told == Told::Done
+            && here.contains(&*caller.id)
+    });
+    let quick: Vec<&CallerRecord> = quick.collect();
+    let p99_us = |range_ms: Range<u64>| {
+        let within = quick.iter().filter(|caller| {
+            let at_ms = (caller.scheduled_us - first_us) / 1_000;
+            range_ms.contains(&at_ms)
+        });
+        p99_us(within.map(|caller| caller.finished_us - caller.scheduled_us))
+    };
+    Some(Back {
+        warm_p99_us: p99_us(0..left_at_ms),
+        back_p99_us: p99_us(back_at_ms..plan.scene.duration_ms),
+    })
+}
+
+fn p99_us(latencies_us: impl Iterator<Item = u64>) -> u64 {
+    let mut latencies_us: Vec<u64> = latencies_us.collect();
+    latencies_us.sort_unstable();
+    let index = (latencies_us.len() * 99).div_ceil(100).saturating_sub(1);
+    latencies_us.get(index).copied().unwrap_or(0)
+}
+
+/// Prints our p99 of quick lookups against the best baseline's, and that of a cold region against
+/// its warm one.
+pub(crate) fn print_ratios(scene: &str, rows: &[Row]) {
+    let baselines = rows.iter().filter(|row| row.is_baseline);
+    let best = baselines.min_by_key(|row| row.quick.p99_us);
+    for row in rows.iter().filter(|row| !row.is_baseline) {
+        if let Some(best) = best {
+            let ratio = row.quick.p99_us as f64 / best.quick.p99_us.max(1) as f64;
+            println!(
+                "ratio: {scene}, {}: {ratio:.2} of the p99 of {}",
+                row.contender, best.contender
+            );
+        }
+    }
+    for row in rows {
+        if let Some(back) = &row.back {
+            let ratio = back.back_p99_us as f64 / back.warm_p99_us.max(1) as f64;
+            println!(
+                "back: {scene}, {}: p99 {} ms warm, {} ms while load comes back, ratio {ratio:.2}",
+                row.contender,
+                ms(back.warm_p99_us),
+                ms(back.back_p99_us)
+            );
+        }
+    }
+}
+
+fn ms(us: u64) -> String {
+    format!("{:.1}", us as f64 / 1e3)
+}
+
+impl fmt::Display for Latency {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let [p50, p99, p999] = [self.p50_us, self.p99_us, self.p999_us].map(ms);
+        write!(f, "{p50} / {p99} / {p999}")
+    }
+}
+
+impl fmt::Display for Row {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "| {} | {} | {} |",
+            self.scene, self.contender, self.quick
+        )?;
+        for other in &self.others {
+            write!(f, " {other} |")?;
+        }
+        write!(
+            f,
+            " {:.2} | {} | {} | {:.0}, {} | {} | {:.3} | {} |",
+            self.whole_pct,
+            self.refused,
+            self.unknown,
+            self.least_headroom_pct,
+            self.seconds_below,
+            self.drain_ms.map_or("-".into(), |ms| ms.to_string()),
+            self.retries_per_request,
+            self.queued,
+        )?;
+        let broken: Vec<_> = self
+            .broken
+            .iter()
+            .map(|(kind, n)| format!("{n} {kind}"))
+            .collect();
+        let broken = if broken.is_empty() {
+            "0".to_owned()
+        } else {
+            broken.join(", ")
+        };
+        let [before, after] = self.load_average;
+        write!(f, " {broken} | {before:.0} to {after:.0} |")
+    }
+}
--- /dev/null
+++ b/crates/rig/examples/measure/user.rs
@@ -0,0 +1,92 @@
+//! The two users' systems, at the sizes of their brief.
+
+use rig::{
+    ClassLayout,
+    Layout,
+    RegionLayout, //
+};
+
+/// Entries in each region: nine in all, as both users have 8 to 12.
+const ENTRIES: usize = 3;
+/// Requests after which an upstream's caches are warm, and how much longer the first takes.
+const COLD_REQUESTS: u64 = 200;
+const COLD_FACTOR: f64 = 4.0;
+
+/// A user's layout, by name; the configuration is the one of `examples/`.
+pub(crate) fn layout(user: &str) -> Option<Layout> {
+    match user {
+        "kilima" => Some(kilima()),
+        "cascade" => Some(cascade()),
+        _ => None,
+    }
+}
+
+fn kilima() -> Layout {
+    Layout {
+        regions: regions(["arusha", "moshi", "dar"]),
+        classes: vec![
+            quick("menu", 15, 9),
+            filings("orders", 12, 6),
+            downloads("binders", 12, 3),
+        ],
+        between_regions_us: 55_000,
+        config_text: Some(include_str!("../../../../examples/kilima.yaml").into()),
+        terms: Vec::new(),
+        ..Layout::two_regions()
+    }
+}
+
+fn cascade() -> Layout {
+    Layout {
+        regions: regions(["puget", "willamette", "inland"]),
+        classes: vec![
+            quick("status", 20, 6),
+            filings("workorders", 12, 6),
+            downloads("logs", 12, 3),
+        ],
+        between_regions_us: 12_000,
+        config_text: Some(include_str!("../../../../examples/cascade.yaml").into()),
+        terms: Vec::new(),
+        ..Layout::two_regions()
+    }
+}
+
+fn regions(names: [&'static str; 3]) -> Vec<RegionLayout> {
+    let region = |name| RegionLayout {
+        name,
+        entries: ENTRIES,
+    };
+    names.map(region).into()
+}
+
+fn quick(name: &'static str, upstreams: usize, slots: u32) -> ClassLayout {
+    ClassLayout {
+        name,
+        upstreams_dealt: Some(upstreams),
+        slots,
+        service_ms: 40.0,
+        cold_requests: COLD_REQUESTS,
+        cold_factor: COLD_FACTOR,
+        ..ClassLayout::menu()
+    }
+}
+
+fn filings(name: &'static str, upstreams: usize, slots: u32) -> ClassLayout {
+    ClassLayout {
+        name,
+        upstreams_dealt: Some(upstreams),
+        slots,
+        service_ms: 60.0,
+        ..ClassLayout::orders()
+    }
+}
+
+fn downloads(name: &'static str, upstreams: usize, slots: u32) -> ClassLayout {
+    ClassLayout {
+        name,
+        upstreams_dealt: Some(upstreams),
+        slots,
+        service_ms: 150.0,
+        ..ClassLayout::binders()
+    }
+}
--- a/crates/rig/src/layout.rs
+++ b/crates/rig/src/layout.rs
@@ -59,6 +59,8 @@
     pub priority: u8,
     /// Upstreams in each region; they alternate between two failure domains.
     pub upstreams_per_region: usize,
+    /// Upstreams of all regions together, dealt out evenly, in place of a number for each.
+    pub upstreams_dealt: Option<usize>,
     /// Slots of each.
     pub slots: u32,
     /// Mean time of service.
@@ -229,9 +231,9 @@
     /// All upstreams, as `standin-upstream` reads them.
     pub(crate) fn upstreams(&self) -> Vec<Value> {
         let mut specs = Vec::new();
-        for region in &self.regions {
+        for (place, region) in self.regions.iter().enumerate() {
             for class in &self.classes {
-                for index in 0..class.upstreams_per_region {
+                for index in 0..class.upstreams_in(place, self.regions.len()) {
                     specs.push(json!({
                         "id": format!("{}-{}-{index}", region.name, class.name),
                         "service": class.name,
@@ -258,6 +260,7 @@
             idempotent: true,
             priority: 0,
             upstreams_per_region: 3,
+            upstreams_dealt: None,
             slots: 9,
             service_ms: 10.0,
             deadline_ms: 5_000,
@@ -290,6 +293,14 @@
         }
     }
 
+    /// Upstreams in the region of this index.
+    fn upstreams_in(&self, region: usize, regions: usize) -> usize {
+        let Some(dealt) = self.upstreams_dealt else {
+            return self.upstreams_per_region;
+        };
+        dealt / regions + usize::from(region < dealt % regions)
+    }
+
     fn config(&self) -> String {
         format!(
             "{{id: {0}, service: {0}, idempotent: {1}, priority: {2}, latency_ms: 200, \
--- a/crates/rig/src/rig.rs
+++ b/crates/rig/src/rig.rs
@@ -22,6 +22,8 @@
     drive,
     gather,
     judge,
+    leaving,
+    not_done,
     unix_us,
     Disturbed,
     Driven,
@@ -112,6 +114,8 @@
     pub driven: Driven,
     /// What upstreams ran.
     pub runs: Vec<Run>,
+    /// What the scene's events did not do; none of the figures shows the scene then.
+    pub not_done: Vec<String>,
 }
 
 impl Trial {
@@ -449,7 +453,8 @@
         assert_eq!(reply.status, 200, "{}", reply.body);
     }
 
-    /// Addresses for a scene.
+    /// Addresses for a scene; its events may name `platform`, `upstreams` and `operator`, which is
+    /// a daemon of the last region.
     pub fn sites(&self) -> Sites {
         let mut sites = Sites::default();
         for daemon in self.daemons.values() {
@@ -457,6 +462,18 @@
             let known = sites.daemons.entry(region).or_default();
             known.push(daemon.callers.as_str().into());
         }
+        let last = self.layout.regions.last().map_or("", |region| region.name);
+        let operator = self.daemons.values().find(|daemon| daemon.region == last);
+        for (name, addr) in [
+            ("platform", &self.platform),
+            ("upstreams", &self.upstreams),
+            (
+                "operator",
+                operator.map_or(&self.platform, |it| &it.operator),
+            ),
+        ] {
+            sites.targets.insert(name.into(), addr.as_str().into());
+        }
         sites
     }
 
@@ -493,7 +510,7 @@
             callers: driven.callers.clone(),
             runs: gathered.runs,
             upstreams: gathered.upstreams,
-            leaving: self.leaving.clone(),
+            leaving: [self.leaving.clone(), leaving(&driven.events)].concat(),
             disturbed: self.disturbed.clone(),
             links: Vec::new(),
             entries: self.entries(),
@@ -506,6 +523,7 @@
         let report = Report::new(&evidence, violations);
         Trial {
             report,
+            not_done: not_done(&driven.events, &evidence.upstreams),
             driven,
             runs: evidence.runs,
         }
--- a/demo.sh
+++ b/demo.sh
@@ -146,8 +146,8 @@
         IFS=: read -r count slots service_ms <<<"${service#*=}"
         for ((i = 0; i < count; i++)); do
             region=${regions[i % ${#regions[@]}]}
-            printf '%s{"id":"%s-%s","service":"%s","region":"%s","domain":"%s","slots":%s,"service_ms":%s,"seed":%s}\n' \
-                "$separator" "$name" "$i" "$name" "$region" \
+            printf '%s{"id":"%s-%s-%s","service":"%s","region":"%s","domain":"%s","slots":%s,"service_ms":%s,"seed":%s}\n' \
+                "$separator" "$region" "$name" "$((i / ${#regions[@]}))" "$name" "$region" \
                 "${domains[i / ${#regions[@]} % 2]}" "$slots" "$service_ms" "$i"
             separator=,
         done
