Trickle: two probes in flight, one a tick, judged as they come

Cause, from the runs of cold_upstream_gets_growing_work by half seconds: (1) a gap of 100 ms noted at ticks of 100 ms makes every second tick miss it, and one probe at a time at 300 ms each leaves 2 a second and entry, so that 20 requests that warm the cache take 4 to 5 s. (2) Windows of six probes are dropped as a whole when the last cold ones spoil them. Change: the gap is 50 ms, two probes may be in flight, and the last six are judged at each new one.

--- a/crates/daemon/src/process/pool/upstream.rs
+++ b/crates/daemon/src/process/pool/upstream.rs
@@ -126,6 +126,14 @@
         self.probe_due.load(Ordering::Acquire)
     }
 
+    /// Whether the probe that is due may be sent now.
+    ///
+    /// One at a time proves a suspect; how many warm a cold one is its limit's to say.
+    pub(crate) fn takes_probe(&self) -> bool {
+        let is_cold = self.cold.load(Ordering::Relaxed);
+        self.probe_due() && self.open() && (is_cold || self.slots.get().in_flight == 0)
+    }
+
     /// Sets whether a probe is due; returns what was there before.
     pub(crate) fn set_probe_due(&self, due: bool) -> bool {
         self.probe_due.swap(due, Ordering::AcqRel)
--- a/crates/daemon/src/request/acquire.rs
+++ b/crates/daemon/src/request/acquire.rs
@@ -256,10 +256,7 @@
     pub(super) fn take_due_probe(&self) -> Option<Permit> {
         let pool = &self.class.pool;
         let upstreams = pool.upstreams();
-        let idle = |upstream: &&Arc<Upstream>| {
-            upstream.probe_due() && upstream.open() && upstream.slots.get().in_flight == 0
-        };
-        let upstream = upstreams.iter().find(idle)?;
+        let upstream = upstreams.iter().find(|upstream| upstream.takes_probe())?;
         // One request alone may be the probe.
         if !upstream.set_probe_due(false) {
             return None;
--- a/crates/steer/src/ramp.rs
+++ b/crates/steer/src/ramp.rs
@@ -10,6 +10,7 @@
 };
 use base::Now;
 use std::{
+    collections::VecDeque,
     fmt,
     time::Duration, //
 };
@@ -28,7 +29,7 @@
 /// Where an upstream is in its slow start.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum RampPhase {
-    /// Single probes with a gap between them.
+    /// Few probes with a gap between them, and nothing else.
     Trickle,
     /// Slots open one step at a time.
     Opening,
@@ -41,7 +42,9 @@
 pub struct RampSettings {
     /// Least time between two probes of a trickle.
     pub trickle_gap: Duration,
-    /// Probes whose mean latency is judged; near the warm one it ends the trickle.
+    /// Most probes of a trickle in flight.
+    pub trickle_limit: u32,
+    /// Last probes whose mean latency is judged; near the warm one it ends the trickle.
     pub trickle_answers: u32,
     /// Slots open when the trickle ends.
     pub first_limit: u32,
@@ -60,7 +63,9 @@
 impl Default for RampSettings {
     fn default() -> Self {
         Self {
-            trickle_gap: Duration::from_millis(100),
+            // Below the 100 ms at which probes are offered, or each would wait for a second turn.
+            trickle_gap: Duration::from_millis(50),
+            trickle_limit: 2,
             trickle_answers: 6,
             first_limit: 2,
             answers_per_slot: 2,
@@ -85,6 +90,8 @@
     limit: u32,
     warm: Option<Duration>,
     window: Seen,
+    /// Latencies of the last probes, oldest first.
+    probes: VecDeque<Duration>,
     may_trickle: bool,
     another_will_do: bool,
     next_probe: Now,
@@ -101,6 +108,7 @@
             limit: NO_LIMIT,
             warm: None,
             window: Seen::default(),
+            probes: VecDeque::new(),
             may_trickle: false,
             another_will_do: false,
             next_probe: Now::ZERO,
@@ -141,11 +149,10 @@
     /// `usable` is the number of slots that this entry owns: the ramp ends when all are open.
     /// Nothing grows on an old picture.
     pub fn observe(&mut self, now: Now, seen: &Seen, usable: u32, freshness: Freshness) {
-        self.window.add(seen);
         match self.phase {
-            RampPhase::Trickle => self.judge_probes(now, freshness),
-            RampPhase::Opening => self.judge_window(now, usable, freshness),
-            RampPhase::Warm => self.learn(),
+            RampPhase::Trickle => self.judge_probes(now, seen, freshness),
+            RampPhase::Opening => self.judge_window(now, seen, usable, freshness),
+            RampPhase::Warm => self.learn(seen),
         }
     }
 
@@ -190,7 +197,8 @@
 
     fn trickle(&mut self) {
         self.phase = RampPhase::Trickle;
-        self.limit = 1;
+        self.probes.clear();
+        self.limit = self.settings.trickle_limit.max(1);
     }
 
     fn open(&mut self) {
@@ -199,17 +207,29 @@
         self.limit = self.settings.first_limit.max(1);
     }
 
-    fn judge_probes(&mut self, now: Now, freshness: Freshness) {
-        if self.window.failures() > 0 {
-            self.window = Seen::default();
+    /// Judges the last probes, whenever there is a new one.
+    ///
+    /// Probes are few: were they judged by one full window after the other, a window that the
+    /// last cold ones spoil would put the end of the trickle off by seconds.
+    fn judge_probes(&mut self, now: Now, seen: &Seen, freshness: Freshness) {
+        if seen.failures() > 0 {
+            self.probes.clear();
             return;
         }
-        if self.window.answers < self.settings.trickle_answers {
+        let Some(latency) = seen.mean_latency() else {
             return;
+        };
+        let judged = self.settings.trickle_answers.max(1);
+        for _ in 0..seen.answers.min(judged) {
+            self.probes.push_back(latency);
         }
-        let Some(mean) = std::mem::take(&mut self.window).mean_latency() else {
+        while self.probes.len() > judged as usize {
+            self.probes.pop_front();
+        }
+        if self.probes.len() < judged as usize {
             return;
-        };
+        }
+        let mean = self.probes.iter().sum::<Duration>() / judged;
         self.accept_when_stuck(now, mean);
         let near = self.is_within(mean, self.settings.near_permille);
         if near && freshness.allows_growth() {
@@ -218,7 +238,8 @@
         }
     }
 
-    fn judge_window(&mut self, now: Now, usable: u32, freshness: Freshness) {
+    fn judge_window(&mut self, now: Now, seen: &Seen, usable: u32, freshness: Freshness) {
+        self.window.add(seen);
         if self.window.failures() > 0 {
             self.fall(now);
             return;
@@ -266,8 +287,7 @@
     }
 
     /// Follows the latency of a warm upstream.
-    fn learn(&mut self) {
-        let seen = std::mem::take(&mut self.window);
+    fn learn(&mut self, seen: &Seen) {
         if let Some(mean) = seen.mean_latency() {
             self.warm = Some(smooth_latency(self.warm.unwrap_or_default(), mean));
         }
