--- a/crates/daemon/src/connection/mod.rs
+++ b/crates/daemon/src/connection/mod.rs
@@ -1,5 +1,5 @@
-//! What lives as long as a connection: the clients that hold connections to upstreams and to the
-//! entries of other regions.
+//! What lives as long as a connection: the callers' port, and the clients that hold connections to
+//! upstreams and to the entries of other regions.
 //!
 //! Each traffic thread has one [`Clients`], with one HTTP client for each address, so that the
 //! connections to one address can be retired together. A connection goes silent for good when
@@ -7,6 +7,11 @@
 //! new connection works. Whoever misses a deadline on an address therefore calls
 //! [`Clients::retire`], and the next request opens a fresh connection.
 
+mod callers;
+mod wire;
+
+pub(crate) use self::callers::serve_callers;
+
 use awc::Client;
 use base::FastMap;
 use bytestring::ByteString;
--- a/crates/daemon/src/process/mod.rs
+++ b/crates/daemon/src/process/mod.rs
@@ -17,6 +17,7 @@
 pub(crate) mod stop;
 
 use crate::{
+    connection::serve_callers,
     process::{
         control::{
             Control,
@@ -29,10 +30,6 @@
         },
         shared::Shared, //
     },
-    request::{
-        self,
-        Traffic, //
-    },
 };
 use actix::{
     Actor,
@@ -58,10 +55,8 @@
 use std::{
     future::Future,
     net::TcpListener,
-    rc::Rc,
     sync::Arc,
     time::{
-        Duration,
         SystemTime,
         UNIX_EPOCH, //
     },
@@ -78,11 +73,6 @@
 };
 use tokio_stream::wrappers::UnboundedReceiverStream;
 
-/// Time that a caller has to send the head of a request.
-const HEAD_TIMEOUT_S: u64 = 60;
-/// Time that an idle connection of a caller is kept.
-const KEEP_ALIVE_S: u64 = 75;
-
 /// Runs the daemon until a planned stop has ended.
 ///
 /// # Errors
@@ -145,27 +135,6 @@
     TcpListener::bind(&addr).wrap_err_with(|| format!("{setting}: binding {addr}"))
 }
 
-fn serve_callers(listener: TcpListener, shared: &Arc<Shared>) -> eyre::Result<Server> {
-    let threads = shared.settings.traffic_threads;
-    let shared = Arc::clone(shared);
-    let server = HttpServer::new(move || {
-        let traffic = Rc::new(Traffic::new(Arc::clone(&shared)));
-        App::new().app_data(traffic).configure(request::routes)
-    })
-    .workers(threads)
-    .keep_alive(Duration::from_secs(KEEP_ALIVE_S))
-    // What goes wrong with the library's five seconds: the process is paused for longer, requests
-    // arrive meanwhile, and on waking their timers have run out before their bytes are read. Their
-    // callers get 408 without a claim about the run. A longer time bounds the pause that they can
-    // notice in this way; a caller who sends nothing holds a connection for as long.
-    .client_request_timeout(Duration::from_secs(HEAD_TIMEOUT_S))
-    // A caller who goes away ends its request, which cancels it at the upstream.
-    .h1_allow_half_closed(false)
-    .disable_signals()
-    .listen(listener)?;
-    Ok(server.run())
-}
-
 fn serve_operators(
     listener: TcpListener,
     shared: &Arc<Shared>,
