standin: stale reads of the table; an upstream that dies, or overruns its deadline

A read of the table that gives what it held before (a lagging replica), an upstream whose process is gone with its connections (to let a region's upstreams die with its entries), and one that works on after its caller's deadline: until now it answered 504 at the deadline, in time with the entry's own, so that the entry's word on a late answer was hardly ever heard.

Change: `Kind::Stale` of the table gives the rows of when the fault was set, for the part of the reads that meets it; the list follows the same ratio now. `dead` and `overruns` of an upstream.

--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -61,7 +61,8 @@
     Slow,
     /// The effect takes place; the connection closes without an answer.
     LostAnswer,
-    /// The list stays as it was when the fault was set; elsewhere like `None`.
+    /// Reads of the table and the list give what they held when the fault was set; commits are as
+    /// ever, and so are objects.
     Stale,
 }
 
@@ -172,6 +173,8 @@
     upstreams: BTreeMap<String, Value>,
     /// The list that a stale answer gives.
     stale: ListContent,
+    /// The rows that a stale answer gives.
+    stale_rows: BTreeMap<String, Row>,
     /// Faults, indexed by [`Part`].
     meters: [Meter; 3],
     /// What was done.
@@ -283,9 +286,10 @@
 
 /// Answers `POST /table/read`.
 async fn read(state: Shared, request: HttpRequest, body: web::Json<ReadBody>) -> HttpResponse {
-    with_fault(&state, &request, Part::Table, |state| {
+    with_fault(&state, &request, Part::Table, |state, kind| {
         state.counters.reads += 1;
-        let rows: Vec<_> = body.keys.iter().map(|key| state.rows.get(key)).collect();
+        let known = state.rows_read(kind);
+        let rows: Vec<_> = body.keys.iter().map(|key| known.get(key)).collect();
         HttpResponse::Ok().json(json!({ "rows": rows }))
     })
     .await
@@ -293,10 +297,10 @@
 
 /// Answers `POST /table/scan`.
 async fn scan(state: Shared, request: HttpRequest, body: web::Json<ScanBody>) -> HttpResponse {
-    with_fault(&state, &request, Part::Table, |state| {
+    with_fault(&state, &request, Part::Table, |state, kind| {
         state.counters.reads += 1;
         let rows: Vec<_> = state
-            .rows
+            .rows_read(kind)
             .range(body.prefix.clone()..)
             .take_while(|(key, _)| key.starts_with(&body.prefix))
             .map(|(_, row)| row)
@@ -308,7 +312,7 @@
 
 /// Answers `POST /table/commit`.
 async fn commit(state: Shared, request: HttpRequest, body: web::Json<CommitBody>) -> HttpResponse {
-    with_fault(&state, &request, Part::Table, |state| {
+    with_fault(&state, &request, Part::Table, |state, _| {
         state.commit(body.into_inner())
     })
     .await
@@ -354,6 +358,14 @@
         }
     }
 
+    /// The rows that a read finds under a fault.
+    fn rows_read(&self, kind: Kind) -> &BTreeMap<String, Row> {
+        match kind {
+            Kind::Stale => &self.stale_rows,
+            _ => &self.rows,
+        }
+    }
+
     /// Entries of one kind of the list.
     fn listed(&mut self, what: &str) -> Option<&mut BTreeMap<String, Value>> {
         match what {
@@ -376,7 +388,7 @@
 
 /// Answers `GET /objects/<name>`.
 async fn get_object(state: Shared, request: HttpRequest, name: web::Path<String>) -> HttpResponse {
-    with_fault(&state, &request, Part::Objects, |state| {
+    with_fault(&state, &request, Part::Objects, |state, _| {
         state.counters.objects += 1;
         match state.objects.get(name.as_str()) {
             Some(body) => HttpResponse::Ok().body(body.clone()),
@@ -393,7 +405,7 @@
     name: web::Path<String>,
     body: Bytes,
 ) -> HttpResponse {
-    with_fault(&state, &request, Part::Objects, |state| {
+    with_fault(&state, &request, Part::Objects, |state, _| {
         state.counters.objects += 1;
         let stored = state.objects.entry(name.into_inner());
         if *stored.or_insert_with(|| body.clone()) == body {
@@ -407,10 +419,9 @@
 
 /// Answers `GET /list`.
 async fn get_list(state: Shared, request: HttpRequest) -> HttpResponse {
-    with_fault(&state, &request, Part::List, |state| {
+    with_fault(&state, &request, Part::List, |state, kind| {
         state.counters.lists += 1;
-        let stale = state.meters[Part::List as usize].fault.kind == Kind::Stale;
-        let list = if stale {
+        let list = if kind == Kind::Stale {
             state.stale.clone()
         } else {
             state.list()
@@ -455,6 +466,9 @@
     if faults.list.is_some() {
         state.stale = state.list();
     }
+    if faults.table.is_some() {
+        state.stale_rows = state.rows.clone();
+    }
     let parts = [faults.table, faults.objects, faults.list];
     for (meter, fault) in state.meters.iter_mut().zip(parts) {
         if let Some(fault) = fault {
@@ -477,7 +491,7 @@
     state: &Shared,
     request: &HttpRequest,
     part: Part,
-    effect: impl FnOnce(&mut State) -> HttpResponse,
+    effect: impl FnOnce(&mut State, Kind) -> HttpResponse,
 ) -> HttpResponse {
     let fault = lock(state).next_fault(part);
     match fault.kind {
@@ -486,7 +500,7 @@
         Kind::Freeze => return future::pending().await,
         Kind::Slow => actix_web::rt::time::sleep(Duration::from_millis(fault.delay_ms)).await,
         Kind::LostAnswer => {
-            effect(&mut lock(state));
+            effect(&mut lock(state), fault.kind);
             if let Some(Socket(socket)) = request.conn_data() {
                 // Fails only when the caller closed it already, which is as good.
                 let _ = socket.shutdown(Shutdown::Both);
@@ -494,7 +508,7 @@
             return future::pending().await;
         }
     }
-    effect(&mut lock(state))
+    effect(&mut lock(state), fault.kind)
 }
 
 /// Entries of a list by their ids; those without one are left out.
--- a/crates/standin/src/upstream/mod.rs
+++ b/crates/standin/src/upstream/mod.rs
@@ -248,6 +248,10 @@
             inner.first_ms = None;
         }
         drop(inner);
+        if faults.dead {
+            let upstream = Arc::clone(self);
+            actix_web::rt::spawn(async move { upstream.die().await });
+        }
         if let Some(after_ms) = faults.drain.and_then(|drain| drain.refuse_after_ms) {
             let upstream = Arc::clone(self);
             actix_web::rt::spawn(async move {
@@ -265,6 +269,13 @@
         }
     }
 
+    /// Closes its connections and its port at once, and drops what runs; its record stays.
+    async fn die(&self) {
+        if let Some(handle) = self.handle.get() {
+            handle.stop(false).await;
+        }
+    }
+
     /// Whether it says that it leaves.
     fn leaving(&self) -> bool {
         lock(&self.inner).leaving()
--- a/crates/standin/src/upstream/settings.rs
+++ b/crates/standin/src/upstream/settings.rs
@@ -74,6 +74,11 @@
     pub drain: Option<Drain>,
     /// Starts cold once more when set.
     pub cold: bool,
+    /// Works on after the caller's deadline, in place of ending there.
+    pub overruns: bool,
+    /// Dies when set, for good: connections close without an answer, new ones are refused, and what
+    /// runs ends.
+    pub dead: bool,
 }
 
 /// Untrue fields of `/load`.
@@ -110,6 +115,8 @@
             lie: Lie::default(),
             drain: None,
             cold: false,
+            overruns: false,
+            dead: false,
         }
     }
 }
--- a/crates/standin/src/upstream/work.rs
+++ b/crates/standin/src/upstream/work.rs
@@ -129,7 +129,12 @@
     mut body: web::Payload,
 ) -> HttpResponse {
     let mut job = Job::begin(Arc::clone(&upstream), &request);
-    let deadline = deadline(&request);
+    let overruns = lock(&upstream.inner).faults.overruns;
+    let deadline = if overruns {
+        Instant::now() + LONGEST
+    } else {
+        deadline(&request)
+    };
     let mut digest = blake3::Hasher::new();
     let mut body_bytes = 0_u64;
     while let Some(chunk) = body.next().await {
--- a/crates/standin/tests/upstream.rs
+++ b/crates/standin/tests/upstream.rs
@@ -225,6 +225,7 @@
     shed: {"shed": 1}, "/x", "" => " 503 ", "upstream-refused: not-run", Shed, began false;
     expired: {}, "/x", "jasmine-deadline-ms: 10\r\n" => " 504 ", "", Expired, began true;
     in_time: {}, "/x", "jasmine-deadline-ms: 30000\r\n" => " 200 ", "", Ran, began true;
+    overrun: {"overruns": true}, "/x", "jasmine-deadline-ms: 10\r\n" => " 200 ", "", Ran, began true;
     leaving: {"drain": {}}, "/x", "" => " 200 ", "upstream-state: leaving", Ran, began true;
     cut: {"truncate": 1}, "/bytes/90000", "" => " 200 ", "length: 90000", Truncated, began true;
     cut_chunks: {"truncate": 1}, "/chunked/90000", "" => " 200 ", "chunked", Truncated, began true;
@@ -326,3 +327,23 @@
         "{head}"
     );
 }
+
+// What runs at a death gets no answer, however long it would have taken, and counts as cancelled.
+#[actix_web::test]
+async fn dead_upstream_breaks_off_and_keeps_its_record() {
+    let upstream = start("service_ms=1");
+    set(&upstream, json!({"hang": 1}));
+    let hung = send(upstream.addr(), "/x", "");
+    until(&upstream, |r| r.max_in_flight == 1).await;
+    set(&upstream, json!({"dead": true}));
+    let record = until(&upstream, |r| ended(&r.entries[0], Ended::Cancelled)).await;
+    assert!(record.entries[0].started_ms.is_some());
+    let joined = actix_web::rt::task::spawn_blocking(|| read(hung));
+    let (head, _) = joined.await.unwrap();
+    assert!(head.is_empty(), "{head}");
+    let mut steps = 0..STEPS;
+    while TcpStream::connect(upstream.addr()).is_ok() {
+        assert!(steps.next().is_some(), "still accepts");
+        sleep(STEP).await;
+    }
+}
