--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -17,6 +17,12 @@
 mod request;
 mod version;
 
+pub use request::{
+    answer::Answer,
+    forward::ForwardKey,
+    input, //
+};
+
 pub use process::{
     metric::{
         metrics_page,
--- a/crates/daemon/src/request/answer.rs
+++ b/crates/daemon/src/request/answer.rs
@@ -90,7 +90,7 @@
 
 /// An answer of the system's own.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub(crate) struct Answer {
+pub struct Answer {
     pub(crate) reason: Reason,
     pub(crate) outcome: RunOutcome,
     pub(crate) detail: ByteString,
@@ -141,7 +141,7 @@
     }
 
     /// The HTTP answer.
-    pub(crate) fn respond(&self) -> HttpResponse {
+    pub fn respond(&self) -> HttpResponse {
         let mut response = HttpResponse::build(self.reason.status());
         response.insert_header((header::OUTCOME, self.outcome.as_str()));
         if let Some(after) = self.retry_after {
--- a/crates/daemon/src/request/filing/mod.rs
+++ b/crates/daemon/src/request/filing/mod.rs
@@ -16,31 +16,25 @@
         refuse, //
     },
 };
-use crate::{
-    process::shared::Shared,
-    request::{
-        answer::{
-            Answer,
-            Reason, //
-        },
-        attempt::{
-            AnswerBody,
-            Body,
-            Outgoing, //
-        },
-        carry::Carried,
-        header,
-        work::Work, //
+use crate::request::{
+    answer::{
+        Answer,
+        Reason, //
     },
+    attempt::{
+        AnswerBody,
+        Body,
+        Outgoing, //
+    },
+    carry::Carried,
+    header,
+    input::Way,
+    work::Work, //
 };
-use ::filing::{
-    Record,
-    Ticket, //
-};
+use ::filing::Record;
 use actix_web::{
     http::{
         header::{
-            HeaderMap,
             HeaderName,
             HeaderValue,
             CONTENT_TYPE, //
@@ -56,8 +50,6 @@
 use bytestring::ByteString;
 use std::time::Duration;
 
-/// Longest idempotency key, in bytes.
-const KEY_MAX_BYTES: usize = 200;
 /// When to come back for a filing that is still running.
 const IN_PROGRESS_RETRY: Duration = Duration::from_secs(1);
 /// Status of an answer that says `unknown`.
@@ -65,12 +57,6 @@
 /// Status of an answer that says `not-run`.
 const NOT_RUN_STATUS: u16 = 503;
 
-/// How a filing is made to run at most once.
-enum Way {
-    Ticket(Ticket),
-    Key(ByteString),
-}
-
 /// What a run leaves for the ledger or the claim.
 type Ran = Result<HttpResponse, Answer>;
 
@@ -83,7 +69,7 @@
     request: &HttpRequest,
     payload: web::Payload,
 ) -> Ran {
-    match Way::of(request.headers(), &work.traffic.shared)? {
+    match Way::of(request.headers(), &work.traffic.shared.ticket_key)? {
         Way::Ticket(ticket) => {
             let body = match admitted {
                 Ok(()) => read_for(&work, &ticket, request, payload).await,
@@ -102,39 +88,6 @@
     }
 }
 
-impl Way {
-    fn of(headers: &HeaderMap, shared: &Shared) -> Result<Self, Answer> {
-        let refuse = |reason, detail: String| Answer::not_run(reason, detail);
-        let ticket = headers.get(header::TICKET);
-        let key = headers.get(header::IDEMPOTENCY_KEY);
-        match (ticket, key) {
-            (Some(ticket), None) => {
-                let text = ticket.to_str().unwrap_or_default();
-                Ticket::verify(text, &shared.ticket_key)
-                    .map(Self::Ticket)
-                    .map_err(|error| refuse(Reason::TicketRefused, error.to_string()))
-            }
-            (None, Some(key)) => {
-                let text = key.to_str().unwrap_or_default();
-                if text.is_empty() || text.len() > KEY_MAX_BYTES {
-                    let detail =
-                        format!("Idempotency-Key: 1 to {KEY_MAX_BYTES} visible characters");
-                    return Err(refuse(Reason::BadRequest, detail));
-                }
-                Ok(Self::Key(text.into()))
-            }
-            (None, None) => Err(refuse(
-                Reason::BadRequest,
-                "this class needs a Jasmine-Ticket or an Idempotency-Key".into(),
-            )),
-            (Some(_), Some(_)) => Err(refuse(
-                Reason::BadRequest,
-                "give a Jasmine-Ticket or an Idempotency-Key, not both".into(),
-            )),
-        }
-    }
-}
-
 /// Runs the request once; gives what to remember, and the answer.
 async fn run(work: Work, out: Outgoing, body: Body) -> (Record, Ran) {
     match work.carry(&out, body).await {
--- a/crates/daemon/src/request/forward.rs
+++ b/crates/daemon/src/request/forward.rs
@@ -12,7 +12,7 @@
 
 /// Key for proofs of forwarding.
 #[derive(Clone)]
-pub(crate) struct ForwardKey([u8; 32]);
+pub struct ForwardKey([u8; 32]);
 
 /// What one proof is about.
 #[derive(Clone, Copy, Debug)]
@@ -26,7 +26,7 @@
 
 impl ForwardKey {
     /// Derives the key from the daemons' secret.
-    pub(crate) fn derive(secret: &Secret) -> Self {
+    pub fn derive(secret: &Secret) -> Self {
         Self(secret.derive(KEY_CONTEXT))
     }
 
--- a/crates/daemon/src/request/lookup.rs
+++ b/crates/daemon/src/request/lookup.rs
@@ -7,6 +7,7 @@
             Answer,
             Reason, //
         },
+        input::Query,
         traffic,
         Traffic, //
     },
@@ -18,7 +19,6 @@
 };
 use actix_web::{
     http::header::CACHE_CONTROL,
-    web,
     HttpRequest,
     HttpResponse, //
 };
@@ -138,40 +138,3 @@
         format!("max-age={}", ttl.as_secs())
     }
 }
-
-/// Parameters of a look-up.
-struct Query {
-    class: String,
-    block: Option<IpAddr>,
-}
-
-impl Query {
-    /// Parses the query; all that is wrong with it is told at once.
-    fn parse(text: &str) -> Result<Self, Answer> {
-        let refuse = |detail: String| Answer::not_run(Reason::BadRequest, detail);
-        let pairs = web::Query::<Vec<(String, String)>>::from_query(text)
-            .map_err(|err| refuse(format!("query: {err}")))?
-            .into_inner();
-        let mut class = None;
-        let mut block = None;
-        let mut wrong = Vec::new();
-        for (name, value) in pairs {
-            match name.as_str() {
-                "class" if class.is_none() => class = Some(value),
-                "block" if block.is_none() => match value.parse::<IpAddr>() {
-                    Ok(addr) => block = Some(addr),
-                    Err(_) => wrong.push(format!("block: {value:?} is no IP address")),
-                },
-                "class" | "block" => wrong.push(format!("{name}: given twice")),
-                _ => wrong.push(format!("{name}: no such parameter")),
-            }
-        }
-        if class.is_none() {
-            wrong.push("class: missing".to_string());
-        }
-        match class {
-            Some(class) if wrong.is_empty() => Ok(Self { class, block }),
-            _ => Err(refuse(wrong.join("; "))),
-        }
-    }
-}
--- a/crates/daemon/src/request/mod.rs
+++ b/crates/daemon/src/request/mod.rs
@@ -4,6 +4,7 @@
 //! it, and touches nothing else that control writes but atomics, so that it never waits for the
 //! platform, for a peer or for control.
 //!
+//! - [`input`] parses what callers send.
 //! - [`lookup`] answers which entries to use.
 //! - [`work`] checks a request for work and answers it.
 //! - [`place`] asks which region is to do it.
@@ -24,6 +25,7 @@
 pub(crate) mod filing;
 pub(crate) mod forward;
 pub(crate) mod header;
+pub mod input;
 pub(crate) mod lookup;
 pub(crate) mod place;
 pub(crate) mod probe;
--- a/crates/daemon/src/request/work.rs
+++ b/crates/daemon/src/request/work.rs
@@ -28,6 +28,7 @@
         deadline::Deadline,
         filing,
         header,
+        input,
         traffic,
         Traffic, //
     },
@@ -82,6 +83,9 @@
         return refuse(&traffic, &unknown_class(&snapshot, name));
     };
     let counters = traffic.counters.class(&class.class.id);
+    let shared = &traffic.shared;
+    let (key, instance) = (&shared.forward_key, &shared.settings.instance);
+    let forwarded = input::forwarder(request.headers(), key, instance, name).is_some();
     let work = Work {
         traffic: Rc::clone(&traffic),
         class: Arc::clone(class),
@@ -89,7 +93,7 @@
         counters: Rc::clone(&counters),
         deadline: Deadline::after(started, class.class.deadline),
         active: traffic.shared.active.guard(),
-        forwarded: is_forwarded(&traffic, name, &request),
+        forwarded,
         request_id: request.headers().get(header::REQUEST).cloned(),
         started,
     };
@@ -101,20 +105,6 @@
         })
 }
 
-/// Whether the header proves that another region's entry sent the request.
-fn is_forwarded(traffic: &Traffic, class: &str, request: &HttpRequest) -> bool {
-    let text = |name: &str| request.headers().get(name)?.to_str().ok();
-    let shared = &traffic.shared;
-    let proven = text(header::FORWARD)
-        .zip(text(header::REQUEST))
-        .and_then(|(proof, id)| {
-            shared
-                .forward_key
-                .verify(proof, &shared.settings.instance, class, id)
-        });
-    proven.is_some()
-}
-
 fn refuse(traffic: &Traffic, answer: &Answer) -> HttpResponse {
     traffic.counters.reason(answer.reason);
     let mut response = answer.respond();
@@ -183,13 +173,8 @@
     }
 
     fn read_deadline(&mut self, request: &HttpRequest) -> Result<(), Answer> {
-        let text = request.headers().get(header::DEADLINE_MS);
-        let text = text.map(|value| value.as_bytes());
-        let default = self.class.class.deadline;
-        self.deadline = Deadline::from_header(text, self.started, default).map_err(|_| {
-            let detail = format!("{}: no whole number of milliseconds", header::DEADLINE_MS);
-            Answer::not_run(Reason::BadRequest, detail)
-        })?;
+        let asked = input::deadline(request.headers())?;
+        self.deadline = Deadline::of_caller(self.started, asked, self.class.class.deadline);
         Ok(())
     }
 
