--- a/crates/report/src/bin/jasmine-report.rs
+++ b/crates/report/src/bin/jasmine-report.rs
@@ -10,7 +10,8 @@
 use op::{
     read_key,
     Burn,
-    Client, //
+    Client,
+    Failure, //
 };
 use report::{
     NotAnswered,
@@ -118,7 +119,7 @@
             Ok(burn) => counted.push(burn),
             Err(failure) => not_answered.push(NotAnswered {
                 daemon: daemon.to_string(),
-                why: failure.to_string(),
+                why: why(&daemon.addr, failure),
             }),
         }
     }
@@ -130,6 +131,18 @@
     Ok(Report::new(at_ms, counted, not_answered))
 }
 
+/// Why one daemon did not answer, without its address: it is named beside.
+fn why(addr: &str, failure: Failure) -> String {
+    match failure {
+        Failure::NoAnswer { tried } => {
+            let tried = tried.iter();
+            let tried = tried.map(|t| t.strip_prefix(&format!("{addr}: ")).unwrap_or(t));
+            tried.collect::<Vec<_>>().join("; ")
+        }
+        other => other.to_string(),
+    }
+}
+
 fn fail(code: u8, message: &str) -> ExitCode {
     eprintln!("{message}");
     ExitCode::from(code)
--- a/crates/report/src/html.rs
+++ b/crates/report/src/html.rs
@@ -6,7 +6,7 @@
         alert_lines,
         bad_pct,
         burn_text,
-        ms,
+        latency_line,
         objective,
         span,
         wall_time, //
@@ -21,6 +21,7 @@
     th,td{padding:.2em .8em;text-align:right;border-bottom:1px solid #ddd}\
     th:first-child,td:first-child{text-align:left}\
     .alert{color:#b00020;font-weight:bold}.note{color:#555;max-width:60em}\
+    .latency:first-letter{text-transform:uppercase}\
     .plots{display:flex;flex-wrap:wrap;gap:1em}";
 
 impl Report {
@@ -32,15 +33,31 @@
             "<!DOCTYPE html>\n<html lang=\"en\"><head><meta charset=\"utf-8\">\
              <title>Service-level burn, {at}</title><style>{STYLE}</style></head><body>\n\
              <h1>Service-level burn</h1>\n<p>{at}, {} daemons counted, {} did not answer.</p>\n\
-             {}{classes}<h2>Counted since</h2>\n{}<p class=\"note\">{}</p>\n</body></html>\n",
+             {}{}{classes}<h2>Counted since</h2>\n{}<p class=\"note\">{}</p>\n</body></html>\n",
             self.counted.len(),
             self.not_answered.len(),
             self.missing(),
+            self.alerts(),
             self.daemons(),
             escape(self.past),
         )
     }
 
+    /// All alerts at once, for whoever sees only the top of a long page.
+    fn alerts(&self) -> String {
+        let alerts = self.classes.iter().flat_map(|class| {
+            let lines = alert_lines(class).into_iter();
+            lines.map(|line| format!("{}: {line}", class.class))
+        });
+        let lines: String = alerts
+            .map(|alert| format!("<p class=\"alert\">{}</p>\n", escape(&alert)))
+            .collect();
+        if lines.is_empty() {
+            return "<p>No alerts.</p>\n".to_owned();
+        }
+        lines
+    }
+
     fn missing(&self) -> String {
         let items = self.not_answered.iter().map(|missing| {
             let (daemon, why) = (escape(&missing.daemon), escape(&missing.why));
@@ -65,7 +82,14 @@
 }
 
 fn class_section(class: &ClassReport) -> String {
-    let head = ["window", "covered", "good", "bad", "bad %", "burn"];
+    let head = [
+        "window",
+        "covered",
+        "good requests",
+        "bad requests",
+        "bad, %",
+        "burn",
+    ];
     let rows = class.windows.iter().map(|window| {
         vec![
             span(window.length_s),
@@ -80,19 +104,12 @@
         .iter()
         .map(|alert| format!("<p class=\"alert\">{}</p>\n", escape(alert)))
         .collect();
-    let latency = &class.latency;
     format!(
-        "<h2>{}</h2>\n<p>{}.</p>\n{alerts}{}<p>Latency of {} whole answers: p50 {}, p90 {}, \
-         p99 {}, p99.9 {}, max {}.</p>\n<div class=\"plots\">\n{}{}</div>\n",
+        "<h2>{}</h2>\n<p>{}.</p>\n{alerts}{}<p class=\"latency\">{}.</p>\n<div class=\"plots\">\n{}{}</div>\n",
         escape(&class.class),
         escape(&objective(class)),
         table(&head, rows),
-        latency.count,
-        ms(latency.p50_us),
-        ms(latency.p90_us),
-        ms(latency.p99_us),
-        ms(latency.p999_us),
-        ms(latency.max_us),
+        latency_line(&class.latency),
         plot::burn(class),
         plot::latency(class),
     )
--- a/crates/report/src/merge.rs
+++ b/crates/report/src/merge.rs
@@ -37,8 +37,8 @@
 
 /// What is said of instances that were replaced, in every form of the report.
 pub(crate) const PAST: &str = "Counts begin with each process and survive nothing: of an instance \
-    that was replaced, what came before is gone and is not in any window; `covered` says how much \
-    of a window the answering daemons have counted.";
+    that was replaced, what came before is gone and is not in any window; the column \"covered\" says \
+    how much of a window the answering daemons have counted.";
 
 /// A daemon whose counts are in the report.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
--- a/crates/report/src/text.rs
+++ b/crates/report/src/text.rs
@@ -3,6 +3,7 @@
 use crate::{
     AlertKind,
     ClassReport,
+    LatencyReport,
     Report,
     Window, //
 };
@@ -79,19 +80,7 @@
             ),
         );
     }
-    let latency = &class.latency;
-    line(
-        text,
-        format_args!(
-            "  latency of {} whole answers: p50 {}, p90 {}, p99 {}, p99.9 {}, max {}",
-            latency.count,
-            ms(latency.p50_us),
-            ms(latency.p90_us),
-            ms(latency.p99_us),
-            ms(latency.p999_us),
-            ms(latency.max_us)
-        ),
-    );
+    line(text, format_args!("  {}", latency_line(&class.latency)));
     for alert in alert_lines(class) {
         line(text, format_args!("  {alert}"));
     }
@@ -110,6 +99,22 @@
     text
 }
 
+/// Percentiles of a class's latency, if there is any.
+pub(crate) fn latency_line(latency: &LatencyReport) -> String {
+    if latency.count == 0 {
+        return "no whole answers yet".to_owned();
+    }
+    format!(
+        "latency of {} whole answers: p50 {}, p90 {}, p99 {}, p99.9 {}, max {}",
+        latency.count,
+        ms(latency.p50_us),
+        ms(latency.p90_us),
+        ms(latency.p99_us),
+        ms(latency.p999_us),
+        ms(latency.max_us)
+    )
+}
+
 /// One line for each alert.
 pub(crate) fn alert_lines(class: &ClassReport) -> Vec<String> {
     let lines = class.alerts.iter().map(|alert| {
@@ -148,7 +153,7 @@
 }
 
 /// Microseconds in milliseconds.
-pub(crate) fn ms(us: u64) -> String {
+fn ms(us: u64) -> String {
     format!("{:.1} ms", us as f64 / 1000.0)
 }
 
--- a/crates/report/tests/merge.rs
+++ b/crates/report/tests/merge.rs
@@ -189,6 +189,39 @@
     assert_eq!(links, page.matches("xmlns=\"http://www.w3.org").count());
 }
 
+/// Symptom: whoever opens the page can't tell what a line stands for, or takes an empty plot for a
+/// class without failures. Sequence: a class with requests, and one without. Cause: a plot that
+/// shows values alone.
+#[test]
+fn plots_say_what_they_show() {
+    let mut one = daemon("one", HOUR_S, &[(5, 10, 1)]);
+    let page = report(vec![one.clone()]).html();
+    for words in [
+        "minutes ago",
+        "burn by minute",
+        "6: slow alert",
+        "14.4: fast alert",
+        "latency, ms",
+        "percentile of whole answers",
+        "target: 200 ms",
+        "\u{2264} 0.01",
+    ] {
+        assert!(page.contains(words), "no `{words}` in {page}");
+    }
+    assert!(page.contains("menu: FAST BURN"), "named at the top");
+    assert!(!page.contains("no requests in the last hour"));
+    one.classes[0].buckets.clear();
+    one.classes[0].latency_us.clear();
+    let page = report(vec![one]).html();
+    for words in [
+        "no requests in the last hour",
+        "no whole answers yet",
+        "No alerts.",
+    ] {
+        assert!(page.contains(words), "no `{words}` in {page}");
+    }
+}
+
 #[test]
 fn a_target_of_all_requests_has_no_budget() {
     for (bad, text) in [(0, "0.00"), (1, "no budget")] {
