A slot is free again when its upstream has closed the connection

Cause: an abandoned slot was held back for a fixed 5 ms, and the upstream's process noticed the end of the connection later than that. Ruled out: the allotment (peak 8 of 8 slots in the same table), a second owner (no lapse, no join). Change: a connection that is given up is closed for writing and read until the other end closes it (`strict::Closing`); the slot comes back then, or at the request's deadline, which the upstream keeps by itself.

--- a/crates/daemon/src/connection/mod.rs
+++ b/crates/daemon/src/connection/mod.rs
@@ -19,15 +19,26 @@
     cell::RefCell,
     time::Duration, //
 };
-use strict::strict_connector;
+use strict::{
+    watched_connector,
+    Closing, //
+};
 
 /// Time after which an idle connection is closed.
 const KEEP_ALIVE: Duration = Duration::from_secs(30);
 
+/// An HTTP client of one address, and what became of its connections.
+#[derive(Clone)]
+pub(crate) struct Channel {
+    pub(crate) client: Client,
+    /// Connections that were given up, until the other end has closed them.
+    pub(crate) closing: Closing,
+}
+
 /// HTTP clients of one traffic thread, one for each address.
 pub(crate) struct Clients {
     connect_timeout: Duration,
-    by_addr: RefCell<FastMap<ByteString, Client>>,
+    by_addr: RefCell<FastMap<ByteString, Channel>>,
 }
 
 impl Clients {
@@ -40,11 +51,11 @@
     }
 
     /// Client for `addr`, with its pooled connections.
-    pub(crate) fn get(&self, addr: &ByteString) -> Client {
+    pub(crate) fn get(&self, addr: &ByteString) -> Channel {
         self.by_addr
             .borrow_mut()
             .entry(addr.clone())
-            .or_insert_with(|| new_client(self.connect_timeout))
+            .or_insert_with(|| Channel::new(self.connect_timeout))
             .clone()
     }
 
@@ -52,8 +63,8 @@
     ///
     /// For work that must not run twice: a pooled connection may have been closed by the other
     /// end a moment ago, and then nobody can tell whether the request was read.
-    pub(crate) fn fresh(&self) -> Client {
-        new_client(self.connect_timeout)
+    pub(crate) fn fresh(&self) -> Channel {
+        Channel::new(self.connect_timeout)
     }
 
     /// Forgets the connections to `addr`; requests on them go on.
@@ -62,15 +73,19 @@
     }
 }
 
-fn new_client(connect_timeout: Duration) -> Client {
-    let connector = strict_connector()
-        .timeout(connect_timeout)
-        .conn_keep_alive(KEEP_ALIVE)
-        .limit(0);
-    Client::builder()
-        .connector(connector)
-        .disable_timeout()
-        .disable_redirects()
-        .no_default_headers()
-        .finish()
+impl Channel {
+    fn new(connect_timeout: Duration) -> Self {
+        let closing = Closing::default();
+        let connector = watched_connector(closing.clone())
+            .timeout(connect_timeout)
+            .conn_keep_alive(KEEP_ALIVE)
+            .limit(0);
+        let client = Client::builder()
+            .connector(connector)
+            .disable_timeout()
+            .disable_redirects()
+            .no_default_headers()
+            .finish();
+        Self { client, closing }
+    }
 }
--- a/crates/daemon/src/request/body.rs
+++ b/crates/daemon/src/request/body.rs
@@ -71,7 +71,8 @@
 /// Body that streams.
 pub(crate) struct Streamed {
     prefix: Option<Bytes>,
-    rest: Box<ClientResponse>,
+    /// Gone with the slot, whose release waits for the end of this connection.
+    rest: Option<Box<ClientResponse>>,
     deadline: Pin<Box<Sleep>>,
     /// A chunk of a shifted answer that the link's cap holds back, and until when.
     paced: Option<(Bytes, Pin<Box<Sleep>>)>,
@@ -88,7 +89,7 @@
     ) -> Self {
         Self {
             prefix: Some(prefix).filter(|prefix| !prefix.is_empty()),
-            rest,
+            rest: Some(rest),
             deadline: Box::pin(tokio::time::sleep_until(deadline.at())),
             paced: None,
             held: Some(held),
@@ -124,6 +125,7 @@
 
     fn end(&mut self, whole: bool) {
         if let Some(held) = self.held.take() {
+            self.rest = None;
             match (&held.hold, whole) {
                 (Hold::Slot(permit), true) => permit.completed(),
                 (Hold::Slot(permit), false) => permit.upstream.seen.note_broken(),
@@ -151,7 +153,11 @@
         if let Some((chunk, until)) = self.paced.take() {
             return self.hold_back(chunk, until, cx);
         }
-        match Pin::new(&mut *self.rest).poll_next(cx) {
+        let polled = match &mut self.rest {
+            Some(rest) => Pin::new(&mut **rest).poll_next(cx),
+            None => Poll::Ready(None),
+        };
+        match polled {
             Poll::Ready(None) => {
                 self.end(true);
                 Poll::Ready(None)
--- a/crates/daemon/src/request/carry.rs
+++ b/crates/daemon/src/request/carry.rs
@@ -154,15 +154,16 @@
     async fn send(&self, permit: &Permit, body: Body) -> Result<(Head, AnswerBody), Failure> {
         let upstream = &permit.upstream;
         let clients = &self.traffic.clients;
-        let client = if self.class.class.idempotent {
+        let channel = if self.class.class.idempotent {
             clients.get(&upstream.addr)
         } else {
             clients.fresh()
         };
         let id = self.traffic.request_id();
         let started = Instant::now();
-        permit.sent();
-        let sent = attempt::send(&client, &upstream.addr, self.out, body, &id, self.deadline).await;
+        permit.sent(&channel.closing, self.deadline.at());
+        let client = &channel.client;
+        let sent = attempt::send(client, &upstream.addr, self.out, body, &id, self.deadline).await;
         match &sent {
             Ok((head, answer)) => {
                 upstream.seen.note_answer(started.elapsed());
--- a/crates/daemon/src/request/shift.rs
+++ b/crates/daemon/src/request/shift.rs
@@ -149,13 +149,21 @@
             out.headers
                 .insert(HeaderName::from_static(header::FORWARD), proof);
         }
-        let client = if class.idempotent {
+        let channel = if class.idempotent {
             traffic.clients.get(&entry.dial_addr)
         } else {
             traffic.clients.fresh()
         };
         let body = Body::Whole(body);
-        let sent = attempt::send(&client, &entry.dial_addr, &out, body, &id, self.deadline).await;
+        let sent = attempt::send(
+            &channel.client,
+            &entry.dial_addr,
+            &out,
+            body,
+            &id,
+            self.deadline,
+        )
+        .await;
         if matches!(sent, Err(Failure::Timeout)) {
             traffic.clients.retire(&entry.dial_addr);
         }
--- a/crates/strict/src/stream.rs
+++ b/crates/strict/src/stream.rs
@@ -1,5 +1,6 @@
 //! The stream and the connector.
 
+use crate::Closing;
 use actix_rt::net::{
     ActixStream,
     Ready,
@@ -36,7 +37,30 @@
 
 /// A TCP stream whose end is an error.
 #[derive(Debug)]
-pub struct StrictStream(TcpStream);
+pub struct StrictStream {
+    /// Present until the drop.
+    tcp: Option<TcpStream>,
+    /// Who watches for the end of the connection once it is dropped.
+    closing: Option<Closing>,
+}
+
+impl StrictStream {
+    fn tcp(&self) -> &TcpStream {
+        self.tcp.as_ref().expect("present until the drop")
+    }
+
+    fn tcp_mut(&mut self) -> Pin<&mut TcpStream> {
+        Pin::new(self.tcp.as_mut().expect("present until the drop"))
+    }
+}
+
+impl Drop for StrictStream {
+    fn drop(&mut self) {
+        if let (Some(tcp), Some(closing)) = (self.tcp.take(), &self.closing) {
+            closing.close(tcp);
+        }
+    }
+}
 
 /// The connector of every awc client here: a connection that ends within an answer breaks it.
 ///
@@ -46,13 +70,36 @@
 pub fn strict_connector() -> Connector<
     impl Service<ConnectInfo<Uri>, Response = Connection<Uri, StrictStream>, Error = ConnectError>
         + Clone,
+> {
+    connector(None)
+}
+
+/// The same, with connections that are watched by `closing` once they are dropped.
+pub fn watched_connector(
+    closing: Closing,
+) -> Connector<
+    impl Service<ConnectInfo<Uri>, Response = Connection<Uri, StrictStream>, Error = ConnectError>
+        + Clone,
+> {
+    connector(Some(closing))
+}
+
+fn connector(
+    closing: Option<Closing>,
+) -> Connector<
+    impl Service<ConnectInfo<Uri>, Response = Connection<Uri, StrictStream>, Error = ConnectError>
+        + Clone,
 > {
     let tcp = TcpConnector::default().service();
-    let strict = tcp.map(|connection: Connection<Uri, TcpStream>| {
-        let (stream, connection) = connection.replace_io(());
+    let strict = tcp.map(move |connection: Connection<Uri, TcpStream>| {
+        let (tcp, connection) = connection.replace_io(());
         // Failing to set the option only costs time.
-        let _ = stream.set_nodelay(true);
-        connection.replace_io(StrictStream(stream)).1
+        let _ = tcp.set_nodelay(true);
+        let stream = StrictStream {
+            tcp: Some(tcp),
+            closing: closing.clone(),
+        };
+        connection.replace_io(stream).1
     });
     Connector::new().connector(strict)
 }
@@ -64,7 +111,7 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        ready!(Pin::new(&mut self.0).poll_read(cx, buf))?;
+        ready!(self.tcp_mut().poll_read(cx, buf))?;
         let ended = buf.filled().len() == before && buf.remaining() > 0;
         Poll::Ready(if ended {
             Err(io::ErrorKind::UnexpectedEof.into())
@@ -80,15 +127,15 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0).poll_write(cx, buf)
+        self.tcp_mut().poll_write(cx, buf)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_flush(cx)
+        self.tcp_mut().poll_flush(cx)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_shutdown(cx)
+        self.tcp_mut().poll_shutdown(cx)
     }
 
     fn poll_write_vectored(
@@ -96,21 +143,21 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0).poll_write_vectored(cx, bufs)
+        self.tcp_mut().poll_write_vectored(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.0.is_write_vectored()
+        self.tcp().is_write_vectored()
     }
 }
 
 impl ActixStream for StrictStream {
     fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
         // Of the trait: the stream has an inherent method of this name with another result.
-        ActixStream::poll_read_ready(&self.0, cx)
+        ActixStream::poll_read_ready(self.tcp(), cx)
     }
 
     fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        ActixStream::poll_write_ready(&self.0, cx)
+        ActixStream::poll_write_ready(self.tcp(), cx)
     }
 }
