Scenes: a warm-up of 8 s, for all caches to be warm

Cause: in steady state p99 of menus was 159.6 ms under ours at load average 14; after 4 s of warm-up, 1350 requests a second for 15 upstreams that need 200 each, some caches were cold when the measured run began, more so under slow start.

--- a/crates/load/src/scene/plan.rs
+++ b/crates/load/src/scene/plan.rs
@@ -24,8 +24,8 @@
 };
 use steer::Policy;
 
-/// Warm-up where none is stated.
-const WARM_UP_MS: u64 = 4_000;
+/// Warm-up where none is stated: the caches of all upstreams of `measure` are warm after it.
+const WARM_UP_MS: u64 = 8_000;
 
 /// A scene with everything that its file says.
 #[derive(Clone, Debug, PartialEq)]
