jasminectl and jasmine-report: each command against each kind of bad input

A table runs all 16 forms of commands that ask a daemon against no daemon named, none that answers, an address that is none, a missing and an empty key file, and a daemon of another release; another runs all that read a file against four sorts of unreadable ones; jasmine-report's has rows for the same.

--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -31,7 +31,13 @@
 #[derive(ClapArgs, Clone, Debug)]
 pub(crate) struct Global {
     /// Operators' address of a daemon, HOST:PORT; of several, the first that answers is used.
-    #[arg(long, global = true, env = "JASMINE_DAEMON", value_delimiter = ',')]
+    #[arg(
+        long,
+        global = true,
+        env = "JASMINE_DAEMON",
+        value_delimiter = ',',
+        value_parser = op::read_addr
+    )]
     pub(crate) daemon: Vec<String>,
     /// File that holds the operators' key; without it, the variable JASMINE_KEY does.
     #[arg(long, global = true, env = "JASMINE_KEY_FILE")]
--- a/crates/ctl/src/command/change.rs
+++ b/crates/ctl/src/command/change.rs
@@ -4,6 +4,7 @@
     args::ChangeArgs,
     context::Context,
     outcome::{
+        tell,
         Failure,
         Output, //
     },
@@ -61,7 +62,7 @@
 
     /// Asks for the change, waits if it is to, and tells what came of it.
     pub(super) async fn run(&self, change: &impl Change, what: &str) -> Result<Output, Failure> {
-        eprintln!("{what}, accept id {}", self.accept_id);
+        tell(&format!("{what}, accept id {}", self.accept_id));
         let accepted = match self.context.client.change(change).await {
             Ok(accepted) => accepted,
             Err(failure @ op::Failure::Unknown { .. }) => {
@@ -109,7 +110,7 @@
                 Err(failure) => failure.to_string(),
             };
             if progress != shown {
-                eprintln!("{progress}");
+                tell(&progress);
                 shown = progress;
             }
             if Instant::now() >= end {
@@ -132,6 +133,10 @@
         if let Some(file) = &global.key_file {
             line += &format!(" --key-file {}", quoted(&file.display().to_string()));
         }
+        // A repeat may be the one that is accepted, and then its author is the one that is kept.
+        if let Some(author) = &global.author {
+            line += &format!(" --author {}", quoted(author));
+        }
         line += &format!(" {} --accept-id {}", self.command, quoted(&self.accept_id));
         if self.args.wait {
             line += &format!(" --wait --timeout-s {}", self.args.timeout_s);
--- a/crates/ctl/src/command/diff.rs
+++ b/crates/ctl/src/command/diff.rs
@@ -55,7 +55,8 @@
 
 /// Side by its name on the command line: a number is a version, all else a file.
 async fn side(global: &Global, name: &str) -> Result<Side, Failure> {
-    if !name.bytes().all(|byte| byte.is_ascii_digit()) {
+    let is_version = !name.is_empty() && name.bytes().all(|byte| byte.is_ascii_digit());
+    if !is_version {
         let (_, config) = read_config(Path::new(name))?;
         return Ok(Side {
             name: name.to_owned(),
--- a/crates/ctl/src/command/status.rs
+++ b/crates/ctl/src/command/status.rs
@@ -4,6 +4,7 @@
     args::Format,
     context::Context,
     outcome::{
+        tell,
         Failure,
         Output, //
     },
@@ -18,7 +19,8 @@
 use std::{
     io::{
         stdout,
-        IsTerminal, //
+        IsTerminal,
+        Write, //
     },
     time::Duration, //
 };
@@ -36,17 +38,24 @@
         return look(context).await;
     }
     let format = context.global.output;
+    // A wrong address or key would not get better by looking again.
+    let mut looked = Ok(look(context).await?);
     loop {
-        let looked = look(context).await;
         if format == Format::Text && stdout().is_terminal() {
-            print!("{CLEAR}");
+            // The next line fails if this one does.
+            let _ = write!(stdout(), "{CLEAR}");
         }
         match looked {
-            Ok(output) => output.print(format),
+            Ok(output) => {
+                if output.print(format).is_err() {
+                    return Ok(output);
+                }
+            }
             // A daemon that stops is what one may be watching for.
-            Err(failure) => eprintln!("{failure}"),
+            Err(failure) => tell(&Failure::to_string(&failure)),
         }
         actix_rt::time::sleep(Duration::from_secs(interval_s.max(1))).await;
+        looked = look(context).await;
     }
 }
 
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -16,7 +16,10 @@
 
 use crate::{
     args::Args,
-    outcome::Output, //
+    outcome::{
+        tell,
+        Output, //
+    },
 };
 use clap::Parser;
 use std::process::ExitCode;
@@ -26,15 +29,16 @@
     let args = Args::parse();
     let format = args.global.output;
     match command::run(args).await {
-        Ok(output) => {
-            output.print(format);
-            ExitCode::SUCCESS
-        }
+        Ok(output) => match output.print(format) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => outcome::unwritten(&output, &error),
+        },
         Err(failure) => {
             if let Some(output) = failure.output(format) {
-                Output::print(&output, format);
+                // Its message is told anyway.
+                let _ = Output::print(&output, format);
             }
-            eprintln!("{failure}");
+            tell(&failure.to_string());
             failure.code()
         }
     }
--- a/crates/ctl/src/outcome.rs
+++ b/crates/ctl/src/outcome.rs
@@ -9,6 +9,12 @@
 };
 use std::{
     fmt,
+    io::{
+        self,
+        stderr,
+        stdout,
+        Write, //
+    },
     process::ExitCode, //
 };
 
@@ -16,7 +22,7 @@
 const REFUSED: u8 = 1;
 /// Exit code for bad input; nothing was changed.
 const BAD_INPUT: u8 = 2;
-/// Exit code when it is not known whether it was done.
+/// Exit code when it is not known whether it was done, or its result is lost.
 const UNKNOWN: u8 = 3;
 
 /// Result of a command in both forms.
@@ -37,12 +43,39 @@
     }
 
     /// Prints the form that was asked for.
-    pub(crate) fn print(&self, format: Format) {
+    ///
+    /// # Errors
+    ///
+    /// When standard output does not take it.
+    pub(crate) fn print(&self, format: Format) -> io::Result<()> {
+        let mut out = stdout().lock();
         match format {
-            Format::Text => println!("{}", self.text.trim_end()),
-            Format::Json => println!("{:#}", self.json),
+            Format::Text => writeln!(out, "{}", self.text.trim_end())?,
+            Format::Json => writeln!(out, "{:#}", self.json)?,
         }
+        out.flush()
+    }
+}
+
+/// Tells people of progress or of a failure.
+///
+/// Nobody may listen any more, as after `2>&1 | head`. That must not end the command: it may be in
+/// the middle of a change, whose outcome its exit code still has to tell.
+pub(crate) fn tell(line: &str) {
+    let _ = writeln!(stderr(), "{line}");
+}
+
+/// Ends a command that is done and whose result standard output does not take.
+pub(crate) fn unwritten(output: &Output, error: &io::Error) -> ExitCode {
+    if error.kind() == io::ErrorKind::BrokenPipe {
+        // Whoever reads has seen enough.
+        return ExitCode::SUCCESS;
     }
+    tell(&format!(
+        "done, but the result can't be written: {error}\n{}",
+        output.text.trim_end()
+    ));
+    ExitCode::from(UNKNOWN)
 }
 
 /// Why a command was not done, or is not known to be.
--- a/crates/ctl/tests/input.rs
+++ b/crates/ctl/tests/input.rs
@@ -10,10 +10,18 @@
         Write, //
     },
     net::TcpListener,
+    os::{
+        fd::OwnedFd,
+        unix::net::UnixStream, //
+    },
+    process::Stdio,
     thread, //
 };
 use support::{
+    command,
     ctl,
+    end_of,
+    Ran,
     TempFile, //
 };
 
@@ -187,3 +195,139 @@
     a_daemon_that_dies_in_its_answer: "HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\n{\"version"
         => 1, 3, "127.0.0.1";
 }
+
+/// Every command that asks a daemon; `true` if it changes something.
+fn asking(config: &str) -> Vec<(Vec<&str>, bool)> {
+    vec![
+        (vec!["accept", config], false),
+        (vec!["accept", config, "--base", "1"], true),
+        (vec!["accept", config, "--base", "1", "--wait"], true),
+        (vec!["diff", config], false),
+        (vec!["diff", "1", "2"], false),
+        (vec!["drain", "start", "region:arusha"], true),
+        (vec!["drain", "stop", "region:arusha"], true),
+        (vec!["drain", "status"], false),
+        (vec!["history"], false),
+        (vec!["history", "1"], false),
+        (vec!["instances"], false),
+        (vec!["shares"], false),
+        (vec!["status"], false),
+        (vec!["status", "--watch"], false),
+        (vec!["target", "show"], false),
+        (vec!["target", "set", "menu", "--latency-ms", "9"], true),
+    ]
+}
+
+/// Names what is wrong for every command that asks a daemon: options before it, the exit code of a
+/// read and of a change, and what the message says.
+macro_rules! wrong_for_all {
+    ($($name:ident: $options:expr => $read:literal, $change:literal, $message:literal;)*) => {
+        $(
+            /// Symptom: a command that waits for ever, claims success or says nothing of use.
+            /// Sequence: it can't be done at all. Cause: each command has to tell, none is special.
+            #[test]
+            fn $name() {
+                let config = TempFile::new(concat!(stringify!($name), ".yaml"), CONFIG);
+                let empty = TempFile::new(concat!(stringify!($name), ".key"), b"\n");
+                let options: Vec<String> = $options
+                    .iter()
+                    .map(|option| match *option {
+                        "EMPTY" => empty.path().to_owned(),
+                        "OTHER" => parrot("HTTP/1.1 200 OK\r\ncontent-length: 12\r\n\r\n{\"other\": 1}"),
+                        option => option.to_owned(),
+                    })
+                    .collect();
+                for (command, changes) in asking(config.path()) {
+                    let options = options.iter().map(String::as_str);
+                    let args: Vec<&str> = options.chain(command).collect();
+                    let code = if changes { $change } else { $read };
+                    let ran = ctl(&args).expect(code, $message);
+                    assert_eq!(ran.stdout, "", "{args:?}");
+                }
+            }
+        )*
+    };
+}
+
+wrong_for_all! {
+    no_daemon_is_named: [""; 0] => 2, 2, "--daemon HOST:PORT";
+    no_daemon_answers: ["--daemon", NOBODY] => 1, 1, "Connection refused";
+    no_address: ["--daemon", "not an address"] => 2, 2, "HOST:PORT";
+    no_port: ["--daemon", "127.0.0.1"] => 2, 2, "HOST:PORT";
+    no_key_file: ["--daemon", NOBODY, "--key-file", "/nowhere"] => 2, 2, "/nowhere: No such file";
+    no_key_in_it: ["--daemon", NOBODY, "--key-file", "EMPTY"] => 2, 2, "not a key";
+    another_release: ["--daemon", "OTHER"] => 1, 3, "of another release?";
+    no_daemon_then_another_release: ["--daemon", NOBODY, "--daemon", "OTHER"]
+        => 1, 3, "of another release?";
+}
+
+/// Names what stands in place of a file that a command reads.
+macro_rules! wrong_files {
+    ($($name:ident: $text:expr => $message:literal;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let wrong = TempFile::new(concat!(stringify!($name), ".yaml"), $text);
+                let config = TempFile::new(concat!(stringify!($name), "-right.yaml"), CONFIG);
+                let (wrong, right) = (wrong.path(), config.path());
+                for args in [
+                    &["check", wrong][..],
+                    &["accept", wrong],
+                    &["accept", wrong, "--base", "1"],
+                    &["diff", wrong],
+                    &["diff", wrong, right],
+                    &["diff", right, wrong],
+                ] {
+                    let args = [&["--daemon", NOBODY], args].concat();
+                    // Of a file and a daemon that are both wrong, the one that is asked first is
+                    // told, and a file is read before anything is sent.
+                    let code = if args.len() == 4 && args[2] == "diff" { 1 } else { 2 };
+                    let message = if code == 1 { "no daemon answered" } else { $message };
+                    let ran = ctl(&args).expect(code, message);
+                    assert_eq!(ran.stdout, "", "{args:?}");
+                }
+                for args in [
+                    &["check", right, "--blocks", wrong][..],
+                    &["accept", right, "--blocks", wrong, "--base", "1"],
+                ] {
+                    ctl(&[&["--daemon", NOBODY], args].concat()).expect(2, wrong);
+                }
+            }
+        )*
+    };
+}
+
+wrong_files! {
+    a_file_that_ends_in_the_middle: b"name: small\nregions: [{id: arusha, fail" => ":3:1: syntax";
+    a_file_that_is_no_yaml: b"name: [1, {\n" => ".yaml";
+    a_file_of_another_kind: b"- 1\n- 2\n" => ":1:1";
+    a_file_without_text: &[0xff, 0xfe, 0x00] => "UTF-8";
+}
+
+/// Runs `jasminectl` to its end, its results and messages going somewhere.
+fn ctl_into(args: &[&str], results: Stdio, messages: Stdio) -> Ran {
+    let mut command = command(args);
+    end_of(command.stdout(results).stderr(messages).spawn().unwrap())
+}
+
+/// A stream that nobody reads any more.
+fn closed() -> Stdio {
+    let (_reader, writer) = UnixStream::pair().unwrap();
+    OwnedFd::from(writer).into()
+}
+
+/// Symptom: a script goes on although the result is lost, or a command dies in the middle of its
+/// change. Sequence: standard output is a full disk, or its reader is gone. Cause: a failed write
+/// of the result, or of progress, is taken for none, or for the end.
+#[test]
+fn results_that_are_not_taken_are_told() {
+    let config = TempFile::new("taken.yaml", CONFIG);
+    let full = || std::fs::File::create("/dev/full").unwrap();
+    for command in [&["check", config.path()][..], &["completions", "bash"]] {
+        let ran = ctl_into(command, full().into(), Stdio::piped());
+        ran.expect(3, "done, but the result can't be written");
+        ctl_into(command, closed(), Stdio::piped()).expect(0, "");
+    }
+    let change = ["--daemon", NOBODY, "drain", "start", "region:arusha"];
+    ctl_into(&change, Stdio::piped(), closed()).expect(1, "");
+}
--- a/crates/ctl/tests/support/mod.rs
+++ b/crates/ctl/tests/support/mod.rs
@@ -58,7 +58,8 @@
     }
 }
 
-fn command(args: &[&str]) -> Command {
+/// `jasminectl` with these arguments, without any input.
+pub(crate) fn command(args: &[&str]) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_jasminectl"));
     // Nothing of the tester's own surroundings may decide.
     for variable in [
--- a/crates/ctl/tests/system.rs
+++ b/crates/ctl/tests/system.rs
@@ -478,7 +478,7 @@
     let file = config_named(&rig, "key");
     let right = TempFile::new("right.key", format!("{key}\n").as_bytes());
     let wrong = TempFile::new("wrong.key", b"another-key-of-the-same-sort\n");
-    let commands: [&[&str]; 9] = [
+    let commands: [&[&str]; 15] = [
         &["accept", file.path()],
         &["accept", file.path(), "--base", "1"],
         &["status"],
@@ -488,6 +488,12 @@
         &["drain", "status"],
         &["target", "set", "menu", "--latency-ms", "9"],
         &["shares"],
+        &["drain", "stop", "region:arusha"],
+        &["history", "1"],
+        &["instances"],
+        &["status", "--watch"],
+        &["target", "show"],
+        &["accept", file.path(), "--base", "1", "--wait"],
     ];
     for command in commands {
         for keys in [&[][..], &["--key-file", wrong.path()]] {
--- a/crates/op/src/lib.rs
+++ b/crates/op/src/lib.rs
@@ -41,6 +41,7 @@
     ClassBurn,
 };
 pub use client::{
+    read_addr,
     Change,
     Client,
     Daemon,
--- a/crates/report/src/bin/jasmine-report.rs
+++ b/crates/report/src/bin/jasmine-report.rs
@@ -1,7 +1,7 @@
 //! `jasmine-report`: asks all daemons for their counts and shows the burn of each class.
 //!
 //! Exit codes: 0 a report was made, even if some daemons did not answer (they are named in it);
-//! 1 no daemon answered; 2 bad input.
+//! 1 no daemon answered; 2 bad input, or the report can't be written.
 
 use clap::{
     Parser,
@@ -19,6 +19,12 @@
 };
 use std::{
     fs,
+    io::{
+        self,
+        stderr,
+        stdout,
+        Write, //
+    },
     path::PathBuf,
     process::ExitCode,
     time::{
@@ -38,7 +44,13 @@
 #[command(name = "jasmine-report", version)]
 struct Args {
     /// Operators' address of a daemon, HOST:PORT; the others are found through it.
-    #[arg(long, env = "JASMINE_DAEMON", required = true, value_delimiter = ',')]
+    #[arg(
+        long,
+        env = "JASMINE_DAEMON",
+        required = true,
+        value_delimiter = ',',
+        value_parser = op::read_addr
+    )]
     daemon: Vec<String>,
     /// Ask only the daemons that are named.
     #[arg(long)]
@@ -87,7 +99,11 @@
         Format::Html => report.html(),
     };
     match args.to {
-        None => print!("{text}"),
+        None => {
+            if let Err(error) = print(&text) {
+                return fail(BAD_INPUT, &format!("standard output: {error}"));
+            }
+        }
         Some(file) => {
             if let Err(error) = fs::write(&file, text) {
                 return fail(BAD_INPUT, &format!("{}: {error}", file.display()));
@@ -143,7 +159,18 @@
     }
 }
 
+/// Prints the report; who reads it may stop in the middle.
+fn print(text: &str) -> io::Result<()> {
+    let mut out = stdout().lock();
+    let printed = out.write_all(text.as_bytes()).and_then(|()| out.flush());
+    match printed {
+        Err(error) if error.kind() != io::ErrorKind::BrokenPipe => Err(error),
+        _ => Ok(()),
+    }
+}
+
 fn fail(code: u8, message: &str) -> ExitCode {
-    eprintln!("{message}");
+    // Nobody may listen; the code tells as much.
+    let _ = writeln!(stderr(), "{message}");
     ExitCode::from(code)
 }
--- a/crates/report/tests/system.rs
+++ b/crates/report/tests/system.rs
@@ -6,16 +6,23 @@
 };
 use serde_json::Value;
 use std::{
+    env,
+    fs,
     io::{
         Read,
         Write, //
     },
-    net::TcpStream,
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
     process::{
+        self,
         Command,
         Output,
         Stdio, //
     },
+    thread, //
 };
 
 fn run(args: &[&str]) -> Output {
@@ -95,17 +102,44 @@
     assert!(text(&output.stdout).contains("<svg"), "{output:?}");
 }
 
+/// Answers every connection as a daemon of another release might.
+fn another_release() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap().to_string();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let _ = stream.read(&mut [0; 8192]);
+            let _ =
+                stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 12\r\n\r\n{\"other\": 1}");
+        }
+    });
+    addr
+}
+
 #[test]
 fn bad_input_and_no_daemon_are_told() {
+    let other = another_release();
+    let empty = env::temp_dir().join(format!("jasmine-report-{}.key", process::id()));
+    fs::write(&empty, "\n").unwrap();
+    let empty_key = empty.to_str().unwrap();
     for (args, code, message) in [
         (&[][..], 2, "--daemon"),
         (&["--daemon", "127.0.0.1:9"], 1, "127.0.0.1:9"),
         (&["--daemon", "127.0.0.1:9", "--only"], 1, "127.0.0.1:9"),
+        (&["--daemon", "not an address"], 2, "HOST:PORT"),
+        (&["--daemon", &other], 1, "of another release?"),
+        (&["--daemon", &other, "--only"], 1, "of another release?"),
         (
             &["--daemon", "127.0.0.1:9", "--key-file", "/nowhere"],
             2,
             "/nowhere",
         ),
+        (
+            &["--daemon", "127.0.0.1:9", "--key-file", empty_key],
+            2,
+            "not a key",
+        ),
     ] {
         let output = run(args);
         assert_eq!(output.status.code(), Some(code), "{args:?} {output:?}");
@@ -115,4 +149,51 @@
         );
         assert!(output.stdout.is_empty(), "{args:?}");
     }
+    fs::remove_file(empty).unwrap();
+}
+
+/// Symptom: a job that keeps reports goes on although there is none. Sequence: the report is made,
+/// then the file can't be written, or the key is another one. Cause: a failure that comes late.
+#[test]
+fn a_report_that_is_made_and_lost_is_told() {
+    let key = "the-operators-key-of-the-rig";
+    let rig = Rig::start(Layout {
+        operator_key: Some(key),
+        ..Layout::one_region()
+    })
+    .unwrap();
+    let daemon = rig.daemons["arusha-0"].operator.clone();
+    let file =
+        |name: &str| env::temp_dir().join(format!("jasmine-report-{}-{name}", process::id()));
+    let (right, wrong) = (file("right"), file("wrong"));
+    fs::write(&right, key).unwrap();
+    fs::write(&wrong, "another-key-of-the-same-sort").unwrap();
+    let (right, wrong) = (right.to_str().unwrap(), wrong.to_str().unwrap());
+    let at = |args: &[&str]| run(&[&["--daemon", &daemon], args].concat());
+    for (args, code, message) in [
+        (&["--key-file", right][..], 0, ""),
+        (&["--key-file", right, "--to", "/dev/full"], 2, "/dev/full"),
+        (
+            &["--key-file", right, "--to", "/nowhere/x"],
+            2,
+            "/nowhere/x",
+        ),
+        (&["--key-file", wrong], 1, "key is missing or wrong"),
+        (
+            &["--key-file", wrong, "--only"],
+            1,
+            "key is missing or wrong",
+        ),
+        (&[], 1, "key is missing or wrong"),
+    ] {
+        let output = at(args);
+        assert_eq!(output.status.code(), Some(code), "{args:?} {output:?}");
+        let messages = text(&output.stderr);
+        assert!(messages.contains(message), "{args:?} {output:?}");
+        assert!(!messages.contains("another-key"), "{args:?} {output:?}");
+        assert_eq!(output.stdout.is_empty(), code != 0, "{args:?}");
+    }
+    for file in [right, wrong] {
+        fs::remove_file(file).unwrap();
+    }
 }
