An upstream that has proven itself no longer looks slow

Cause, from a log of the ramp at each tick (trial build): a trickle that had ended left the moving average of latency at 322 ms for an upstream of 100 ms; the choice goes by load times latency, so that it got a request in 0.7 s, and the four answers that open the next slot took seconds. Ruled out: shares (2 to 4 slots owned all the while), the budget (probes were no longer asked for). Change: when a trickle or a suspicion ends by proof, the average begins anew at what was proven. The tables' lines for six probes keep them by settings of their own; the line that said 2 for 1 says 1 again.

--- a/crates/daemon/src/process/control/steering/upstreams.rs
+++ b/crates/daemon/src/process/control/steering/upstreams.rs
@@ -116,11 +116,15 @@
         let freshness = self.freshness(now);
         let phase = self.ramp.phase();
         self.ramp.observe(now, &seen, usable, freshness);
+        if phase == RampPhase::Trickle && self.ramp.phase() == RampPhase::Opening {
+            self.forget_slowness(self.ramp.warm_latency());
+        }
         let verdict = self.suspect.observe(now, &seen, others.typical, phase);
         match verdict {
             Some(Suspicion::Raised) => self.log("upstream suspected"),
             Some(Suspicion::Cleared) => {
                 self.log("upstream trusted again");
+                self.forget_slowness(others.typical);
                 let cause = RampCause::Silence;
                 self.ramp
                     .restart(now, cause, others.typical, others.will_do);
@@ -129,6 +133,17 @@
         }
     }
 
+    /// Lets its probes, which were near `proven`, stand for what was seen of it before.
+    ///
+    /// The moving average still holds the slow answers, and the choice of an upstream goes by it:
+    /// little is sent to one that looks slow, so that the average hardly moves. One would notice an
+    /// upstream that gets a request a second, for many seconds after it has proven itself.
+    fn forget_slowness(&self, proven: Option<Duration>) {
+        if let Some(latency) = proven {
+            self.upstream.seen.reset_latency(latency);
+        }
+    }
+
     fn note_probe(&mut self, now: Now) {
         if self.offered && !self.upstream.probe_due() {
             self.offered = false;
--- a/crates/daemon/src/process/pool/seen.rs
+++ b/crates/daemon/src/process/pool/seen.rs
@@ -64,6 +64,11 @@
         self.shed.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Begins the moving average of latency anew.
+    pub(crate) fn reset_latency(&self, latency: Duration) {
+        self.latency_us.store(to_us(latency), Ordering::Relaxed);
+    }
+
     /// Moving average of latency; zero before the first answer.
     pub(crate) fn latency(&self) -> Duration {
         Duration::from_micros(self.latency_us.load(Ordering::Relaxed))
--- a/crates/steer/src/ramp.rs
+++ b/crates/steer/src/ramp.rs
@@ -37,12 +37,15 @@
     Warm,
 }
 
+/// Probes that an upstream answers one by one before it gets several at a time.
+const FIRST_PROBES: usize = 2;
+
 /// Pace of slow start.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct RampSettings {
     /// Least time between two probes of a trickle.
     pub trickle_gap: Duration,
-    /// Most probes of a trickle in flight.
+    /// Most probes of a trickle in flight, once it has answered a few.
     pub trickle_limit: u32,
     /// Last probes whose mean latency is judged; near the warm one it ends the trickle.
     pub trickle_answers: u32,
@@ -60,20 +63,25 @@
     pub stuck_after: Duration,
 }
 
+impl RampSettings {
+    /// The pace that holds unless another is given.
+    pub const DEFAULT: Self = Self {
+        // Below the 100 ms at which probes are offered, or each would wait for a second turn.
+        trickle_gap: Duration::from_millis(50),
+        trickle_limit: 2,
+        trickle_answers: 4,
+        first_limit: 2,
+        answers_per_slot: 2,
+        near_permille: 1250,
+        fall_permille: 1500,
+        hold: Duration::from_millis(500),
+        stuck_after: Duration::from_secs(30),
+    };
+}
+
 impl Default for RampSettings {
     fn default() -> Self {
-        Self {
-            // Below the 100 ms at which probes are offered, or each would wait for a second turn.
-            trickle_gap: Duration::from_millis(50),
-            trickle_limit: 2,
-            trickle_answers: 6,
-            first_limit: 2,
-            answers_per_slot: 2,
-            near_permille: 1250,
-            fall_permille: 1500,
-            hold: Duration::from_millis(500),
-            stuck_after: Duration::from_secs(30),
-        }
+        Self::DEFAULT
     }
 }
 
@@ -198,7 +206,7 @@
     fn trickle(&mut self) {
         self.phase = RampPhase::Trickle;
         self.probes.clear();
-        self.limit = self.settings.trickle_limit.max(1);
+        self.limit = 1;
     }
 
     fn open(&mut self) {
@@ -213,7 +221,7 @@
     /// last cold ones spoil would put the end of the trickle off by seconds.
     fn judge_probes(&mut self, now: Now, seen: &Seen, freshness: Freshness) {
         if seen.failures() > 0 {
-            self.probes.clear();
+            self.trickle();
             return;
         }
         let Some(latency) = seen.mean_latency() else {
@@ -223,6 +231,9 @@
         for _ in 0..seen.answers.min(judged) {
             self.probes.push_back(latency);
         }
+        if self.probes.len() >= FIRST_PROBES {
+            self.limit = self.settings.trickle_limit.max(1);
+        }
         while self.probes.len() > judged as usize {
             self.probes.pop_front();
         }
--- a/crates/steer/tests/tables.rs
+++ b/crates/steer/tests/tables.rs
@@ -72,11 +72,16 @@
     report_of_endless_queue_leaves_one: reported(0, 9999).limit() => 1;
 }
 
+const SIX_PROBES: RampSettings = RampSettings {
+    trickle_answers: 6,
+    ..RampSettings::DEFAULT
+};
+
 /// Symptom: a region returns and its lookups slow down as the load arrives. Sequence: cold start,
 /// slow probes, then near ones, then full windows. Cause: slots opened faster than the cache warmed.
 #[test]
 fn ramp_follows_latency() {
-    let mut ramp = Ramp::warm(RampSettings::default());
+    let mut ramp = Ramp::warm(SIX_PROBES);
     ramp.observe(ms(0), &Seen::answer(ms(10)), 3, Freshness::Fresh);
     ramp.restart(ms(0), RampCause::ColdStart, None, true);
     assert!(ramp.probe_due(ms(0)));
@@ -100,14 +105,18 @@
     assert_eq!(step(&mut ramp, 1050, 10, 6), (RampPhase::Warm, NO_LIMIT));
     ramp.restart(ms(2000), RampCause::RegionReturn, None, true);
     assert_eq!(step(&mut ramp, 2000, 10, 6), (RampPhase::Opening, 2));
-    assert_eq!(step(&mut ramp, 2010, 16, 4), (RampPhase::Trickle, 2));
+    assert_eq!(step(&mut ramp, 2010, 16, 4), (RampPhase::Trickle, 1));
+    assert_eq!(step(&mut ramp, 2020, 50, 1), (RampPhase::Trickle, 1));
+    assert_eq!(step(&mut ramp, 2030, 50, 1), (RampPhase::Trickle, 2));
+    ramp.observe(ms(2040), &failed(1, 0, 0), 3, Freshness::Fresh);
+    assert_eq!((ramp.phase(), ramp.limit()), (RampPhase::Trickle, 1));
 }
 
 /// Symptom: an upstream that is warm gets only probes for seconds. Sequence: five cold probes, then
 /// warm ones. Cause: a window that holds both is judged, found slow and dropped as a whole.
 #[test]
 fn trickle_ends_six_probes_after_the_last_cold_one() {
-    let mut ramp = Ramp::warm(RampSettings::default());
+    let mut ramp = Ramp::warm(SIX_PROBES);
     ramp.observe(ms(0), &Seen::answer(ms(10)), 3, Freshness::Fresh);
     ramp.restart(ms(0), RampCause::ColdStart, None, true);
     let mut probe = |latency| {
