Bad bodies, web sockets and wrong methods get one clear answer

Cause, seen by sending odd bytes to a daemon of: a chunk without a length closes the connection with no answer, uncounted (the library drops connection and request); a request for a web socket is answered 504 at the class's deadline, because the library takes all that may still come for its body; /v1/live, /v1/ready and /metrics take any method (DELETE /v1/ready: 200).

Change: a connection that the library leaves without ending it had such a body, which is its only reason; it is counted, and its request, if it has no answer yet, gets 400 with `unknown`, since what came before may have gone to an upstream. Web sockets are refused at once with not-run. The three pages take GET and HEAD. The counter is now jasmine_malformed_requests_total, by head, oversized-head and body.

--- a/crates/daemon/src/connection/wire.rs
+++ b/crates/daemon/src/connection/wire.rs
@@ -47,7 +47,9 @@
 pub(super) struct Wire {
     stream: TcpStream,
     held: BytesMut,
+    ended: bool,
     other_ended: bool,
+    awaited: bool,
 }
 
 impl Wire {
@@ -56,15 +58,37 @@
         Self {
             stream,
             held: BytesMut::new(),
+            ended: false,
             other_ended: false,
+            awaited: false,
         }
     }
 
+    /// Whether the sending side has been ended.
+    pub(super) fn ended(&self) -> bool {
+        self.ended
+    }
+
     /// Whether the other end has been read to its end.
     pub(super) fn other_ended(&self) -> bool {
         self.other_ended
     }
 
+    /// Whether a request has no answer yet.
+    pub(super) fn awaited(&self) -> bool {
+        self.awaited
+    }
+
+    /// Notes that a request waits for its answer, or does no longer.
+    pub(super) fn set_awaited(&mut self, awaited: bool) {
+        self.awaited = awaited;
+    }
+
+    /// Where to put what is to be sent.
+    pub(super) fn held(&mut self) -> &mut BytesMut {
+        &mut self.held
+    }
+
     /// Sends what is kept back.
     pub(super) fn poll_send(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         while !self.held.is_empty() {
@@ -90,6 +114,7 @@
 
     /// Ends the sending side.
     pub(super) fn poll_end(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.ended = true;
         ready!(self.poll_send(cx))?;
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
--- a/crates/daemon/src/process/metric.rs
+++ b/crates/daemon/src/process/metric.rs
@@ -57,8 +57,8 @@
         "Requests answered, by what the answer claims.";
     REASONS = "jasmine_own_answers_total", Counter, "answers", "reason",
         "Answers of the system's own, by reason.";
-    REFUSED_HEADS = "jasmine_refused_heads_total", Counter, "heads", "reason",
-        "Requests refused for a head that is no HTTP or too long, by reason.";
+    MALFORMED = "jasmine_malformed_requests_total", Counter, "requests", "reason",
+        "Requests that are no HTTP, by what is wrong: head, oversized-head, body.";
     LATENCY = "jasmine_request_seconds", Histogram, "seconds", "class",
         "Time from a request's head to its answer's last byte here, done requests only.";
     RETRIES = "jasmine_retries_total", Counter, "attempts", "class",
--- a/crates/daemon/src/request/input.rs
+++ b/crates/daemon/src/request/input.rs
@@ -12,7 +12,10 @@
     header, //
 };
 use actix_web::{
-    http::header::HeaderMap,
+    http::header::{
+        HeaderMap,
+        UPGRADE, //
+    },
     web, //
 };
 use bytestring::ByteString;
@@ -28,6 +31,23 @@
 /// Longest idempotency key, in bytes.
 pub const KEY_MAX_BYTES: usize = 200;
 
+/// Refuses a request that asks to change the protocol.
+///
+/// What goes wrong otherwise: the HTTP library takes all that may still come for the body, and the
+/// caller is answered at the deadline only.
+///
+/// # Errors
+///
+/// It asks for a web socket; other offers to upgrade may be passed over, and are.
+pub fn protocol(headers: &HeaderMap) -> Result<(), Answer> {
+    let asked = headers.get(UPGRADE).map(|value| value.as_bytes());
+    if asked.is_some_and(|asked| asked.eq_ignore_ascii_case(b"websocket")) {
+        let detail = "upgrade: no web sockets are served here";
+        return Err(Answer::not_run(Reason::BadRequest, detail));
+    }
+    Ok(())
+}
+
 /// The time that the caller still waits, if he says so.
 ///
 /// # Errors
--- a/crates/daemon/src/request/mod.rs
+++ b/crates/daemon/src/request/mod.rs
@@ -46,9 +46,12 @@
 };
 use ::filing::Ticket;
 use actix_web::{
+    guard,
     web,
     HttpRequest,
-    HttpResponse, //
+    HttpResponse,
+    Resource,
+    Route, //
 };
 use base::{
     ClassId,
@@ -185,12 +188,22 @@
         )
         .service(web::resource("/v1/work/{class}").to(work::work))
         .service(web::resource("/v1/work/{class}/{path:.*}").to(work::work))
-        .service(web::resource("/v1/live").to(live))
-        .service(web::resource("/v1/ready").to(ready))
-        .service(web::resource("/metrics").to(metrics))
+        .service(page("/v1/live", reading().to(live)))
+        .service(page("/v1/ready", reading().to(ready)))
+        .service(page("/metrics", reading().to(metrics)))
         .default_service(web::to(no_such_path));
 }
 
+fn page(path: &str, route: Route) -> Resource {
+    let page = web::resource(path).route(route);
+    page.default_service(web::to(wrong_method))
+}
+
+/// Route of a page that a check of health may ask for without its body.
+fn reading() -> Route {
+    web::route().guard(guard::Any(guard::Get()).or(guard::Head()))
+}
+
 async fn live() -> HttpResponse {
     HttpResponse::Ok().body("live\n")
 }
--- a/crates/daemon/src/request/work.rs
+++ b/crates/daemon/src/request/work.rs
@@ -156,7 +156,7 @@
         request: &HttpRequest,
         payload: web::Payload,
     ) -> Result<HttpResponse, Answer> {
-        let read = self.read_deadline(request);
+        let read = self.read_headers(request);
         self.traffic.budget.borrow_mut().offer();
         if !self.class.class.idempotent && !self.forwarded {
             // The ledger is the judge of filings, also of those that are refused.
@@ -172,7 +172,8 @@
         Ok(self.pass_on(carried))
     }
 
-    fn read_deadline(&mut self, request: &HttpRequest) -> Result<(), Answer> {
+    fn read_headers(&mut self, request: &HttpRequest) -> Result<(), Answer> {
+        input::protocol(request.headers())?;
         let asked = input::deadline(request.headers())?;
         self.deadline = Deadline::of_caller(self.started, asked, self.class.class.deadline);
         Ok(())
--- a/crates/daemon/tests/input.rs
+++ b/crates/daemon/tests/input.rs
@@ -36,6 +36,7 @@
 const DEADLINE: &str = "jasmine-deadline-ms";
 const FORWARD: &str = "jasmine-forward";
 const REQUEST: &str = "jasmine-request";
+const UPGRADE: &str = "upgrade";
 
 /// Headers of those values that HTTP lets through.
 fn headers(given: &[(&'static str, &[u8])]) -> HeaderMap {
@@ -81,6 +82,9 @@
 
 /// Reads all that the headers of work can say.
 fn read(headers: &HeaderMap) {
+    if let Err(answer) = input::protocol(headers) {
+        refused(&answer);
+    }
     match input::deadline(headers) {
         Ok(None) => assert!(!headers.contains_key(DEADLINE)),
         Ok(Some(left)) => assert!(left >= Duration::from_millis(1)),
@@ -101,9 +105,9 @@
     let forward_key = forward_key();
     bolero::check!()
         .with_iterations(ITERATIONS)
-        .with_type::<([Option<Vec<u8>>; 5], Vec<u8>)>()
+        .with_type::<([Option<Vec<u8>>; 6], Vec<u8>)>()
         .for_each(|(values, class)| {
-            let names = [TICKET, IDEMPOTENCY_KEY, DEADLINE, FORWARD, REQUEST];
+            let names = [TICKET, IDEMPOTENCY_KEY, DEADLINE, FORWARD, REQUEST, UPGRADE];
             let given: Vec<_> = names
                 .into_iter()
                 .zip(values)
--- a/crates/rig/tests/input.rs
+++ b/crates/rig/tests/input.rs
@@ -30,6 +30,7 @@
     status: u16,
     /// Text that the answer must hold.
     says: &'static str,
+    outcome: &'static str,
 }
 
 fn row(name: &'static str, request: impl Into<String>, status: u16, says: &'static str) -> Row {
@@ -38,6 +39,7 @@
         request: request.into(),
         status,
         says,
+        outcome: "not-run",
     }
 }
 
@@ -55,11 +57,11 @@
     let head = |lines: &str| format!("POST /v1/work/menu/x HTTP/1.1\r\nhost: x\r\n{lines}\r\n");
     let malformed = |name, request: String| {
         let row = row(name, request, 400, "400 Bad Request");
-        (row, "malformed")
+        (row, "head")
     };
     let oversized = |name, request: String| {
         let row = row(name, request, 431, "431 Request Header Fields Too Large");
-        (row, "oversized")
+        (row, "oversized-head")
     };
     vec![
         malformed("no request line", "HELLO\r\n\r\n".into()),
@@ -113,6 +115,21 @@
             400,
             "only GET is served here",
         ),
+        row(
+            "wrong method of a page",
+            post("/v1/ready", ""),
+            400,
+            "only GET is served here",
+        ),
+        row(
+            "web socket",
+            post(
+                "/v1/work/menu/x",
+                "upgrade: websocket\r\nconnection: upgrade\r\n",
+            ),
+            400,
+            "no web sockets",
+        ),
         row(
             "deadline that is none",
             post("/v1/work/menu/x", "jasmine-deadline-ms: soon\r\n"),
@@ -174,12 +191,13 @@
 fn fault(addr: &str, row: &Row) -> Option<String> {
     let (status, text) = send_raw(addr, &row.request);
     let answers = text.matches("HTTP/1.1 ").count();
-    let claims = text.matches("jasmine-outcome: not-run\r\n").count();
+    let claim = format!("jasmine-outcome: {}\r\n", row.outcome);
+    let claims = text.matches(&claim).count();
     let good = status == row.status && text.contains(row.says) && answers == 1 && claims == 1;
     (!good).then(|| {
         format!(
-            "{}: wanted one answer, not-run, {} {:?}, got {text}",
-            row.name, row.status, row.says
+            "{}: wanted one answer, {}, {} {:?}, got {text}",
+            row.name, row.outcome, row.status, row.says
         )
     })
 }
@@ -215,29 +233,69 @@
     assert_eq!(status, 200, "{text}");
 }
 
-/// Symptom: a caller whose proxy mangles heads gets a 400 that says nothing of the run, and no
-/// operator sees it. Sequence: a head comes that is no HTTP, or is too long. Cause: the HTTP
-/// library refuses it before anything of ours is asked.
-#[test]
-fn each_head_that_is_no_http_gets_one_clear_answer_and_is_counted() {
-    let rig = Rig::start(Layout::two_regions()).unwrap();
-    let addr = rig.daemons["arusha-0"].callers.as_str();
+/// Sends what is no HTTP, and checks the answers and their counters.
+fn malformed(addr: &str, rows: &[(Row, &str)]) {
     let mut wrong = Vec::new();
-    for (row, reason) in refused_heads() {
-        let name = format!("jasmine_refused_heads_total{{reason=\"{reason}\"}}");
+    for (row, reason) in rows {
+        let name = format!("jasmine_malformed_requests_total{{reason=\"{reason}\"}}");
         let before = counter(addr, &name);
-        wrong.extend(fault(addr, &row));
+        wrong.extend(fault(addr, row));
         let counted = counter(addr, &name) - before;
         if counted != 1 {
             wrong.push(format!("{}: counted {counted} times", row.name));
         }
     }
     assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+}
+
+/// Symptom: a caller whose proxy mangles heads gets a 400 that says nothing of the run, and no
+/// operator sees it. Sequence: a head comes that is no HTTP, or is too long. Cause: the HTTP
+/// library refuses it before anything of ours is asked.
+#[test]
+fn each_head_that_is_no_http_gets_one_clear_answer_and_is_counted() {
+    let rig = Rig::start(Layout::two_regions()).unwrap();
+    let addr = rig.daemons["arusha-0"].callers.as_str();
+    malformed(addr, &refused_heads());
     assert_eq!(rig.ran(), 0, "an upstream ran something");
     let (status, text) = send_raw(addr, &get("/v1/work/menu/today"));
     assert_eq!(status, 200, "{text}");
 }
 
+/// Symptom: a caller whose proxy mangles bodies sees nothing but a closed connection, and no
+/// operator sees it. Sequence: a chunk comes without a length. Cause: the HTTP library drops the
+/// connection. What came before the chunk may have gone to an upstream.
+#[test]
+fn each_body_that_is_no_http_gets_one_clear_answer_and_is_counted() {
+    let rig = Rig::start(Layout::two_regions()).unwrap();
+    let addr = rig.daemons["arusha-0"].callers.as_str();
+    let chunked = |line: &str, body: &str| {
+        format!("{line} HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n{body}")
+    };
+    let unknown = |name, body: &str| Row {
+        outcome: "unknown",
+        ..row(
+            name,
+            chunked("POST /v1/work/menu/x", body),
+            400,
+            "400 Bad Request",
+        )
+    };
+    let look_up = chunked("GET /v1/entries", "rice\r\n");
+    malformed(
+        addr,
+        &[
+            (unknown("first chunk", "rice\r\n"), "body"),
+            (unknown("later chunk", "3\r\nabc\r\nrice\r\n"), "body"),
+            (
+                row("answered before", look_up, 400, "class: missing"),
+                "body",
+            ),
+        ],
+    );
+    let (status, text) = send_raw(addr, &get("/v1/work/menu/today"));
+    assert_eq!(status, 200, "{text}");
+}
+
 /// Symptom: a good request's caller gets no answer, or one that says `not-run` of what ran.
 /// Sequence: bytes that are no HTTP follow a good request on its connection, as after a length that
 /// is too short. Cause: the refusal of what follows is taken for the request's answer.
