--- a/crates/daemon/src/process/control/config/adopt.rs
+++ b/crates/daemon/src/process/control/config/adopt.rs
@@ -229,6 +229,7 @@
         let is_ready = self.versions.adopt.as_ref().is_some_and(Adopt::is_ready);
         if self.stage == Stage::Starting && is_ready && self.shares_joined() {
             self.stage = Stage::Serving;
+            spdlog::info!("serving", kv: { version = self.version() });
             self.publish();
             self.beat_soon();
         }
--- a/crates/daemon/src/process/control/stopping.rs
+++ b/crates/daemon/src/process/control/stopping.rs
@@ -2,7 +2,8 @@
 //!
 //! [`Withdrawn`] is out of look-up answers and waits until callers have forgotten the older ones.
 //! [`Draining`] answers new work `not-run` and finishes what is in flight. [`HandingOver`] gives
-//! the records of filings to a successor. [`Releasing`] gives tokens and lease back. Each stage can
+//! the records of filings to a successor. [`Releasing`] gives tokens and lease back; then only the
+//! goodbyes to other daemons are left ([`Stopping::Closing`]). Each stage can
 //! only become the next one, so no request is cut because a step came too early. A second signal
 //! changes nothing; the limit of the whole stop is a setting, and running into it is reported.
 
@@ -15,10 +16,12 @@
 };
 use actix::{
     ActorContext,
+    ActorFutureExt,
     AsyncContext,
     Context,
     Handler,
-    Message, //
+    Message,
+    WrapFuture, //
 };
 use base::Now;
 use std::time::Duration;
@@ -69,6 +72,11 @@
     Draining(Draining),
     HandingOver(HandingOver),
     Releasing(Releasing),
+    /// All is given back; other daemons are told.
+    ///
+    /// A tick that released again would end the process before the goodbyes are out, and log the
+    /// end twice. Others would then hear of it only by their own dials that fail.
+    Closing,
 }
 
 impl Withdrawn {
@@ -149,10 +157,8 @@
                     self.stopping
                 }
             }
-            Some(Stopping::Releasing(stage)) => {
-                self.tick_releasing(stage, now, ctx);
-                self.stopping
-            }
+            Some(Stopping::Releasing(stage)) => Some(self.tick_releasing(stage, now, ctx)),
+            Some(Stopping::Closing) => self.stopping,
         };
     }
 
@@ -168,17 +174,17 @@
         Stopping::HandingOver(stage.hand_over(now))
     }
 
-    fn tick_releasing(&mut self, stage: Releasing, now: Now, ctx: &mut Context<Self>) {
+    fn tick_releasing(&mut self, stage: Releasing, now: Now, ctx: &mut Context<Self>) -> Stopping {
         let over = now >= stage.limit;
         if !self.shares_released() && !over {
-            return;
+            return Stopping::Releasing(stage);
         }
         let Lease::Held(held) = &mut self.lease else {
-            return;
+            return Stopping::Releasing(stage);
         };
         held.holder.release();
         if !held.holder.is_released() && !over {
-            return;
+            return Stopping::Releasing(stage);
         }
         let released = held.holder.is_released();
         spdlog::info!("stopped", kv: { released });
@@ -186,10 +192,11 @@
         self.tick_beats();
         match self.mesh.take() {
             Some(mesh) => {
-                ctx.run_later(GOODBYE_LIMIT * 2, |_, ctx| ctx.stop());
-                actix_rt::spawn(mesh.close(GOODBYE_LIMIT));
+                let closed = mesh.close(GOODBYE_LIMIT).into_actor(self);
+                ctx.spawn(closed.map(|(), _, ctx| ctx.stop()));
             }
             None => ctx.stop(),
         }
+        Stopping::Closing
     }
 }
