--- a/measure/control.sh
+++ b/measure/control.sh
@@ -24,8 +24,6 @@
     } >"$DIR/scene.yaml"
 }
 
-platform_counts() { curl -s "http://$PLATFORM/counters" | jq -c '[.reads, .commits, .conflicts, .lists]'; }
-
 # Looks at every daemon's picture ten times: instances seen, and those of them that are not fresh
 # and that are silent.
 picture() {
@@ -47,7 +45,7 @@
     sample >"$DIR/after"
     platform_counts >"$DIR/counts2"
     reads=$(jq -rs --argjson t "$(($(awk 'NR==1{print int($2*100)}' "$DIR/after") - $(awk 'NR==1{print int($2*100)}' "$DIR/before")))" \
-        '[.[0], .[1]] | transpose | map((.[1] - .[0]) * 100 / $t | . * 10 | round / 10) | map(tostring) | join(" / ")' \
+        '[.[0][:4], .[1][:4]] | transpose | map((.[1] - .[0]) * 100 / $t | . * 10 | round / 10) | map(tostring) | join(" / ")' \
         "$DIR/counts1" "$DIR/counts2")
     echo "| $DAEMONS | $REGIONS×$DOMAINS | $1 | $(compare "$DIR/before" "$DIR/after") | $reads | $(picture) |"
 }
--- a/measure/lib.sh
+++ b/measure/lib.sh
@@ -13,6 +13,8 @@
 DIR=$(mktemp -d "${TMPDIR:-/tmp}/jasmine-measure.XXXXXX")
 PIDS=()
 DAEMON_PIDS=()
+# Numbers of daemons that are down on purpose; they are not sampled.
+declare -A DOWN=()
 NET=$((RANDOM % 150 + 64))
 # Settings of daemons that differ from the defaults, as lines of YAML.
 TERMS=${TERMS:-}
@@ -189,6 +191,12 @@
     for ((i = 0; i < DAEMONS; i++)); do wait_ready "$i"; done
 }
 
+# What the platform was asked for so far, as a JSON list: reads, commits, conflicts, list reads,
+# objects read or stored.
+platform_counts() {
+    curl -s "http://$PLATFORM/counters" | jq -c '[.reads, .commits, .conflicts, .lists, .objects]'
+}
+
 # Nanoseconds that thread $2 of process $1 was on a processor; the main thread is control.
 thread_ns() { cut -d' ' -f1 "/proc/$1/task/$2/schedstat"; }
 process_ns() { cat "/proc/$1"/task/*/schedstat | awk '{ sum += $1 } END { printf "%d\n", sum }'; }
@@ -200,6 +208,7 @@
 sample() {
     local i pid
     for ((i = 0; i < DAEMONS; i++)); do
+        [ -z "${DOWN[$i]:-}" ] || continue
         pid=${DAEMON_PIDS[i]}
         metrics_of "$i" >"$DIR/metrics"
         echo "$i $(now) $(thread_ns "$pid" "$pid") $(process_ns "$pid") $(status_kib "$pid" VmRSS)" \
