--- a/crates/rig/src/layout.rs
+++ b/crates/rig/src/layout.rs
@@ -73,6 +73,8 @@
     pub cold_requests: u64,
     /// How many times longer the first request takes on a cold one.
     pub cold_factor: f64,
+    /// Whether upstreams work on when a request is given up on.
+    pub ignores_cancel: bool,
 }
 
 /// Names of the two failure domains of each region.
@@ -138,6 +140,15 @@
         }
     }
 
+    /// The same, with upstreams that work on when a request is given up on.
+    pub fn tight_without_cancel() -> Self {
+        let mut layout = Self::tight();
+        for class in &mut layout.classes {
+            class.ignores_cancel = true;
+        }
+        layout
+    }
+
     /// Terms that make lapses and silences short enough for a test.
     pub fn quick_terms() -> Vec<(&'static str, u64)> {
         vec![
@@ -244,6 +255,7 @@
                         "seed": index,
                         "cold_requests": class.cold_requests,
                         "cold_factor": class.cold_factor,
+                        "ignores_cancel": class.ignores_cancel,
                     }));
                 }
             }
@@ -267,6 +279,7 @@
             headroom_pct: 20,
             cold_requests: 0,
             cold_factor: 1.0,
+            ignores_cancel: false,
         }
     }
 
--- a/crates/rig/tests/faults.rs
+++ b/crates/rig/tests/faults.rs
@@ -383,6 +383,10 @@
     /// seen that the first one is gone.
     tight_callers_go_away: tight, going_away, 0.4, |_| {};
 
+    /// Symptom and sequence as above, with upstreams that work on until their answer is made.
+    /// Cause: the entry takes the end of its own side of a connection for the end of the work.
+    tight_callers_go_away_and_upstreams_work_on: tight_without_cancel, going_away, 0.2, |_| {};
+
     /// Symptom: an upstream queues, or callers wait for refusals. Sequence: a burst that no region
     /// can serve. Cause: whoever hopes for a slot sends too much; what can't run is refused.
     tight_burst: tight, burst, 0.6, |_| {};
--- a/crates/standin/src/upstream/mod.rs
+++ b/crates/standin/src/upstream/mod.rs
@@ -163,6 +163,7 @@
             spec,
         });
         let served = Arc::clone(&upstream);
+        let ignores_cancel = upstream.spec.ignores_cancel;
         let server = HttpServer::new(move || {
             App::new()
                 .app_data(web::Data::new(Arc::clone(&served)))
@@ -175,7 +176,7 @@
         .workers(1)
         .keep_alive(Duration::from_secs(75))
         .shutdown_timeout(3600)
-        .h1_allow_half_closed(false)
+        .h1_allow_half_closed(ignores_cancel)
         .disable_signals()
         .listen(listener)?
         .run();
--- a/crates/standin/src/upstream/settings.rs
+++ b/crates/standin/src/upstream/settings.rs
@@ -50,6 +50,9 @@
     /// How many times longer the first request takes.
     #[serde(default = "one")]
     pub cold_factor: f64,
+    /// Works on when a caller closes its connection, and closes its own end after the answer.
+    #[serde(default)]
+    pub ignores_cancel: bool,
 }
 
 /// What goes wrong, as `POST /fault` sets it; what is left out goes right.
