Frames of newer peers and malformed ones are counted, and all strangers

The mesh counts them; of its counters the daemon exported the strangers only, from events, which a flood drops.

Change: strangers are exported from the mesh's own counter, and jasmine_peer_refused_frames_total has frames of unknown kinds and malformed ones of proven daemons.

Not proved at a real daemon: the two new counts of frames, which need the key.

--- a/crates/daemon/src/process/control/beats.rs
+++ b/crates/daemon/src/process/control/beats.rs
@@ -534,9 +534,8 @@
                 frame,
             } => self.on_frame(&from, incarnation, frame, ctx),
             Event::Down { .. } => self.publish(),
-            Event::Stranger { .. } => {
-                metrics::counter!(crate::process::metric::STRANGERS).increment(1);
-            }
+            // Counted by the mesh.
+            Event::Stranger { .. } => {}
         }
     }
 
--- a/crates/daemon/src/process/control/mod.rs
+++ b/crates/daemon/src/process/control/mod.rs
@@ -340,7 +340,17 @@
         }
         if let Some(mesh) = &self.mesh {
             metrics::gauge!(metric::PEERS).set(mesh.peers().len() as f64);
-            metrics::counter!(metric::PEER_BYTES).absolute(mesh.counters().sent_bytes.get());
+            let counters = mesh.counters();
+            metrics::counter!(metric::PEER_BYTES).absolute(counters.sent_bytes.get());
+            // From here, not from events: a flood's are dropped.
+            metrics::counter!(metric::STRANGERS).absolute(counters.strangers.get());
+            let frames = [
+                ("unknown", &counters.unknown_frames),
+                ("malformed", &counters.bad_frames),
+            ];
+            for (reason, count) in frames {
+                metrics::counter!(metric::REFUSED_FRAMES, "reason" => reason).absolute(count.get());
+            }
         }
     }
 }
--- a/crates/daemon/src/process/metric.rs
+++ b/crates/daemon/src/process/metric.rs
@@ -91,6 +91,8 @@
         "Bytes sent to other daemons.";
     STRANGERS = "jasmine_peer_strangers_total", Counter, "connections", "",
         "Connections on the peers' port that proved no key or sent what is no frame.";
+    REFUSED_FRAMES = "jasmine_peer_refused_frames_total", Counter, "frames", "reason",
+        "Frames of proven daemons of a kind that this release doesn't know, or malformed.";
     CONTROL_TICK = "jasmine_control_tick_seconds", Histogram, "seconds", "",
         "Processor time of one tick of control.";
 }
--- a/crates/rig/tests/input.rs
+++ b/crates/rig/tests/input.rs
@@ -296,6 +296,26 @@
     assert_eq!(status, 200, "{text}");
 }
 
+/// Symptom: a scan of the ports fills the memory, or nobody sees that someone without the key tries.
+/// Sequence: what is no websocket comes to the peers' port, here three times. Cause: only daemons
+/// are expected there.
+#[test]
+fn strangers_at_the_peers_port_get_one_clear_answer_and_are_counted() {
+    let rig = Rig::start(Layout::two_regions()).unwrap();
+    let daemon = &rig.daemons["arusha-0"];
+    let strangers = || counter(&daemon.callers, "jasmine_peer_strangers_total ");
+    let before = strangers();
+    for request in ["HELLO\r\n\r\n", &get("/v1/live"), &post("/", "")] {
+        let (status, text) = send_raw(&daemon.peers, request);
+        assert_eq!(status, 400, "{text}");
+        assert!(text.ends_with("not a websocket handshake\n"), "{text}");
+    }
+    // Control writes its counters at its ticks.
+    wait_for("the strangers to be counted", || strangers() == before + 3);
+    let others = u64::try_from(rig.daemons.len() - 1).unwrap();
+    assert!(counter(&daemon.callers, "jasmine_peers ") <= others);
+}
+
 /// Symptom: a good request's caller gets no answer, or one that says `not-run` of what ran.
 /// Sequence: bytes that are no HTTP follow a good request on its connection, as after a length that
 /// is too short. Cause: the refusal of what follows is taken for the request's answer.
