One large block table is accepted at a time by a daemon

Cause: each whole table that is being accepted holds itself and its text beside the one in force, 50 MiB with 1.7 million blocks (the line in CAPACITY); two at once would pass 128 MB by arithmetic (99 + 50 MiB; not run). One of the two would be raced anyway. Change: beyond 4 MiB an upload needs the one permit, kept until its accept is answered; a second is read to its end without being kept and refused as not-done. A pause of 10 s within an upload ends it, or a client that sleeps would keep the permit. Differences of usual size need none.

--- a/crates/daemon/src/process/operator/mod.rs
+++ b/crates/daemon/src/process/operator/mod.rs
@@ -181,7 +181,11 @@
 
 async fn accept_with_blocks(control: ControlAddr, payload: web::Payload) -> HttpResponse {
     match upload::read(payload).await {
-        Ok(accept) => change(control, accept).await,
+        Ok((accept, permit)) => {
+            let answer = change(control, accept).await;
+            drop(permit);
+            answer
+        }
         Err(refusal) => refuse(&refusal),
     }
 }
--- a/crates/daemon/src/process/operator/upload.rs
+++ b/crates/daemon/src/process/operator/upload.rs
@@ -7,17 +7,38 @@
     control::Accept,
     operator::BODY_LIMIT_BYTES, //
 };
-use actix_web::web::Payload;
-use bytes::BytesMut;
+use actix_web::{
+    error::PayloadError,
+    web::Payload, //
+};
+use bytes::{
+    Bytes,
+    BytesMut, //
+};
 use futures_util::StreamExt;
 use op::{
     AcceptRequest,
     Refusal, //
 };
 use spec::BlockReader;
+use std::time::Duration;
+use tokio::sync::{
+    Semaphore,
+    SemaphorePermit, //
+};
 
 /// Bytes that are gathered before their lines are read.
 const PIECE_BYTES: usize = 256 << 10;
+/// Bytes from which on an upload is one of a large table.
+const LARGE_BYTES: usize = 4 << 20;
+/// Longest pause within an upload.
+const PAUSE_LIMIT: Duration = Duration::from_secs(10);
+/// Lets one large table be accepted at a time.
+///
+/// Each holds itself and, for a while, its text beside the table in force: with 1.7 million blocks 50
+/// MB. Two at once would show as a resident size past the daemon's limit, and one of them is raced
+/// anyway.
+static LARGE: Semaphore = Semaphore::const_new(1);
 /// Longest first line: the request with its configuration.
 const REQUEST_LIMIT_BYTES: usize = 16 << 20;
 
@@ -29,22 +50,33 @@
     /// What came after the last line that was read.
     rest: BytesMut,
     blocks: BlockReader,
+    /// The right to be a large one.
+    permit: Option<SemaphorePermit<'static>>,
 }
 
-/// Reads an accept to its end.
+/// Reads an accept to its end; the permit is to be kept until it is done.
 ///
 /// # Errors
 ///
-/// What is wrong with the request or the blocks.
-pub(super) async fn read(mut payload: Payload) -> Result<Accept, Refusal> {
+/// What is wrong with the request or the blocks, or that another large table is being accepted.
+pub(super) async fn read(
+    mut payload: Payload,
+) -> Result<(Accept, Option<SemaphorePermit<'static>>), Refusal> {
     let mut upload = Upload::default();
     let mut size = 0;
-    while let Some(chunk) = payload.next().await {
+    while let Some(chunk) = next(&mut payload).await? {
         let chunk = chunk.map_err(|error| bad(error.to_string()))?;
         size += chunk.len();
         if size > BODY_LIMIT_BYTES {
             return Err(bad(format!("longer than {BODY_LIMIT_BYTES} bytes")));
         }
+        if size > LARGE_BYTES && upload.permit.is_none() {
+            let Ok(permit) = LARGE.try_acquire() else {
+                drop(upload);
+                return Err(skip(payload).await);
+            };
+            upload.permit = Some(permit);
+        }
         upload.rest.extend_from_slice(&chunk);
         if upload.rest.len() >= PIECE_BYTES {
             upload.read_lines()?;
@@ -79,7 +111,7 @@
         Ok(())
     }
 
-    fn finish(mut self) -> Result<Accept, Refusal> {
+    fn finish(mut self) -> Result<(Accept, Option<SemaphorePermit<'static>>), Refusal> {
         self.read_lines()?;
         let last = self.rest.split();
         self.push(&last)?;
@@ -90,10 +122,28 @@
         let blocks = blocks.map_err(|findings| Refusal::Findings {
             findings: findings.iter().map(ToString::to_string).collect(),
         })?;
-        Ok(Accept {
+        let accept = Accept {
             request,
             blocks: Some(blocks),
-        })
+        };
+        Ok((accept, self.permit))
+    }
+}
+
+/// The next piece, unless it keeps everyone waiting.
+///
+/// A client that sleeps in the middle would hold the one permit, and no other large table could be
+/// accepted here until its connection is given up, which may take hours.
+async fn next(payload: &mut Payload) -> Result<Option<Result<Bytes, PayloadError>>, Refusal> {
+    let piece = actix_rt::time::timeout(PAUSE_LIMIT, payload.next()).await;
+    piece.map_err(|_elapsed| bad(format!("no more came for {} s", PAUSE_LIMIT.as_secs())))
+}
+
+/// Reads what is left without keeping it, for a client takes an answer only after its request.
+async fn skip(mut payload: Payload) -> Refusal {
+    while let Ok(Some(Ok(_))) = next(&mut payload).await {}
+    Refusal::NotDone {
+        detail: "this daemon is accepting another large block table; try again soon".to_owned(),
     }
 }
 
--- a/crates/op/tests/port.rs
+++ b/crates/op/tests/port.rs
@@ -11,8 +11,15 @@
         Write, //
     },
     net::TcpStream,
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
+/// Bound on waits for things that take well under a tenth of it.
+const GENEROUS: Duration = Duration::from_secs(60);
+
 /// Status and body of the answer to some bytes on a connection of their own.
 fn send(rig: &Rig, head: &str, body: &[u8]) -> (u16, String) {
     let mut stream = TcpStream::connect(&rig.daemons["arusha-0"].operator).unwrap();
@@ -141,3 +148,49 @@
     let status = rig.operator("arusha-0", "/op/v1/status", None);
     assert_eq!(status.body["version"], 4);
 }
+
+/// Symptom: a daemon grows past its memory limit. Sequence: two operators send it a whole large
+/// table at once. Cause: each is held beside the one in force; only one may be at a time.
+#[test]
+fn of_two_large_tables_at_once_one_is_refused() {
+    let rig = Rig::start(Layout::one_region()).unwrap();
+    let head = format!("POST /op/v1/accept HTTP/1.1\r\n{BLOCKS}");
+    let mut table = String::new();
+    for index in 0..300_000u32 {
+        let (high, low) = (index >> 16, index & 0xffff);
+        table += &format!("11.{high}.{}.{}/32 arusha\n", low >> 8, low & 0xff);
+    }
+    let body = accept(&rig, "first") + &table;
+    let mut first = TcpStream::connect(&rig.daemons["arusha-0"].operator).unwrap();
+    let begin = format!(
+        "{head}\r\nhost: a\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    first.write_all(begin.as_bytes()).unwrap();
+    let (most, last) = body.as_bytes().split_at(body.len() - 100);
+    first.write_all(most).unwrap();
+    // What was written may not be read yet; until it is, the other one is taken and found wrong.
+    let other = accept(&rig, "other") + &table.replace("arusha", "nowhere");
+    let end = Instant::now() + GENEROUS;
+    loop {
+        let (status, answer) = send(&rig, &head, other.as_bytes());
+        if status == 503 {
+            assert!(answer.contains("not-done"), "{answer}");
+            break;
+        }
+        assert_eq!(status, 422, "{answer}");
+        assert!(Instant::now() < end, "never refused");
+    }
+    let (status, answer) = send(
+        &rig,
+        &head,
+        (accept(&rig, "small") + "+12.0.0.0/8 arusha\n").as_bytes(),
+    );
+    assert_eq!(status, 200, "a difference is small: {answer}");
+    first.write_all(last).unwrap();
+    let mut answer = [0; 12];
+    first.read_exact(&mut answer).unwrap();
+    assert_eq!(&answer, b"HTTP/1.1 200");
+    let (status, answer) = send(&rig, &head, other.as_bytes());
+    assert_eq!(status, 422, "the way is free again: {answer}");
+}
