Answers of the system's own name who answered and repeat the request's id

An entry that shifts work tells a crossed answer by that id, so a crossed refusal could not be told.

Change: one function gives every refusal, counts, names and repeats.

--- a/crates/daemon/src/request/lookup.rs
+++ b/crates/daemon/src/request/lookup.rs
@@ -9,6 +9,7 @@
         },
         input::Query,
         traffic,
+        work::refuse,
         Traffic, //
     },
     version::{
@@ -64,8 +65,7 @@
         }
         Err(answer) => {
             traffic.counters.lookups_refused.increment(1);
-            traffic.counters.reason(answer.reason);
-            answer.respond()
+            refuse(&traffic, &request, &answer)
         }
     }
 }
--- a/crates/daemon/src/request/mod.rs
+++ b/crates/daemon/src/request/mod.rs
@@ -237,6 +237,5 @@
 
 fn own(request: &HttpRequest, detail: &'static str) -> HttpResponse {
     let answer = Answer::not_run(Reason::BadRequest, detail);
-    traffic(request).counters.reason(answer.reason);
-    answer.respond()
+    work::refuse(&traffic(request), request, &answer)
 }
--- a/crates/daemon/src/request/work.rs
+++ b/crates/daemon/src/request/work.rs
@@ -80,7 +80,7 @@
     let snapshot = traffic.shared.published.load_full();
     let name = request.match_info().get("class").unwrap_or_default();
     let Some(class) = snapshot.classes.get(name) else {
-        return refuse(&traffic, &unknown_class(&snapshot, name));
+        return refuse(&traffic, &request, &unknown_class(&snapshot, name));
     };
     let counters = traffic.counters.class(&class.class.id);
     let shared = &traffic.shared;
@@ -101,17 +101,27 @@
         .await
         .unwrap_or_else(|answer| {
             counters.own(answer.outcome, started.elapsed());
-            refuse(&traffic, &answer)
+            refuse(&traffic, &request, &answer)
         })
 }
 
-fn refuse(traffic: &Traffic, answer: &Answer) -> HttpResponse {
+/// Gives an answer of the system's own, and counts it.
+pub(crate) fn refuse(traffic: &Traffic, request: &HttpRequest, answer: &Answer) -> HttpResponse {
     traffic.counters.reason(answer.reason);
     let mut response = answer.respond();
     mark(traffic, response.headers_mut());
+    echo(request.headers().get(header::REQUEST), &mut response);
     response
 }
 
+/// Repeats the id that the sender gave the request on this hop.
+fn echo(request_id: Option<&HeaderValue>, response: &mut HttpResponse) {
+    if let Some(id) = request_id {
+        let name = HeaderName::from_static(header::REQUEST);
+        response.headers_mut().insert(name, id.clone());
+    }
+}
+
 fn unknown_class(snapshot: &Snapshot, name: &str) -> Answer {
     if snapshot.stage == Stage::Starting {
         return Answer::not_run(Reason::NotReady, "no configuration yet")
@@ -306,10 +316,7 @@
     /// Marks an answer as an upstream's, whole.
     pub(crate) fn finish_response(&self, mut response: HttpResponse) -> HttpResponse {
         mark(&self.traffic, response.headers_mut());
-        if let Some(id) = &self.request_id {
-            let name = HeaderName::from_static(header::REQUEST);
-            response.headers_mut().insert(name, id.clone());
-        }
+        echo(self.request_id.as_ref(), &mut response);
         response.headers_mut().insert(
             HeaderName::from_static(header::OUTCOME),
             HeaderValue::from_static(RunOutcome::Done.as_str()),
--- a/crates/rig/tests/input.rs
+++ b/crates/rig/tests/input.rs
@@ -24,6 +24,9 @@
 /// Longest wait for something to become visible; generous, for a busy machine.
 const PATIENCE: Duration = Duration::from_secs(40);
 
+/// Id of a request, which its answer repeats.
+const ID: &str = "jasmine-request: row-7\r\n";
+
 struct Row {
     name: &'static str,
     request: String,
@@ -44,11 +47,13 @@
 }
 
 fn get(path: &str) -> String {
-    format!("GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")
+    format!("GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n{ID}\r\n")
 }
 
 fn post(path: &str, headers: &str) -> String {
-    format!("POST {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n{headers}content-length: 2\r\n\r\nhi")
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n{ID}{headers}content-length: 2\r\n\r\nhi"
+    )
 }
 
 /// Heads that the HTTP library refuses, with the reason that they are counted under.
@@ -177,10 +182,7 @@
         ),
         row(
             "false proof of forwarding",
-            post(
-                "/v1/work/orders/x",
-                "jasmine-forward: moshi-0:00\r\njasmine-request: 1\r\n",
-            ),
+            post("/v1/work/orders/x", "jasmine-forward: moshi-0:00\r\n"),
             400,
             "needs a Jasmine-Ticket",
         ),
@@ -193,7 +195,11 @@
     let answers = text.matches("HTTP/1.1 ").count();
     let claim = format!("jasmine-outcome: {}\r\n", row.outcome);
     let claims = text.matches(&claim).count();
-    let good = status == row.status && text.contains(row.says) && answers == 1 && claims == 1;
+    let named = text.contains("jasmine-instance: arusha-")
+        && text.contains("jasmine-region: arusha\r\n")
+        && text.contains(ID) == row.request.contains(ID);
+    let told = status == row.status && text.contains(row.says);
+    let good = told && named && answers == 1 && claims == 1;
     (!good).then(|| {
         format!(
             "{}: wanted one answer, {}, {} {:?}, got {text}",
