The average begins anew at what the probe showed, and only downwards

Cause: put the latency that counts as warm in place of the average. Ruled out: the trickle, which had ended. Change: the proving probe's own latency, where it is lower.

--- a/crates/daemon/src/process/control/steering/upstreams.rs
+++ b/crates/daemon/src/process/control/steering/upstreams.rs
@@ -117,14 +117,14 @@
         let phase = self.ramp.phase();
         self.ramp.observe(now, &seen, usable, freshness);
         if phase == RampPhase::Trickle && self.ramp.phase() == RampPhase::Opening {
-            self.forget_slowness(self.ramp.warm_latency());
+            self.forget_slowness(&seen);
         }
         let verdict = self.suspect.observe(now, &seen, others.typical, phase);
         match verdict {
             Some(Suspicion::Raised) => self.log("upstream suspected"),
             Some(Suspicion::Cleared) => {
                 self.log("upstream trusted again");
-                self.forget_slowness(others.typical);
+                self.forget_slowness(&seen);
                 let cause = RampCause::Silence;
                 self.ramp
                     .restart(now, cause, others.typical, others.will_do);
@@ -133,14 +133,16 @@
         }
     }
 
-    /// Lets its probes, which were near `proven`, stand for what was seen of it before.
+    /// Lets the probe that proved it stand for what was seen of it before.
     ///
     /// The moving average still holds the slow answers, and the choice of an upstream goes by it:
     /// little is sent to one that looks slow, so that the average hardly moves. One would notice an
     /// upstream that gets a request a second, for many seconds after it has proven itself.
-    fn forget_slowness(&self, proven: Option<Duration>) {
-        if let Some(latency) = proven {
-            self.upstream.seen.reset_latency(latency);
+    fn forget_slowness(&self, probe: &steer::Seen) {
+        let average = self.upstream.seen.latency();
+        match probe.mean_latency() {
+            Some(latency) if latency < average => self.upstream.seen.reset_latency(latency),
+            _ => {}
         }
     }
 
