A trickle ends at the latency that would not take slots back

Cause: once an upstream's probes are within 1.5 times the warm latency, the way to 1.25 goes by copies, which the budget holds to 3.6 a second and entry; callers' own requests would be slower by half at most. Change: the last four probes end the trickle at `fall_permille`; slots still open at `near_permille` only.

--- a/crates/steer/src/ramp.rs
+++ b/crates/steer/src/ramp.rs
@@ -47,7 +47,7 @@
     pub trickle_gap: Duration,
     /// Most probes of a trickle in flight, once it has answered a few.
     pub trickle_limit: u32,
-    /// Last probes whose mean latency is judged; near the warm one it ends the trickle.
+    /// Last probes whose mean latency is judged; below `fall_permille` it ends the trickle.
     pub trickle_answers: u32,
     /// Slots open when the trickle ends.
     pub first_limit: u32,
@@ -242,7 +242,9 @@
         }
         let mean = self.probes.iter().sum::<Duration>() / judged;
         self.accept_when_stuck(now, mean);
-        let near = self.is_within(mean, self.settings.near_permille);
+        // What would not take slots back opens the first: the callers' own requests then show the
+        // rest of the way sooner than copies, which the budget holds to a few.
+        let near = self.is_within(mean, self.settings.fall_permille);
         if near && freshness.allows_growth() {
             self.stepped_at = now;
             self.open();
