An entry without a free slot hands work to others of its region

Allotments: even during the burst, as demand in the queue counts.

Change: a request that finds no slot free goes to the entry of its region with the least work for each slot, if that has less than this one (steer `least_occupied`), by the way of shifts and at most once; idempotent work with a whole body only. What was handed over and is not answered counts at once.

Tried first and failed: by weight of the slots that others told to have free. Good in the burst, but in the first half second of storm's bursts nearly all went to the entry that had most free before.

--- a/crates/daemon/src/process/control/steering/regions.rs
+++ b/crates/daemon/src/process/control/steering/regions.rs
@@ -12,7 +12,9 @@
     version::{
         ClassOutlook,
         Flow,
+        Handed,
         Outlook,
+        Sibling,
         Spill,
         LINK_UNKNOWN, //
     },
@@ -55,6 +57,8 @@
     /// Other regions as a whole.
     others: BTreeMap<(ServiceId, RegionId), Heard>,
     links: BTreeMap<RegionId, Duration>,
+    /// What was handed to other daemons of the own region.
+    handed: BTreeMap<(ServiceId, InstanceId), Arc<Handed>>,
 }
 
 /// One summary, and when it was true.
@@ -208,10 +212,9 @@
         let Some((version, config)) = self.config.clone() else {
             return;
         };
-        self.steering
-            .regions
-            .parts
-            .retain(|_, heard| now.saturating_sub(heard.true_at) < PART_LIFE);
+        let Regions { parts, handed, .. } = &mut self.steering.regions;
+        parts.retain(|_, heard| now.saturating_sub(heard.true_at) < PART_LIFE);
+        handed.retain(|key, _| parts.contains_key(key));
         self.measure_links();
         let snapshot = self.shared.published.load_full();
         if snapshot.version != version {
@@ -287,9 +290,26 @@
             headroom_away_pct,
             spill,
             flows,
+            siblings: self.siblings(service, now),
         }
     }
 
+    /// Other entries of this region, as far as their word is fresh.
+    fn siblings(&mut self, service: &ServiceId, now: Now) -> Vec<Sibling> {
+        let Regions { parts, handed, .. } = &mut self.steering.regions;
+        let fresh = parts.iter().filter(|((of, _), heard)| {
+            let age = now.saturating_sub(heard.true_at);
+            of == service && Freshness::of_age(age, &FreshnessLimits::default()).allows_new_shift()
+        });
+        let siblings = fresh.map(|(key, heard)| Sibling {
+            instance: key.1.clone(),
+            told_milli_slots: heard.sum.arriving.milli_slots(),
+            open: heard.sum.open,
+            handed: Arc::clone(handed.entry(key.clone()).or_default()),
+        });
+        siblings.collect()
+    }
+
     /// What is expected of `region`; whether it admits is filled in by the caller.
     fn estimate(&self, service: &ServiceId, region: &RegionId, now: Now) -> Estimate {
         let regions = &self.steering.regions;
--- a/crates/daemon/src/process/metric.rs
+++ b/crates/daemon/src/process/metric.rs
@@ -65,6 +65,8 @@
         "Attempts beyond the first.";
     SHIFTED = "jasmine_shifted_total", Counter, "requests", "class",
         "Requests handed to the entry of another region.";
+    HANDED_OVER = "jasmine_handed_over_total", Counter, "requests", "class",
+        "Requests handed to another entry of this region, as no slot was free here.";
     COPIES = "jasmine_probe_copies_total", Counter, "requests", "class",
         "Copies of requests sent to upstreams that have to prove themselves.";
     BROKEN_STREAMS = "jasmine_broken_streams_total", Counter, "answers", "class",
--- a/crates/daemon/src/request/acquire.rs
+++ b/crates/daemon/src/request/acquire.rs
@@ -145,7 +145,7 @@
 
     /// Rank in the queue: what other regions shift here waits behind this region's own work.
     fn rank(&self) -> usize {
-        if self.forwarded {
+        if self.from_other_region {
             LAST_RANK
         } else {
             self.class.rank
--- a/crates/daemon/src/request/body.rs
+++ b/crates/daemon/src/request/body.rs
@@ -129,7 +129,7 @@
             match (&held.hold, whole) {
                 (Hold::Slot(permit), true) => permit.completed(),
                 (Hold::Slot(permit), false) => permit.upstream.seen.note_broken(),
-                (Hold::Shift(_), _) => {}
+                (Hold::Shift(_) | Hold::Sibling(_), _) => {}
             }
             held.counters.stream_ended(whole, held.started.elapsed());
         }
--- a/crates/daemon/src/request/carry.rs
+++ b/crates/daemon/src/request/carry.rs
@@ -27,7 +27,10 @@
         deadline::Deadline,
         Traffic, //
     },
-    version::ClassView,
+    version::{
+        ClassView,
+        HandedGuard, //
+    },
 };
 use bytes::Bytes;
 use std::{
@@ -56,7 +59,7 @@
     /// When it came to this entry.
     pub(crate) started: Instant,
     /// Another region sent it here.
-    pub(crate) forwarded: bool,
+    pub(crate) from_other_region: bool,
 }
 
 /// An upstream's answer, with the slot that its body still uses.
@@ -73,6 +76,8 @@
     Slot(Permit),
     /// Room on the link to another region.
     Shift(ShiftGuard),
+    /// Nothing here: another entry of this region holds the slot.
+    Sibling(#[expect(dead_code, reason = "held for its drop")] HandedGuard),
 }
 
 /// Body that can be sent once more, or only once.
@@ -200,7 +205,7 @@
 ///
 /// What goes wrong otherwise: an idempotent request whose first attempt broke off finds no slot for
 /// the second, and its caller is told that it did not run.
-fn truthful(answer: Answer, may_have_run: bool) -> Answer {
+pub(super) fn truthful(answer: Answer, may_have_run: bool) -> Answer {
     if may_have_run {
         Answer::unknown(answer.reason, answer.detail)
     } else {
--- a/crates/daemon/src/request/counters.rs
+++ b/crates/daemon/src/request/counters.rs
@@ -35,6 +35,8 @@
     pub(crate) waited: Histogram,
     pub(crate) retries: Counter,
     pub(crate) shifted: Counter,
+    /// Handed to another entry of this region.
+    pub(crate) handed_over: Counter,
     /// Copies sent as probes.
     pub(crate) copies: Counter,
     broken_streams: Counter,
@@ -59,6 +61,7 @@
             waited: metrics::histogram!(metric::WAITED, "class" => name.clone()),
             retries: metrics::counter!(metric::RETRIES, "class" => name.clone()),
             shifted: metrics::counter!(metric::SHIFTED, "class" => name.clone()),
+            handed_over: metrics::counter!(metric::HANDED_OVER, "class" => name.clone()),
             copies: metrics::counter!(metric::COPIES, "class" => name.clone()),
             broken_streams: metrics::counter!(metric::BROKEN_STREAMS, "class" => name),
             burn,
--- a/crates/daemon/src/request/forward.rs
+++ b/crates/daemon/src/request/forward.rs
@@ -1,4 +1,4 @@
-//! Proof that a request was forwarded by the entry of another region.
+//! Proof that a request was forwarded by another entry, of this region or another.
 //!
 //! An entry takes forwarded work without a ticket and without shifting it on. Callers must not be
 //! able to claim that, so the header proves the daemons' key over the hop's id and both ends.
--- a/crates/daemon/src/request/header.rs
+++ b/crates/daemon/src/request/header.rs
@@ -20,7 +20,7 @@
 pub(crate) const INSTANCE: &str = "jasmine-instance";
 /// Region that answered.
 pub(crate) const REGION: &str = "jasmine-region";
-/// Proof that a request was forwarded by the entry of another region.
+/// Proof that a request was forwarded by another entry.
 pub(crate) const FORWARD: &str = "jasmine-forward";
 /// Upstream's word that it refused without running.
 pub(crate) const UPSTREAM_REFUSED: &str = "upstream-refused";
--- a/crates/daemon/src/request/mod.rs
+++ b/crates/daemon/src/request/mod.rs
@@ -11,7 +11,8 @@
 //! - [`carry`] sends it to an upstream here and tries again where that is safe; [`acquire`] finds
 //!   the slot for it, [`probe`] sends copies to upstreams that have to prove themselves.
 //! - [`filing`] makes work that is not idempotent run at most once.
-//! - [`shift`] hands a request to the entry of another region; [`forward`] proves that it did.
+//! - [`shift`] hands a request to the entry of another region, or to another one of this region;
+//!   [`forward`] proves that it did.
 //! - [`attempt`] sends once and says whether the request may have run.
 //! - [`body`] streams a long answer.
 
--- a/crates/daemon/src/request/place.rs
+++ b/crates/daemon/src/request/place.rs
@@ -7,6 +7,8 @@
     },
     version::{
         ClassOutlook,
+        Entry,
+        HandedGuard,
         Outlook, //
     },
 };
@@ -20,6 +22,7 @@
     ClassTarget,
     Estimate,
     Freshness,
+    Occupancy,
     PlaceSettings,
     Placement,
     Question, //
@@ -60,6 +63,38 @@
         }
     }
 
+    /// Entry of this region that is to take the request in place of this one, which has no slot
+    /// free for it.
+    ///
+    /// Only work that may run twice: a filing belongs to the entry that its ticket names. An entry
+    /// that look-ups don't name, since it stops or is drained, hands nothing over: the others would
+    /// take what it sends for another region's, which waits behind their own.
+    pub(super) fn place_beside(&self) -> Option<(&Entry, HandedGuard)> {
+        if !self.class.class.idempotent || self.traffic.is_baseline() {
+            return None;
+        }
+        let outlook = self.traffic.shared.outlook.load();
+        let class = self.class_outlook(&outlook)?;
+        if expected_wait(&self.class, self.traffic.shared.now()).is_zero() {
+            return None;
+        }
+        let chosen = class.beside(&self.occupancy())?;
+        let named = |instance: &str| {
+            let mut entries = self.snapshot.own_region().entries.iter();
+            entries.find(|entry| entry.instance == instance)
+        };
+        named(&self.traffic.shared.settings.instance)?;
+        let entry = named(&chosen.instance)?;
+        Some((entry, chosen.handed.guard()))
+    }
+
+    /// Work at this entry.
+    fn occupancy(&self) -> Occupancy {
+        let pool = &self.class.pool;
+        let (open, in_flight) = pool.use_now(self.traffic.shared.now());
+        Occupancy::here(in_flight, pool.waiting(), open)
+    }
+
     /// Notes that the request goes to the region of this index.
     pub(super) fn note_flow(&self, region: usize) {
         let outlook = self.traffic.shared.outlook.load();
--- a/crates/daemon/src/request/shift.rs
+++ b/crates/daemon/src/request/shift.rs
@@ -1,4 +1,5 @@
-//! Shifting one request: hands it to an entry of another region, which admits it or not.
+//! Shifting one request: hands it to an entry of another region, which admits it or not; or to
+//! another entry of this region, when no slot is free here.
 //!
 //! The caps are kept on this side: a shift needs room in this entry's part of the link's cap, and
 //! the answer's bytes are paced by it. Whether the other region has capacity is decided there.
@@ -67,6 +68,29 @@
         Err(answer.retry_after(RETRY_AFTER))
     }
 
+    /// Hands the request to another entry of this region, if no slot is free here and one may be
+    /// there. It is handed on at most once.
+    pub(super) async fn hand_over(&self, out: &Outgoing, body: Bytes) -> HandedOver {
+        let Some((entry, guard)) = self.place_beside() else {
+            return HandedOver::NotRun;
+        };
+        self.counters.handed_over.increment(1);
+        match self.shift_once(entry, out, body).await {
+            Ok((head, body)) => HandedOver::Done(Carried {
+                head,
+                body,
+                hold: Hold::Sibling(guard),
+            }),
+            Err(Shifted::NotRun) => HandedOver::NotRun,
+            Err(Shifted::Failed(failure)) if failure.not_run() => HandedOver::NotRun,
+            Err(Shifted::Failed(failure)) => HandedOver::Unknown(unknown(failure)),
+            Err(Shifted::Unknown) => {
+                let detail = "the other entry does not know the outcome";
+                HandedOver::Unknown(Answer::unknown(Reason::UpstreamFailed, detail))
+            }
+        }
+    }
+
     /// Room for one shift to `region`, if its link has any.
     fn admit_shift(&self, region: &RegionView) -> Option<ShiftGuard> {
         let link = self.snapshot.links.get(&region.id)?;
@@ -176,6 +200,16 @@
     }
 }
 
+/// How the hand-over to another entry of this region ended.
+pub(super) enum HandedOver {
+    /// Answered there.
+    Done(Carried),
+    /// Nothing ran, or there is nobody to hand it to.
+    NotRun,
+    /// It may have run.
+    Unknown(Answer),
+}
+
 /// How one attempt at another region ended without an answer to pass on.
 enum Shifted {
     /// The other entry says that nothing ran.
@@ -198,7 +232,7 @@
 fn unknown(failure: Failure) -> Answer {
     match failure {
         Failure::Timeout => {
-            let detail = "no whole answer of the other region before the deadline";
+            let detail = "no whole answer of the other entry before the deadline";
             Answer::unknown(Reason::UpstreamTimeout, detail)
         }
         Failure::Broken(why) | Failure::NotSent(why) => {
--- a/crates/daemon/src/request/work.rs
+++ b/crates/daemon/src/request/work.rs
@@ -21,6 +21,7 @@
             Streamed, //
         },
         carry::{
+            truthful,
             Carried,
             Job, //
         },
@@ -29,6 +30,7 @@
         filing,
         header,
         input,
+        shift::HandedOver,
         traffic,
         Traffic, //
     },
@@ -83,9 +85,6 @@
         return refuse(&traffic, &request, &unknown_class(&snapshot, name));
     };
     let counters = traffic.counters.class(&class.class.id);
-    let shared = &traffic.shared;
-    let (key, instance) = (&shared.forward_key, &shared.settings.instance);
-    let forwarded = input::forwarder(request.headers(), key, instance, name).is_some();
     let work = Work {
         traffic: Rc::clone(&traffic),
         class: Arc::clone(class),
@@ -93,7 +92,7 @@
         counters: Rc::clone(&counters),
         deadline: Deadline::after(started, class.class.deadline),
         active: traffic.shared.active.guard(),
-        forwarded,
+        sender: sender(&traffic, &snapshot, name, &request),
         request_id: request.headers().get(header::REQUEST).cloned(),
         started,
     };
@@ -105,6 +104,33 @@
         })
 }
 
+/// Who sent a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Sender {
+    /// A caller.
+    Caller,
+    /// Another entry of this region, which had no slot free.
+    Sibling,
+    /// An entry of another region.
+    Region,
+}
+
+/// Sender of the request, if a header proves that it is an entry.
+fn sender(traffic: &Traffic, snapshot: &Snapshot, class: &str, request: &HttpRequest) -> Sender {
+    let shared = &traffic.shared;
+    let (key, instance) = (&shared.forward_key, &shared.settings.instance);
+    let Some(from) = input::forwarder(request.headers(), key, instance, class) else {
+        return Sender::Caller;
+    };
+    // One that has just left the picture counts as another region's, and waits behind.
+    let mut siblings = snapshot.own_region().entries.iter();
+    if siblings.any(|entry| entry.instance == from) {
+        Sender::Sibling
+    } else {
+        Sender::Region
+    }
+}
+
 /// Gives an answer of the system's own, and counts it.
 pub(crate) fn refuse(traffic: &Traffic, request: &HttpRequest, answer: &Answer) -> HttpResponse {
     traffic.counters.reason(answer.reason);
@@ -153,8 +179,7 @@
     /// Keeps a planned stop waiting.
     #[expect(dead_code, reason = "held for its drop")]
     active: ActiveGuard,
-    /// The entry of another region sent it.
-    forwarded: bool,
+    sender: Sender,
     /// Id that the sender gave it on this hop.
     request_id: Option<HeaderValue>,
     pub(crate) started: Instant,
@@ -168,7 +193,7 @@
     ) -> Result<HttpResponse, Answer> {
         let read = self.read_headers(request);
         self.traffic.budget.borrow_mut().offer();
-        if !self.class.class.idempotent && !self.forwarded {
+        if !self.class.class.idempotent && !self.is_forwarded() {
             // The ledger is the judge of filings, also of those that are refused.
             return filing::file(self, read, request, payload).await;
         }
@@ -176,7 +201,7 @@
         if self.is_refusing() {
             return Err(self.stopping());
         }
-        let out = outgoing(request, self.forwarded);
+        let out = outgoing(request, self.is_forwarded());
         let body = self.read_body(request.headers(), payload).await?;
         let carried = self.carry(&out, body).await?;
         Ok(self.pass_on(carried))
@@ -192,8 +217,8 @@
     /// Carries the request to an upstream of this region or, through an entry there, of another.
     pub(crate) async fn carry(&self, out: &Outgoing, body: Body) -> Result<Carried, Answer> {
         let drained = self.snapshot.own_region().drained;
-        if self.forwarded {
-            // What was shifted here is never shifted on: two full regions would pass it around.
+        if self.is_forwarded() {
+            // What was handed here is never handed on: two full entries would pass it around.
             return if drained {
                 let answer = Answer::not_run(Reason::NoCapacity, "this region is drained");
                 Err(answer.retry_after(ELSEWHERE_RETRY))
@@ -221,9 +246,7 @@
                 }
             }
             Placement::Shift(region) => match self.shift(out, bytes.clone(), &[region]).await {
-                Err(answer) if is_refusal(&answer) => {
-                    self.carry_here(out, Body::Whole(bytes)).await
-                }
+                Err(answer) if is_refusal(&answer) => self.carry_in_region(out, bytes).await,
                 ended => ended,
             },
             Placement::Refuse { .. } if self.class.pool.takes_work() => {
@@ -239,7 +262,7 @@
 
     /// Carries the request here, or elsewhere if it is refused here.
     async fn carry_here_first(&self, out: &Outgoing, bytes: Bytes) -> Result<Carried, Answer> {
-        let refused = match self.carry_here(out, Body::Whole(bytes.clone())).await {
+        let refused = match self.carry_in_region(out, bytes.clone()).await {
             Err(answer) if is_refusal(&answer) => answer,
             ended => return ended,
         };
@@ -269,6 +292,28 @@
         self.shift(out, bytes, &order).await
     }
 
+    /// Carries the request here, or through another entry of this region that has slots for it.
+    async fn carry_in_region(&self, out: &Outgoing, bytes: Bytes) -> Result<Carried, Answer> {
+        match self.hand_over(out, bytes.clone()).await {
+            HandedOver::Done(carried) => Ok(carried),
+            HandedOver::NotRun => self.carry_here(out, Body::Whole(bytes)).await,
+            HandedOver::Unknown(answer) => {
+                let in_time = !self.deadline.left(Instant::now()).is_zero();
+                if !in_time || !self.traffic.budget.borrow_mut().take() {
+                    return Err(answer);
+                }
+                self.counters.retries.increment(1);
+                let carried = self.carry_here(out, Body::Whole(bytes)).await;
+                carried.map_err(|answer| truthful(answer, true))
+            }
+        }
+    }
+
+    /// Whether an entry sent it.
+    fn is_forwarded(&self) -> bool {
+        self.sender != Sender::Caller
+    }
+
     async fn carry_here(&self, out: &Outgoing, body: Body) -> Result<Carried, Answer> {
         let job = Job {
             traffic: &self.traffic,
@@ -277,7 +322,7 @@
             out,
             deadline: self.deadline,
             started: self.started,
-            forwarded: self.forwarded,
+            from_other_region: self.sender == Sender::Region,
         };
         job.run(body).await
     }
--- a/crates/daemon/src/version/mod.rs
+++ b/crates/daemon/src/version/mod.rs
@@ -12,7 +12,10 @@
     outlook::{
         ClassOutlook,
         Flow,
+        Handed,
+        HandedGuard,
         Outlook,
+        Sibling,
         Spill,
         LINK_UNKNOWN, //
     },
--- a/crates/daemon/src/version/outlook.rs
+++ b/crates/daemon/src/version/outlook.rs
@@ -7,11 +7,13 @@
 use base::{
     ClassId,
     FastMap,
+    InstanceId,
     Version, //
 };
 use std::{
     sync::{
         atomic::{
+            AtomicU32,
             AtomicU64,
             Ordering, //
         },
@@ -19,7 +21,10 @@
     },
     time::Duration, //
 };
-use steer::Estimate;
+use steer::{
+    Estimate,
+    Occupancy, //
+};
 
 /// What traffic threads know of the regions; never changed once published.
 #[derive(Debug, Default)]
@@ -40,6 +45,8 @@
     pub(crate) spill: Vec<Spill>,
     /// One for each region: what this entry sends there.
     pub(crate) flows: Vec<Arc<Flow>>,
+    /// Other entries of this region whose word is fresh.
+    pub(crate) siblings: Vec<Sibling>,
 }
 
 /// Part of the arriving work that may go to one other region.
@@ -51,6 +58,51 @@
     pub(crate) permille: u32,
 }
 
+/// Another entry of this region, which may take a request for which no slot is free here.
+#[derive(Clone, Debug)]
+pub(crate) struct Sibling {
+    pub(crate) instance: InstanceId,
+    /// Demand that it last told of, in thousandths of a slot.
+    pub(crate) told_milli_slots: u64,
+    pub(crate) open: u32,
+    pub(crate) handed: Arc<Handed>,
+}
+
+/// Requests of one service that this entry handed to another and that are not answered yet.
+#[derive(Debug, Default)]
+pub(crate) struct Handed(AtomicU32);
+
+impl Handed {
+    /// Counts one request until the guard is dropped.
+    pub(crate) fn guard(self: &Arc<Self>) -> HandedGuard {
+        self.0.fetch_add(1, Ordering::Relaxed);
+        HandedGuard(Arc::clone(self))
+    }
+}
+
+/// One request at another entry.
+#[derive(Debug)]
+pub(crate) struct HandedGuard(Arc<Handed>);
+
+impl Drop for HandedGuard {
+    fn drop(&mut self) {
+        self.0 .0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl ClassOutlook {
+    /// Other entry of this region that has less work for each slot than `here`.
+    pub(crate) fn beside(&self, here: &Occupancy) -> Option<&Sibling> {
+        let senders = u32::try_from(self.siblings.len()).unwrap_or(u32::MAX);
+        let others = self.siblings.iter().map(|it| {
+            let handed = it.handed.0.load(Ordering::Relaxed);
+            Occupancy::beside(it.told_milli_slots, it.open, handed, senders)
+        });
+        let chosen = steer::least_occupied(here, others)?;
+        self.siblings.get(chosen)
+    }
+}
+
 /// Requests of one service that this entry placed in another region.
 #[derive(Debug, Default)]
 pub(crate) struct Flow(AtomicU64);
--- a/crates/rig/tests/steering.rs
+++ b/crates/rig/tests/steering.rs
@@ -18,6 +18,7 @@
     turn,
     ClassLayout,
     Layout,
+    RegionLayout,
     Rig,
     Trial, //
 };
@@ -260,3 +261,32 @@
     });
     trial.assert_kept(0.99);
 }
+
+/// Symptom: callers of one entry wait and are refused while another entry of the region has slots
+/// free. Sequence: nine tenths of a region's slots are asked for by four callers, who hold one of
+/// its three entries each for two seconds. Cause: slots follow callers too late.
+#[test]
+fn work_that_comes_to_one_entry_uses_the_slots_of_all() {
+    let _turn = turn();
+    let mut terms = Layout::quick_terms();
+    terms.retain(|(name, _)| *name != "lookup_ttl_ms");
+    terms.push(("lookup_ttl_ms", 2_000));
+    let mut rig = Rig::start(Layout {
+        regions: vec![RegionLayout {
+            name: HOME,
+            entries: 3,
+        }],
+        classes: layout().classes,
+        terms,
+        ..Layout::one_region()
+    })
+    .unwrap();
+    let mut scene = scene(0.0, 20_000);
+    scene.regions.truncate(1);
+    scene.regions[0].callers = 4;
+    scene.classes[0].rate_per_s = 240.0;
+    scene.classes[0].deadline_ms = 700;
+    scene.classes[0].tries = 1;
+    let trial = rig.run(&scene, |_| {});
+    trial.assert_kept(0.99);
+}
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -35,6 +35,7 @@
 mod seed;
 mod shift;
 mod spill;
+mod spread;
 mod suspect;
 mod view;
 
@@ -95,6 +96,10 @@
     Allowance,
     Demand, //
 };
+pub use spread::{
+    least_occupied,
+    Occupancy, //
+};
 pub use suspect::{
     Suspect,
     SuspectSettings,
--- a/crates/steer/tests/tables.rs
+++ b/crates/steer/tests/tables.rs
@@ -430,7 +430,25 @@
     spill_part: (0..1000).filter(|&seed| is_excess(250, seed)).count() / 50 => 5;
 }
 
+/// Entry beside one with 15 requests in flight and `waiting` on 15 slots that takes the next, of
+/// entries which told of so many busy slots, have so many open, and have so many from here.
+fn beside(waiting: u32, others: &[(u64, u32, u32)]) -> Option<usize> {
+    let here = Occupancy::here(15, waiting, 15);
+    let others = others
+        .iter()
+        .map(|&(busy, open, handed)| Occupancy::beside(busy * 1000, open, handed, 2));
+    least_occupied(&here, others)
+}
+
 cases! {
+    beside_none: beside(9, &[]) => None;
+    beside_to_the_idle: beside(0, &[(9, 15, 0), (2, 15, 0)]) => Some(1);
+    beside_by_share_not_count: beside(0, &[(4, 5, 0), (6, 15, 0)]) => Some(1);
+    beside_never_without_slots: beside(50, &[(0, 0, 0)]) => None;
+    beside_stays_where_all_are_full: beside(0, &[(15, 15, 0), (16, 15, 0)]) => None;
+    beside_not_all_to_the_idle: beside(0, &[(9, 15, 0), (2, 15, 4)]) => Some(0);
+    beside_not_behind_its_queue: beside(20, &[(2, 15, 17)]) => None;
+    beside_from_a_queue: beside(20, &[(2, 15, 16)]) => Some(0);
     policy_names: Policy::ALL.map(|p| p.as_str().parse::<Policy>() == Ok(p)) => [true; 5];
     policy_unknown: "ring".parse::<Policy>() => Err(UnknownPolicy);
     freshness_young: Freshness::of_age(ms(2999), &FreshnessLimits::default()) => Freshness::Fresh;
