filing: the ledger's memory, its bounds and its refusals in modules of their own

Changed: `Memory` keeps the entries and the invariant on bytes; `Ledger` decides. `Bounds` and `RefuseReason` have their files. `Memory` alone reaches the maps; handover asks it. No change of behaviour.

--- a/crates/filing/src/handover.rs
+++ b/crates/filing/src/handover.rs
@@ -6,10 +6,10 @@
 //! names no successor and answers `unknown`.
 
 use crate::{
-    ledger::{
+    ledger::Phase,
+    memory::{
         unknown_record,
-        Fate,
-        Phase, //
+        Fate, //
     },
     Begin,
     Ledger,
@@ -147,16 +147,12 @@
     }
 
     fn check_room(&self, offer: &Offer) -> Result<(), AdoptError> {
-        let count = self.entries.len() + offer.records.len();
-        let bytes: usize = offer
-            .records
-            .iter()
-            .map(|handed| self.cost_bytes(&Fate::Ended(handed.record.clone())))
-            .sum();
-        if count > self.bounds.tickets_max || bytes > self.free_bytes() {
-            return Err(AdoptError::TooMany);
+        let records = offer.records.iter().map(|handed| &handed.record);
+        if self.memory.has_room_for(records) {
+            Ok(())
+        } else {
+            Err(AdoptError::TooMany)
         }
-        Ok(())
     }
 
     fn take_over(&mut self, offer: &Offer) {
@@ -170,10 +166,12 @@
             self.origins.insert(key, carried);
         }
         if !self.guards.adopt_once {
-            self.forget_all();
+            self.memory.forget_all();
         }
         for handed in &offer.records {
-            self.take_record(handed.nonce, handed.expires_at_ms, handed.record.clone());
+            let record = handed.record.clone();
+            self.memory
+                .take_record(handed.nonce, handed.expires_at_ms, record);
         }
     }
 
@@ -217,8 +215,12 @@
     fn handed_records(&self) -> (Vec<HandedRecord>, u64) {
         let mut records = Vec::new();
         let mut bytes = 0;
-        for nonce in self.latest_first() {
-            let handed = self.handed_record(nonce);
+        for (nonce, expires_at_ms, fate) in self.memory.latest_first() {
+            let handed = HandedRecord {
+                nonce,
+                expires_at_ms,
+                record: record_of(fate),
+            };
             bytes += HANDED_BYTES + handed.record.bytes();
             if bytes > self.bounds.offer_bytes_max {
                 return (records, handed.expires_at_ms);
@@ -227,17 +229,13 @@
         }
         (records, 0)
     }
+}
 
-    fn handed_record(&self, nonce: Nonce) -> HandedRecord {
-        let entry = &self.entries[&nonce];
-        HandedRecord {
-            nonce,
-            expires_at_ms: entry.expires_at_ms,
-            record: match &entry.fate {
-                Fate::Running => unknown_record(),
-                Fate::Ended(record) => record.clone(),
-            },
-        }
+/// What a successor tells of a filing; of one that still runs nobody can tell its outcome.
+fn record_of(fate: &Fate) -> Record {
+    match fate {
+        Fate::Running => unknown_record(),
+        Fate::Ended(record) => record.clone(),
     }
 }
 
--- a/crates/filing/src/lib.rs
+++ b/crates/filing/src/lib.rs
@@ -15,10 +15,12 @@
 //! `not-run` is final, so no late copy of the ticket runs after it; an outcome is never forgotten
 //! while a copy of its ticket could still be taken for a new one.
 //!
-//! Start with `ticket`, then `ledger`. The reasons, and the gap that remains between the last
-//! check and the send, are in `docs/design/filing.md`; the searches are in crate `model`.
+//! Start with `ticket`, then `ledger`, which decides, and `memory`, which it decides from. The
+//! reasons, and the gap that remains between the last check and the send, are in
+//! `docs/design/filing.md`; the searches are in crate `model`.
 
 mod batch;
+mod bounds;
 mod claim;
 mod claimer;
 mod clock;
@@ -26,7 +28,9 @@
 mod guards;
 mod handover;
 mod ledger;
+mod memory;
 mod record;
+mod refuse;
 mod releaser;
 mod ticket;
 
@@ -38,6 +42,7 @@
     Row,
     NO_CALLER, //
 };
+pub use bounds::Bounds;
 pub use claim::{
     claim_key,
     Claim,
@@ -67,15 +72,14 @@
 };
 pub use ledger::{
     Begin,
-    Bounds,
-    Ledger,
-    RefuseReason, //
+    Ledger, //
 };
 pub use record::{
     outcome_key,
     MalformedRecord,
     Record, //
 };
+pub use refuse::RefuseReason;
 pub use releaser::{
     ReleaseStep,
     Releaser, //
