A row for a region whose upstreams die while its entries live

Entries alone are killed in one row and both in another; here the list names dead upstreams, and the entries must find out and hand on what callers ask for once.

--- a/crates/rig/tests/promises.rs
+++ b/crates/rig/tests/promises.rs
@@ -334,6 +334,17 @@
         }
     };
 
+    /// Symptom: callers are refused at entries whose region has no upstream left. Sequence: all
+    /// upstreams of one region die, its entries live; lookups are asked for once. Cause: the list
+    /// still names the dead, so that each entry must find out and hand its work to the other region.
+    region_without_upstreams: Layout::two_regions(), |layout| scene(layout, 10, vec![once(menu(100.0)), orders(20.0)]), 0.95, |rig| {
+        for class in ["menu", "orders", "binders"] {
+            for index in 0..3 {
+                rig.fault_upstream(&format!("arusha-{class}-{index}"), &json!({"dead": true}));
+            }
+        }
+    };
+
     /// Symptom: callers of a region that is gone get no answer. Sequence: all upstreams and both
     /// entries of one region die at once. Cause: nothing of it is left to say so; the other region
     /// takes its callers and must hand nothing back.
