share: a member's leases, peers and status in modules of their own

Changed: `member::leases`, `member::peer` and `member::status` have the last three; `Peer` takes its beats in itself; adopting a row and granting a promise are steps with names. No change of behaviour.

--- a/crates/share/src/handover.rs
+++ b/crates/share/src/handover.rs
@@ -5,7 +5,10 @@
 //! tokens until the next epoch; none is ever doubled.
 
 use crate::{
-    member::Member,
+    member::{
+        Member,
+        Peer, //
+    },
     message::Give,
     row::{
         amount,
@@ -130,7 +133,7 @@
     /// Member at this epoch that lacks the most tokens, and how many.
     fn neediest(&self) -> Option<(MemberId, u32)> {
         let row = self.row.as_ref()?;
-        let lacking = |(id, peer): (&MemberId, &crate::member::Peer)| {
+        let lacking = |(id, peer): (&MemberId, &Peer)| {
             let here = peer.epoch == row.epoch && peer.acked && row.members.contains_key(id);
             let lacks = peer.demand.saturating_sub(peer.held);
             (here && !peer.leaving && lacks > 0).then(|| (id.clone(), lacks))
--- a/crates/share/src/member.rs
+++ b/crates/share/src/member/mod.rs
@@ -9,32 +9,33 @@
 //!   most; past the long term of its lease it is dead and never uses anything again. The daemon then
 //!   starts a new `Member` under a higher incarnation.
 //!
-//! The rules of settling are in `settle`, of hand-overs in `handover`, of new rows in `propose`.
+//! The rules of settling are in `settle`, of hand-overs in `handover`, of new rows in `propose`. Of
+//! the modules below, `leases` has what it learns of leases, `peer` what it keeps of others, and
+//! `status` what it says of itself.
+
+mod leases;
+mod peer;
+mod status;
+
+pub(crate) use peer::Peer;
 
 use crate::{
     lease::{
         OwnLease,
-        SeenLease,
-        REPLACED, //
+        SeenLease, //
     },
     message::{
         Action,
         Give,
-        Limits,
         PoolBeat, //
     },
-    promise::{
-        promise_end,
-        Owed, //
-    },
+    promise::Owed,
     row::{
         amount,
         floor_of,
         least,
         total,
-        within,
         Amounts,
-        Listed,
         MemberId,
         PoolId,
         ResourceId,
@@ -45,44 +46,15 @@
         Terms, //
     },
 };
-use base::{
-    Epoch,
-    Now, //
-};
+use base::Now;
 use std::{
     collections::{
         BTreeMap,
         BTreeSet, //
     },
-    fmt,
     sync::Arc, //
 };
 
-/// What another member has said of itself.
-#[derive(Clone, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub(crate) struct Peer {
-    /// Highest epoch it was heard at; `acked`, `vouches` and `seen_mine` are of this epoch.
-    pub(crate) epoch: Epoch,
-    /// Whether its use was within its allotment of that epoch.
-    pub(crate) acked: bool,
-    /// Whether it uses nothing any more.
-    pub(crate) released: bool,
-    /// Whether it stops.
-    pub(crate) leaving: bool,
-    /// Whether its lease waits to be listed by a row.
-    pub(crate) unlisted: bool,
-    /// Tokens it could use.
-    pub(crate) demand: u32,
-    /// Tokens it holds.
-    pub(crate) held: u32,
-    /// Lowest lease of each member that it knew at a moment when it owed that member no promise.
-    pub(crate) vouches: BTreeMap<MemberId, u64>,
-    /// Highest lease of this member that it knew.
-    pub(crate) seen_mine: u64,
-    /// End of its promise to this member.
-    pub(crate) promise_until: Now,
-}
-
 /// State machine of one member of one pool.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Member {
@@ -172,6 +144,13 @@
             // Another member saw this one lapse for good, or heard its release.
             self.die();
         }
+        self.begin_epoch(row, now);
+        self.forget_strangers(row);
+        self.try_settle(now);
+    }
+
+    /// Adopts the row: what is held becomes less at once, and more once the epoch is settled.
+    fn begin_epoch(&mut self, row: &Arc<Row>, now: Now) {
         self.undo_pending_give();
         let clipped = self.held_after_lapse(now);
         let allot = self.allotment(row);
@@ -188,8 +167,6 @@
         self.adopted_at = now;
         self.wanted_since = None;
         self.row = Some(Arc::clone(row));
-        self.forget_strangers(row);
-        self.try_settle(now);
     }
 
     /// Forgets members that are neither listed nor about to join.
@@ -216,127 +193,20 @@
         if beat.lease_seq > 0 {
             self.see_next_life(&beat.from, now, now);
         }
-        self.keep_beat(beat, now);
-        let same_epoch = beat.epoch == self.epoch() || !self.guards.promise_same_epoch;
-        let promises = !self.terms.promise_term.is_zero();
-        if promises && same_epoch && !self.dead && self.lists(&beat.from) {
-            let (terms, guards) = (self.terms, self.guards);
-            self.owed
-                .grant(&beat.from, beat.asked, now, &terms, &guards);
-        }
-        self.try_settle(now);
-    }
-
-    /// Sorts the facts of a beat into what is kept of its sender.
-    fn keep_beat(&mut self, beat: &PoolBeat, now: Now) {
         let peer = self.peers.entry(beat.from.clone()).or_default();
-        if let Some(asked) = beat.granted.get(&self.me) {
-            let end = promise_end(*asked, now, &self.terms, &self.guards);
-            if now < end {
-                peer.promise_until = peer.promise_until.max(end);
-            }
-        }
-        peer.released |= beat.released;
-        peer.leaving |= beat.leaving;
-        if beat.epoch < peer.epoch {
-            return;
-        }
-        if beat.epoch > peer.epoch {
-            peer.acked = false;
-            peer.vouches.clear();
-            peer.seen_mine = 0;
-        }
-        peer.epoch = beat.epoch;
-        peer.acked |= beat.acked;
-        peer.unlisted = beat.unlisted;
-        peer.demand = beat.demand;
-        peer.held = beat.held;
-        for (member, seq) in &beat.seen {
-            if *member == self.me {
-                peer.seen_mine = peer.seen_mine.max(*seq);
-            }
-            if !beat.promised.contains(member) || !self.guards.promise_kept {
-                let lowest = peer.vouches.entry(member.clone()).or_insert(*seq);
-                *lowest = (*lowest).min(*seq);
-            }
-        }
-    }
-
-    /// Notes a renewal of the own lease that the platform confirmed.
-    ///
-    /// `sent_at` is read from the clock before the renewal left: the table may have taken it at any
-    /// moment since, and observers count from as early as that.
-    pub fn set_lease(&mut self, seq: u64, sent_at: Now, now: Now) {
-        self.touch(now);
-        if self.dead || self.lease.is_some_and(|lease| seq <= lease.seq) {
-            return;
-        }
-        let since = if self.guards.lease_from_send {
-            sent_at
-        } else {
-            now
-        };
-        let renewal = (seq, since);
-        let lease = OwnLease::renewed(self.lease, renewal, now, &self.terms, &self.guards);
-        self.lease = Some(lease);
-        self.try_settle(now);
-    }
-
-    /// Notes that a read of the table which started at `read_at` found `member` at lease `seq`.
-    ///
-    /// The table has one lease an instance. One of a higher incarnation shows that those before can't
-    /// be renewed any more; they lapse counted from the first sight of that.
-    pub fn observe_lease(&mut self, member: &MemberId, seq: u64, read_at: Now, now: Now) {
-        self.touch(now);
-        if *member == self.me {
-            return;
+        peer.hear(&self.me, beat, now, &self.terms, &self.guards);
+        if self.may_promise(beat) {
+            self.owed
+                .grant(&beat.from, beat.asked, now, &self.terms, &self.guards);
         }
-        self.see_lease(member, seq, now);
-        self.confirm_lease(member, seq, read_at);
-        self.see_next_life(member, read_at, now);
         self.try_settle(now);
     }
 
-    /// Notes that `member` holds its instance's lease: no earlier life can renew any more.
-    fn see_next_life(&mut self, member: &MemberId, read_at: Now, now: Now) {
-        for earlier in self.earlier_lives(member) {
-            if self.guards.replaced_from_sight {
-                self.see_lease(&earlier, REPLACED, now);
-            } else {
-                let last = self
-                    .leases
-                    .get(&earlier)
-                    .map_or(REPLACED, |lease| lease.seq);
-                self.confirm_lease(&earlier, last, read_at);
-            }
-        }
-    }
-
-    fn confirm_lease(&mut self, member: &MemberId, seq: u64, read_at: Now) {
-        if let Some(lease) = self.leases.get_mut(member) {
-            if lease.seq == seq {
-                lease.confirm(read_at, &self.terms, &self.guards);
-            }
-        }
-    }
-
-    /// Members of the row that are an earlier life of the instance of `member`.
-    fn earlier_lives(&self, member: &MemberId) -> Vec<MemberId> {
-        let listed = self.row.iter().flat_map(|row| row.members.keys());
-        let earlier =
-            |id: &&MemberId| id.instance == member.instance && id.incarnation < member.incarnation;
-        listed.filter(earlier).cloned().collect()
-    }
-
-    fn see_lease(&mut self, member: &MemberId, seq: u64, now: Now) {
-        if seq == 0 {
-            return;
-        }
-        let newer = self.leases.get(member).is_none_or(|lease| lease.seq < seq);
-        if newer {
-            let lease = SeenLease::new(seq, now);
-            self.leases.insert(member.clone(), lease);
-        }
+    /// Whether a beat is answered by a promise to its sender.
+    fn may_promise(&self, beat: &PoolBeat) -> bool {
+        let same_epoch = beat.epoch == self.epoch() || !self.guards.promise_same_epoch;
+        let promises = !self.terms.promise_term.is_zero();
+        promises && same_epoch && !self.dead && self.lists(&beat.from)
     }
 
     /// Sets what the pool's resources can take, as the list and the entries' own sight say.
@@ -397,67 +267,6 @@
         actions
     }
 
-    /// What traffic threads may use until told otherwise.
-    pub fn limits(&self) -> Limits {
-        let Some(lease) = self.lease.filter(|_| !self.dead && !self.leaving) else {
-            return Limits::default();
-        };
-        Limits {
-            full: self.held.clone(),
-            full_until: self.protected_until(),
-            floor: least(&self.held, &self.floor()),
-            floor_until: lease.long_end(&self.terms),
-        }
-    }
-
-    /// Tokens of `resource` that may be used at `now`.
-    pub fn usable(&self, resource: &ResourceId, now: Now) -> u32 {
-        self.limits().at(resource, now)
-    }
-
-    /// Epoch adopted; zero before the first.
-    pub fn epoch(&self) -> Epoch {
-        self.row.as_ref().map_or(0, |row| row.epoch)
-    }
-
-    /// Row adopted.
-    pub fn row(&self) -> Option<&Arc<Row>> {
-        self.row.as_ref()
-    }
-
-    /// Tokens held; not all may be usable.
-    pub fn held(&self) -> &Amounts {
-        &self.held
-    }
-
-    /// Who this is.
-    pub fn id(&self) -> &MemberId {
-        &self.me
-    }
-
-    /// Whether the whole allotment of the epoch is held.
-    pub fn is_settled(&self) -> bool {
-        self.settled
-    }
-
-    /// Whether it lapsed for good: start a new member under a higher incarnation.
-    pub fn is_dead(&self, now: Now) -> bool {
-        let lapsed = |lease: OwnLease| now >= lease.long_end(&self.terms);
-        self.dead || self.lease.is_some_and(lapsed)
-    }
-
-    /// Whether a planned stop is complete: nothing is in flight and nothing is held any more.
-    pub fn is_released(&self) -> bool {
-        self.leaving && self.in_flight_fresh && total(&self.in_flight) == 0
-    }
-
-    /// Whether the own use is within the allotment of the adopted epoch.
-    pub fn acked(&self) -> bool {
-        let counted = !self.guards.ack_in_flight
-            || (self.in_flight_fresh && within(&self.in_flight, &self.held));
-        self.row.as_ref().is_some_and(|row| self.is_listed(row)) && counted
-    }
-
     /// Notes what follows from the time alone.
     pub(crate) fn touch(&mut self, now: Now) {
         if self.is_dead(now) {
@@ -465,9 +274,7 @@
         }
         self.owed.expire(now);
         for peer in self.peers.values_mut() {
-            if now >= peer.promise_until {
-                peer.promise_until = Now::ZERO;
-            }
+            peer.touch(now);
         }
     }
 
@@ -512,13 +319,6 @@
         floor_of(&allot.unwrap_or_default(), self.terms.floor_pct)
     }
 
-    fn seen(&self) -> BTreeMap<MemberId, u64> {
-        self.leases
-            .iter()
-            .map(|(member, lease)| (member.clone(), lease.seq))
-            .collect()
-    }
-
     /// The row, for those who were heard lately and are behind: they may be cut off from the table.
     fn rows_for_those_behind(&self, now: Now) -> Vec<Action> {
         let Some(row) = &self.row else {
@@ -548,21 +348,3 @@
         *self.net.entry(resource.clone()).or_default() += change;
     }
 }
-
-impl fmt::Display for Member {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{} epoch {}", self.me, self.epoch())?;
-        write!(f, " holds {}", Listed(&self.held))?;
-        write!(f, " in flight {}", Listed(&self.in_flight))?;
-        let flags = [
-            ("settled", self.settled),
-            ("acked", self.acked()),
-            ("leaving", self.leaving),
-            ("dead", self.dead),
-        ];
-        for (name, _) in flags.iter().filter(|(_, on)| *on) {
-            write!(f, " {name}")?;
-        }
-        Ok(())
-    }
-}
