model, spec: one platform and one runner for accepts, used by the search and by spec's tests

The two models have a file each. The checks of both sides stand in `AcceptPlatform::check`; no assertion is gone, texts asserted by tests are as before.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -43,7 +43,9 @@
 };
 pub use spec::{
     AcceptModel,
+    AcceptPlatform,
     AcceptRequest,
+    AcceptRunner,
     AcceptState,
     AdoptModel,
     AdoptState,
--- a/crates/model/src/spec.rs
+++ b/crates/model/src/spec/adopt.rs
@@ -1,8 +1,4 @@
-//! Versions: operators who race and repeat, and daemons that adopt what they hear of.
-//!
-//! [`AcceptModel`] runs several accepts through a platform that refuses, loses and delays. What
-//! must hold: versions follow each other without gap or fork, a head comes after its objects, an
-//! accept takes effect at most once, and both "accepted" and "not accepted" are true for good.
+//! Daemons that adopt what they hear of.
 //!
 //! [`AdoptModel`] has a daemon that starts and one that runs, beside the table and a peer that was
 //! cut off alone and still tells of its old version. Heads arrive in any order, late and again;
@@ -10,22 +6,15 @@
 //! same under one version, and a daemon that starts is not ready below the highest version that
 //! its sources had.
 
+use super::VersionStep;
 use crate::Model;
-use bytes::Bytes;
 use bytestring::ByteString;
 use spec::{
-    Accept,
-    AcceptAction,
-    AcceptEvent,
     AcceptId,
-    AcceptOutcome,
     Adopt,
     AdoptAction,
     AdoptEvent,
-    Answer,
     BlockChange,
-    Check,
-    CommitAnswer,
     Config,
     Digest,
     FetchFailure,
@@ -34,267 +23,9 @@
     Object,
     Offer,
     Proposal,
-    RowKey,
-    RowValue,
-    Source,
-    Write, //
-};
-use std::{
-    collections::{
-        BTreeMap,
-        BTreeSet, //
-    },
-    fmt, //
+    Source, //
 };
-
-/// One thing that happens, in words.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct VersionStep(String);
-
-impl fmt::Display for VersionStep {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
-    }
-}
-
-/// An operator's request: the accept's name and the version that it changes.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-pub struct AcceptRequest {
-    /// Name of the accept; a repeat has the same.
-    pub id: u128,
-    /// Version that it changes.
-    pub base: u64,
-}
-
-/// Accepts that run at the same time.
-#[derive(Clone, Debug)]
-pub struct AcceptModel {
-    /// Guards of all.
-    pub guards: Guards,
-    /// Requests, each at some daemon.
-    pub requests: Vec<AcceptRequest>,
-    /// Requests to the platform that are refused, lost or late, together.
-    pub faults: u8,
-}
-
-/// Commit on its way, and whose.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-struct Txn {
-    runner: usize,
-    checks: Vec<Check>,
-    writes: Vec<Write>,
-}
-
-/// An accept and what it does next.
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
-struct Runner {
-    accept: Accept,
-    action: AcceptAction,
-}
-
-/// State of the platform and of the accepts.
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
-pub struct AcceptState {
-    faults_left: u8,
-    objects: BTreeSet<Digest>,
-    rows: BTreeMap<RowKey, RowValue>,
-    commits: u64,
-    late: Vec<Txn>,
-    runners: Vec<Runner>,
-    /// Heads in the order in which they came into force, and whose commits made them.
-    log: Vec<(Head, usize)>,
-    headless: bool,
-}
-
-impl AcceptState {
-    fn with_fault(&self) -> Option<Self> {
-        let mut after = self.clone();
-        after.faults_left = self.faults_left.checked_sub(1)?;
-        Some(after)
-    }
-
-    fn commit(&mut self, txn: &Txn) -> CommitAnswer {
-        let holds = |check: &Check| {
-            let row = self.rows.get(&check.key);
-            row.map(|row| row.row_version) == check.row_version
-        };
-        if !txn.checks.iter().all(holds) {
-            return CommitAnswer::Conflict;
-        }
-        self.commits += 1;
-        for write in &txn.writes {
-            let row = RowValue {
-                row_version: self.commits,
-                value: write.value.clone(),
-            };
-            self.rows.insert(write.key, row);
-            if write.key == RowKey::Head {
-                let head: Head = write.value.parse().expect("only heads are written");
-                self.headless |= !self.objects.contains(&head.digest);
-                self.log.push((head, txn.runner));
-            }
-        }
-        CommitAnswer::Committed
-    }
-
-    fn deliver(mut self, runner: usize, event: AcceptEvent) -> Self {
-        let runner = &mut self.runners[runner];
-        let action = runner.accept.handle(event);
-        runner.action = action.expect("the answer was asked for");
-        self
-    }
-
-    /// Whether what the operator of this request was told is true.
-    fn is_told_true(&self, index: usize, outcome: &AcceptOutcome) -> bool {
-        let proposal = self.runners[index].accept.proposal();
-        match outcome {
-            AcceptOutcome::Accepted(head) | AcceptOutcome::AlreadyAccepted(head) => {
-                self.log.iter().any(|(made, _)| made == head)
-            }
-            AcceptOutcome::NotAccepted => self.log.iter().all(|(_, by)| *by != index),
-            AcceptOutcome::Raced { .. } => self.log.iter().all(|(made, _)| {
-                (made.accept_id, made.version) != (proposal.accept_id, proposal.base + 1)
-            }),
-            AcceptOutcome::Unknown => true,
-        }
-    }
-}
-
-fn tiny_proposal(request: AcceptRequest) -> Proposal {
-    let bytes = Bytes::from(format!("body {}", request.id));
-    let body = Digest::of(&bytes);
-    Proposal {
-        accept_id: AcceptId(request.id),
-        author: ByteString::from_static("asha"),
-        accepted_at_ms: 0,
-        base: request.base,
-        body,
-        objects: vec![(body, bytes)],
-    }
-}
-
-type AcceptNext = Vec<(VersionStep, AcceptState)>;
-
-fn accept_step(state: &AcceptState, index: usize, next: &mut AcceptNext) {
-    let mut push = |what: &str, after: AcceptState| {
-        let id = after.runners[index].accept.proposal().accept_id.0;
-        let step = VersionStep(format!("request {index} (accept {id}) {what}"));
-        next.push((step, after));
-    };
-    match state.runners[index].action.clone() {
-        AcceptAction::Finish(_) => {}
-        AcceptAction::Store { digest, .. } => {
-            let mut after = state.clone();
-            after.objects.insert(digest);
-            let stored = AcceptEvent::Stored(Answer::Done(()));
-            push("stores its object", after.deliver(index, stored));
-            if let Some(down) = state.with_fault() {
-                let event = AcceptEvent::Stored(Answer::NotDone);
-                push("can't store its object", down.deliver(index, event));
-            }
-        }
-        AcceptAction::Read { keys } => {
-            let rows = keys.iter().map(|key| state.rows.get(key).cloned());
-            let event = AcceptEvent::Rows(Some(rows.collect()));
-            push("reads", state.clone().deliver(index, event));
-            if let Some(down) = state.with_fault() {
-                push("can't read", down.deliver(index, AcceptEvent::Rows(None)));
-            }
-        }
-        AcceptAction::Commit { checks, writes } => {
-            let txn = Txn {
-                runner: index,
-                checks,
-                writes,
-            };
-            commit_step(state, &txn, &mut push);
-        }
-    }
-}
-
-fn commit_step(state: &AcceptState, txn: &Txn, push: &mut impl FnMut(&str, AcceptState)) {
-    let index = txn.runner;
-    let event = |answer| AcceptEvent::Commit(answer);
-    let mut after = state.clone();
-    let answer = after.commit(txn);
-    let what = match answer {
-        CommitAnswer::Committed => "commits",
-        CommitAnswer::Conflict => "finds another head",
-    };
-    let lossy = after.with_fault();
-    push(what, after.deliver(index, event(Answer::Done(answer))));
-    if let Some(lossy) = lossy {
-        let what = "has its commit carried out, the answer is lost";
-        push(what, lossy.deliver(index, event(Answer::Unknown)));
-    }
-    if let Some(down) = state.with_fault() {
-        let mut late = down.clone();
-        let what = "has its commit refused";
-        push(what, down.deliver(index, event(Answer::NotDone)));
-        late.late.push(txn.clone());
-        late.late.sort();
-        let what = "has its commit under way, the answer is lost";
-        push(what, late.deliver(index, event(Answer::Unknown)));
-    }
-}
-
-impl Model for AcceptModel {
-    type State = AcceptState;
-    type Step = VersionStep;
-
-    fn start(&self) -> AcceptState {
-        let runner = |request: &AcceptRequest| {
-            let (accept, action) = Accept::start(tiny_proposal(*request), self.guards);
-            Runner { accept, action }
-        };
-        AcceptState {
-            faults_left: self.faults,
-            objects: BTreeSet::new(),
-            rows: BTreeMap::new(),
-            commits: 0,
-            late: Vec::new(),
-            runners: self.requests.iter().map(runner).collect(),
-            log: Vec::new(),
-            headless: false,
-        }
-    }
-
-    fn transitions(&self, state: &AcceptState) -> AcceptNext {
-        let mut next = Vec::new();
-        for index in 0..state.late.len() {
-            let mut after = state.clone();
-            let txn = after.late.remove(index);
-            after.commit(&txn);
-            let step = format!("a late commit of request {} arrives", txn.runner);
-            next.push((VersionStep(step), after));
-        }
-        for index in 0..state.runners.len() {
-            accept_step(state, index, &mut next);
-        }
-        next
-    }
-
-    fn check(&self, state: &AcceptState) -> Result<(), String> {
-        let versions = state.log.iter().map(|(head, _)| head.version);
-        if !versions.eq(1..=state.log.len() as u64) {
-            return Err("the versions don't follow each other".into());
-        }
-        if state.headless {
-            return Err("a head names an object that isn't stored".into());
-        }
-        let ids: BTreeSet<AcceptId> = state.log.iter().map(|(head, _)| head.accept_id).collect();
-        if ids.len() < state.log.len() {
-            return Err("an accept took effect twice".into());
-        }
-        for (index, runner) in state.runners.iter().enumerate() {
-            let outcome = runner.accept.outcome();
-            if outcome.is_some_and(|outcome| !state.is_told_true(index, outcome)) {
-                return Err(format!("request {index} was told {outcome:?}"));
-            }
-        }
-        Ok(())
-    }
-}
+use std::collections::BTreeSet;
 
 /// A daemon that starts, one that runs, and their sources.
 #[derive(Clone, Debug)]
--- a/crates/spec/tests/world/mod.rs
+++ b/crates/spec/tests/world/mod.rs
@@ -1,9 +1,11 @@
 //! A platform in memory that loses, delays and refuses, with the accepts that run on it.
 
-use bytes::Bytes;
 use bytestring::ByteString;
+use model::{
+    AcceptPlatform,
+    AcceptRunner, //
+};
 use spec::{
-    Accept,
     AcceptAction,
     AcceptEvent,
     AcceptId,
@@ -23,13 +25,9 @@
     Object,
     Offer,
     Proposal,
-    RowKey,
-    RowValue,
     Source,
     Write, //
 };
-use std::collections::BTreeMap;
-
 /// What becomes of one request.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Fault {
@@ -45,35 +43,22 @@
     Late,
 }
 
-/// An accept and what it does next.
-struct Runner {
-    accept: Accept,
-    action: AcceptAction,
-}
-
 /// Commit on its way.
 type Txn = (Vec<Check>, Vec<Write>);
 
 /// The platform and the accepts that run on it.
 #[derive(Default)]
 pub(crate) struct World {
-    objects: BTreeMap<Digest, Bytes>,
-    rows: BTreeMap<RowKey, RowValue>,
-    commits: u64,
+    platform: AcceptPlatform,
     /// Commits that arrive later.
     late: Vec<Txn>,
-    /// Heads in the order in which they came into force.
-    log: Vec<Head>,
-    /// Whether a head came into force before its body was stored.
-    headless: bool,
-    runners: Vec<Runner>,
+    runners: Vec<AcceptRunner>,
 }
 
 impl World {
     /// Starts an accept.
     pub(crate) fn start(&mut self, proposal: Proposal, guards: Guards) -> usize {
-        let (accept, action) = Accept::start(proposal, guards);
-        self.runners.push(Runner { accept, action });
+        self.runners.push(AcceptRunner::start(proposal, guards));
         self.runners.len() - 1
     }
 
@@ -84,12 +69,12 @@
             AcceptAction::Finish(_) => return,
             AcceptAction::Store { digest, bytes } => {
                 if matches!(fault, Fault::None | Fault::EffectThenLost) {
-                    self.objects.insert(digest, bytes);
+                    self.platform.store(digest, bytes);
                 }
                 AcceptEvent::Stored(answer(fault, ()))
             }
             AcceptAction::Read { keys } => {
-                let rows = keys.iter().map(|key| self.rows.get(key).cloned()).collect();
+                let rows = self.platform.read(&keys);
                 AcceptEvent::Rows(matches!(fault, Fault::None).then_some(rows))
             }
             AcceptAction::Commit { checks, writes } => {
@@ -109,11 +94,7 @@
                 })
             }
         };
-        let runner = &mut self.runners[runner];
-        runner.action = runner
-            .accept
-            .handle(event)
-            .expect("the answer was asked for");
+        self.runners[runner].deliver(event);
     }
 
     /// Carries out an accept to its end without faults.
@@ -136,26 +117,18 @@
 
     /// Versions that an accept has made.
     pub(crate) fn accepted_versions(&self, id: u128) -> Vec<u64> {
-        let made = self
-            .log
-            .iter()
-            .filter(|head| head.accept_id == AcceptId(id));
+        let heads = self.platform.heads().iter();
+        let made = heads.filter(|head| head.accept_id == AcceptId(id));
         made.map(|head| head.version).collect()
     }
 
     /// What must hold of the log, and of what operators were told.
     pub(crate) fn check(&self) -> Result<(), String> {
-        for (version, head) in (1..).zip(&self.log) {
-            if head.version != version {
-                return Err(format!("version {} follows {}", head.version, version - 1));
-            }
-            if !self.objects.contains_key(&head.digest) || self.headless {
-                return Err(format!("the object of version {version} came after it"));
-            }
-        }
+        self.platform.check()?;
+        let heads = self.platform.heads();
         for runner in &self.runners {
             let id = runner.accept.proposal().accept_id;
-            let made: Vec<&Head> = self.log.iter().filter(|h| h.accept_id == id).collect();
+            let made: Vec<&Head> = heads.iter().filter(|h| h.accept_id == id).collect();
             let alone = self
                 .runners
                 .iter()
@@ -179,27 +152,7 @@
     }
 
     fn commit(&mut self, (checks, writes): Txn) -> CommitAnswer {
-        let holds = |check: &Check| {
-            let row = self.rows.get(&check.key);
-            row.map(|row| row.row_version) == check.row_version
-        };
-        if !checks.iter().all(holds) {
-            return CommitAnswer::Conflict;
-        }
-        self.commits += 1;
-        for write in writes {
-            if write.key == RowKey::Head {
-                let head: Head = write.value.parse().unwrap();
-                self.headless |= !self.objects.contains_key(&head.digest);
-                self.log.push(head);
-            }
-            let row = RowValue {
-                row_version: self.commits,
-                value: write.value,
-            };
-            self.rows.insert(write.key, row);
-        }
-        CommitAnswer::Committed
+        self.platform.commit(&checks, &writes)
     }
 }
 
@@ -216,12 +169,12 @@
 pub(crate) fn adopt_all(world: &World, adopt: &mut Adopt) -> usize {
     let mut actions = adopt.handle(AdoptEvent::Offered {
         source: Source::Table,
-        offer: Offer::Head(world.log.last().unwrap().clone()),
+        offer: Offer::Head(world.platform.heads().last().unwrap().clone()),
     });
     let mut fetches = 0;
     while let Some(AdoptAction::Fetch { digest, .. }) = actions.pop() {
         fetches += 1;
-        let object = Object::read(&digest, &world.objects[&digest]).unwrap();
+        let object = Object::read(&digest, world.platform.object(&digest).unwrap()).unwrap();
         actions = adopt.handle(AdoptEvent::Fetched {
             digest,
             object: Ok(object),
