--- a/crates/blocks/examples/measure.rs
+++ b/crates/blocks/examples/measure.rs
@@ -4,6 +4,9 @@
 //! not blurred by what an earlier size freed: `measure 1700000`. `measure unrelated 1700000` holds
 //! two tables that share nothing, as after a snapshot.
 
+#[path = "../tests/numbers/mod.rs"]
+mod numbers;
+
 use base::RegionId;
 use blocks::{
     Block,
@@ -12,6 +15,7 @@
     Delta,
     Table, //
 };
+use numbers::Numbers;
 use std::{
     env, fs,
     hint::black_box,
@@ -36,22 +40,7 @@
 const SITES: usize = 100;
 const PREFERENCES: u64 = 2_000;
 
-/// Numbers that depend on the seed alone.
-struct Numbers(u64);
-
 impl Numbers {
-    fn next(&mut self) -> u64 {
-        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut x = self.0;
-        x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        x ^ (x >> 31)
-    }
-
-    fn below(&mut self, limit: u64) -> u64 {
-        self.next() % limit
-    }
-
     /// A block: three in four of IPv4, mostly /24, some around or inside others.
     fn block(&mut self) -> Block {
         let bits = self.next();
--- a/crates/blocks/tests/naive.rs
+++ b/crates/blocks/tests/naive.rs
@@ -1,5 +1,7 @@
 //! A table equals a naive model: all blocks in a map, the longest one that contains the address.
 
+mod numbers;
+
 use base::RegionId;
 use blocks::{
     Block,
@@ -9,6 +11,7 @@
     Table,
     TableReader, //
 };
+use numbers::Numbers;
 use std::{
     collections::BTreeMap,
     net::{
@@ -20,22 +23,7 @@
 
 type Model = BTreeMap<Block, Vec<RegionId>>;
 
-/// Numbers that depend on the seed alone.
-struct Numbers(u64);
-
 impl Numbers {
-    fn next(&mut self) -> u64 {
-        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut x = self.0;
-        x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        x ^ (x >> 31)
-    }
-
-    fn below(&mut self, limit: u64) -> u64 {
-        self.next() % limit
-    }
-
     /// An address out of few enough that blocks nest, meet and repeat often.
     fn addr(&mut self) -> IpAddr {
         let edge = [0, 0xff, self.next() & 0xff][self.below(3) as usize] as u8;
