Two failures in a row close an upstream at once, not at the next tick

Symptom: in crossed_answers_reach_nobody an entry gave up to eight answers 502 `unknown` one after the other, though siblings were idle. Cause: an upstream that fails at once looks idle and draws what comes until control judges it, up to 100 ms later; a request a millisecond uses up the five to ten saved retries meanwhile. Ruled out: the body (whole), the deadline, and copies (7 sent, five retries left by the budget). Change: traffic threads leave an upstream after two failures in a row. Control suspects it for the same failures at its next tick, and takes the count back there.

--- a/crates/daemon/src/process/control/steering/upstreams.rs
+++ b/crates/daemon/src/process/control/steering/upstreams.rs
@@ -171,6 +171,7 @@
         upstream.limit.store(limit, Ordering::Relaxed);
         upstream.cold.store(cold, Ordering::Relaxed);
         upstream.suspect.store(suspect, Ordering::Relaxed);
+        upstream.seen.judged();
         upstream.silent.store(silent, Ordering::Relaxed);
         self.offered = due && upstream.open();
         upstream.set_probe_due(self.offered);
--- a/crates/daemon/src/process/pool/seen.rs
+++ b/crates/daemon/src/process/pool/seen.rs
@@ -2,6 +2,7 @@
 
 use std::{
     sync::atomic::{
+        AtomicU32,
         AtomicU64,
         Ordering, //
     },
@@ -16,9 +17,16 @@
 /// and draws work, for as many of its slow answers as the average needs to follow.
 const JUMP: u64 = 3;
 
+/// Failures in a row after which traffic threads leave an upstream, before control has judged it.
+///
+/// Control suspects it for the same failures, at its next tick at the latest.
+const STREAK_MAX: u32 = 2;
+
 /// What traffic threads saw of an upstream since the process started.
 #[derive(Debug, Default)]
 pub(crate) struct Seen {
+    /// Failures since the last answer and the last tick of control.
+    streak: AtomicU32,
     latency_us: AtomicU64,
     answered: AtomicU64,
     latency_sum_us: AtomicU64,
@@ -32,6 +40,7 @@
     /// Notes a whole answer that took `latency` to its first byte.
     pub(crate) fn note_answer(&self, latency: Duration) {
         let sample_us = to_us(latency);
+        self.streak.store(0, Ordering::Relaxed);
         self.answered.fetch_add(1, Ordering::Relaxed);
         self.latency_sum_us.fetch_add(sample_us, Ordering::Relaxed);
         // Racing samples may lose one of them, which a moving average bears.
@@ -47,16 +56,19 @@
     /// Notes a request that timed out.
     pub(crate) fn note_timeout(&self) {
         self.timed_out.fetch_add(1, Ordering::Relaxed);
+        self.streak.fetch_add(1, Ordering::Relaxed);
     }
 
     /// Notes an answer that was cut, short, or somebody else's.
     pub(crate) fn note_broken(&self) {
         self.broken.fetch_add(1, Ordering::Relaxed);
+        self.streak.fetch_add(1, Ordering::Relaxed);
     }
 
     /// Notes a connection that could not be opened.
     pub(crate) fn note_not_sent(&self) {
         self.not_sent.fetch_add(1, Ordering::Relaxed);
+        self.streak.fetch_add(1, Ordering::Relaxed);
     }
 
     /// Notes a refusal by the upstream itself.
@@ -64,6 +76,20 @@
         self.shed.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Whether it fails, as far as is known since control last judged it.
+    ///
+    /// What fails at once looks idle, and draws the work of a whole tick: one would notice a burst
+    /// of failures, as many as requests come in a tenth of a second, and a budget of retries that
+    /// is used up by them.
+    pub(crate) fn fails(&self) -> bool {
+        self.streak.load(Ordering::Relaxed) >= STREAK_MAX
+    }
+
+    /// Notes that control has judged what was seen.
+    pub(crate) fn judged(&self) {
+        self.streak.store(0, Ordering::Relaxed);
+    }
+
     /// Begins the moving average of latency anew.
     pub(crate) fn reset_latency(&self, latency: Duration) {
         self.latency_us.store(to_us(latency), Ordering::Relaxed);
--- a/crates/daemon/src/process/pool/upstream.rs
+++ b/crates/daemon/src/process/pool/upstream.rs
@@ -113,7 +113,7 @@
             latency: self.seen.latency(),
             errors: 0,
             reported: self.report.get(now),
-            suspect: self.suspect.load(Ordering::Relaxed),
+            suspect: self.suspect.load(Ordering::Relaxed) || self.seen.fails(),
             cold: self.cold.load(Ordering::Relaxed),
             leaving: !self.open(),
             fresh: !self.silent.load(Ordering::Relaxed),
