control: gauges in a module of their own

Read: crates/daemon/src/process/control/mod.rs; the export of gauges was its one long function. Changed: control::gauges, one function a kind. No change of behaviour.

--- a/crates/daemon/src/process/control/mod.rs
+++ b/crates/daemon/src/process/control/mod.rs
@@ -18,10 +18,12 @@
 //! - `handover`: filings at a planned stop.
 //! - `stopping`: the planned stop.
 //! - `status`: what operators see.
+//! - `gauges`: what metrics show of control's state.
 
 mod beats;
 mod claims;
 mod config;
+mod gauges;
 mod handover;
 mod lease;
 mod list;
@@ -325,34 +327,6 @@
         // Silence alone changes who is named in look-ups.
         self.publish();
     }
-
-    fn export_gauges(&self) {
-        metrics::gauge!(metric::ACTIVE).set(self.shared.active.count() as f64);
-        for (service, pool) in &self.pools {
-            let (usable, used) = pool.use_now(self.now());
-            let label = service.to_string();
-            metrics::gauge!(metric::SLOTS_USABLE, "service" => label.clone()).set(usable);
-            metrics::gauge!(metric::SLOTS_USED, "service" => label).set(used);
-        }
-        for (to, link) in &self.links {
-            metrics::counter!(metric::LINK_BYTES, "to" => to.to_string())
-                .absolute(link.passed_bytes());
-        }
-        if let Some(mesh) = &self.mesh {
-            metrics::gauge!(metric::PEERS).set(mesh.peers().len() as f64);
-            let counters = mesh.counters();
-            metrics::counter!(metric::PEER_BYTES).absolute(counters.sent_bytes.get());
-            // From here, not from events: a flood's are dropped.
-            metrics::counter!(metric::STRANGERS).absolute(counters.strangers.get());
-            let frames = [
-                ("unknown", &counters.unknown_frames),
-                ("malformed", &counters.bad_frames),
-            ];
-            for (reason, count) in frames {
-                metrics::counter!(metric::REFUSED_FRAMES, "reason" => reason).absolute(count.get());
-            }
-        }
-    }
 }
 
 impl Actor for Control {
