--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -7,6 +7,9 @@
 //! Ids are type aliases of [`ByteString`]: they come from the wire as bytes, and cloning one only
 //! counts a reference. The pure crates (`spec`, `blocks`, `steer`, `share`, `filing`, `member`)
 //! have no clock: they take `now` as a [`Now`], the time since some fixed start of the process.
+//!
+//! Where to go next: `spec` for what operators say, `steer` for how a request is decided, and the
+//! daemon, which puts both together.
 
 use bytestring::ByteString;
 use std::time::Duration;
--- a/crates/filing/src/lib.rs
+++ b/crates/filing/src/lib.rs
@@ -4,7 +4,8 @@
 //!
 //! With a [`Ticket`], made by the entry that answered the look-up. It binds the filing to one
 //! incarnation of one entry, whose [`Ledger`] is the only judge of whether it may run, and asks
-//! the platform nothing. At a planned stop a [`Stopping`] ledger closes, then offers its records
+//! the platform nothing; what came of it is written to the table afterwards, for whoever asks when
+//! this process is gone. At a planned stop a [`Stopping`] ledger closes, then offers its records
 //! and the right to its unused tickets to one incarnation of one successor.
 //!
 //! With a key of the caller's, claimed by a conditional insert into the table before anything is
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -12,8 +12,9 @@
 //! when it was true at its source at worst; its [`Freshness`] narrows what it is used for. Leaving
 //! is one-way within an incarnation, whichever sign came first.
 //!
-//! The *partners* ([`partners()`]) are those that a daemon exchanges heartbeats with: all of its
-//! failure domain and few of elsewhere, so that the graph stays connected and small.
+//! The *partners* ([`partners()`]) are a choice of those to exchange heartbeats with: all of the own
+//! failure domain and few of elsewhere, so that the graph stays connected and small. The daemon adds
+//! the rest of its region, since members of one pool have to hear each other.
 //!
 //! Start with `lease`, then `holder`. Reasons are in `docs/design/member.md`; the searches are in
 //! crate `model`.
--- a/crates/share/src/lib.rs
+++ b/crates/share/src/lib.rs
@@ -12,7 +12,9 @@
 //!   from epoch e to e+1. `verify` collects what is wrong with one, `plan` builds the next.
 //! - `member`: [`Member`], the state machine of one instance in one pool. Adopting a row it keeps
 //!   the lesser of what it held and its allotment, and gets the whole allotment only when each other
-//!   member has acknowledged the same epoch or has lapsed.
+//!   member has acknowledged the same epoch or has lapsed. Its rules of settling are in `settle`, of
+//!   tokens that change hands within an epoch in `handover`, of when to ask for a new row in
+//!   `propose`.
 //! - `lease`: a holder counts its lease from before the renewal was sent, an observer from its first
 //!   sight of it. After the short term only the *floor* is left, after the long term nothing.
 //! - `promise`: with the platform out of reach a holder keeps the whole allotment while every other
