--- a/crates/peer/tests/silence.rs
+++ b/crates/peer/tests/silence.rs
@@ -43,6 +43,17 @@
     node.count(|event| matches!(event, Event::Down { .. })) == 0
 }
 
+/// Two nodes with a session that `a` dialled through the relay.
+async fn connected(a_options: Options, b_options: Options) -> (Node, Node, Relay) {
+    let mut a = node("a", 1, a_options);
+    let mut b = node("b", 1, b_options);
+    let relay = Relay::start(b.mesh.local_addr()).await;
+    a.mesh.set_partners(vec![through(&relay, "b")]);
+    a.until_up("b").await;
+    b.until_up("a").await;
+    (a, b, relay)
+}
+
 /// Symptom: two healthy daemons count each other as gone, or hear nothing of each other and do
 /// not notice. Sequence: a middlebox forgets the connection, both sockets stay open, nothing
 /// moves; a new connection would work. Cause: silence taken for the peer's end, or not seen.
@@ -84,12 +95,7 @@
         pong_timeout: Duration::from_secs(3600),
         ..quick()
     };
-    let mut a = node("a", 1, patient);
-    let mut b = node("b", 1, quick());
-    let relay = Relay::start(b.mesh.local_addr()).await;
-    a.mesh.set_partners(vec![through(&relay, "b")]);
-    a.until_up("b").await;
-    b.until_up("a").await;
+    let (mut a, mut b, relay) = connected(patient, quick()).await;
     b.mesh.set_partners(vec![a.partner("a")]);
     relay.silence_old();
     b.until("reopening", |event| matches!(event, Event::Reopened(_)))
@@ -110,12 +116,7 @@
         handshake_timeout: Duration::from_millis(300),
         ..quick()
     };
-    let mut a = node("a", 1, options.clone());
-    let mut b = node("b", 1, options);
-    let relay = Relay::start(b.mesh.local_addr()).await;
-    a.mesh.set_partners(vec![through(&relay, "b")]);
-    a.until_up("b").await;
-    b.until_up("a").await;
+    let (mut a, mut b, relay) = connected(options.clone(), options).await;
     relay.silence_all();
     for node in [&mut a, &mut b] {
         let down = node.until("down", |event| matches!(event, Event::Down { .. }));
@@ -135,12 +136,7 @@
         pong_timeout: Duration::from_secs(30),
         ..quick()
     };
-    let mut a = node("a", 1, options.clone());
-    let mut b = node("b", 1, options);
-    let relay = Relay::start(b.mesh.local_addr()).await;
-    a.mesh.set_partners(vec![through(&relay, "b")]);
-    a.until_up("b").await;
-    b.until_up("a").await;
+    let (a, b, relay) = connected(options.clone(), options).await;
     relay.slow_down(Duration::from_millis(200));
     let measured = |node: &Node| node.mesh.peers()[0].rtt >= Duration::from_millis(400);
     eventually("both measure", || measured(&a) && measured(&b)).await;
