op: changes, failures and daemons beside the client, not in it

Changed: `change`, `failure` and `daemon` have their files; `client` tries daemons in turn. The public names are as before.

--- a/crates/op/src/client.rs
+++ b/crates/op/src/client.rs
@@ -1,13 +1,12 @@
 //! The client that tries daemons in turn.
 
 use crate::{
-    AcceptRequest,
     Accepted,
-    DrainRequest,
+    Change,
+    Daemon,
+    Failure,
     Instances,
-    Refusal,
-    TargetRequest,
-    WITH_BLOCKS, //
+    Refusal, //
 };
 use awc::{
     error::{
@@ -17,14 +16,10 @@
     http::header::AUTHORIZATION,
     ClientRequest, //
 };
-use base::InstanceId;
 use bytes::Bytes;
 use futures_util::future::join_all;
 use member::LeaseState;
-use serde::{
-    de::DeserializeOwned,
-    Serialize, //
-};
+use serde::de::DeserializeOwned;
 use std::{
     fmt,
     time::Duration, //
@@ -34,140 +29,6 @@
 /// Longest answer that is read: a configuration with its block table.
 const ANSWER_LIMIT_BYTES: usize = 256 << 20;
 
-/// Why a command was not done, or is not known to be.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Failure {
-    /// A daemon refused; nothing was changed by this request.
-    Refused {
-        /// Which.
-        daemon: String,
-        /// Why.
-        refusal: Refusal,
-    },
-    /// No daemon gave an answer that can be read; nothing was changed.
-    NoAnswer {
-        /// What became of each try.
-        tried: Vec<String>,
-    },
-    /// It may have been done.
-    Unknown {
-        /// What became of each try.
-        tried: Vec<String>,
-    },
-}
-
-impl fmt::Display for Failure {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let (what, tried) = match self {
-            Self::Refused { daemon, refusal } => return write!(f, "{daemon}: {refusal}"),
-            Self::NoAnswer { tried } => ("no daemon answered", tried),
-            Self::Unknown { tried } => ("the outcome is unknown", tried),
-        };
-        f.write_str(what)?;
-        for line in tried {
-            write!(f, "\n  {line}")?;
-        }
-        Ok(())
-    }
-}
-
-impl std::error::Error for Failure {}
-
-/// A request that changes something under an accept id.
-pub trait Change: Serialize {
-    /// Path on the operators' port.
-    const PATH: &'static str;
-
-    /// Whether "another accept came first" also speaks for an earlier request of this accept id
-    /// whose answer was lost.
-    ///
-    /// It does if the base is fixed: once the head has moved past it, no commit on it can take
-    /// effect. A drain or a target is tried again on newer bases by the daemon itself.
-    fn raced_is_final(&self) -> bool {
-        false
-    }
-
-    /// Content type and body of the request.
-    fn to_body(&self) -> (&'static str, Bytes) {
-        (JSON, to_json(self))
-    }
-}
-
-/// Content type of a request without anything beside its JSON.
-const JSON: &str = "application/json";
-
-fn to_json(request: &(impl Serialize + ?Sized)) -> Bytes {
-    let json = serde_json::to_vec(request);
-    json.expect("a request is plain data").into()
-}
-
-impl Change for AcceptRequest {
-    const PATH: &'static str = "/op/v1/accept";
-
-    fn raced_is_final(&self) -> bool {
-        self.base_version.is_some()
-    }
-
-    fn to_body(&self) -> (&'static str, Bytes) {
-        let Some(blocks) = &self.blocks else {
-            return (JSON, to_json(self));
-        };
-        let request = Self {
-            accept_id: self.accept_id.clone(),
-            author: self.author.clone(),
-            base_version: self.base_version,
-            text: self.text.clone(),
-            blocks: None,
-        };
-        let body = [&to_json(&request), &b"\n"[..], blocks.as_bytes()].concat();
-        (WITH_BLOCKS, body.into())
-    }
-}
-
-impl Change for DrainRequest {
-    const PATH: &'static str = "/op/v1/drain";
-}
-
-impl Change for TargetRequest {
-    const PATH: &'static str = "/op/v1/target";
-}
-
-/// Reads the operators' address of a daemon as a person gives it.
-///
-/// # Errors
-///
-/// When it is not of the form HOST:PORT.
-pub fn read_addr(text: &str) -> Result<String, String> {
-    let is_host = |host: &str| {
-        let is_part = |c: char| c.is_ascii_alphanumeric() || ".-_:[]".contains(c);
-        !host.is_empty() && host.chars().all(is_part)
-    };
-    let parts = text.rsplit_once(':');
-    let is_addr = parts.is_some_and(|(host, port)| is_host(host) && port.parse::<u16>().is_ok());
-    if is_addr {
-        return Ok(text.to_owned());
-    }
-    Err("not an address of the form HOST:PORT".to_owned())
-}
-
-/// A daemon that is known.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Daemon {
-    /// Operators' address.
-    pub addr: String,
-    /// Its instance, if another daemon named it.
-    pub instance: Option<InstanceId>,
-}
-
-impl fmt::Display for Daemon {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match &self.instance {
-            Some(instance) => write!(f, "{instance} ({})", self.addr),
-            None => f.write_str(&self.addr),
-        }
-    }
-}
-
 /// What became of one request to one daemon.
 enum Exchange {
     /// It answered.
--- a/crates/op/src/lib.rs
+++ b/crates/op/src/lib.rs
@@ -12,7 +12,10 @@
 
 mod answer;
 mod burn;
+mod change;
 mod client;
+mod daemon;
+mod failure;
 mod key;
 mod refusal;
 mod request;
@@ -40,13 +43,13 @@
     Burn, //
     ClassBurn,
 };
-pub use client::{
+pub use change::Change;
+pub use client::Client;
+pub use daemon::{
     read_addr,
-    Change,
-    Client,
-    Daemon,
-    Failure, //
+    Daemon, //
 };
+pub use failure::Failure;
 pub use key::{
     read_key,
     KeyError,
