Look-ups spread the callers of a drained or lost region by headroom

Ruled out: shifts between entries, which go by headroom and allowance and ended with the look-ups' two seconds. Change: `steer::place_displaced`: the next region takes all while it has 25 points more headroom than the target, then less the nearer it comes to it, and the one after it the others. A band, and not a step, since callers follow late. A daemon's own region counts by its sum, not as empty.

--- a/crates/daemon/src/process/control/steering/regions.rs
+++ b/crates/daemon/src/process/control/steering/regions.rs
@@ -333,6 +333,13 @@
             },
             drained: false,
         };
+        if let Some(state) = self.steering.services.get(service).filter(|_| own) {
+            let here = self.own_region_sum(service, &state.flows, now);
+            return Estimate {
+                headroom_left_pct: here.carrying.headroom_left_pct(here.open),
+                ..unknown
+            };
+        }
         let Some(heard) = heard else {
             return unknown;
         };
--- a/crates/daemon/src/request/lookup.rs
+++ b/crates/daemon/src/request/lookup.rs
@@ -13,6 +13,7 @@
         Traffic, //
     },
     version::{
+        ClassOutlook,
         Entry,
         RegionView,
         Snapshot, //
@@ -29,6 +30,7 @@
     net::IpAddr,
     time::Duration, //
 };
+use steer::place_displaced;
 
 /// Entries named from the most preferred region.
 const ENTRIES_HOME: usize = 3;
@@ -80,7 +82,25 @@
         let detail = format!("no class named {:?}", query.class);
         return Err(Answer::not_run(Reason::UnknownClass, detail));
     };
-    let named = choose(snapshot, query.block, traffic.seed());
+    let outlook = traffic.shared.outlook.load();
+    let outlook = outlook.classes.get(&class.class.id).filter(|class| {
+        outlook.version == snapshot.version && class.estimates.len() == snapshot.regions.len()
+    });
+    let mut regions = snapshot.preference(query.block);
+    regions.retain(|region| !region.entries.is_empty());
+    if let Some(outlook) = outlook {
+        let headroom_pct = class.target.headroom_pct;
+        let seed = traffic.seed();
+        spread_displaced(
+            &mut regions,
+            snapshot,
+            outlook,
+            headroom_pct,
+            query.block,
+            seed,
+        );
+    }
+    let named = choose(&regions, traffic.seed());
     let Some(&(_, first)) = named.first() else {
         let answer = Answer::not_run(Reason::NoCapacity, "no entry is known to take work");
         return Err(answer.retry_after(NOT_READY_RETRY));
@@ -101,11 +121,8 @@
 ///
 /// The entries of one region are equally good for a caller, so each answer starts at another one;
 /// that spreads the work over them.
-fn choose(snapshot: &Snapshot, block: Option<IpAddr>, seed: u64) -> Vec<(&RegionView, &Entry)> {
-    let regions = snapshot.preference(block);
-    let mut regions = regions
-        .into_iter()
-        .filter(|region| !region.entries.is_empty());
+fn choose<'a>(regions: &[&'a RegionView], seed: u64) -> Vec<(&'a RegionView, &'a Entry)> {
+    let mut regions = regions.iter().copied();
     let home = regions.next().into_iter();
     let next = regions.next().into_iter();
     home.flat_map(|region| rotated(region, seed).take(ENTRIES_HOME))
@@ -113,6 +130,33 @@
         .collect()
 }
 
+/// Puts another region first for some of the callers whose own one is drained or lost.
+fn spread_displaced(
+    regions: &mut [&RegionView],
+    snapshot: &Snapshot,
+    outlook: &ClassOutlook,
+    headroom_pct: u32,
+    block: Option<IpAddr>,
+    seed: u64,
+) {
+    let at_home = |region: &&RegionView| snapshot.is_home(region, block);
+    if regions.first().is_none_or(at_home) {
+        return;
+    }
+    // Drained ones come last.
+    let open = regions.partition_point(|region| !region.drained);
+    let headroom_left_pct = |region: &&RegionView| {
+        let mut known = snapshot.regions.iter().zip(&outlook.estimates);
+        let (_, estimate) = known.find(|(known, _)| known.id == region.id)?;
+        let is_fresh = estimate.freshness.allows_new_shift();
+        is_fresh.then_some(estimate.headroom_left_pct)
+    };
+    let left_pct: Vec<Option<u32>> = regions[..open].iter().map(headroom_left_pct).collect();
+    if let Some(chosen) = place_displaced(&left_pct, headroom_pct, seed) {
+        regions[..=chosen].rotate_right(1);
+    }
+}
+
 fn rotated(region: &RegionView, seed: u64) -> impl Iterator<Item = (&RegionView, &Entry)> {
     let count = region.entries.len();
     let first = usize::try_from(seed % count as u64).expect("less than the count");
--- a/crates/daemon/src/version/snapshot.rs
+++ b/crates/daemon/src/version/snapshot.rs
@@ -107,6 +107,13 @@
         &self.regions[self.own]
     }
 
+    /// Whether `region` is the one that a caller prefers to all others, live or not.
+    pub(crate) fn is_home(&self, region: &RegionView, block: Option<IpAddr>) -> bool {
+        let listed = block.and_then(|addr| self.blocks.lookup(addr));
+        let home = listed.and_then(|listed| listed.first());
+        home.map_or(self.own_region().id == region.id, |home| *home == region.id)
+    }
+
     /// Regions for a caller, most preferred first: those of its block, then the own one, then the
     /// rest. Regions that operators drain come last, so that a caller always gets an answer.
     pub(crate) fn preference(&self, block: Option<IpAddr>) -> Vec<&RegionView> {
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -26,6 +26,7 @@
 
 mod admit;
 mod choose;
+mod displaced;
 mod fresh;
 mod hedge;
 mod latency;
@@ -57,6 +58,7 @@
     RoundRobin,
     UnknownPolicy, //
 };
+pub use displaced::place_displaced;
 pub use fresh::{
     Freshness,
     FreshnessLimits, //
--- a/crates/steer/tests/tables.rs
+++ b/crates/steer/tests/tables.rs
@@ -331,6 +331,26 @@
         => Refuse { retry_after: ms(400) };
 }
 
+/// Of a thousand displaced callers, how many each region takes.
+fn displaced(headrooms_left_pct: &[Option<u32>]) -> Vec<usize> {
+    let mut taken = vec![0; headrooms_left_pct.len()];
+    for seed in 0..1000 {
+        let chosen = steer::place_displaced(headrooms_left_pct, 25, seed).unwrap();
+        taken[chosen] += 1;
+    }
+    taken
+}
+
+cases! {
+    displaced_to_the_next_with_room: displaced(&[Some(50), Some(60)]) => [1000, 0];
+    displaced_in_part: displaced(&[Some(35), Some(60)]) => [400, 600];
+    displaced_past_a_full_one: displaced(&[Some(25), Some(60)]) => [0, 1000];
+    displaced_among_full_ones: displaced(&[Some(20), Some(10)]) => [1000, 0];
+    displaced_to_an_unknown_one: displaced(&[None, Some(60)]) => [1000, 0];
+    displaced_to_the_only_one: displaced(&[Some(0)]) => [1000];
+    displaced_to_none: steer::place_displaced(&[], 25, 7) => None;
+}
+
 fn admit() -> Admit {
     let lax = ClassTarget {
         latency_target: ms(30_000),
