An upstream whose slots open gets probes while nothing is sent there

Cause, from a log at each tick: at one of two entries the trickle had ended at 1.5 times a warm latency that was learnt high (142 ms, from a cold start), with an average of 225 ms beside siblings of 95: nothing was sent there any more, so that the average stayed, for the 7 s that the log has. Ruled out: shares (4 slots owned), suspicion, the budget. Change: an upstream whose slots open gets a probe after 300 ms without an answer, and while it opens the average follows what is quicker at once.

Table: an_idle_upstream_gets_probes_while_its_slots_open.

--- a/crates/daemon/src/process/control/steering/upstreams.rs
+++ b/crates/daemon/src/process/control/steering/upstreams.rs
@@ -116,7 +116,7 @@
         let freshness = self.freshness(now);
         let phase = self.ramp.phase();
         self.ramp.observe(now, &seen, usable, freshness);
-        if phase == RampPhase::Trickle && self.ramp.phase() == RampPhase::Opening {
+        if phase != RampPhase::Warm && self.ramp.phase() == RampPhase::Opening {
             self.forget_slowness(&seen);
         }
         let verdict = self.suspect.observe(now, &seen, others.typical, phase);
@@ -133,7 +133,7 @@
         }
     }
 
-    /// Lets the probe that proved it stand for what was seen of it before.
+    /// Lets what was seen now, where it is quicker, stand for what was seen before.
     ///
     /// The moving average still holds the slow answers, and the choice of an upstream goes by it:
     /// little is sent to one that looks slow, so that the average hardly moves. One would notice an
--- a/crates/steer/src/ramp.rs
+++ b/crates/steer/src/ramp.rs
@@ -45,6 +45,8 @@
 pub struct RampSettings {
     /// Least time between two probes of a trickle.
     pub trickle_gap: Duration,
+    /// Time without an answer after which an upstream whose slots open gets a probe.
+    pub idle_gap: Duration,
     /// Most probes of a trickle in flight, once it has answered a few.
     pub trickle_limit: u32,
     /// Last probes whose mean latency is judged; below `fall_permille` it ends the trickle.
@@ -68,6 +70,7 @@
     pub const DEFAULT: Self = Self {
         // Below the 100 ms at which probes are offered, or each would wait for a second turn.
         trickle_gap: Duration::from_millis(50),
+        idle_gap: Duration::from_millis(300),
         trickle_limit: 2,
         trickle_answers: 4,
         first_limit: 2,
@@ -159,7 +162,12 @@
     pub fn observe(&mut self, now: Now, seen: &Seen, usable: u32, freshness: Freshness) {
         match self.phase {
             RampPhase::Trickle => self.judge_probes(now, seen, freshness),
-            RampPhase::Opening => self.judge_window(now, seen, usable, freshness),
+            RampPhase::Opening => {
+                if seen.answers > 0 {
+                    self.next_probe = now + self.settings.idle_gap;
+                }
+                self.judge_window(now, seen, usable, freshness);
+            }
             RampPhase::Warm => self.learn(seen),
         }
     }
@@ -174,14 +182,22 @@
         self.phase
     }
 
-    /// Whether a probe of the trickle may go out.
+    /// Whether a probe may go out.
+    ///
+    /// Also one whose slots open may need it: what was seen of it while it was cold makes it look
+    /// slow, so that nothing is sent there and nothing else is ever seen. One would notice an
+    /// upstream that idles beside busy ones, at the same few open slots.
     pub fn probe_due(&self, now: Now) -> bool {
-        self.phase == RampPhase::Trickle && now >= self.next_probe
+        self.phase != RampPhase::Warm && now >= self.next_probe
     }
 
     /// Notes that a probe went out, so that the next one waits for its turn.
     pub fn probe_sent(&mut self, now: Now) {
-        self.next_probe = now + self.settings.trickle_gap;
+        let gap = match self.phase {
+            RampPhase::Trickle => self.settings.trickle_gap,
+            RampPhase::Opening | RampPhase::Warm => self.settings.idle_gap,
+        };
+        self.next_probe = now + gap;
     }
 
     /// Latency that counts as warm, once known.
--- a/crates/steer/tests/tables.rs
+++ b/crates/steer/tests/tables.rs
@@ -128,6 +128,20 @@
     assert_eq!(phases[10], RampPhase::Opening);
 }
 
+/// Symptom: an upstream idles beside busy ones. Sequence: it opens slots, and nothing is sent there.
+/// Cause: what was seen of it while it was cold makes it look slow, and nothing else is ever seen.
+#[test]
+fn an_idle_upstream_gets_probes_while_its_slots_open() {
+    let mut ramp = Ramp::warm(RampSettings::default());
+    ramp.observe(ms(0), &Seen::answer(ms(10)), 9, Freshness::Fresh);
+    assert!(!ramp.probe_due(ms(9000)), "a warm one needs none");
+    ramp.restart(ms(0), RampCause::Silence, None, true);
+    ramp.observe(ms(100), &Seen::answer(ms(10)), 9, Freshness::Fresh);
+    assert!(!ramp.probe_due(ms(399)) && ramp.probe_due(ms(400)));
+    ramp.probe_sent(ms(400));
+    assert!(!ramp.probe_due(ms(699)) && ramp.probe_due(ms(700)));
+}
+
 /// Symptom: callers queue or cross a long link while their own region would answer sooner, only
 /// slowly. Sequence: a whole region returns cold. Cause: slow start waits for a warm latency that
 /// no upstream there can show.
