Look-ups: a block is looked up once while every region is open

Now nothing more is asked while no region is drained or lost, and the check is Outlook::of_class for both. Behaviour is as it was. Not measured.

--- a/crates/daemon/src/request/lookup.rs
+++ b/crates/daemon/src/request/lookup.rs
@@ -82,13 +82,10 @@
         let detail = format!("no class named {:?}", query.class);
         return Err(Answer::not_run(Reason::UnknownClass, detail));
     };
-    let outlook = traffic.shared.outlook.load();
-    let outlook = outlook.classes.get(&class.class.id).filter(|class| {
-        outlook.version == snapshot.version && class.estimates.len() == snapshot.regions.len()
-    });
     let mut regions = snapshot.preference(query.block);
     regions.retain(|region| !region.entries.is_empty());
-    if let Some(outlook) = outlook {
+    let outlook = traffic.shared.outlook.load();
+    if let Some(outlook) = outlook.of_class(&class.class.id, snapshot) {
         let headroom_pct = class.target.headroom_pct;
         let seed = traffic.seed();
         spread_displaced(
@@ -139,12 +136,16 @@
     block: Option<IpAddr>,
     seed: u64,
 ) {
+    // Drained ones come last.
+    let open = regions.partition_point(|region| !region.drained);
+    // With all of them open nobody is displaced, and the block need not be looked up once more.
+    if open == snapshot.regions.len() {
+        return;
+    }
     let at_home = |region: &&RegionView| snapshot.is_home(region, block);
     if regions.first().is_none_or(at_home) {
         return;
     }
-    // Drained ones come last.
-    let open = regions.partition_point(|region| !region.drained);
     let headroom_left_pct = |region: &&RegionView| {
         let mut known = snapshot.regions.iter().zip(&outlook.estimates);
         let (_, estimate) = known.find(|(known, _)| known.id == region.id)?;
--- a/crates/daemon/src/request/place.rs
+++ b/crates/daemon/src/request/place.rs
@@ -107,9 +107,7 @@
     }
 
     fn class_outlook<'a>(&self, outlook: &'a Outlook) -> Option<&'a Arc<ClassOutlook>> {
-        let current = outlook.version == self.snapshot.version;
-        let class = outlook.classes.get(&self.class.class.id)?;
-        (current && class.estimates.len() == self.snapshot.regions.len()).then_some(class)
+        outlook.of_class(&self.class.class.id, &self.snapshot)
     }
 
     fn ask(&self, class: &ClassOutlook, only: Option<usize>, excess: bool) -> Placement {
--- a/crates/daemon/src/version/outlook.rs
+++ b/crates/daemon/src/version/outlook.rs
@@ -4,6 +4,7 @@
 //! regions it speaks of, so it is published beside it. Region indices are the snapshot's; an
 //! outlook of another version is not used.
 
+use crate::version::Snapshot;
 use base::{
     ClassId,
     FastMap,
@@ -34,6 +35,15 @@
     pub(crate) classes: FastMap<ClassId, Arc<ClassOutlook>>,
 }
 
+impl Outlook {
+    /// Outlook of a class, if it speaks of the regions of this snapshot.
+    pub(crate) fn of_class(&self, id: &ClassId, snapshot: &Snapshot) -> Option<&Arc<ClassOutlook>> {
+        let class = self.classes.get(id)?;
+        let is_current = self.version == snapshot.version;
+        (is_current && class.estimates.len() == snapshot.regions.len()).then_some(class)
+    }
+}
+
 /// Outlook of one class.
 #[derive(Debug)]
 pub(crate) struct ClassOutlook {
