event: what an entry logs is declared once, as types, and each line says what decided it

Cause: log lines were free text with fields, written in 25 places. No reader could rely on them; refusals before a route was known, cut answers and passed-over upstreams had no line or no id; what a refusal was decided from (how the upstreams stood, what was expected) stood nowhere; lines that found the queue full were lost without a count; and with a reader that has stopped the process could never end, since at exit the library joins the thread that writes. Ruled out: more fields on spdlog's own records: each costs an allocation in the thread that serves, a line has twenty. Change: crate event has all events as types, written as one JSON object through spdlog-rs and read back by the same types. Requests say route, service, upstream, its load and the age of its report, what was expected, or how the upstreams stood; upstreams passed over, back or closed, and spent retry budgets have lines. Lost lines are counted and said. end_log bounds the wait at the end.

--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -93,6 +93,15 @@
     pub work: Work,
 }
 
+/// What is expected of one upstream.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Expectation {
+    /// Wait for a slot there.
+    pub wait: Duration,
+    /// The way there and back, the wait and the work.
+    pub answer: Duration,
+}
+
 /// What to do with a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Choice {
@@ -104,11 +113,15 @@
         warm: bool,
         /// It should find a free slot.
         idle: bool,
+        /// What is expected of it.
+        expected: Expectation,
     },
     /// No slot in time: refuse, and say when to come back.
     Refuse {
         /// When room is expected.
         retry_after: Duration,
+        /// What was expected of the upstream that would have answered first.
+        expected: Expectation,
     },
     /// No upstream may do it now: none is listed, or all are closed.
     NoUpstream {
@@ -131,9 +144,7 @@
 struct Expected {
     place: usize,
     known_warm: bool,
-    wait: Duration,
-    /// The way, the wait and the work.
-    answer: Duration,
+    expectation: Expectation,
 }
 
 /// Decides on one request; `upstreams` are those of its service.
@@ -148,7 +159,8 @@
         candidates.retain(open);
     }
     candidates.sort_unstable_by_key(|candidate| std::cmp::Reverse(candidate.rank));
-    let in_target = |best: &Expected| best.answer <= query.target_left.mul_f64(TIME_USED);
+    let in_target =
+        |best: &Expected| best.expectation.answer <= query.target_left.mul_f64(TIME_USED);
     // What is assumed warm may not be, as after a start of everything: as long as some upstream does
     // the work in time even so, that one is taken. Else it is late in any case, and what is assumed
     // warm is warmed, so that the next ones are not.
@@ -167,17 +179,22 @@
             retry_after: RETRY_AFTER_NONE,
         };
     };
-    let in_deadline = best.answer <= query.deadline_left.mul_f64(TIME_USED);
+    let in_deadline = best.expectation.answer <= query.deadline_left.mul_f64(TIME_USED);
     let late_wait = query.work.warm().mul_f64(LATE_WAIT);
-    if in_target(&best) || (in_deadline && best.wait <= late_wait) {
+    if in_target(&best) || (in_deadline && best.expectation.wait <= late_wait) {
         return Choice::Send {
             place: best.place,
             warm: best.known_warm,
-            idle: best.wait.is_zero(),
+            idle: best.expectation.wait.is_zero(),
+            expected: best.expectation,
         };
     }
     Choice::Refuse {
-        retry_after: best.wait.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX),
+        retry_after: best
+            .expectation
+            .wait
+            .clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX),
+        expected: best.expectation,
     }
 }
 
@@ -210,7 +227,7 @@
         };
         let upstream = &upstreams[candidate.place];
         let expected = expect(upstream, candidate, work, query, here, now);
-        if best.is_none_or(|best| expected.answer < best.answer) {
+        if best.is_none_or(|best| expected.expectation.answer < best.expectation.answer) {
             best = Some(expected);
         }
     }
@@ -233,8 +250,10 @@
     Expected {
         place: candidate.place,
         known_warm: candidate.known_warm,
-        wait,
-        answer: way + wait + work.mul_f64(slowness),
+        expectation: Expectation {
+            wait,
+            answer: way + wait + work.mul_f64(slowness),
+        },
     }
 }
 
--- a/crates/balance/src/health.rs
+++ b/crates/balance/src/health.rs
@@ -43,8 +43,9 @@
 }
 
 impl Health {
-    /// Notes an answer that came whole after `took`.
-    pub fn note_answer(&mut self, took: Duration) {
+    /// Notes an answer that came whole after `took`; whether that ends a time of being passed over.
+    pub fn note_answer(&mut self, took: Duration) -> bool {
+        let was_failing = self.failures >= FAILING;
         self.failures *= 1.0 - FAILURE_WEIGHT;
         self.hard = false;
         if self.failures < FAILING / 2.0 {
@@ -56,20 +57,24 @@
         } else {
             self.latency_s + LATENCY_WEIGHT * (took_s - self.latency_s)
         };
+        was_failing && self.failures < FAILING
     }
 
     /// Notes a failure; `hard` is one that means the upstream isn't there, such as a refused
-    /// connection, and passes it over at once.
-    pub fn note_failure(&mut self, hard: bool, now: Now) {
+    /// connection, and passes it over at once. Gives for how long it is passed over, if it begins to be.
+    pub fn note_failure(&mut self, hard: bool, now: Now) -> Option<Duration> {
         self.failures += FAILURE_WEIGHT * (1.0 - self.failures);
         self.hard = hard;
         if hard {
             self.failures = self.failures.max(FAILING);
         }
-        if self.failures >= FAILING && now >= self.away_until {
-            self.away_until = now + self.away;
-            self.away = (self.away * 2).min(AWAY_MAX);
+        if self.failures < FAILING || now < self.away_until {
+            return None;
         }
+        let away = self.away;
+        self.away_until = now + away;
+        self.away = (away * 2).min(AWAY_MAX);
+        Some(away)
     }
 
     /// Whether it is passed over at `now`.
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -14,6 +14,7 @@
 //! Invariants: no clock, socket or randomness; `now` is an argument. An upstream that is leaving,
 //! in an evacuated failure domain or outside a route's home regions is never chosen.
 
+mod census;
 mod choose;
 mod cold;
 mod health;
@@ -25,9 +26,11 @@
 mod window;
 mod work;
 
+pub use census::Census;
 pub use choose::{
     choose,
     Choice,
+    Expectation,
     Location,
     Query, //
 };
--- a/crates/balance/src/upstream.rs
+++ b/crates/balance/src/upstream.rs
@@ -108,6 +108,11 @@
         f64::from(self.in_flight) + others
     }
 
+    /// Age of its last report; `None` before the first.
+    pub fn report_age(&self, now: Now) -> Option<Duration> {
+        (self.reported_at > Now::ZERO).then(|| now.saturating_sub(self.reported_at))
+    }
+
     /// Whether it is cold.
     pub fn is_cold(&self, now: Now) -> bool {
         now < self.cold_until
--- a/crates/balance/tests/choose.rs
+++ b/crates/balance/tests/choose.rs
@@ -222,7 +222,9 @@
         upstream.region = "near".into();
         upstream.cold_until = NOW + Duration::from_secs(1);
     };
-    not_there: |upstream| upstream.health.note_failure(true, NOW);
+    not_there: |upstream| {
+        upstream.health.note_failure(true, NOW);
+    };
     on_trial_already: |upstream| {
         upstream.health.note_failure(true, Duration::ZERO);
         upstream.in_flight = 1;
@@ -247,7 +249,7 @@
     let mut all = vec![upstream("a", "home")];
     all[0].in_flight = 30;
     let choice = choose(&mut all, &query(3), &here(), NOW);
-    let Choice::Refuse { retry_after } = choice else {
+    let Choice::Refuse { retry_after, .. } = choice else {
         panic!("{choice:?}");
     };
     assert!(retry_after >= ms(500), "{retry_after:?}");
--- a/crates/entry/src/control/feeds.rs
+++ b/crates/entry/src/control/feeds.rs
@@ -12,6 +12,10 @@
     },
 };
 use base::Now;
+use event::{
+    emit,
+    Event, //
+};
 use plat::{
     Changes,
     Feed,
@@ -60,7 +64,10 @@
         self.last = Some(now);
         if self.failing_since.is_none() {
             self.failing_since = Some(now);
-            spdlog::warn!("store lost", kv: { table = self.table, error = error.to_string() });
+            emit(&Event::StoreLost {
+                table: self.table.to_owned(),
+                error: error.to_string(),
+            });
         }
         let jitter = rand::rng().random_range(0.5..1.0);
         tokio::time::sleep(self.pause.mul_f64(jitter)).await;
@@ -70,8 +77,10 @@
     fn end(&mut self, now: Now) {
         metrics::counter!(metric::STORE_CALLS, "call" => "read", "outcome" => "done").increment(1);
         if let Some(since) = self.failing_since.take() {
-            let outage_ms = (now - since).as_millis() as u64;
-            spdlog::info!("store regained", kv: { table = self.table, outage_ms });
+            emit(&Event::StoreRegained {
+                table: self.table.to_owned(),
+                outage_ms: (now - since).as_millis() as u64,
+            });
         }
         self.pause = PAUSE_MIN;
     }
@@ -123,7 +132,11 @@
             match self.store.read_all(table).await {
                 Ok(rows) => {
                     failures.end(self.now());
-                    spdlog::info!("table read", kv: { table, rows = rows.rows.len(), position = rows.position });
+                    emit(&Event::TableRead {
+                        table: table.to_owned(),
+                        rows: rows.rows.len(),
+                        position: rows.position,
+                    });
                     return rows;
                 }
                 Err(error) => failures.note(&error, self.now()).await,
@@ -147,7 +160,10 @@
                     return Some(rows);
                 }
                 Ok(Changes::HistoryGone) => {
-                    spdlog::info!("history gone", kv: { table, position });
+                    emit(&Event::HistoryGone {
+                        table: table.to_owned(),
+                        position,
+                    });
                     return None;
                 }
                 Err(error) => failures.note(&error, self.now()).await,
@@ -167,13 +183,20 @@
                 Ok(OperatorRow::Routes(routes)) => {
                     let applied = picture.apply_routes(&routes);
                     if applied == Applied::Changed {
-                        spdlog::info!("routes in force", kv: { version = routes.version, from = "store" });
+                        emit(&Event::RoutesInForce {
+                            version: routes.version,
+                            from: "store".to_owned(),
+                        });
                     }
                     applied
                 }
                 Ok(OperatorRow::Evacuation(domain)) => {
                     let on = row.value.is_some();
-                    spdlog::info!("evacuation", kv: { failure_domain = domain.to_string(), on, row_version = row.version });
+                    emit(&Event::Evacuation {
+                        failure_domain: domain.clone(),
+                        on,
+                        row_version: row.version,
+                    });
                     let applied = picture.apply_evacuation(&domain, on, row.version, now);
                     standing.push(domain);
                     applied
@@ -189,7 +212,7 @@
         if let Some(position) = whole_at {
             let ended = picture.end_evacuations_without_row(&standing, position, now);
             if ended == Applied::Changed {
-                spdlog::info!("evacuations without a row ended", kv: { position });
+                emit(&Event::EvacuationsEnded { position });
             }
         }
         drop(known);
@@ -221,18 +244,23 @@
         let mut known = self.known.borrow_mut();
         for row in rows {
             let taken = if row.value.is_none() {
-                spdlog::info!("upstream removed", kv: { upstream = row.key.to_string(), row_version = row.version, after_outage });
+                emit(&Event::UpstreamRemoved {
+                    upstream: row.key.clone(),
+                    row_version: row.version,
+                    after_outage,
+                });
                 known
                     .picture
                     .apply_removal(&row.key, row.version, after_outage, now)
             } else {
                 match self.rows.upstream(row) {
                     Ok(listed) => {
-                        spdlog::info!("upstream listed", kv: {
-                            upstream = listed.id.to_string(),
-                            leaving = listed.leaving,
-                            cold_left_ms = listed.cold_left.as_millis() as u64,
-                            row_version = row.version
+                        emit(&Event::UpstreamListed {
+                            upstream: listed.id.clone(),
+                            service: listed.service.clone(),
+                            leaving: listed.leaving,
+                            cold_left_ms: listed.cold_left.as_millis() as u64,
+                            row_version: row.version,
                         });
                         known.picture.apply_upstream(&listed, row.version, now)
                     }
@@ -253,5 +281,8 @@
 
 /// What was known before a row that can't be read stays in force.
 fn log_unreadable(error: &UnreadableRow) {
-    spdlog::error!("row unreadable", kv: { row = error.row, findings = error.findings.join("; ") });
+    emit(&Event::RowUnreadable {
+        row: error.row.clone(),
+        findings: error.findings.clone(),
+    });
 }
--- a/crates/entry/src/control/members.rs
+++ b/crates/entry/src/control/members.rs
@@ -18,6 +18,10 @@
     RegionId, //
 };
 use bytestring::ByteString;
+use event::{
+    emit,
+    Event as LogEvent, //
+};
 use peer::{
     Event,
     Events,
@@ -87,7 +91,9 @@
                     break events;
                 }
                 Err(error) => {
-                    spdlog::error!("no port for other entries", kv: { error = error.to_string() });
+                    emit(&LogEvent::NoPeersPort {
+                        error: error.to_string(),
+                    });
                     pause(PAUSE).await;
                 }
             }
@@ -199,7 +205,7 @@
         };
         // Others forget a row that has no session behind it.
         if !matches!(self.store.commit(txn).await, Outcome::Done(_)) {
-            spdlog::warn!("own row not removed");
+            emit(&LogEvent::OwnRowNotRemoved);
         }
     }
 
@@ -226,7 +232,10 @@
                     });
                 }
                 Err(error) => {
-                    spdlog::error!("row unreadable", kv: { row = row.key.to_string(), error = error.to_string() });
+                    emit(&LogEvent::RowUnreadable {
+                        row: row.key.to_string(),
+                        findings: vec![error.to_string()],
+                    });
                 }
             }
         }
@@ -267,7 +276,10 @@
             };
             // Another entry may have done it, or its owner may be back.
             let outcome = self.store.commit(txn).await;
-            spdlog::info!("row of a lost entry", kv: { row = row.key.to_string(), outcome = format!("{outcome:?}") });
+            emit(&LogEvent::LostEntryRow {
+                row: row.key.to_string(),
+                outcome: format!("{outcome:?}"),
+            });
         }
     }
 
@@ -276,7 +288,10 @@
         while let Some(event) = events.recv().await {
             match event {
                 Event::Up(info) | Event::Reopened(info) => {
-                    spdlog::info!("entry connected", kv: { instance = info.instance.to_string(), incarnation = info.incarnation });
+                    emit(&LogEvent::EntryConnected {
+                        instance: info.instance.clone(),
+                        incarnation: info.incarnation,
+                    });
                     let mut known = self.known.borrow_mut();
                     let state = known.members.remove(&info.instance);
                     let member = Member {
@@ -298,14 +313,20 @@
                 }
                 Event::Down { instance, why, .. } => self.lose(&instance, why),
                 Event::Stranger { addr, why } => {
-                    spdlog::warn!("stranger refused", kv: { addr = addr.to_string(), why = format!("{why:?}") });
+                    emit(&LogEvent::StrangerRefused {
+                        addr: addr.to_string(),
+                        why: format!("{why:?}"),
+                    });
                 }
             }
         }
     }
 
     fn lose(&self, instance: &InstanceId, why: peer::DownReason) {
-        spdlog::info!("entry lost", kv: { instance = instance.to_string(), why = format!("{why:?}") });
+        emit(&LogEvent::EntryLost {
+            instance: instance.clone(),
+            why: format!("{why:?}"),
+        });
         let now = self.now();
         let mut known = self.known.borrow_mut();
         if let Some(member) = known.members.get_mut(instance) {
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -40,6 +40,11 @@
     Now,
     RegionId, //
 };
+use event::{
+    emit,
+    take_dropped,
+    Event, //
+};
 use peer::Mesh;
 use plat::{
     Feed,
@@ -159,7 +164,7 @@
     pub(crate) async fn follow_settings(&self, mut reload: Reload, mut hangups: Signal) {
         loop {
             tokio::select! {
-                _ = hangups.recv() => spdlog::info!("reload asked for"),
+                _ = hangups.recv() => emit(&Event::ReloadAsked),
                 () = tokio::time::sleep(SETTINGS_LOOK) => {}
             }
             match reload() {
@@ -167,7 +172,7 @@
                 Some(Ok(next)) => self.take_settings(next),
                 // What was in force stays so.
                 Some(Err(findings)) => {
-                    spdlog::error!("settings refused", kv: { findings = findings.join("; ") });
+                    emit(&Event::SettingsRefused { findings });
                 }
             }
         }
@@ -175,7 +180,7 @@
 
     fn take_settings(&self, next: Settings) {
         let after_restart = self.settings.fixed_differences(&next).join(", ");
-        spdlog::info!("settings in force", kv: { after_restart });
+        emit(&Event::SettingsInForce { after_restart });
         self.known.borrow_mut().bounds = next.bounds;
         self.publish();
     }
@@ -201,6 +206,7 @@
 
     async fn tick(&self) {
         let mut closing = None;
+        let mut dropped_since_start = 0;
         loop {
             tokio::time::sleep(TICK).await;
             let now = self.now();
@@ -211,7 +217,22 @@
                 self.publish();
             }
             self.broadcast_periodically(now);
+            dropped_since_start += self.tell_dropped(dropped_since_start);
+        }
+    }
+
+    /// Says how many log lines were lost, at most once a tick; gives their number.
+    fn tell_dropped(&self, before: u64) -> u64 {
+        let lines = take_dropped();
+        if lines > 0 {
+            metrics::counter!(crate::metric::LOG_LINES_LEFT_OUT, "reason" => "queue full")
+                .increment(lines);
+            emit(&Event::LinesDropped {
+                lines,
+                since_start: before + lines,
+            });
         }
+        lines
     }
 
     /// Publishes what is known, and tells the other entries.
--- a/crates/entry/src/control/relay.rs
+++ b/crates/entry/src/control/relay.rs
@@ -18,12 +18,15 @@
     InstanceId,
     Now, //
 };
+use event::{
+    emit,
+    Event, //
+};
 use peer::{
     from_payload,
     to_payload,
     Frame,
-    Note,
-    SendResult, //
+    Note, //
 };
 use plat::{
     Feed,
@@ -90,10 +93,8 @@
         let Some(frame) = frame(message) else {
             return;
         };
-        let result = mesh.send(to, frame);
-        if result != SendResult::Queued {
-            spdlog::debug!("message not sent", kv: { to = to.to_string(), result = format!("{result:?}") });
-        }
+        // An entry that has no room for it, or is lost, hears the next telling.
+        mesh.send(to, frame);
     }
 
     /// Takes a message of another entry.
@@ -101,7 +102,10 @@
         match from_payload::<Message>(payload) {
             Ok(message) => self.on_message(from, message),
             Err(error) => {
-                spdlog::warn!("message unreadable", kv: { from = from.to_string(), error = format!("{error:?}") });
+                emit(&Event::MessageUnreadable {
+                    from: from.clone(),
+                    error: format!("{error:?}"),
+                });
             }
         }
     }
@@ -115,7 +119,10 @@
             Message::Routes(routes) => {
                 let taken = self.known.borrow_mut().picture.apply_routes(&routes);
                 if taken == Applied::Changed {
-                    spdlog::info!("routes in force", kv: { version = routes.version, from = from.to_string() });
+                    emit(&Event::RoutesInForce {
+                        version: routes.version,
+                        from: from.to_string(),
+                    });
                     self.publish();
                 }
             }
@@ -129,7 +136,7 @@
                 }
                 drop(known);
                 if changed {
-                    spdlog::info!("evacuations heard", kv: { from = from.to_string() });
+                    emit(&Event::EvacuationsHeard { from: from.clone() });
                     self.publish();
                 }
             }
@@ -138,7 +145,7 @@
                 let taken = known.picture.apply_upstream_updates(&upstreams, now);
                 drop(known);
                 if taken == Applied::Changed {
-                    spdlog::info!("upstreams heard", kv: { from = from.to_string() });
+                    emit(&Event::UpstreamsHeard { from: from.clone() });
                     self.publish();
                 }
             }
@@ -198,7 +205,9 @@
     match to_payload(message) {
         Ok(payload) => Some(Frame::Note(Note { payload })),
         Err(error) => {
-            spdlog::error!("message unwritable", kv: { error = format!("{error:?}") });
+            emit(&Event::MessageUnwritable {
+                error: format!("{error:?}"),
+            });
             None
         }
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,7 +16,6 @@
 mod control;
 mod dialect;
 mod loads;
-mod log;
 mod message;
 mod metric;
 mod picture;
@@ -27,7 +26,6 @@
 mod traffic;
 
 pub use dialect::Dialect;
-pub use log::init_log;
 pub use metric::{
     Metric,
     METRICS, //
--- a/crates/entry/src/metric.rs
+++ b/crates/entry/src/metric.rs
@@ -26,7 +26,7 @@
 /// Other entries that are connected.
 pub(crate) const PEERS: &str = "jasmine_entry_peers";
 
-/// Log lines of requests beyond what is written in a second.
+/// Log lines that were not written.
 pub(crate) const LOG_LINES_LEFT_OUT: &str = "jasmine_entry_log_lines_left_out_total";
 
 /// All metrics.
@@ -58,8 +58,8 @@
     },
     Metric {
         name: LOG_LINES_LEFT_OUT,
-        labels: &[],
-        help: "log lines of requests that were left out",
+        labels: &["reason"],
+        help: "log lines that were not written, by why",
     },
     Metric {
         name: ROUTES_VERSION,
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -21,6 +21,11 @@
     System, //
 };
 use arc_swap::ArcSwap;
+use event::{
+    emit,
+    end_log,
+    Event, //
+};
 use eyre::{
     eyre,
     WrapErr, //
@@ -111,16 +116,18 @@
         closing: AtomicBool::new(false),
     });
     System::new().block_on(async move {
-        spdlog::info!("started", kv: {
-            instance = settings.instance.to_string(),
-            region = settings.region.to_string(),
-            failure_domain = settings.failure_domain.to_string()
+        emit(&Event::Started {
+            region: settings.region.clone(),
+            failure_domain: settings.failure_domain.clone(),
+            callers_addr: settings.callers_addr.to_string(),
         });
         let traffic = Arbiter::new();
         let of_traffic = shared.clone();
         let opened = traffic.spawn_fn(move || {
             if let Err(error) = open(ports, of_traffic) {
-                spdlog::critical!("ports not served", kv: { error = error.to_string() });
+                emit(&Event::PortsNotServed {
+                    error: error.to_string(),
+                });
                 System::current().stop_with_code(1);
             }
         });
@@ -135,6 +142,7 @@
         until.await?;
         stop(&control, &shared).await;
         traffic.stop();
+        end_log();
         Ok(())
     })
 }
@@ -147,7 +155,9 @@
 {
     let begun = Instant::now();
     let under_way = || shared.under_way.load(Ordering::Relaxed);
-    spdlog::info!("stopping", kv: { under_way = under_way() });
+    emit(&Event::Stopping {
+        under_way: under_way(),
+    });
     let grace = shared.published.load().bounds.grace;
     let leaving = control.clone();
     actix_rt::spawn(async move { leaving.begin_stop().await });
@@ -158,11 +168,10 @@
         tokio::time::sleep(STOP_TICK).await;
     }
     control.end().await;
-    spdlog::info!("stopped", kv: {
-        under_way = under_way(),
-        took_ms = begun.elapsed().as_millis() as u64
+    emit(&Event::Stopped {
+        under_way: under_way(),
+        took_ms: begun.elapsed().as_millis() as u64,
     });
-    spdlog::default_logger().flush();
 }
 
 /// Waits for the signal to stop.
--- a/crates/entry/src/traffic/attempt.rs
+++ b/crates/entry/src/traffic/attempt.rs
@@ -9,7 +9,10 @@
     StatusCode, //
 };
 use balance::Reported;
-use base::ServiceId;
+use base::{
+    ServiceId,
+    UpstreamId, //
+};
 use bytes::{
     Bytes,
     BytesMut, //
@@ -53,6 +56,14 @@
             placement,
         }
     }
+
+    pub(super) fn traffic(&self) -> &Traffic {
+        &self.traffic
+    }
+
+    pub(super) fn upstream(&self) -> &UpstreamId {
+        &self.target.id
+    }
 }
 
 impl Drop for InFlight {
@@ -78,7 +89,7 @@
     Long {
         begun: Bytes,
         rest: Box<BodyReader>,
-        in_flight: InFlight,
+        in_flight: Box<InFlight>,
     },
 }
 
@@ -119,7 +130,7 @@
         let mut fleet = traffic.fleet.borrow_mut();
         if status == StatusCode::MISDIRECTED_REQUEST {
             // Another incarnation has the address: this one is gone.
-            fleet.close(&service, &target.id);
+            fleet.close(&service, &target.id, "another incarnation has its address");
         } else {
             fleet.note_failure(&service, &target.id, false, traffic.now());
         }
@@ -153,7 +164,7 @@
             let body = AnsweredBody::Long {
                 begun: begun.freeze(),
                 rest: Box::new(body),
-                in_flight,
+                in_flight: Box::new(in_flight),
             };
             return answered(status, headers, length_bytes, body);
         }
--- a/crates/entry/src/traffic/fleet.rs
+++ b/crates/entry/src/traffic/fleet.rs
@@ -11,10 +11,12 @@
         Snapshot,
         UpstreamView, //
     },
+    traffic::log::millis,
 };
 use balance::{
     choose,
     Choice,
+    Expectation,
     Query,
     Reported,
     RetryBudget,
@@ -32,6 +34,13 @@
     Version, //
 };
 use bytestring::ByteString;
+use event::{
+    emit,
+    Census,
+    Event,
+    Expected,
+    Reason, //
+};
 use relay::Target;
 use route::{
     Route,
@@ -51,6 +60,9 @@
 /// Time after the start in which nothing is sent to a cold upstream. What goes wrong without it: a
 /// process that is started anew within a second of its end spends its part of that second twice.
 const FORMER_LIFE: Duration = Duration::from_millis(1100);
+/// When to come back if the service has no upstream at all: as long as one that starts takes to be
+/// listed.
+const NOT_LISTED_RETRY: Duration = Duration::from_millis(500);
 /// One request in so many tries the upstream of this region that its key ranks highest, though one
 /// elsewhere is warm: it warms within some seconds without making many requests late at once.
 const EXPLORE_EVERY: u64 = 12;
@@ -60,6 +72,8 @@
     upstreams: Vec<Upstream>,
     addrs: Vec<SocketAddr>,
     budget: RetryBudget,
+    /// Second in which it was last said that the budget is spent.
+    spent_told: Option<u64>,
     /// Times of the work of each route: routes of one service may differ by far.
     work: FastMap<ByteString, Work>,
 }
@@ -90,6 +104,38 @@
     pub(super) idle: bool,
     /// Requests that the upstream had, as far as known.
     pub(super) load: f64,
+    /// Requests that it works on at a time.
+    pub(super) slots: u32,
+    /// Age of what it last said of its load.
+    pub(super) report_age: Option<Duration>,
+    /// Its region.
+    pub(super) region: RegionId,
+    /// What was expected of it.
+    pub(super) expected: Expected,
+}
+
+/// Why a request is refused, and what that was decided from.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Refused {
+    /// Reason.
+    pub(super) reason: Reason,
+    /// When to come back.
+    pub(super) retry_after: Duration,
+    /// What was expected of the upstream that would have answered first.
+    pub(super) expected: Expected,
+    /// How the service's upstreams stood.
+    pub(super) census: Census,
+}
+
+impl Refused {
+    /// A refusal that no look at upstreams decided.
+    pub(super) fn new(reason: Reason, retry_after: Duration) -> Self {
+        Self {
+            reason,
+            retry_after,
+            ..Self::default()
+        }
+    }
 }
 
 /// What to do with a request.
@@ -99,10 +145,7 @@
         /// How it stands there.
         placement: Placement,
     },
-    Refuse {
-        reason: &'static str,
-        retry_after: Duration,
-    },
+    Refuse(Refused),
 }
 
 /// Upstreams of all services, and the budgets of this entry.
@@ -158,6 +201,7 @@
                 upstreams: Vec::new(),
                 addrs: Vec::new(),
                 budget: RetryBudget::new(bounds.retry_ratio, bounds.retry_window),
+                spent_told: None,
                 work: FastMap::default(),
             });
             group.follow(&views);
@@ -209,8 +253,16 @@
     /// Takes one send beyond a request's first from the budget.
     pub(super) fn take_retry(&mut self, service: &ServiceId, now: Now) -> bool {
         let slack = self.bounds.retry_slack / self.entries_known as f64;
-        let group = self.groups.get_mut(service);
-        group.is_some_and(|group| group.budget.take(slack, now))
+        let Some(group) = self.groups.get_mut(service) else {
+            return false;
+        };
+        let taken = group.budget.take(slack, now);
+        if !taken && group.spent_told.replace(now.as_secs()) != Some(now.as_secs()) {
+            emit(&Event::RetriesSpent {
+                service: service.clone(),
+            });
+        }
+        taken
     }
 
     /// Decides where a request goes; what it is sent to then counts it as in flight.
@@ -218,10 +270,7 @@
         let cold_per_s = self.cold_per_s(need.service, now);
         let full_regions = self.full_regions(need.service, now);
         let Some(group) = self.groups.get_mut(need.service) else {
-            return Placed::Refuse {
-                reason: "no upstream is listed",
-                retry_after: Duration::from_millis(500),
-            };
+            return Placed::Refuse(Refused::new(Reason::NoUpstreamListed, NOT_LISTED_RETRY));
         };
         let tried: Vec<usize> = (0..group.upstreams.len())
             .filter(|&place| need.tried.contains(&group.upstreams[place].id))
@@ -239,9 +288,15 @@
             work: group.work(&need.route.id),
         };
         match choose(&mut group.upstreams, &query, &self.here, now) {
-            Choice::Send { place, warm, idle } => {
+            Choice::Send {
+                place,
+                warm,
+                idle,
+                expected,
+            } => {
                 let upstream = &mut group.upstreams[place];
                 let load = upstream.load(now);
+                let report_age = upstream.report_age(now);
                 upstream.in_flight += 1;
                 if upstream.is_cold(now) {
                     upstream.cold_gate.note_sent(now);
@@ -257,17 +312,26 @@
                     warm,
                     idle,
                     load,
+                    slots: upstream.slots,
+                    report_age,
+                    region: upstream.region.clone(),
+                    expected: logged(expected),
                 };
                 Placed::Send { target, placement }
             }
-            Choice::Refuse { retry_after } => Placed::Refuse {
-                reason: "no slot in time",
+            Choice::Refuse {
                 retry_after,
-            },
-            Choice::NoUpstream { retry_after } => Placed::Refuse {
-                reason: "no upstream is open",
+                expected,
+            } => Placed::Refuse(Refused {
+                reason: Reason::NoSlotInTime,
                 retry_after,
-            },
+                expected: logged(expected),
+                census: group.census(now),
+            }),
+            Choice::NoUpstream { retry_after } => Placed::Refuse(Refused {
+                census: group.census(now),
+                ..Refused::new(Reason::NoUpstreamOpen, retry_after)
+            }),
         }
     }
 
@@ -342,7 +406,12 @@
         };
         let way = self.here.round_trip(&upstream.region);
         let work = took.saturating_sub(way);
-        upstream.health.note_answer(work);
+        if upstream.health.note_answer(work) {
+            emit(&Event::UpstreamBack {
+                upstream: id.clone(),
+                service: service.clone(),
+            });
+        }
         if let Some(key) = placement.key {
             upstream.warm.note(key, now);
         }
@@ -380,15 +449,30 @@
         hard: bool,
         now: Now,
     ) {
-        if let Some(upstream) = self.upstream(service, id) {
-            upstream.health.note_failure(hard, now);
+        let Some(upstream) = self.upstream(service, id) else {
+            return;
+        };
+        if let Some(away) = upstream.health.note_failure(hard, now) {
+            emit(&Event::UpstreamPassedOver {
+                upstream: id.clone(),
+                service: service.clone(),
+                away_ms: millis(away),
+                not_there: hard,
+            });
         }
     }
 
     /// An upstream said itself that it leaves, or another one has its address.
-    pub(super) fn close(&mut self, service: &ServiceId, id: &UpstreamId) {
-        if let Some(upstream) = self.upstream(service, id) {
-            upstream.closed = true;
+    pub(super) fn close(&mut self, service: &ServiceId, id: &UpstreamId, why: &str) {
+        let Some(upstream) = self.upstream(service, id) else {
+            return;
+        };
+        if !std::mem::replace(&mut upstream.closed, true) {
+            emit(&Event::UpstreamClosed {
+                upstream: id.clone(),
+                service: service.clone(),
+                why: why.to_owned(),
+            });
         }
     }
 
@@ -404,6 +488,17 @@
         self.work.get(route).copied().unwrap_or_default()
     }
 
+    /// How the upstreams stand, for the log.
+    fn census(&self, now: Now) -> Census {
+        let census = balance::Census::of(&self.upstreams, now);
+        Census {
+            open: census.open,
+            closed: census.closed,
+            cold: census.cold,
+            failing: census.failing,
+        }
+    }
+
     /// Takes over what control knows; what this thread saw of an incarnation stays.
     fn follow(&mut self, views: &[&UpstreamView]) {
         let mut before = std::mem::take(&mut self.upstreams);
@@ -421,3 +516,11 @@
         }
     }
 }
+
+/// An expectation as the log has it.
+fn logged(expected: Expectation) -> Expected {
+    Expected {
+        wait_ms: millis(expected.wait),
+        answer_ms: millis(expected.answer),
+    }
+}
--- a/crates/entry/src/traffic/job.rs
+++ b/crates/entry/src/traffic/job.rs
@@ -18,7 +18,8 @@
         fleet::{
             Need,
             Placed,
-            Placement, //
+            Placement,
+            Refused, //
         },
         reply::{
             Final,
@@ -39,6 +40,7 @@
     UpstreamId, //
 };
 use bytes::Bytes;
+use event::Reason;
 use relay::{
     request_head,
     Exchange,
@@ -49,7 +51,10 @@
 };
 use route::Route;
 use std::{
-    cell::Cell,
+    cell::{
+        Cell,
+        RefCell, //
+    },
     rc::Rc,
     sync::Arc,
     time::{
@@ -80,6 +85,8 @@
     pub(super) deadline: Instant,
     /// It has its final answer.
     pub(super) ended: Cell<bool>,
+    /// The upstream that has or had it last, and how it stood there.
+    pub(super) last_placed: RefCell<Option<(UpstreamId, Placement)>>,
 }
 
 /// Body that can be sent once more, or only once.
@@ -115,8 +122,8 @@
 
 impl Progress {
     /// The upstream that it was sent to last.
-    pub(super) fn upstream(&self) -> &str {
-        self.tried.last().map_or("", |id| id)
+    pub(super) fn upstream(&self) -> Option<&UpstreamId> {
+        self.tried.last()
     }
 }
 
@@ -133,27 +140,28 @@
         loop {
             let (target, placement) = match self.place(&progress.tried) {
                 Placed::Send { target, placement } => (target, placement),
-                Placed::Refuse {
-                    reason,
-                    retry_after,
-                } => return self.give_up(progress, reason, retry_after),
+                Placed::Refuse(refused) => return self.give_up(progress, &refused),
             };
             let in_flight = InFlight::new(&self.traffic, &self.service, &target, placement.clone());
             progress.tried.push(target.id.clone());
+            let placed = (target.id.clone(), placement.clone());
+            self.last_placed.replace(Some(placed));
             progress.placement = Some(placement.clone());
             let Some(exchange) = self.exchange(&target) else {
-                return self.give_up(progress, "its body can be sent once only", FAILED_RETRY);
+                return self.give_up(progress, &refused_after(Reason::BodySpent));
             };
             let outcome = attempt::send(&self.traffic, in_flight, exchange).await;
             metrics::counter!(metric::SENDS, "outcome" => name_of(&outcome)).increment(1);
             let next = match outcome {
                 Outcome::Answered(answered) => self.after_answer(&mut progress, answered),
                 Outcome::NotRun { status } => {
-                    self.log_send(&target, &placement, "not run", &status.to_string());
+                    let why = format!("status {status}");
+                    self.log_send(&target, &placement, true, why);
                     self.after_refusal(&mut progress)
                 }
                 Outcome::Failed(failure) => {
-                    self.log_send(&target, &placement, "failed", &failure.to_string());
+                    let why = failure.to_string();
+                    self.log_send(&target, &placement, failure.not_run(), why);
                     self.after_failure(&mut progress, &failure)
                 }
             };
@@ -186,7 +194,7 @@
             return Next::Again;
         }
         let progress = std::mem::take(progress);
-        Next::Done(self.give_up(progress, "the upstream refused", FAILED_RETRY))
+        Next::Done(self.give_up(progress, &refused_after(Reason::UpstreamRefused)))
     }
 
     /// There was no answer.
@@ -205,7 +213,7 @@
             return Next::Again;
         }
         let progress = std::mem::take(progress);
-        Next::Done(self.give_up(progress, "the send failed", FAILED_RETRY))
+        Next::Done(self.give_up(progress, &refused_after(Reason::SendFailed)))
     }
 
     fn place(&self, tried: &[UpstreamId]) -> Placed {
@@ -272,6 +280,11 @@
     }
 }
 
+/// Nothing more can be done after a send.
+fn refused_after(reason: Reason) -> Refused {
+    Refused::new(reason, FAILED_RETRY)
+}
+
 fn name_of(outcome: &Outcome) -> &'static str {
     match outcome {
         Outcome::Answered(_) => "answered",
--- a/crates/entry/src/traffic/log.rs
+++ b/crates/entry/src/traffic/log.rs
@@ -8,18 +8,44 @@
 use crate::{
     metric,
     traffic::{
-        fleet::Placement,
+        fleet::{
+            Placement,
+            Refused, //
+        },
         job::{
             Job,
             Progress, //
         },
+        Traffic, //
     },
 };
-use base::Now;
-use relay::Target;
+use actix_http::header::{
+    HeaderValue,
+    RETRY_AFTER, //
+};
+use base::{
+    Now,
+    UpstreamId, //
+};
+use event::{
+    emit,
+    Event,
+    Outcome,
+    Picture,
+    RequestEnded,
+    SendFailed,
+    Sent, //
+};
+use relay::{
+    Answer,
+    Target, //
+};
 use std::{
     cell::Cell,
-    time::Duration, //
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 /// Lines a second of requests that were answered: above the usual load of an entry, some 90 a second.
@@ -38,15 +64,17 @@
 
 impl Limit {
     /// Whether one more line may be written.
-    fn take(&self, failure: bool, now: Now) -> bool {
+    pub(super) fn take(&self, failure: bool, now: Now) -> bool {
         let second = now.as_secs();
         if self.second.replace(second) != second {
             self.answered.set(0);
             self.failed.set(0);
             let left_out = self.left_out.replace(0);
             if left_out > 0 {
-                metrics::counter!(metric::LOG_LINES_LEFT_OUT).increment(u64::from(left_out));
-                spdlog::warn!("log lines left out", kv: { lines = left_out });
+                let lines = u64::from(left_out);
+                metrics::counter!(metric::LOG_LINES_LEFT_OUT, "reason" => "bound of a second")
+                    .increment(lines);
+                emit(&Event::LinesLeftOut { lines });
             }
         }
         let (lines, most) = if failure {
@@ -61,28 +89,75 @@
     }
 }
 
+impl Traffic {
+    /// A request that was answered before it was known what it needs.
+    pub(super) fn log_turned_away(
+        &self,
+        id: Option<&HeaderValue>,
+        answer: &Answer,
+        outcome: Outcome,
+        received: Instant,
+    ) {
+        if !self.log.take(true, self.now()) {
+            return;
+        }
+        let retry_after = answer.headers.get(RETRY_AFTER);
+        let retry_after_s: Option<f64> = retry_after.and_then(|value| text(value).parse().ok());
+        emit(&Event::Request(Box::new(RequestEnded {
+            status: Some(answer.status.as_u16()),
+            retry_after_ms: retry_after_s.map(|after_s| millis(Duration::from_secs_f64(after_s))),
+            ..self.ended(id.map_or_else(String::new, text), outcome, received)
+        })));
+    }
+
+    /// What is known of the end of any request.
+    fn ended(&self, id: String, outcome: Outcome, received: Instant) -> RequestEnded {
+        let snapshot = self.shared.published.load();
+        RequestEnded {
+            id,
+            outcome,
+            status: None,
+            reason: None,
+            route: None,
+            service: None,
+            sends: 0,
+            may_have_run: false,
+            sent: None,
+            census: None,
+            expected: None,
+            retry_after_ms: None,
+            took_ms: millis(received.elapsed()),
+            target_ms: None,
+            deadline_ms: None,
+            picture: Picture {
+                routes: snapshot.table.as_ref().map_or(0, |table| table.version()),
+                number: snapshot.number,
+                age_ms: millis(self.now().saturating_sub(snapshot.made_at)),
+            },
+        }
+    }
+}
+
 impl Job {
     /// A send that gave no answer for the caller.
     pub(super) fn log_send(
         &self,
         target: &Target,
         placement: &Placement,
-        outcome: &str,
-        why: &str,
+        not_run: bool,
+        why: String,
     ) {
         if !self.traffic.log.take(true, self.traffic.now()) {
             return;
         }
-        spdlog::info!("send", kv: {
-            id = self.id.to_str().unwrap_or("?"),
-            upstream = target.id.to_string(),
-            service = self.service.to_string(),
-            outcome,
+        emit(&Event::SendFailed(Box::new(SendFailed {
+            id: text(&self.id),
+            service: self.service.clone(),
+            sent: sent(&target.id, placement),
+            not_run,
             why,
-            load = placement.load,
-            warm = placement.warm,
-            after_ms = millis(self.received.elapsed())
-        });
+            after_ms: millis(self.received.elapsed()),
+        })));
     }
 
     /// The end of a request.
@@ -93,27 +168,36 @@
             return;
         }
         let progress = end.progress;
-        let snapshot = self.traffic.shared.published.load();
-        let picture_age = self.traffic.now().saturating_sub(snapshot.made_at);
-        spdlog::info!("request", kv: {
-            id = self.id.to_str().unwrap_or("?"),
-            route = self.route.id.to_string(),
-            service = self.service.to_string(),
-            status = end.status,
-            outcome = end.outcome,
-            why = end.why,
-            upstream = progress.upstream(),
-            load = progress.placement.as_ref().map_or(-1.0, |placement| placement.load),
-            warm = progress.placement.as_ref().is_some_and(|placement| placement.warm),
-            sends = progress.sends,
-            may_have_run = progress.may_have_run,
-            retry_after_ms = end.retry_after.map_or(0, millis),
-            took_ms = millis(self.received.elapsed()),
-            deadline_ms = millis(self.deadline - self.received),
-            routes_version = snapshot.table.as_ref().map_or(0, |table| table.version()),
-            picture = snapshot.number,
-            picture_age_ms = millis(picture_age)
-        });
+        let refused = end.refused;
+        let unsent = refused.filter(|_| progress.placement.is_none());
+        let comes_back = refused.filter(|_| end.outcome == Outcome::Refused);
+        emit(&Event::Request(Box::new(RequestEnded {
+            status: Some(end.status),
+            reason: refused.map(|refused| refused.reason),
+            sends: progress.sends,
+            may_have_run: progress.may_have_run,
+            sent: self.sent_last(progress),
+            census: unsent.map(|refused| refused.census),
+            expected: unsent.map(|refused| refused.expected),
+            retry_after_ms: comes_back.map(|refused| millis(refused.retry_after)),
+            ..self.ended(end.outcome)
+        })));
+    }
+
+    fn sent_last(&self, progress: &Progress) -> Option<Sent> {
+        let placement = progress.placement.as_ref()?;
+        Some(sent(progress.upstream()?, placement))
+    }
+
+    /// What is known of the end of any request whose route is known.
+    fn ended(&self, outcome: Outcome) -> RequestEnded {
+        RequestEnded {
+            route: Some(self.route.id.clone()),
+            service: Some(self.service.clone()),
+            target_ms: Some(millis(self.route.latency_target)),
+            deadline_ms: Some(millis(self.deadline - self.received)),
+            ..self.traffic.ended(text(&self.id), outcome, self.received)
+        }
     }
 }
 
@@ -123,14 +207,12 @@
         if self.ended.get() || !self.traffic.log.take(true, self.traffic.now()) {
             return;
         }
-        spdlog::info!("request", kv: {
-            id = self.id.to_str().unwrap_or("?"),
-            route = self.route.id.to_string(),
-            service = self.service.to_string(),
-            outcome = "cancelled",
-            why = "the caller has gone",
-            took_ms = millis(self.received.elapsed())
-        });
+        let last = self.last_placed.borrow();
+        emit(&Event::Request(Box::new(RequestEnded {
+            may_have_run: last.is_some(),
+            sent: last.as_ref().map(|(id, placement)| sent(id, placement)),
+            ..self.ended(Outcome::Cancelled)
+        })));
     }
 }
 
@@ -138,13 +220,28 @@
 #[derive(Clone, Copy)]
 pub(super) struct End<'a> {
     pub(super) status: u16,
-    pub(super) outcome: &'static str,
+    pub(super) outcome: Outcome,
     /// What decided it, where that was this entry.
-    pub(super) why: &'static str,
-    pub(super) retry_after: Option<Duration>,
+    pub(super) refused: Option<&'a Refused>,
     pub(super) progress: &'a Progress,
 }
 
-fn millis(duration: Duration) -> u64 {
+fn sent(upstream: &UpstreamId, placement: &Placement) -> Sent {
+    Sent {
+        upstream: upstream.clone(),
+        region: placement.region.clone(),
+        load: placement.load,
+        slots: placement.slots,
+        report_age_ms: placement.report_age.map(millis),
+        warm: placement.warm,
+        expected: placement.expected,
+    }
+}
+
+pub(super) fn text(value: &HeaderValue) -> String {
+    value.to_str().unwrap_or("?").to_owned()
+}
+
+pub(super) fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/entry/src/traffic/mod.rs
+++ b/crates/entry/src/traffic/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! - `request` takes one request from its head to its final answer; `plan` finds out what it needs.
 //! - `job` sends it until there is an answer, `attempt` sends it once and says what is known of the
-//!   run, `reply` makes the final answer, `log` writes what became of it.
+//!   run, `reply` makes the final answer, `stream` passes a long one on, `log` writes what became of it.
 //! - `fleet` holds what this thread knows of upstreams and decides where a request goes.
 //! - `lookup` answers which entries to use.
 //! - `ports` opens the ports.
@@ -16,6 +16,7 @@
 mod ports;
 mod reply;
 mod request;
+mod stream;
 
 pub(crate) use ports::{
     open,
--- a/crates/entry/src/traffic/plan.rs
+++ b/crates/entry/src/traffic/plan.rs
@@ -25,6 +25,7 @@
     },
     StatusCode, //
 };
+use event::Outcome;
 use relay::{
     forwardable,
     Answer,
@@ -32,7 +33,10 @@
     RequestBody, //
 };
 use std::{
-    cell::Cell,
+    cell::{
+        Cell,
+        RefCell, //
+    },
     rc::Rc,
     sync::atomic::Ordering,
     time::Duration, //
@@ -51,21 +55,21 @@
     request: Request,
 ) -> Result<Job, Final> {
     if traffic.shared.closing.load(Ordering::Relaxed) {
-        let (mut answer, outcome) = come_back(CLOSING_RETRY, "closing");
+        let (mut answer, outcome) = come_back(CLOSING_RETRY, Outcome::Closing);
         answer.close = true;
         return Err((answer, outcome));
     }
     let dialect = &traffic.shared.dialect;
     let Some(table) = &snapshot.table else {
-        return Err(come_back(NO_ROUTES_RETRY, "no routes"));
+        return Err(come_back(NO_ROUTES_RETRY, Outcome::NoRoutes));
     };
     let host = text(&request.headers, &HOST);
     let path = request.uri.path();
     let Some(route) = host.and_then(|host| table.find(host, path)) else {
-        return Err((Answer::empty(StatusCode::NOT_FOUND), "no such route"));
+        return Err((Answer::empty(StatusCode::NOT_FOUND), Outcome::NoSuchRoute));
     };
     let Some(id) = request.headers.get(&dialect.request_id).cloned() else {
-        return Err((Answer::empty(StatusCode::BAD_REQUEST), "no request id"));
+        return Err((Answer::empty(StatusCode::BAD_REQUEST), Outcome::NoRequestId));
     };
     let asked_ms = text(&request.headers, &dialect.deadline_ms)
         .and_then(|value| value.trim().parse::<f64>().ok())
@@ -74,7 +78,7 @@
     let wait = asked.map_or(route.timeout, |asked| asked.min(route.timeout));
     let mut fleet = traffic.fleet.borrow_mut();
     let Some(service) = fleet.service(route) else {
-        return Err(come_back(NO_ROUTES_RETRY, "no service"));
+        return Err(come_back(NO_ROUTES_RETRY, Outcome::NoService));
     };
     fleet.offer(&service, traffic.now());
     drop(fleet);
@@ -103,6 +107,7 @@
         received: request.received,
         deadline: request.received + wait,
         ended: Cell::new(false),
+        last_placed: RefCell::default(),
     })
 }
 
--- a/crates/entry/src/traffic/ports.rs
+++ b/crates/entry/src/traffic/ports.rs
@@ -5,6 +5,10 @@
     Shared,
     Traffic, //
 };
+use event::{
+    emit,
+    Event, //
+};
 use relay::{
     serve,
     Handler, //
@@ -64,13 +68,17 @@
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(error) => {
-                spdlog::warn!("accept failed", kv: { error = error.to_string() });
+                emit(&Event::AcceptFailed {
+                    error: error.to_string(),
+                });
                 tokio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
             }
         };
         if traffic.callers.get() >= most {
-            spdlog::warn!("caller turned away: too many connections", kv: { most });
+            if traffic.log.take(true, traffic.now()) {
+                emit(&Event::CallerTurnedAway { most });
+            }
             continue;
         }
         let handler = handler.clone();
--- a/crates/entry/src/traffic/reply.rs
+++ b/crates/entry/src/traffic/reply.rs
@@ -3,14 +3,15 @@
 use crate::traffic::{
     attempt::{
         Answered,
-        AnsweredBody,
-        InFlight, //
+        AnsweredBody, //
     },
+    fleet::Refused,
     job::{
         Job,
         Progress, //
     },
     log::End,
+    stream::Stream,
 };
 use actix_http::{
     header::{
@@ -20,24 +21,16 @@
     Method,
     StatusCode, //
 };
-use bytes::Bytes;
+use event::Outcome;
 use relay::{
     forwardable,
     Answer,
-    AnswerBody,
-    BodyPart, //
+    AnswerBody, //
 };
-use std::time::{
-    Duration,
-    Instant, //
-};
-use tokio::sync::mpsc;
-
-/// Pieces of a long answer between upstream and caller.
-const ANSWER_PARTS: usize = 8;
+use std::time::Duration;
 
 /// Final answer and what the metrics call it.
-pub(super) type Final = (Answer, &'static str);
+pub(super) type Final = (Answer, Outcome);
 
 /// What the last send that reached an upstream came to.
 pub(super) enum Last {
@@ -47,7 +40,7 @@
 }
 
 /// Tells the caller that the request did not run, and when to come back.
-pub(super) fn come_back(after: Duration, outcome: &'static str) -> Final {
+pub(super) fn come_back(after: Duration, outcome: Outcome) -> Final {
     let mut answer = Answer::empty(StatusCode::SERVICE_UNAVAILABLE);
     let seconds = format!("{:.3}", after.as_secs_f64());
     let value = HeaderValue::from_str(&seconds).expect("digits are a header's value");
@@ -59,15 +52,14 @@
     /// Passes an upstream's answer on.
     pub(super) fn deliver(&self, progress: &Progress, answered: Answered) -> Final {
         let outcome = if answered.status.is_server_error() {
-            "upstream error"
+            Outcome::UpstreamError
         } else {
-            "answered"
+            Outcome::Answered
         };
         self.log_end(&End {
             status: answered.status.as_u16(),
             outcome,
-            why: "",
-            retry_after: None,
+            refused: None,
             progress,
         });
         let headers = forwardable(&answered.headers);
@@ -81,8 +73,13 @@
                 rest,
                 in_flight,
             } => {
-                let (sender, parts) = mpsc::channel(ANSWER_PARTS);
-                actix_rt::spawn(pass_on(begun, rest, sender, in_flight, self.deadline));
+                let stream = Stream {
+                    id: self.id.clone(),
+                    received: self.received,
+                    deadline: self.deadline,
+                    in_flight,
+                };
+                let parts = stream.pass_on(begun, rest);
                 AnswerBody::Stream {
                     length_bytes: answered.length_bytes,
                     parts,
@@ -99,64 +96,26 @@
     }
 
     /// The final answer when nothing more can be done.
-    pub(super) fn give_up(
-        &self,
-        mut progress: Progress,
-        why: &'static str,
-        retry_after: Duration,
-    ) -> Final {
+    pub(super) fn give_up(&self, mut progress: Progress, refused: &Refused) -> Final {
         let last = progress.last.take();
         if let Some(Last::Answered(answered)) = last {
             // An upstream's own failure is an answer: better than one of ours.
             return self.deliver(&progress, *answered);
         }
         let (answer, outcome) = match last {
-            Some(Last::Failed { timeout: true }) => {
-                (Answer::empty(StatusCode::GATEWAY_TIMEOUT), "timed out")
-            }
-            _ if progress.may_have_run => (Answer::empty(StatusCode::BAD_GATEWAY), "failed"),
-            _ => come_back(retry_after, "refused"),
+            Some(Last::Failed { timeout: true }) => (
+                Answer::empty(StatusCode::GATEWAY_TIMEOUT),
+                Outcome::TimedOut,
+            ),
+            _ if progress.may_have_run => (Answer::empty(StatusCode::BAD_GATEWAY), Outcome::Failed),
+            _ => come_back(refused.retry_after, Outcome::Refused),
         };
-        let comes_back = answer.headers.contains_key(RETRY_AFTER);
         self.log_end(&End {
             status: answer.status.as_u16(),
             outcome,
-            why,
-            retry_after: comes_back.then_some(retry_after),
+            refused: Some(refused),
             progress: &progress,
         });
         (answer, outcome)
     }
 }
-
-/// Passes a long body on; the upstream stays in use until it has ended.
-async fn pass_on(
-    begun: Bytes,
-    mut rest: Box<relay::BodyReader>,
-    sender: mpsc::Sender<BodyPart>,
-    in_flight: InFlight,
-    deadline: Instant,
-) {
-    let mut next = Some(begun);
-    loop {
-        let part = next.take().map_or(BodyPart::End, BodyPart::Data);
-        let ended = part == BodyPart::End;
-        // A caller who has gone takes no more; leaving drops the connection, which cancels the rest.
-        if sender.send(part).await.is_err() || ended {
-            break;
-        }
-        let read = tokio::select! {
-            read = rest.next(deadline) => read,
-            // An upstream that has stopped sending would be waited for, for a caller who has gone.
-            () = sender.closed() => break,
-        };
-        match read {
-            Ok(data) => next = data,
-            Err(cut) => {
-                spdlog::info!("answer cut", kv: { why = cut.to_string() });
-                break;
-            }
-        }
-    }
-    drop(in_flight);
-}
--- a/crates/entry/src/traffic/request.rs
+++ b/crates/entry/src/traffic/request.rs
@@ -13,6 +13,10 @@
     Request as Head,
     StatusCode, //
 };
+use event::{
+    emit,
+    Event, //
+};
 use relay::{
     Answer,
     Handler,
@@ -55,7 +59,10 @@
         let snapshot = self.snapshot();
         let (mut answer, outcome) = match plan(&self, &snapshot, request) {
             Ok(job) => job.run().await,
-            Err(refused) => refused,
+            Err((answer, outcome)) => {
+                self.log_turned_away(id.as_ref(), &answer, outcome, received);
+                (answer, outcome)
+            }
         };
         if let Some(id) = id {
             let name = &self.shared.dialect.request_id;
@@ -63,8 +70,8 @@
                 answer.headers.insert(name.clone(), id);
             }
         }
-        metrics::counter!(metric::REQUESTS, "outcome" => outcome).increment(1);
-        metrics::histogram!(metric::REQUEST_SECONDS, "outcome" => outcome)
+        metrics::counter!(metric::REQUESTS, "outcome" => outcome.as_str()).increment(1);
+        metrics::histogram!(metric::REQUEST_SECONDS, "outcome" => outcome.as_str())
             .record(received.elapsed().as_secs_f64());
         answer
     }
@@ -78,7 +85,12 @@
             Refusal::Internal => StatusCode::BAD_GATEWAY,
         };
         metrics::counter!(metric::REQUESTS, "outcome" => "unreadable").increment(1);
-        spdlog::warn!("request not read", kv: { why = format!("{refusal:?}"), status = status.as_u16() });
+        if self.log.take(true, self.now()) {
+            emit(&Event::RequestNotRead {
+                why: format!("{refusal:?}"),
+                status: status.as_u16(),
+            });
+        }
         Answer::empty(status)
     }
 }
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -60,7 +60,7 @@
 }
 
 fn run(path: PathBuf, text: String, settings: Settings) -> eyre::Result<()> {
-    entry::init_log()?;
+    event::init_log(&settings.entry.instance)?;
     let metrics = PrometheusBuilder::new().install_recorder()?;
     let Settings {
         entry,
