A removal in doubt is told as nothing, and ends by the word of an entry that is sure

Cause: the row of i-7681d0c82d was removed at version 172. edge-salem-a-2 closed it at once; edge-everett-b-2, which the store served again just then, kept it open for the time that expired rows have, and told its picture: a listing at version 172, since it keeps one version for both. An equal version with a removal was taken for the owner's new row, so all others opened it again. Change: of one version a removal counts more than a listing; what is in doubt is not told and not counted as reached, so that those who know better are asked; a removal by an entry without an outage ends the doubt. Tests: a_removal_in_doubt_is_told_as_nothing, a_sure_removal_ends_the_doubt, both failed first.

--- a/crates/entry/src/control/relay.rs
+++ b/crates/entry/src/control/relay.rs
@@ -42,7 +42,7 @@
         State {
             callers_addr: self.settings.callers_addr,
             ready: known.table.is_some() && !known.stopping,
-            reach: known.picture.reach(),
+            reach: known.picture.reach(self.now()),
         }
     }
 
@@ -154,7 +154,7 @@
 
     fn on_state(&self, from: &InstanceId, state: State) {
         let mut known = self.known.borrow_mut();
-        let own = known.picture.reach();
+        let own = known.picture.reach(self.now());
         let theirs = state.reach;
         let Some(member) = known.members.get_mut(from) else {
             return;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -32,7 +32,8 @@
 };
 pub use picture::{
     Applied,
-    Picture, //
+    Picture,
+    UpstreamUpdate, //
 };
 pub use process::{
     run,
--- a/crates/entry/src/picture.rs
+++ b/crates/entry/src/picture.rs
@@ -44,6 +44,13 @@
     gone_at: Option<Now>,
 }
 
+impl KnownUpstream {
+    /// Whether no doubt is left about a removal of its row.
+    fn is_sure(&self, now: Now) -> bool {
+        self.gone_at.is_none_or(|at| now >= at)
+    }
+}
+
 /// A statement about one failure domain.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 pub(crate) struct Evacuation {
@@ -53,12 +60,15 @@
 
 /// One upstream, as entries tell each other.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-pub(crate) struct UpstreamUpdate {
-    pub(crate) listed: ListedUpstream,
-    pub(crate) version: u64,
-    pub(crate) gone: bool,
+pub struct UpstreamUpdate {
+    /// As it was listed last.
+    pub listed: ListedUpstream,
+    /// Version of the row that this is of, or of its removal.
+    pub version: u64,
+    /// Its row was removed.
+    pub gone: bool,
     /// How much longer it stays cold, at the sender.
-    pub(crate) cold_left: Duration,
+    pub cold_left: Duration,
 }
 
 /// All that control knows of the world behind the entries.
@@ -146,7 +156,9 @@
             self.upstreams.insert(listed.id.clone(), known);
             return Applied::Changed;
         };
-        if known.version > version || (known.version == version && known.gone_at.is_none()) {
+        // Of one version, a removal counts more than a listing: an upstream that is gone must not come
+        // back by word of an entry that missed it.
+        if known.version >= version {
             return Applied::Unchanged;
         }
         // An incarnation that was seen leaving doesn't come back.
@@ -174,16 +186,18 @@
             self.removed.insert(id.clone(), (version, now));
             return Applied::Unchanged;
         };
-        if known.version > version || known.gone_at.is_some() {
-            return Applied::Unchanged;
-        }
         let grace = if after_outage && !known.listed.leaving {
             MISSING_GRACE
         } else {
             Duration::ZERO
         };
+        let gone_at = now + grace;
+        // Whoever had no outage knows that the row was removed, which ends the doubt of those who had.
+        if known.version > version || known.gone_at.is_some_and(|known| known <= gone_at) {
+            return Applied::Unchanged;
+        }
         known.version = version;
-        known.gone_at = Some(now + grace);
+        known.gone_at = Some(gone_at);
         Applied::Changed
     }
 
@@ -277,10 +291,12 @@
             .map(move |known| (&known.listed, self.is_closed(known, now), known.cold_until))
     }
 
-    /// How far it reaches: the newest version of each kind of row that it took.
-    pub(crate) fn reach(&self) -> Reach {
+    /// How far it reaches: the newest version of each kind of row that it took. A removal in doubt doesn't
+    /// count, so that entries which know better are asked.
+    pub(crate) fn reach(&self, now: Now) -> Reach {
         let evacuations = self.evacuations.values().map(|known| known.version);
-        let listed = self.upstreams.values().map(|known| known.version);
+        let listed = self.upstreams.values().filter(|known| known.is_sure(now));
+        let listed = listed.map(|known| known.version);
         let removed = self.removed.values().map(|(version, _)| *version);
         Reach {
             routes: self.routes_version(),
@@ -293,24 +309,21 @@
         &self.evacuations
     }
 
-    pub(crate) fn upstream_updates(&self, now: Now) -> Vec<UpstreamUpdate> {
-        self.upstreams
-            .values()
-            .map(|known| UpstreamUpdate {
-                listed: known.listed.clone(),
-                version: known.version,
-                gone: known.gone_at.is_some_and(|at| now >= at),
-                cold_left: known.cold_until.saturating_sub(now),
-            })
-            .collect()
+    /// What other entries are told of upstreams.
+    pub fn upstream_updates(&self, now: Now) -> Vec<UpstreamUpdate> {
+        // A removal in doubt is neither a listing nor a removal: nothing is told of it until that is over.
+        let told = self.upstreams.values().filter(|known| known.is_sure(now));
+        told.map(|known| UpstreamUpdate {
+            listed: known.listed.clone(),
+            version: known.version,
+            gone: known.gone_at.is_some(),
+            cold_left: known.cold_until.saturating_sub(now),
+        })
+        .collect()
     }
 
     /// Takes what another entry knows of upstreams.
-    pub(crate) fn apply_upstream_updates(
-        &mut self,
-        updates: &[UpstreamUpdate],
-        now: Now,
-    ) -> Applied {
+    pub fn apply_upstream_updates(&mut self, updates: &[UpstreamUpdate], now: Now) -> Applied {
         let mut taken = Applied::Unchanged;
         for one in updates {
             let listed = ListedUpstream {
--- a/crates/entry/tests/picture.rs
+++ b/crates/entry/tests/picture.rs
@@ -157,3 +157,48 @@
     picture.end_evacuations_without_row(&[], 9, s(2));
     assert!(!picture.is_evacuated("domain-a"));
 }
+
+/// Symptom: an upstream that had left got requests for two seconds more. Sequence: its row is removed; one
+/// entry, which the store served again just then, still holds it open for a moment, and tells the others
+/// what it knows. Cause: it told a listing at the version of the removal, and the others took that for
+/// the owner's new row.
+#[test]
+fn a_removal_in_doubt_is_told_as_nothing() {
+    let mut sure = Picture::default();
+    let mut in_doubt = Picture::default();
+    for picture in [&mut sure, &mut in_doubt] {
+        picture.apply_upstream(&row("u"), 3, s(1));
+    }
+    sure.apply_removal(&"u".into(), 5, false, s(2));
+    in_doubt.apply_removal(&"u".into(), 5, true, s(3));
+    assert_eq!(state(&in_doubt, "u", s(3)), "open");
+    sure.apply_upstream_updates(&in_doubt.upstream_updates(s(3)), s(3));
+    assert_eq!(state(&sure, "u", s(3)), "closed");
+    // Of one version, a removal counts more than a listing, whoever says it.
+    assert_eq!(sure.apply_upstream(&row("u"), 5, s(4)), Applied::Unchanged);
+    assert_eq!(state(&sure, "u", s(4)), "closed");
+    // Once it is over, the removal is told.
+    let mut third = Picture::default();
+    third.apply_upstream(&row("u"), 3, s(1));
+    third.apply_upstream_updates(&in_doubt.upstream_updates(s(5)), s(5));
+    assert_eq!(state(&third, "u", s(5)), "closed");
+}
+
+/// Symptom: an entry that had just got the store back sent to an upstream that every other one knew to be
+/// gone. Cause guarded against: a doubt that outlives what another entry, which had no outage, says.
+#[test]
+fn a_sure_removal_ends_the_doubt() {
+    let mut sure = Picture::default();
+    let mut in_doubt = Picture::default();
+    for picture in [&mut sure, &mut in_doubt] {
+        picture.apply_upstream(&row("u"), 3, s(1));
+    }
+    sure.apply_removal(&"u".into(), 5, false, s(2));
+    in_doubt.apply_removal(&"u".into(), 5, true, s(3));
+    let told = sure.upstream_updates(s(3));
+    assert_eq!(
+        in_doubt.apply_upstream_updates(&told, s(3)),
+        Applied::Changed
+    );
+    assert_eq!(state(&in_doubt, "u", s(3)), "closed");
+}
