An upstream whose address another has stays closed

Ruled out: a wrong 421 (its row had been dropped 931 ms before). Change: what its own address says is kept apart from what the list says, for good.

--- a/crates/balance/src/census.rs
+++ b/crates/balance/src/census.rs
@@ -21,7 +21,7 @@
     pub fn of(upstreams: &[Upstream], now: Now) -> Self {
         let mut census = Self::default();
         for upstream in upstreams {
-            let side = if upstream.closed {
+            let side = if upstream.is_closed() {
                 &mut census.closed
             } else if upstream.is_cold(now) {
                 &mut census.cold
--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -287,7 +287,7 @@
     for (place, upstream) in upstreams.iter_mut().enumerate() {
         let local = upstream.region == here.region;
         let home = query.homes.is_empty() || query.homes.contains(&upstream.region);
-        if upstream.closed || !home || query.tried.contains(&place) {
+        if upstream.is_closed() || !home || query.tried.contains(&place) {
             continue;
         }
         if upstream.is_cold(now) && !(local && upstream.cold_gate.fits(query.cold_per_s, now)) {
--- a/crates/balance/src/upstream.rs
+++ b/crates/balance/src/upstream.rs
@@ -44,6 +44,9 @@
     pub slots: u32,
     /// Whether it gets no new work: it leaves, or its failure domain is evacuated.
     pub closed: bool,
+    /// Whether it is gone by its own address's word, whatever the list says: for good, since an
+    /// incarnation doesn't come back.
+    pub gone: bool,
     /// Cold until then.
     pub cold_until: Now,
     /// What it may get while cold.
@@ -71,6 +74,7 @@
             region,
             slots: slots.max(1),
             closed: false,
+            gone: false,
             cold_until: Now::ZERO,
             cold_gate: ColdGate::default(),
             in_flight: 0,
@@ -108,6 +112,11 @@
         f64::from(self.in_flight) + others
     }
 
+    /// Whether it gets no new work.
+    pub fn is_closed(&self) -> bool {
+        self.closed || self.gone
+    }
+
     /// Age of its last report; `None` before the first.
     pub fn report_age(&self, now: Now) -> Option<Duration> {
         (self.reported_at > Now::ZERO).then(|| now.saturating_sub(self.reported_at))
--- a/crates/entry/src/traffic/fleet.rs
+++ b/crates/entry/src/traffic/fleet.rs
@@ -233,7 +233,7 @@
     /// Whether connections to an upstream may still be of use.
     pub(super) fn knows(&self, id: &UpstreamId) -> bool {
         let mut upstreams = self.groups.values().flat_map(|group| &group.upstreams);
-        upstreams.any(|upstream| upstream.id == *id && !upstream.closed)
+        upstreams.any(|upstream| upstream.id == *id && !upstream.is_closed())
     }
 
     /// Service for the next request of a route.
@@ -462,12 +462,12 @@
         }
     }
 
-    /// An upstream said itself that it leaves, or another one has its address.
+    /// An upstream is gone: another one has its address.
     pub(super) fn close(&mut self, service: &ServiceId, id: &UpstreamId, why: &str) {
         let Some(upstream) = self.upstream(service, id) else {
             return;
         };
-        if !std::mem::replace(&mut upstream.closed, true) {
+        if !std::mem::replace(&mut upstream.gone, true) {
             emit(&Event::UpstreamClosed {
                 upstream: id.clone(),
                 service: service.clone(),
--- a/crates/entry/tests/system.rs
+++ b/crates/entry/tests/system.rs
@@ -114,6 +114,42 @@
     });
 }
 
+/// Symptom: requests were sent to a gone upstream's address again and again, each time to learn that another
+/// one has it. Sequence: that answer comes while the list still names the upstream; then something else
+/// changes, and control publishes what it knows. Cause: what traffic had closed was opened by that.
+#[test]
+fn an_upstream_whose_address_another_has_stays_closed() {
+    let store = MemoryStore::default();
+    store.put_routes(&routes(1));
+    let other = Upstream::start(Box::new(|_, _, connection| {
+        connection.write("HTTP/1.1 421 Other\r\ncontent-length: 0\r\n\r\n");
+        true
+    }));
+    let sound = Upstream::good("ok");
+    store.put_upstream(&listed("u-1", other.addr));
+    store.put_upstream(&listed("u-2", sound.addr));
+    let entry = Entry::start("entry-1", &store);
+    let ask = |round: u64| {
+        for number in 0..20 {
+            let id = format!("{round:x}a{number:x}");
+            assert_eq!(status(&entry, "POST", "/f/x", &id), 200);
+        }
+    };
+    ask(1);
+    assert_eq!(other.seen().len(), 1, "it is asked once");
+    for version in 2..5 {
+        let mut next = routes(version);
+        next.hosts[0].routes[0].prefix = format!("/r{version}/").into();
+        store.put_routes(&next);
+        eventually("the next routes", || {
+            let path = format!("/r{version}/x");
+            (status(&entry, "GET", &path, "b") == 200).then_some(())
+        });
+        ask(version);
+    }
+    assert_eq!(other.seen().len(), 1, "it stays closed");
+}
+
 /// An upstream that leaves gets no new work; what it runs is not cut.
 #[test]
 fn leaving_upstream_gets_no_new_work() {
