jasminectl explain: from a request's id to its story and likely cause, by logs alone

Cause: on-call engineers had lines, but no way from an id to a cause: which upstream, what was believed of it, what changed meanwhile, and whether lines are missing. Change: crate explain reads the lines of any number of processes by the types that wrote them, puts one request's lines together with the changes of belief around it, and names one of 19 faults with what speaks for it; without an id it counts all failures by fault. An id without a line says which processes ended unplanned and how many lines are missing. EntryConnected and EntryLost named a field like the line's own and could not be read back; found by the first log, now each event has a test of its line.

--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -94,6 +94,8 @@
     /// Routes by host and path prefix in the platform's table, without a daemon.
     #[command(subcommand)]
     Routes(RoutesCommand),
+    /// Tell from logs alone what became of a request that was routed by host and path, and why.
+    Explain(ExplainArgs),
     /// Make a configuration the one in force.
     Accept(AcceptArgs),
     /// Show a daemon's picture of the system.
@@ -167,6 +169,16 @@
     },
 }
 
+#[derive(ClapArgs, Clone, Debug)]
+pub(crate) struct ExplainArgs {
+    /// Id of the request; without it, all failures are counted by cause.
+    #[arg(long)]
+    pub(crate) id: Option<String>,
+    /// Logs of any number of processes; `-` is standard input.
+    #[arg(required = true)]
+    pub(crate) files: Vec<PathBuf>,
+}
+
 /// The platform, for commands that need no daemon.
 #[derive(ClapArgs, Clone, Debug)]
 pub(crate) struct PlatformArgs {
--- a/crates/ctl/src/command/mod.rs
+++ b/crates/ctl/src/command/mod.rs
@@ -5,6 +5,7 @@
 mod check;
 mod diff;
 mod drain;
+mod explain;
 mod history;
 mod routes;
 mod shares;
@@ -43,6 +44,7 @@
             let timeout = Duration::from_secs(global.request_timeout_s);
             routes::run(command, timeout).await
         }
+        Command::Explain(args) => explain::run(&args),
         Command::Diff { before, after } => diff::run(global, &before, after.as_deref()).await,
         command => with_daemon(&Context::new(global)?, command).await,
     }
@@ -68,6 +70,7 @@
         | Command::CheckRoutes { .. }
         | Command::Completions { .. }
         | Command::Routes(_)
+        | Command::Explain(_)
         | Command::Diff { .. } => {
             unreachable!("these need no daemon and are done")
         }
--- a/crates/entry/src/control/members.rs
+++ b/crates/entry/src/control/members.rs
@@ -289,7 +289,7 @@
             match event {
                 Event::Up(info) | Event::Reopened(info) => {
                     emit(&LogEvent::EntryConnected {
-                        instance: info.instance.clone(),
+                        entry: info.instance.clone(),
                         incarnation: info.incarnation,
                     });
                     let mut known = self.known.borrow_mut();
@@ -324,7 +324,7 @@
 
     fn lose(&self, instance: &InstanceId, why: peer::DownReason) {
         emit(&LogEvent::EntryLost {
-            instance: instance.clone(),
+            entry: instance.clone(),
             why: format!("{why:?}"),
         });
         let now = self.now();
--- a/crates/event/src/event.rs
+++ b/crates/event/src/event.rs
@@ -127,12 +127,9 @@
     /// The port for other entries could not be opened.
     NoPeersPort { error: String },
     /// A session to another entry stands.
-    EntryConnected {
-        instance: InstanceId,
-        incarnation: u64,
-    },
+    EntryConnected { entry: InstanceId, incarnation: u64 },
     /// A session to another entry has ended.
-    EntryLost { instance: InstanceId, why: String },
+    EntryLost { entry: InstanceId, why: String },
     /// A connection to the port for other entries did not prove itself.
     StrangerRefused { addr: String, why: String },
     /// A message of another entry can't be read.
--- /dev/null
+++ b/crates/event/tests/lines.rs
@@ -0,0 +1,188 @@
+//! Every event is read back as it was written, with its line's own fields beside it.
+
+use event::{
+    Census,
+    Event,
+    Expected,
+    Line,
+    Outcome,
+    Picture,
+    Reason,
+    RequestEnded,
+    SendFailed,
+    Sent,
+    Severity, //
+};
+
+fn sent() -> Sent {
+    Sent {
+        upstream: "u-1".into(),
+        region: "moshi".into(),
+        load: 2.5,
+        slots: 9,
+        report_age_ms: Some(120),
+        warm: true,
+        expected: Expected {
+            wait_ms: 20,
+            answer_ms: 180,
+        },
+    }
+}
+
+fn ended() -> RequestEnded {
+    RequestEnded {
+        id: "4f".into(),
+        outcome: Outcome::Refused,
+        status: Some(503),
+        reason: Some(Reason::NoSlotInTime),
+        route: Some("lookups".into()),
+        service: Some("menu".into()),
+        sends: 0,
+        may_have_run: false,
+        sent: None,
+        census: Some(Census {
+            open: 3,
+            closed: 1,
+            cold: 0,
+            failing: 2,
+        }),
+        expected: Some(Expected {
+            wait_ms: 400,
+            answer_ms: 520,
+        }),
+        retry_after_ms: Some(400),
+        took_ms: 1,
+        target_ms: Some(300),
+        deadline_ms: Some(2000),
+        picture: Picture {
+            routes: 7,
+            number: 12,
+            age_ms: 40,
+        },
+    }
+}
+
+/// Names a test for each event.
+macro_rules! read_back {
+    ($($name:ident: $event:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                check(&$event);
+            }
+        )*
+    };
+}
+
+/// What goes wrong: a field of an event that has the name of one of the line's makes a line that can't be
+/// read. It shows only in that event's lines.
+fn check(event: &Event) {
+    let line = Line {
+        time_ms: 1_770_974_084_016,
+        level: event.severity(),
+        instance: "moshi-1".into(),
+        up_ms: 8_207,
+        event: event.clone(),
+    };
+    let text = serde_json::to_string(&line).expect("plain data");
+    let collected = format!("2026-12-03 moshi-1 {text}");
+    let read = Line::parse(&collected)
+        .expect("an object")
+        .expect("an event");
+    assert_eq!(read, line, "{text}");
+}
+
+read_back! {
+    started: Event::Started {
+        region: "moshi".into(),
+        failure_domain: "moshi-a".into(),
+        callers_addr: "127.0.0.1:7000".into(),
+    };
+    ports_not_served: Event::PortsNotServed { error: "in use".into() };
+    reload_asked: Event::ReloadAsked;
+    settings_in_force: Event::SettingsInForce { after_restart: "regions".into() };
+    settings_refused: Event::SettingsRefused { findings: vec!["a".into(), "b".into()] };
+    stopping: Event::Stopping { under_way: 3 };
+    stopped: Event::Stopped { under_way: 0, took_ms: 3_500 };
+    store_lost: Event::StoreLost { table: "operator".into(), error: "no answer".into() };
+    store_regained: Event::StoreRegained { table: "operator".into(), outage_ms: 40 };
+    table_read: Event::TableRead { table: "operator".into(), rows: 2, position: 9 };
+    history_gone: Event::HistoryGone { table: "operator".into(), position: 9 };
+    row_unreadable: Event::RowUnreadable { row: "routes".into(), findings: vec!["x".into()] };
+    own_row_not_removed: Event::OwnRowNotRemoved;
+    lost_entry_row: Event::LostEntryRow { row: "entries/a".into(), outcome: "done".into() };
+    routes_in_force: Event::RoutesInForce { version: 7, from: "store".into() };
+    evacuation: Event::Evacuation { failure_domain: "moshi-a".into(), on: true, row_version: 9 };
+    evacuations_ended: Event::EvacuationsEnded { position: 9 };
+    evacuations_heard: Event::EvacuationsHeard { from: "dar-1".into() };
+    upstreams_heard: Event::UpstreamsHeard { from: "dar-1".into() };
+    upstream_listed: Event::UpstreamListed {
+        upstream: "u-1".into(),
+        service: "menu".into(),
+        leaving: true,
+        cold_left_ms: 200,
+        row_version: 9,
+    };
+    upstream_removed: Event::UpstreamRemoved {
+        upstream: "u-1".into(),
+        row_version: 9,
+        after_outage: true,
+    };
+    upstream_passed_over: Event::UpstreamPassedOver {
+        upstream: "u-1".into(),
+        service: "menu".into(),
+        away_ms: 400,
+        not_there: true,
+    };
+    upstream_back: Event::UpstreamBack { upstream: "u-1".into(), service: "menu".into() };
+    upstream_closed: Event::UpstreamClosed {
+        upstream: "u-1".into(),
+        service: "menu".into(),
+        why: "it leaves".into(),
+    };
+    retries_spent: Event::RetriesSpent { service: "menu".into() };
+    no_peers_port: Event::NoPeersPort { error: "in use".into() };
+    entry_connected: Event::EntryConnected { entry: "dar-1".into(), incarnation: 3 };
+    entry_lost: Event::EntryLost { entry: "dar-1".into(), why: "silent".into() };
+    stranger_refused: Event::StrangerRefused { addr: "127.0.0.1:1".into(), why: "no proof".into() };
+    message_unreadable: Event::MessageUnreadable { from: "dar-1".into(), error: "x".into() };
+    message_unwritable: Event::MessageUnwritable { error: "x".into() };
+    request: Event::Request(Box::new(ended()));
+    request_sent: Event::Request(Box::new(RequestEnded {
+        outcome: Outcome::Answered,
+        sent: Some(sent()),
+        census: None,
+        ..ended()
+    }));
+    send_failed: Event::SendFailed(Box::new(SendFailed {
+        id: "4f".into(),
+        service: "menu".into(),
+        sent: sent(),
+        not_run: false,
+        why: "it was closed".into(),
+        after_ms: 30,
+    }));
+    answer_cut: Event::AnswerCut {
+        id: "4f".into(),
+        upstream: "u-1".into(),
+        why: "the caller has gone".into(),
+        sent_bytes: 300_000,
+        took_ms: 90,
+    };
+    request_not_read: Event::RequestNotRead { why: "Malformed".into(), status: 400 };
+    accept_failed: Event::AcceptFailed { error: "x".into() };
+    caller_turned_away: Event::CallerTurnedAway { most: 700 };
+    lines_left_out: Event::LinesLeftOut { lines: 12 };
+    lines_dropped: Event::LinesDropped { lines: 12, since_start: 40 };
+    text: Event::Text { text: "from a library".into() };
+}
+
+#[test]
+fn what_is_no_event_is_told_from_a_cut_one() {
+    assert!(Line::parse("starting up").is_none());
+    assert!(matches!(
+        Line::parse("x {\"time_ms\":1,\"lev"),
+        Some(Err(_))
+    ));
+    assert_eq!(Event::OwnRowNotRemoved.severity(), Severity::Warn);
+}
--- /dev/null
+++ b/crates/explain/src/logs.rs
@@ -0,0 +1,181 @@
+//! The lines of any number of processes.
+
+use crate::{
+    cause::{
+        find_cause,
+        Fault, //
+    },
+    story::{
+        Story,
+        Unknown, //
+    },
+};
+use base::{
+    FastMap,
+    RegionId, //
+};
+use event::{
+    Event,
+    Line,
+    RequestEnded, //
+};
+use serde::Serialize;
+use std::{
+    collections::BTreeMap,
+    fmt, //
+};
+
+/// Unreadable lines that are kept with their place; further ones are counted.
+const UNREADABLE_KEPT: usize = 20;
+
+/// A line and where it stands.
+#[derive(Clone, Debug)]
+pub struct Placed {
+    /// Number of its file, in the order in which they were added.
+    pub file: usize,
+    /// Number of the line in it, from one.
+    pub number: usize,
+    /// The line.
+    pub line: Line,
+}
+
+/// A line that holds no event.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Unreadable {
+    /// File and line.
+    pub place: String,
+    /// Why.
+    pub error: String,
+}
+
+impl fmt::Display for Unreadable {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.place, self.error)
+    }
+}
+
+/// Lines of any number of processes.
+#[derive(Clone, Debug, Default)]
+pub struct Logs {
+    files: Vec<String>,
+    lines: Vec<Placed>,
+    unreadable: Vec<Unreadable>,
+    unreadable_count: usize,
+}
+
+impl Logs {
+    /// Adds the text of one file; several processes may have written to it.
+    pub fn add(&mut self, file: &str, text: &str) {
+        let place = self.files.len();
+        self.files.push(file.to_owned());
+        for (before, text) in text.lines().enumerate() {
+            let number = before + 1;
+            match Line::parse(text) {
+                None => {}
+                Some(Ok(line)) => self.lines.push(Placed {
+                    file: place,
+                    number,
+                    line,
+                }),
+                Some(Err(error)) => self.note_unreadable(file, number, error.to_string()),
+            }
+        }
+    }
+
+    fn note_unreadable(&mut self, file: &str, number: usize, error: String) {
+        self.unreadable_count += 1;
+        if self.unreadable.len() < UNREADABLE_KEPT {
+            let place = format!("{file}:{number}");
+            self.unreadable.push(Unreadable { place, error });
+        }
+    }
+
+    /// Lines that could be read.
+    pub fn lines(&self) -> &[Placed] {
+        &self.lines
+    }
+
+    /// Name of a file.
+    pub fn file(&self, place: usize) -> &str {
+        self.files.get(place).map_or("?", String::as_str)
+    }
+
+    /// The first lines that could not be read, and how many there are.
+    pub fn unreadable(&self) -> (&[Unreadable], usize) {
+        (&self.unreadable, self.unreadable_count)
+    }
+
+    /// Lines about requests that were never written.
+    pub fn missing_lines(&self) -> u64 {
+        let missing = self.lines.iter().map(|placed| match placed.line.event {
+            Event::LinesLeftOut { lines } | Event::LinesDropped { lines, .. } => lines,
+            _ => 0,
+        });
+        missing.sum()
+    }
+
+    /// Region of an instance, as it said at its start.
+    pub(crate) fn region(&self, instance: &str) -> Option<&RegionId> {
+        self.lines
+            .iter()
+            .filter(|placed| placed.line.instance == instance)
+            .find_map(|placed| match &placed.line.event {
+                Event::Started { region, .. } => Some(region),
+                _ => None,
+            })
+    }
+
+    /// The story of one request.
+    ///
+    /// # Errors
+    ///
+    /// No line has its id; with what is known of lines that are missing.
+    pub fn story(&self, id: &str) -> Result<Story, Unknown> {
+        let own = |placed: &&Placed| placed.line.event.request_id() == Some(id);
+        let lines: Vec<&Placed> = self.lines.iter().filter(own).collect();
+        if lines.is_empty() {
+            return Err(Unknown::new(self, id));
+        }
+        Ok(Story::new(self, id, &lines))
+    }
+
+    /// Requests that failed, by fault: how many, and the id of the first.
+    pub fn failures(&self) -> BTreeMap<Fault, (usize, String)> {
+        let mut failures = BTreeMap::new();
+        let mut sends: FastMap<&str, Vec<&Placed>> = FastMap::default();
+        for placed in &self.lines {
+            if let (Some(id), false) = (placed.line.event.request_id(), is_end(&placed.line.event))
+            {
+                sends.entry(id).or_default().push(placed);
+            }
+        }
+        for placed in &self.lines {
+            let Event::Request(ended) = &placed.line.event else {
+                continue;
+            };
+            let mut lines = sends.get(ended.id.as_str()).cloned().unwrap_or_default();
+            lines.push(placed);
+            let fault = find_cause(self, &lines).fault;
+            if fault.is_failure() {
+                let first = || (0, ended.id.clone());
+                failures.entry(fault).or_insert_with(first).0 += 1;
+            }
+        }
+        failures
+    }
+}
+
+fn is_end(event: &Event) -> bool {
+    matches!(event, Event::Request(_))
+}
+
+/// The end of a request among its lines.
+pub(crate) fn end_of<'a>(lines: &[&'a Placed]) -> Option<(&'a Line, &'a RequestEnded)> {
+    lines
+        .iter()
+        .rev()
+        .find_map(|placed| match &placed.line.event {
+            Event::Request(ended) => Some((&placed.line, ended.as_ref())),
+            _ => None,
+        })
+}
--- /dev/null
+++ b/crates/explain/tests/causes.rs
@@ -0,0 +1,352 @@
+//! Which cause is named for which lines; each case is a log of a few lines.
+
+use event::{
+    Census,
+    Event,
+    Expected,
+    Line,
+    Outcome,
+    Picture,
+    Reason,
+    RequestEnded,
+    SendFailed,
+    Sent,
+    Severity, //
+};
+use explain::{
+    Fault,
+    Logs, //
+};
+
+/// Time of the request's end in each log.
+const END_MS: u64 = 100_000;
+
+fn sent() -> Sent {
+    Sent {
+        upstream: "u-1".into(),
+        region: "moshi".into(),
+        load: 3.0,
+        slots: 9,
+        report_age_ms: Some(80),
+        warm: true,
+        expected: Expected {
+            wait_ms: 0,
+            answer_ms: 150,
+        },
+    }
+}
+
+fn ended(outcome: Outcome) -> RequestEnded {
+    RequestEnded {
+        id: "4f".into(),
+        outcome,
+        status: None,
+        reason: None,
+        route: Some("lookups".into()),
+        service: Some("menu".into()),
+        sends: 1,
+        may_have_run: true,
+        sent: Some(sent()),
+        census: None,
+        expected: None,
+        retry_after_ms: None,
+        took_ms: 100,
+        target_ms: Some(400),
+        deadline_ms: Some(2000),
+        picture: Picture::default(),
+    }
+}
+
+fn refused(reason: Reason, census: Census) -> RequestEnded {
+    RequestEnded {
+        status: Some(503),
+        reason: Some(reason),
+        sends: 0,
+        may_have_run: false,
+        sent: None,
+        census: Some(census),
+        expected: Some(Expected {
+            wait_ms: 380,
+            answer_ms: 520,
+        }),
+        retry_after_ms: Some(380),
+        ..ended(Outcome::Refused)
+    }
+}
+
+fn failed(why: &str, not_run: bool) -> Event {
+    Event::SendFailed(Box::new(SendFailed {
+        id: "4f".into(),
+        service: "menu".into(),
+        sent: sent(),
+        not_run,
+        why: why.to_owned(),
+        after_ms: 60,
+    }))
+}
+
+fn request(ended: RequestEnded) -> Event {
+    Event::Request(Box::new(ended))
+}
+
+/// Another request that the same upstream answered.
+fn other_answered(took_ms: u64) -> Event {
+    request(RequestEnded {
+        id: "other".into(),
+        took_ms,
+        ..ended(Outcome::Answered)
+    })
+}
+
+fn removed() -> Event {
+    Event::UpstreamRemoved {
+        upstream: "u-1".into(),
+        row_version: 9,
+        after_outage: false,
+    }
+}
+
+fn leaving() -> Event {
+    Event::UpstreamListed {
+        upstream: "u-1".into(),
+        service: "menu".into(),
+        leaving: true,
+        cold_left_ms: 0,
+        row_version: 8,
+    }
+}
+
+/// A log of one instance: its start, and these events at times relative to the request's end.
+fn logs(events: &[(i64, Event)]) -> Logs {
+    let started = Event::Started {
+        region: "moshi".into(),
+        failure_domain: "moshi-a".into(),
+        callers_addr: "127.0.0.1:7000".into(),
+    };
+    let mut text = String::new();
+    for (at_ms, event) in [(-50_000, started)].iter().chain(events) {
+        let line = Line {
+            time_ms: END_MS.checked_add_signed(*at_ms).expect("in range"),
+            level: Severity::Info,
+            instance: "moshi-1".to_owned(),
+            up_ms: 0,
+            event: event.clone(),
+        };
+        text += &serde_json::to_string(&line).expect("plain data");
+        text.push('\n');
+    }
+    let mut logs = Logs::default();
+    logs.add("moshi-1.log", &text);
+    logs
+}
+
+/// Names a case: what the log holds, the fault, and what the evidence says.
+macro_rules! cases {
+    ($($name:ident: [$($event:expr),* $(,)?] => $fault:ident, $evidence:literal;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let logs = logs(&[$($event),*]);
+                let story = logs.story("4f").expect("its lines are there");
+                assert_eq!(story.cause.fault, Fault::$fault, "{story}");
+                let evidence = story.cause.evidence.join("\n");
+                assert!(evidence.contains($evidence), "{story}");
+            }
+        )*
+    };
+}
+
+cases! {
+    answered_in_time: [(0, request(ended(Outcome::Answered)))] => None, "";
+    late_behind_others: [(0, request(RequestEnded {
+        took_ms: 600,
+        sent: Some(Sent { expected: Expected { wait_ms: 300, answer_ms: 450 }, ..sent() }),
+        ..ended(Outcome::Answered)
+    }))] => Queued, "450 ms, 300 of them waiting";
+    late_by_a_slow_upstream: [(0, request(RequestEnded {
+        took_ms: 900,
+        ..ended(Outcome::Answered)
+    }))] => UpstreamSlow, "900 ms for a target of 400 ms";
+    late_without_its_key: [(0, request(RequestEnded {
+        took_ms: 480,
+        sent: Some(Sent { warm: false, ..sent() }),
+        ..ended(Outcome::Answered)
+    }))] => ColdCache, "";
+    late_from_another_region: [(0, request(RequestEnded {
+        took_ms: 420,
+        sent: Some(Sent {
+            region: "dar".into(),
+            expected: Expected { wait_ms: 0, answer_ms: 380 },
+            ..sent()
+        }),
+        ..ended(Outcome::Answered)
+    }))] => FarAway, "u-1 in dar";
+    refused_for_want_of_slots: [
+        (0, request(refused(Reason::NoSlotInTime, Census { open: 6, ..Census::default() }))),
+    ] => Overload, "answer after 520 ms, 380 of them waiting";
+    refused_during_an_evacuation: [
+        (-3_000, Event::Evacuation {
+            failure_domain: "moshi-b".into(),
+            on: true,
+            row_version: 4,
+        }),
+        (0, request(refused(Reason::NoSlotInTime, Census { open: 3, closed: 3, ..Census::default() }))),
+    ] => Overload, "moshi-b was evacuated";
+    refused_after_an_evacuation_that_is_over: [
+        (-3_000, Event::Evacuation {
+            failure_domain: "moshi-b".into(),
+            on: true,
+            row_version: 4,
+        }),
+        (-2_000, Event::Evacuation {
+            failure_domain: "moshi-b".into(),
+            on: false,
+            row_version: 5,
+        }),
+        (0, request(refused(Reason::NoUpstreamOpen, Census { cold: 3, ..Census::default() }))),
+    ] => NoUpstreamOpen, "0 open, 0 leaving, gone or evacuated, 3 cold";
+    refused_by_full_upstreams: [
+        (-10, failed("status 503", true)),
+        (0, request(refused(Reason::UpstreamRefused, Census::default()))),
+    ] => UpstreamRefused, "u-1: status 503";
+    refused_as_none_could_be_reached: [
+        (-10, failed("not sent: Connection refused", true)),
+        (0, request(refused(Reason::NoUpstreamOpen, Census::default()))),
+    ] => UpstreamUnreachable, "Connection refused";
+    broken_off_by_an_upstream_that_ended: [
+        (-5, failed("connection broke after the request was sent: reset", false)),
+        (0, request(RequestEnded { reason: Some(Reason::SendFailed), ..ended(Outcome::Failed) })),
+        (4_500, removed()),
+    ] => UpstreamEnded, "4505 ms later";
+    broken_off_by_an_upstream_that_goes_on: [
+        (-5, failed("malformed answer: invalid HTTP version", false)),
+        (0, request(RequestEnded { reason: Some(Reason::SendFailed), ..ended(Outcome::Failed) })),
+    ] => UpstreamBrokeOff, "malformed answer";
+    broken_off_by_an_upstream_that_left: [
+        (-900, leaving()),
+        (-5, failed("connection broke after the request was sent: reset", false)),
+        (0, request(RequestEnded { reason: Some(Reason::SendFailed), ..ended(Outcome::Failed) })),
+        (4_500, removed()),
+    ] => UpstreamBrokeOff, "reset";
+    timed_out_at_a_silent_upstream: [
+        (-1, failed("no answer before the deadline", false)),
+        (0, request(RequestEnded { took_ms: 2_000, ..ended(Outcome::TimedOut) })),
+    ] => UpstreamSilent, "answered nobody any more";
+    timed_out_at_an_upstream_that_ended: [
+        (0, request(RequestEnded { took_ms: 2_000, ..ended(Outcome::TimedOut) })),
+        (2_500, removed()),
+    ] => UpstreamEnded, "the store dropped it";
+    timed_out_at_a_slow_upstream: [
+        (-800, other_answered(1_400)),
+        (0, request(RequestEnded { took_ms: 2_000, ..ended(Outcome::TimedOut) })),
+    ] => UpstreamSlow, "the slowest after 1400 ms";
+    timed_out_at_an_upstream_that_died_meanwhile: [
+        (-1_900, other_answered(140)),
+        (0, request(RequestEnded { took_ms: 2_000, ..ended(Outcome::TimedOut) })),
+    ] => UpstreamSilent, "answered nobody any more";
+    timed_out_where_others_were_answered: [
+        (-800, other_answered(140)),
+        (0, request(RequestEnded { took_ms: 2_000, ..ended(Outcome::TimedOut) })),
+    ] => UpstreamBrokeOff, "answered 1 other requests";
+    caller_left_early: [
+        (0, request(RequestEnded { took_ms: 300, ..ended(Outcome::Cancelled) })),
+    ] => CallerLeft, "after 300 of 2000 ms";
+    callers_time_ran_out: [
+        (0, request(RequestEnded { took_ms: 1_980, ..ended(Outcome::Cancelled) })),
+    ] => UpstreamSilent, "after 1980 of 2000 ms";
+    in_a_planned_stop: [
+        (0, request(RequestEnded { sent: None, ..ended(Outcome::Closing) })),
+    ] => PlannedStop, "nothing ran";
+    before_any_routes: [
+        (-500, Event::StoreLost { table: "operator".into(), error: "no answer".into() }),
+        (0, request(RequestEnded { sent: None, ..ended(Outcome::NoRoutes) })),
+    ] => NoRoutes, "its calls to the store failed";
+    of_an_unknown_route: [
+        (0, request(RequestEnded { sent: None, ..ended(Outcome::NoSuchRoute) })),
+    ] => BadRequest, "version 0 of the routes";
+    an_upstreams_own_failure: [
+        (0, request(RequestEnded { status: Some(500), ..ended(Outcome::UpstreamError) })),
+    ] => UpstreamFailed, "status 500 of u-1";
+    cut_by_its_upstream: [
+        (0, request(ended(Outcome::Answered))),
+        (200, Event::AnswerCut {
+            id: "4f".into(),
+            upstream: "u-1".into(),
+            why: "the connection was closed".into(),
+            sent_bytes: 300_000,
+            took_ms: 300,
+        }),
+    ] => UpstreamBrokeOff, "after 300000 bytes";
+    cut_by_its_caller: [
+        (0, request(ended(Outcome::Answered))),
+        (200, Event::AnswerCut {
+            id: "4f".into(),
+            upstream: "u-1".into(),
+            why: "the caller has gone".into(),
+            sent_bytes: 300_000,
+            took_ms: 300,
+        }),
+    ] => CallerLeft, "after 300000 bytes";
+}
+
+#[test]
+fn failures_are_counted_by_cause() {
+    let logs = logs(&[
+        (0, request(refused(Reason::NoSlotInTime, Census::default()))),
+        (
+            1,
+            request(RequestEnded {
+                id: "50".into(),
+                ..refused(Reason::NoSlotInTime, Census::default())
+            }),
+        ),
+        (2, other_answered(100)),
+        (3, Event::LinesLeftOut { lines: 7 }),
+    ]);
+    let failures = logs.failures();
+    assert_eq!(failures.get(&Fault::Overload), Some(&(2, "4f".to_owned())));
+    assert_eq!(failures.len(), 1);
+    assert_eq!(logs.missing_lines(), 7);
+}
+
+/// An id without a line is unknown, with what may have become of its lines.
+#[test]
+fn unknown_ids_say_what_is_missing() {
+    let started = Event::Started {
+        region: "moshi".into(),
+        failure_domain: "moshi-a".into(),
+        callers_addr: "127.0.0.1:7000".into(),
+    };
+    let logs = logs(&[
+        (
+            0,
+            Event::LinesDropped {
+                lines: 3,
+                since_start: 3,
+            },
+        ),
+        (1, started),
+    ]);
+    let unknown = logs.story("nowhere").expect_err("no line has it");
+    assert_eq!(unknown.ended_unplanned, ["moshi-1"]);
+    assert_eq!(unknown.missing_lines, 3);
+    let said = unknown.to_string();
+    assert!(
+        said.contains("moshi-1 ended without a planned stop"),
+        "{said}"
+    );
+    let none = Logs::default()
+        .story("4f")
+        .expect_err("no lines at all")
+        .to_string();
+    assert!(none.contains("no lines of an entry"), "{none}");
+}
+
+#[test]
+fn lines_that_cant_be_read_are_named() {
+    let mut logs = Logs::default();
+    logs.add("a.log", "booting\n{\"time_ms\":1,\"level\":\"in\n");
+    let (unreadable, count) = logs.unreadable();
+    assert_eq!(count, 1);
+    assert_eq!(unreadable[0].place, "a.log:2");
+}
