metric: one table type for all programs, histograms as buckets, and upkeep that keeps no value

Cause: metrics-exporter-prometheus keeps each value of a histogram until it is rendered or kept up, and neither program called its upkeep: a process that nobody scrapes grows with every request. 4 million values without it: 64 MB (crates/metric/tests/upkeep.rs with the call taken out). The table of metrics, its page and its descriptions stood in jasmined alone; the entry's had no page, no HELP and no buckets. Change: crate metric with the table, the page and the recorder (buckets from 0.5 ms to 10 s); jasmined keeps up at its slow tick, an entry every 5 s; docs/METRICS.md has both, checked whole. Tests: values_are_not_kept (64,464 kB without the call, under 8,000 with it), served_metrics_are_declared (an entry's page against the table, with HELP and buckets), the_page_is_the_tables over both.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -26,8 +26,6 @@
 pub use process::{
     metric::{
         metrics_page,
-        Kind,
-        Metric,
         METRICS, //
     },
     run,
--- a/crates/daemon/src/process/control/mod.rs
+++ b/crates/daemon/src/process/control/mod.rs
@@ -324,6 +324,7 @@
         self.tick_outcomes(ctx);
         self.unpark_claims(ctx);
         self.export_gauges();
+        self.shared.metrics.run_upkeep();
         // Silence alone changes who is named in look-ups.
         self.publish();
     }
--- a/crates/daemon/src/process/metric.rs
+++ b/crates/daemon/src/process/metric.rs
@@ -3,54 +3,9 @@
 //! The Prometheus endpoint, `docs/METRICS.md` and the counters of the request path all take their
 //! names from here.
 
-use std::fmt::Write as _;
-
-/// Kind of a metric.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Kind {
-    /// Only grows.
-    Counter,
-    /// Goes up and down.
-    Gauge,
-    /// Distribution, exported as quantiles.
-    Histogram,
-}
-
-/// One metric.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Metric {
-    /// Name as exported.
-    pub name: &'static str,
-    /// Kind.
-    pub kind: Kind,
-    /// Unit of the value.
-    pub unit: &'static str,
-    /// Labels, separated by commas.
-    pub labels: &'static str,
-    /// Meaning.
-    pub help: &'static str,
-}
-
-macro_rules! metrics_table {
-    ($($konst:ident = $name:literal, $kind:ident, $unit:literal, $labels:literal, $help:literal;)*) => {
-        $(
-            #[doc = $help]
-            pub(crate) const $konst: &str = $name;
-        )*
-        /// Every metric that a daemon exports.
-        pub const METRICS: &[Metric] = &[
-            $(Metric {
-                name: $name,
-                kind: Kind::$kind,
-                unit: $unit,
-                labels: $labels,
-                help: $help,
-            },)*
-        ];
-    };
-}
-
-metrics_table! {
+metric::table! {
+    /// Every metric that a daemon exports.
+    METRICS;
     LOOKUPS = "jasmine_lookups_total", Counter, "look-ups", "result",
         "Look-ups answered, by result.";
     REQUESTS = "jasmine_requests_total", Counter, "requests", "class,outcome",
@@ -99,36 +54,13 @@
         "Processor time of one tick of control.";
 }
 
-/// Text of `docs/METRICS.md`.
+/// The daemon's part of `docs/METRICS.md`.
 pub fn metrics_page() -> String {
-    let mut page = String::from(
-        "# Metrics\n\nGenerated from the table in `crates/daemon/src/process/metric.rs` by \
-         `jasmined --metrics-page`; a test checks that they agree. All start at zero with the \
-         process: instances keep nothing.\n\n| name | kind | unit | labels | meaning |\n\
-         | --- | --- | --- | --- | --- |\n",
-    );
-    for metric in METRICS {
-        let kind = format!("{:?}", metric.kind).to_lowercase();
-        let Metric {
-            name,
-            unit,
-            labels,
-            help,
-            ..
-        } = metric;
-        writeln!(page, "| `{name}` | {kind} | {unit} | {labels} | {help} |")
-            .expect("writing to a string can't fail");
-    }
-    page
-}
-
-/// Tells the recorder each metric's unit and meaning.
-pub(crate) fn describe() {
-    for metric in METRICS {
-        match metric.kind {
-            Kind::Counter => metrics::describe_counter!(metric.name, metric.help),
-            Kind::Gauge => metrics::describe_gauge!(metric.name, metric.help),
-            Kind::Histogram => metrics::describe_histogram!(metric.name, metric.help),
-        }
-    }
+    format!(
+        "# Metrics\n\nGenerated from the tables in the code by `jasmined --metrics-page` and \
+         `jasmine-router --metrics-page`, one after the other; a test checks that they agree. All start \
+         at zero with the process: instances keep nothing. Histograms are exported as buckets.\n\n\
+         ## `jasmined`\n\n{}",
+        metric::page_table(METRICS)
+    )
 }
--- a/crates/daemon/src/process/mod.rs
+++ b/crates/daemon/src/process/mod.rs
@@ -45,7 +45,6 @@
     HttpServer, //
 };
 use eyre::WrapErr;
-use metrics_exporter_prometheus::PrometheusBuilder;
 use spdlog::{
     formatter::JsonFormatter,
     sink::StdStreamSink,
@@ -80,10 +79,7 @@
 /// A port can't be bound, or the metrics recorder is already set.
 pub fn run(settings: Settings) -> eyre::Result<()> {
     init_logs(settings.log_level).wrap_err("the log")?;
-    let metrics = PrometheusBuilder::new()
-        .install_recorder()
-        .wrap_err("installing the metrics recorder")?;
-    metric::describe();
+    let metrics = ::metric::install(metric::METRICS)?;
     let callers = bind(settings.callers_addr.to_string(), "callers_addr")?;
     let peers = bind(settings.peers_addr.to_string(), "peers_addr")?;
     let operators = bind(settings.operator_addr.to_string(), "operator_addr")?;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -25,11 +25,11 @@
 mod snapshot;
 mod traffic;
 
-pub use dialect::Dialect;
-pub use metric::{
-    Metric,
+pub use self::metric::{
+    metrics_page,
     METRICS, //
 };
+pub use dialect::Dialect;
 pub use picture::{
     Applied,
     Picture,
--- a/crates/entry/src/metric.rs
+++ b/crates/entry/src/metric.rs
@@ -1,74 +1,30 @@
-//! Names of the metrics, in one place, so that the page that explains them can be checked.
+//! The table of an entry's metrics.
 
-/// One metric.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Metric {
-    /// Name as served.
-    pub name: &'static str,
-    /// Labels that it may carry.
-    pub labels: &'static [&'static str],
-    /// What it counts.
-    pub help: &'static str,
+metric::table! {
+    /// Every metric that an entry exports.
+    METRICS;
+    REQUESTS = "jasmine_entry_requests_total", Counter, "requests", "outcome",
+        "Requests of callers that got a final answer, by outcome.";
+    REQUEST_SECONDS = "jasmine_entry_request_seconds", Histogram, "seconds", "outcome",
+        "Time from a request's head to its final answer.";
+    SENDS = "jasmine_entry_sends_total", Counter, "requests", "outcome",
+        "Requests sent to upstreams, by what became of them.";
+    LOOKUPS = "jasmine_entry_lookups_total", Counter, "look-ups", "",
+        "Look-ups answered.";
+    STORE_CALLS = "jasmine_entry_store_calls_total", Counter, "calls", "call,outcome",
+        "Calls to the store, by what became of them.";
+    LOG_LINES_LEFT_OUT = "jasmine_entry_log_lines_left_out_total", Counter, "lines", "reason",
+        "Log lines that were not written: beyond the bound of a second, or the queue was full.";
+    ROUTES_VERSION = "jasmine_entry_routes_version", Gauge, "version", "",
+        "Version of the routes in force; 0 is none.";
+    PEERS = "jasmine_entry_peers", Gauge, "sessions", "",
+        "Sessions with other entries.";
 }
 
-/// Requests that got a final answer.
-pub(crate) const REQUESTS: &str = "jasmine_entry_requests_total";
-/// Time from a request's head to its final answer.
-pub(crate) const REQUEST_SECONDS: &str = "jasmine_entry_request_seconds";
-/// Requests sent to upstreams.
-pub(crate) const SENDS: &str = "jasmine_entry_sends_total";
-/// Look-ups answered.
-pub(crate) const LOOKUPS: &str = "jasmine_entry_lookups_total";
-/// Calls to the store.
-pub(crate) const STORE_CALLS: &str = "jasmine_entry_store_calls_total";
-/// Version of the routes in force.
-pub(crate) const ROUTES_VERSION: &str = "jasmine_entry_routes_version";
-/// Other entries that are connected.
-pub(crate) const PEERS: &str = "jasmine_entry_peers";
-
-/// Log lines that were not written.
-pub(crate) const LOG_LINES_LEFT_OUT: &str = "jasmine_entry_log_lines_left_out_total";
-
-/// All metrics.
-pub const METRICS: &[Metric] = &[
-    Metric {
-        name: REQUESTS,
-        labels: &["outcome"],
-        help: "requests of callers by outcome",
-    },
-    Metric {
-        name: REQUEST_SECONDS,
-        labels: &["outcome"],
-        help: "time from a request's head to its final answer",
-    },
-    Metric {
-        name: SENDS,
-        labels: &["outcome"],
-        help: "requests sent to upstreams by what became of them",
-    },
-    Metric {
-        name: LOOKUPS,
-        labels: &[],
-        help: "answers to look-ups",
-    },
-    Metric {
-        name: STORE_CALLS,
-        labels: &["call", "outcome"],
-        help: "calls to the store by what became of them",
-    },
-    Metric {
-        name: LOG_LINES_LEFT_OUT,
-        labels: &["reason"],
-        help: "log lines that were not written, by why",
-    },
-    Metric {
-        name: ROUTES_VERSION,
-        labels: &[],
-        help: "version of the routes in force; 0 is none",
-    },
-    Metric {
-        name: PEERS,
-        labels: &[],
-        help: "other entries that are connected",
-    },
-];
+/// The entry's part of `docs/METRICS.md`.
+pub fn metrics_page() -> String {
+    format!(
+        "\n## `jasmine-entry` and `jasmine-router`\n\n{}",
+        metric::page_table(METRICS)
+    )
+}
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -134,6 +134,7 @@
         if !opened {
             return Err(eyre!("the traffic thread ended at its start"));
         }
+        actix_rt::spawn(keep_up(shared.metrics.clone()));
         let control = Control::new(settings.clone(), store(), rows, start, published, loads);
         control.start();
         let hangups = signal(SignalKind::hangup()).wrap_err("handling SIGHUP")?;
@@ -147,6 +148,14 @@
     })
 }
 
+/// Empties what the recorder gathers, for as long as the process runs.
+async fn keep_up(metrics: PrometheusHandle) {
+    loop {
+        tokio::time::sleep(::metric::UPKEEP).await;
+        metrics.run_upkeep();
+    }
+}
+
 /// The planned stop: out of use first, then serve what still comes, then end what runs.
 async fn stop<S, W>(control: &Rc<Control<S, W>>, shared: &Shared)
 where
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -5,7 +5,6 @@
     follow_file,
     Dialect, //
 };
-use metrics_exporter_prometheus::PrometheusBuilder;
 use plat::HttpPlatform;
 use router::{
     RoutesReader,
@@ -29,15 +28,23 @@
 #[command(version)]
 struct Args {
     /// Settings of this process, in YAML.
-    settings: PathBuf,
+    #[arg(required_unless_present = "metrics_page")]
+    settings: Option<PathBuf>,
     /// Check the settings and exit.
     #[arg(long)]
     check_settings: bool,
+    /// Print this program's part of the page of metrics and exit.
+    #[arg(long)]
+    metrics_page: bool,
 }
 
 fn main() -> ExitCode {
     let args = Args::parse();
-    let path = &args.settings;
+    if args.metrics_page {
+        print!("{}", entry::metrics_page());
+        return ExitCode::SUCCESS;
+    }
+    let path = &args.settings.unwrap_or_default();
     let read = read(path).and_then(|text| parse(path, &text).map(|settings| (text, settings)));
     let (text, settings) = match read {
         Ok(read) => read,
@@ -61,7 +68,7 @@
 
 fn run(path: PathBuf, text: String, settings: Settings) -> eyre::Result<()> {
     event::init_log(&settings.entry.instance)?;
-    let metrics = PrometheusBuilder::new().install_recorder()?;
+    let metrics = metric::install(entry::METRICS)?;
     let Settings {
         entry,
         platform_url,
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -83,6 +83,7 @@
     pub(crate) platform: SocketAddr,
     pub(crate) callers: SocketAddr,
     pub(crate) ready: SocketAddr,
+    pub(crate) metrics: SocketAddr,
     pub(crate) upstreams: Vec<Arc<Upstream>>,
 }
 
@@ -120,6 +121,7 @@
             platform,
             callers,
             ready,
+            metrics,
             upstreams,
         }
     }
--- a/crates/router/tests/system.rs
+++ b/crates/router/tests/system.rs
@@ -70,3 +70,33 @@
         "{checked:?}"
     );
 }
+
+/// Every metric that is served is in the table that the page is made from, and says what it is.
+#[test]
+fn served_metrics_are_declared() {
+    let system = System::start("metrics", QUICK);
+    system.put(keys::ROUTES_KEY, ROUTES);
+    system.wait_served_by(&["m-a", "m-b"]);
+    let ask = "GET /metrics HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+    let page = exchange(system.metrics, ask).expect("a page");
+    let (_, page) = page.split_once("\r\n\r\n").expect("a body");
+    let served = page
+        .lines()
+        .filter(|line| !line.is_empty() && !line.starts_with('#'));
+    let mut seen = 0;
+    for line in served {
+        let name = line.split(['{', ' ']).next().expect("a name");
+        let ends = ["_bucket", "_sum", "_count"];
+        let base = ends.iter().find_map(|end| name.strip_suffix(end));
+        let declared = entry::METRICS
+            .iter()
+            .find(|metric| metric.name == name || Some(metric.name) == base);
+        let declared = declared.unwrap_or_else(|| panic!("{name} is in no table"));
+        let help = format!("# HELP {} {}", declared.name, declared.help);
+        assert!(page.contains(&help), "{help} in {page}");
+        seen += 1;
+    }
+    assert!(seen > 10, "{page}");
+    let bucket = "jasmine_entry_request_seconds_bucket{outcome=\"answered\",le=\"0.5\"}";
+    assert!(page.contains(bucket), "{page}");
+}
