picture: a crate of its own, searched; what a store's reading lacks is gone, whoever tells of it

Cause: the pictures of entries had tests of single orders, and the removal in doubt had come through them. Ruled out: the feed's own rows (they are read in order). Change: Picture, its updates and Reach move to crate picture, pure; it notes how far the store was read, and holds what others tell of unknown upstreams and failure domains against that; a removal always raises the version.

--- a/crates/entry/src/control/feeds.rs
+++ b/crates/entry/src/control/feeds.rs
@@ -3,9 +3,7 @@
 use crate::{
     control::Control,
     metric,
-    picture::Applied,
     rows::{
-        ListedUpstream,
         OperatorRow,
         RowReader,
         UnreadableRow, //
@@ -16,6 +14,10 @@
     emit,
     Event, //
 };
+use picture::{
+    Applied,
+    ListedUpstream, //
+};
 use plat::{
     Changes,
     Feed,
@@ -118,6 +120,7 @@
             let mut position = whole.position;
             while let Some(rows) = self.next_changes(table, position, &mut failures).await {
                 position = rows.position;
+                self.known.borrow_mut().picture.note_read(position);
                 if !rows.rows.is_empty() {
                     let after_outage = failures.after_outage(self.now());
                     self.take_upstream_rows(&rows.rows, after_outage);
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -20,7 +20,6 @@
         State,
         UpstreamLoad, //
     },
-    picture::Picture,
     rows::RowReader,
     settings::{
         Bounds,
@@ -46,6 +45,7 @@
     Event, //
 };
 use peer::Mesh;
+use picture::Picture;
 use plat::{
     Feed,
     Table as StoreTable, //
--- a/crates/entry/src/control/relay.rs
+++ b/crates/entry/src/control/relay.rs
@@ -7,11 +7,9 @@
     },
     message::{
         Message,
-        Reach,
         State,
         Want, //
     },
-    picture::Applied,
     rows::RowReader,
 };
 use base::{
@@ -28,6 +26,10 @@
     Frame,
     Note, //
 };
+use picture::{
+    Applied,
+    Reach, //
+};
 use plat::{
     Feed,
     Table as StoreTable, //
@@ -127,15 +129,11 @@
                 }
             }
             Message::Evacuations(evacuations) => {
-                let mut changed = false;
+                let evacuations = evacuations.into_iter().collect();
                 let mut known = self.known.borrow_mut();
-                for (domain, told) in evacuations {
-                    let picture = &mut known.picture;
-                    let taken = picture.apply_evacuation(&domain, told.on, told.version, now);
-                    changed |= taken == Applied::Changed;
-                }
+                let taken = known.picture.apply_evacuation_updates(&evacuations, now);
                 drop(known);
-                if changed {
+                if taken == Applied::Changed {
                     emit(&Event::EvacuationsHeard { from: from.clone() });
                     self.publish();
                 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,7 +5,7 @@
 //! [`RowReader`], the names of headers and paths as [`Dialect`], the rest as [`Settings`].
 //!
 //! - `control` runs on the main thread: it follows the store's feeds and the other entries, keeps
-//!   the [`Picture`], and publishes a [`Snapshot`] for each change.
+//!   the [`Picture`](picture::Picture), and publishes a [`Snapshot`] for each change.
 //! - `traffic` runs on a thread of its own: callers' requests, look-ups, readiness, metrics. It
 //!   reads the newest snapshot and never waits for the store, another entry or control.
 //!
@@ -18,7 +18,6 @@
 mod loads;
 mod message;
 mod metric;
-mod picture;
 mod process;
 mod rows;
 mod settings;
@@ -30,17 +29,11 @@
     METRICS, //
 };
 pub use dialect::Dialect;
-pub use picture::{
-    Applied,
-    Picture,
-    UpstreamUpdate, //
-};
 pub use process::{
     run,
     stop_signal, //
 };
 pub use rows::{
-    ListedUpstream,
     OperatorRow,
     RowReader,
     Tables,
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -1,13 +1,11 @@
 //! What entries tell each other.
 
-use crate::picture::{
+use base::DomainId;
+use picture::{
     Evacuation,
+    Reach,
     UpstreamUpdate, //
 };
-use base::{
-    DomainId,
-    Version, //
-};
 use route::Routes;
 use serde::{
     Deserialize,
@@ -56,17 +54,6 @@
     pub(crate) reach: Reach,
 }
 
-/// How far a picture reaches.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub(crate) struct Reach {
-    /// Routes in force.
-    pub(crate) routes: Version,
-    /// Newest row about an evacuation.
-    pub(crate) operator: u64,
-    /// Newest row about an upstream.
-    pub(crate) upstreams: u64,
-}
-
 /// The parts of a picture that are asked for.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub(crate) struct Want {
--- a/crates/entry/src/rows.rs
+++ b/crates/entry/src/rows.rs
@@ -1,22 +1,12 @@
 //! What the rows of the store mean.
 
-use base::{
-    DomainId,
-    RegionId,
-    ServiceId,
-    UpstreamId, //
-};
+use base::DomainId;
+use picture::ListedUpstream;
 use plat::FeedRow;
 use route::Routes;
-use serde::{
-    Deserialize,
-    Serialize, //
-};
 use std::{
     fmt,
-    net::SocketAddr,
-    sync::Arc,
-    time::Duration, //
+    sync::Arc, //
 };
 
 /// Names of the tables that an entry follows.
@@ -54,27 +44,6 @@
     }
 }
 
-/// An incarnation of an upstream as the store lists it.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct ListedUpstream {
-    /// Name of the incarnation.
-    pub id: UpstreamId,
-    /// The service that it serves.
-    pub service: ServiceId,
-    /// Its region.
-    pub region: RegionId,
-    /// Its failure domain.
-    pub failure_domain: DomainId,
-    /// Where it takes requests.
-    pub addr: SocketAddr,
-    /// Requests that it works on at a time.
-    pub slots: u32,
-    /// Whether it is about to go.
-    pub leaving: bool,
-    /// How much longer it stays cold, when the row was written.
-    pub cold_left: Duration,
-}
-
 /// Reads rows.
 pub trait RowReader: 'static {
     /// Tables to follow.
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -21,7 +21,6 @@
 use entry::{
     Bounds,
     Dialect,
-    ListedUpstream,
     Reload,
     Settings, //
 };
@@ -29,6 +28,7 @@
     PrometheusBuilder,
     PrometheusHandle, //
 };
+use picture::ListedUpstream;
 use route::{
     CallerLimits,
     Host,
--- a/crates/entry/tests/support/store.rs
+++ b/crates/entry/tests/support/store.rs
@@ -3,12 +3,12 @@
 use bytes::Bytes;
 use bytestring::ByteString;
 use entry::{
-    ListedUpstream,
     OperatorRow,
     RowReader,
     Tables,
     UnreadableRow, //
 };
+use picture::ListedUpstream;
 use plat::{
     Changes,
     Check,
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -15,9 +15,15 @@
 mod explore;
 mod filing;
 mod member;
+mod picture;
 mod share;
 mod spec;
 
+pub use self::picture::{
+    PictureModel,
+    PictureState,
+    PictureStep, //
+};
 pub use claims::{
     ClaimModel,
     ClaimModelState,
--- a/crates/entry/src/picture.rs
+++ b/crates/picture/src/picture.rs
@@ -1,12 +1,14 @@
-//! What control knows of routes, evacuations and upstreams, and how it applies updates.
+//! The picture, and how it applies updates.
 //!
-//! Message come from the store's feeds or, when those are cut off, from other entries that still hear
+//! They come from the store's feeds or, when those are cut off, from other entries that still hear
 //! the store. Both carry the version of the row that they are of; older updates change nothing, so the
 //! order in which they arrive doesn't matter.
 
-use crate::{
-    message::Reach,
-    rows::ListedUpstream, //
+use crate::update::{
+    Evacuation,
+    ListedUpstream,
+    Reach,
+    UpstreamUpdate, //
 };
 use base::{
     DomainId,
@@ -15,10 +17,6 @@
     Version, //
 };
 use route::Routes;
-use serde::{
-    Deserialize,
-    Serialize, //
-};
 use std::{
     collections::BTreeMap,
     sync::Arc,
@@ -51,34 +49,40 @@
     }
 }
 
-/// A statement about one failure domain.
-#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
-pub(crate) struct Evacuation {
-    pub(crate) on: bool,
-    pub(crate) version: u64,
+/// What keeps a picture true; all are on but in searches that have to find what each prevents.
+#[derive(Clone, Copy, Debug)]
+pub struct Guards {
+    /// Older statements change nothing.
+    pub versions: bool,
+    /// Of one version, a removal counts more than a listing, and one in doubt is told as neither.
+    pub doubt: bool,
+    /// What isn't known and is older than what was read from the store is gone.
+    pub read_to: bool,
 }
 
-/// One upstream, as entries tell each other.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct UpstreamUpdate {
-    /// As it was listed last.
-    pub listed: ListedUpstream,
-    /// Version of the row that this is of, or of its removal.
-    pub version: u64,
-    /// Its row was removed.
-    pub gone: bool,
-    /// How much longer it stays cold, at the sender.
-    pub cold_left: Duration,
+impl Default for Guards {
+    fn default() -> Self {
+        Self {
+            versions: true,
+            doubt: true,
+            read_to: true,
+        }
+    }
 }
 
-/// All that control knows of the world behind the entries.
+/// All that an entry knows of the world behind the entries.
 #[derive(Clone, Debug, Default)]
 pub struct Picture {
+    guards: Guards,
     routes: Option<Arc<Routes>>,
     evacuations: BTreeMap<DomainId, Evacuation>,
     upstreams: BTreeMap<UpstreamId, KnownUpstream>,
     /// Versions of removed rows and when they were removed.
     removed: BTreeMap<UpstreamId, (u64, Now)>,
+    /// All rows of upstreams up to this version were read from the store.
+    upstreams_read_to: u64,
+    /// All rows of operators up to this version were read from the store.
+    operator_read_to: u64,
 }
 
 /// What became of one update.
@@ -91,6 +95,14 @@
 }
 
 impl Picture {
+    /// An empty picture with these guards.
+    pub fn with_guards(guards: Guards) -> Self {
+        Self {
+            guards,
+            ..Self::default()
+        }
+    }
+
     /// Routes in force.
     pub fn routes(&self) -> Option<&Arc<Routes>> {
         self.routes.as_ref()
@@ -158,7 +170,10 @@
         };
         // Of one version, a removal counts more than a listing: an upstream that is gone must not come
         // back by word of an entry that missed it.
-        if known.version >= version {
+        let newer = known.version < version;
+        let same = known.version == version && known.gone_at.is_some();
+        let taken = newer || !self.guards.versions || (same && !self.guards.doubt);
+        if !taken {
             return Applied::Unchanged;
         }
         // An incarnation that was seen leaving doesn't come back.
@@ -192,15 +207,40 @@
             Duration::ZERO
         };
         let gone_at = now + grace;
-        // Whoever had no outage knows that the row was removed, which ends the doubt of those who had.
-        if known.version > version || known.gone_at.is_some_and(|known| known <= gone_at) {
+        if known.version > version {
             return Applied::Unchanged;
         }
+        // Also if it is gone already: a listing between both removals must not bring it back.
         known.version = version;
+        // Whoever had no outage knows that the row was removed, which ends the doubt of those who had.
+        if known.gone_at.is_some_and(|known| known <= gone_at) {
+            return Applied::Unchanged;
+        }
         known.gone_at = Some(gone_at);
         Applied::Changed
     }
 
+    /// Takes what another entry knows of evacuations.
+    ///
+    /// One that isn't known here and is older than what was read from the store is over: its row was gone.
+    pub fn apply_evacuation_updates(
+        &mut self,
+        updates: &BTreeMap<DomainId, Evacuation>,
+        now: Now,
+    ) -> Applied {
+        let mut taken = Applied::Unchanged;
+        for (domain, told) in updates {
+            let known = self.evacuations.contains_key(domain);
+            if !known && told.version <= self.operator_read_to {
+                continue;
+            }
+            if self.apply_evacuation(domain, told.on, told.version, now) == Applied::Changed {
+                taken = Applied::Changed;
+            }
+        }
+        taken
+    }
+
     /// Ends the evacuations that have no row in a whole table read at `position`; those of `standing` have
     /// one.
     pub fn end_evacuations_without_row(
@@ -209,6 +249,7 @@
         position: u64,
         now: Now,
     ) -> Applied {
+        self.operator_read_to = self.operator_read_to.max(position);
         let ended: Vec<DomainId> = self
             .evacuations
             .iter()
@@ -238,6 +279,7 @@
         for (version, upstream) in listed {
             self.apply_upstream(upstream, *version, now);
         }
+        self.note_read(position);
         let missing: Vec<UpstreamId> = self
             .upstreams
             .iter()
@@ -251,6 +293,11 @@
         }
     }
 
+    /// Takes that all rows of upstreams up to `position` were read from the store.
+    pub fn note_read(&mut self, position: u64) {
+        self.upstreams_read_to = self.upstreams_read_to.max(position);
+    }
+
     /// Forgets what is long gone.
     pub fn sweep(&mut self, now: Now) {
         let removed = &mut self.removed;
@@ -293,7 +340,7 @@
 
     /// How far it reaches: the newest version of each kind of row that it took. A removal in doubt doesn't
     /// count, so that entries which know better are asked.
-    pub(crate) fn reach(&self, now: Now) -> Reach {
+    pub fn reach(&self, now: Now) -> Reach {
         let evacuations = self.evacuations.values().map(|known| known.version);
         let listed = self.upstreams.values().filter(|known| known.is_sure(now));
         let listed = listed.map(|known| known.version);
@@ -305,18 +352,21 @@
         }
     }
 
-    pub(crate) fn evacuations(&self) -> &BTreeMap<DomainId, Evacuation> {
+    /// What is known of each failure domain.
+    pub fn evacuations(&self) -> &BTreeMap<DomainId, Evacuation> {
         &self.evacuations
     }
 
     /// What other entries are told of upstreams.
     pub fn upstream_updates(&self, now: Now) -> Vec<UpstreamUpdate> {
         // A removal in doubt is neither a listing nor a removal: nothing is told of it until that is over.
-        let told = self.upstreams.values().filter(|known| known.is_sure(now));
+        let all = !self.guards.doubt;
+        let told = self.upstreams.values();
+        let told = told.filter(|known| all || known.is_sure(now));
         told.map(|known| UpstreamUpdate {
             listed: known.listed.clone(),
             version: known.version,
-            gone: known.gone_at.is_some(),
+            gone: known.gone_at.is_some_and(|at| now >= at),
             cold_left: known.cold_until.saturating_sub(now),
         })
         .collect()
@@ -326,6 +376,11 @@
     pub fn apply_upstream_updates(&mut self, updates: &[UpstreamUpdate], now: Now) -> Applied {
         let mut taken = Applied::Unchanged;
         for one in updates {
+            let known = self.upstreams.contains_key(&one.listed.id);
+            if self.guards.read_to && !known && one.version <= self.upstreams_read_to {
+                // Its row was gone by then: whoever tells of it has not heard of that.
+                continue;
+            }
             let listed = ListedUpstream {
                 cold_left: one.cold_left,
                 ..one.listed.clone()
--- a/crates/entry/tests/picture.rs
+++ b/crates/picture/tests/picture.rs
@@ -1,28 +1,44 @@
 //! How updates are applied: by version, whatever their order and way.
 
-mod support;
-
 use base::Now;
-use entry::{
+use picture::{
     Applied,
     ListedUpstream,
     Picture, //
 };
+use route::{
+    CallerLimits,
+    Routes, //
+};
 use std::{
     sync::Arc,
     time::Duration, //
 };
-use support::{
-    listed,
-    routes, //
-};
 
 fn s(s: u64) -> Now {
     Duration::from_secs(s)
 }
 
 fn row(id: &'static str) -> ListedUpstream {
-    listed(id, "127.0.0.1:9".parse().expect("an address"))
+    ListedUpstream {
+        id: id.into(),
+        service: "svc".into(),
+        region: "region-a".into(),
+        failure_domain: "domain-a".into(),
+        addr: "127.0.0.1:9".parse().expect("an address"),
+        slots: 8,
+        leaving: false,
+        cold_left: Duration::ZERO,
+    }
+}
+
+fn routes(version: u64) -> Routes {
+    Routes {
+        version,
+        services: Vec::new(),
+        limits: CallerLimits::default(),
+        hosts: Vec::new(),
+    }
 }
 
 fn leaving(id: &'static str) -> ListedUpstream {
@@ -202,3 +218,56 @@
     );
     assert_eq!(state(&in_doubt, "u", s(3)), "closed");
 }
+
+/// Symptom: a process that had just started sent to an upstream that was long gone, and held a failure
+/// domain for evacuated whose evacuation was over. Sequence: it reads the whole tables, then an answer
+/// arrives that it had asked of another entry, which the store had not served for a while. Cause: a row
+/// that isn't in a whole table left no version to hold the old statement against. The search in `model`
+/// found it.
+#[test]
+fn what_a_whole_table_lacks_is_gone_whoever_tells_of_it() {
+    let mut behind = Picture::default();
+    behind.apply_upstream(&row("u"), 3, s(1));
+    behind.apply_evacuation(&"domain-a".into(), true, 4, s(1));
+    let mut started = Picture::default();
+    started.apply_upstream_table(&[(6, row("v"))], 9, false, s(2));
+    started.end_evacuations_without_row(&[], 9, s(2));
+    let told = behind.upstream_updates(s(2));
+    assert_eq!(
+        started.apply_upstream_updates(&told, s(2)),
+        Applied::Unchanged
+    );
+    assert_eq!(state(&started, "u", s(2)), "unknown");
+    assert_eq!(
+        started.apply_evacuation_updates(behind.evacuations(), s(2)),
+        Applied::Unchanged
+    );
+    assert!(!started.is_evacuated("domain-a"));
+    // What is newer than the table is news.
+    behind.apply_upstream(&row("w"), 12, s(3));
+    behind.apply_evacuation(&"domain-b".into(), true, 11, s(3));
+    let told = behind.upstream_updates(s(3));
+    assert_eq!(
+        started.apply_upstream_updates(&told, s(3)),
+        Applied::Changed
+    );
+    assert_eq!(state(&started, "w", s(3)), "open");
+    started.apply_evacuation_updates(behind.evacuations(), s(3));
+    assert!(started.is_evacuated("domain-b"));
+}
+
+/// Symptom: as above, at an entry that knew the upstream to be gone. Sequence: its row was removed, written
+/// again and removed again; the entry reads the first removal and then a whole table without it, and an old
+/// message tells of the listing between both. Cause: the second removal left the first one's version. The
+/// search in `model` found it.
+#[test]
+fn a_listing_between_two_removals_is_old() {
+    let mut picture = Picture::default();
+    picture.apply_upstream(&row("u"), 1, s(1));
+    picture.apply_removal(&"u".into(), 2, false, s(2));
+    picture.apply_upstream_table(&[], 4, true, s(3));
+    let mut behind = Picture::default();
+    behind.apply_upstream(&row("u"), 3, s(3));
+    picture.apply_upstream_updates(&behind.upstream_updates(s(3)), s(3));
+    assert_eq!(state(&picture, "u", s(3)), "closed");
+}
--- a/crates/router/src/reader.rs
+++ b/crates/router/src/reader.rs
@@ -2,12 +2,12 @@
 
 use bytes::Bytes;
 use entry::{
-    ListedUpstream,
     OperatorRow,
     RowReader,
     Tables,
     UnreadableRow, //
 };
+use picture::ListedUpstream;
 use plat::FeedRow;
 use route::keys;
 use std::sync::Arc;
--- a/crates/router/src/store.rs
+++ b/crates/router/src/store.rs
@@ -12,7 +12,7 @@
 use base::FastMap;
 
 use bytestring::ByteString;
-use entry::ListedUpstream;
+use picture::ListedUpstream;
 use plat::{
     Changes,
     Commit,
--- a/crates/router/tests/store.rs
+++ b/crates/router/tests/store.rs
@@ -148,7 +148,7 @@
     let whole = world.store.read_all("upstreams").await.expect("a list");
     let text =
         String::from_utf8_lossy(whole.rows[0].value.as_deref().expect("a value")).into_owned();
-    let upstream: entry::ListedUpstream = serde_json::from_str(&text).expect("an upstream");
+    let upstream: picture::ListedUpstream = serde_json::from_str(&text).expect("an upstream");
     assert_eq!(upstream.cold_left, Duration::from_millis(1500));
     assert!(!upstream.leaving);
 
