--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -90,6 +90,16 @@
 impl System {
     /// One entry and two upstreams in two failure domains; `upstream` says how they work.
     pub(crate) fn start(name: &str, work: &str) -> Self {
+        Self::start_with(name, work, |_| {})
+    }
+
+    /// Id of the entry's process.
+    pub(crate) fn process_id(&self) -> i32 {
+        i32::try_from(self.process.0.id()).expect("a process id")
+    }
+
+    /// The same, with the platform prepared before the entry starts.
+    pub(crate) fn start_with(name: &str, work: &str, prepare: impl FnOnce(SocketAddr)) -> Self {
         let platform = platform();
         let upstreams = vec![
             upstream("m-a", "moshi-a", work, platform),
@@ -108,6 +118,7 @@
              bounds: {{grace_ms: 3000}}\n"
         );
         fs::write(&settings, text).expect("a file in the folder for temporary ones");
+        prepare(platform);
         let process = Command::new(env!("CARGO_BIN_EXE_jasmine-router"))
             .arg(&settings)
             .stdin(Stdio::null())
