--- a/crates/entry/src/traffic/ports.rs
+++ b/crates/entry/src/traffic/ports.rs
@@ -1,9 +1,12 @@
 //! The ports of the traffic thread.
 
-use crate::traffic::{
-    lookup::Pages,
-    Shared,
-    Traffic, //
+use crate::{
+    metric,
+    traffic::{
+        lookup::Pages,
+        Shared,
+        Traffic, //
+    },
 };
 use event::{
     emit,
@@ -18,7 +21,10 @@
     net::TcpListener,
     rc::Rc,
     sync::Arc,
-    time::Duration, //
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 use tokio::net::TcpListener as Listener;
 
@@ -53,10 +59,16 @@
     Listener::from_std(listener)
 }
 
-/// Tells control the requests in flight, more often than control passes them on.
+/// Tells control the requests in flight, more often than control passes them on, and notes how late that
+/// comes: as late as everything else on this thread.
 async fn send_loads(traffic: Rc<Traffic>) {
     loop {
-        tokio::time::sleep(LOADS_INTERVAL).await;
+        let due = Instant::now() + LOADS_INTERVAL;
+        tokio::time::sleep_until(due.into()).await;
+        let mut pace = traffic.pace.get();
+        pace.note(due.elapsed());
+        traffic.pace.set(pace);
+        metrics::gauge!(metric::LAG_SECONDS).set(pace.lag().as_secs_f64());
         let own = traffic.fleet.borrow().loads();
         traffic.shared.loads.own.store(Arc::new(own));
     }
