--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -18,7 +18,6 @@
 mod choose;
 mod cold;
 mod health;
-mod pace;
 mod rank;
 mod retry;
 mod shift;
@@ -37,7 +36,6 @@
 };
 pub use cold::ColdGate;
 pub use health::Health;
-pub use pace::Pace;
 pub use rank::{
     affinity,
     rank, //
--- a/crates/entry/src/metric.rs
+++ b/crates/entry/src/metric.rs
@@ -17,8 +17,6 @@
         "Log lines that were not written: beyond the bound of a second, or the queue was full.";
     ROUTES_VERSION = "jasmine_entry_routes_version", Gauge, "version", "",
         "Version of the routes in force; 0 is none.";
-    LAG_SECONDS = "jasmine_entry_lag_seconds", Gauge, "seconds", "",
-        "How late the traffic thread is with what it does; from 0.07 on it refuses a part of the requests.";
     PEERS = "jasmine_entry_peers", Gauge, "sessions", "",
         "Sessions with other entries.";
 }
--- a/crates/entry/src/traffic/mod.rs
+++ b/crates/entry/src/traffic/mod.rs
@@ -30,7 +30,6 @@
     snapshot::Snapshot, //
 };
 use arc_swap::ArcSwap;
-use balance::Pace;
 use base::Now;
 use fleet::Fleet;
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -71,8 +70,6 @@
     pub(crate) fleet: RefCell<Fleet>,
     /// Connections of callers.
     pub(crate) callers: Cell<usize>,
-    /// Whether this thread keeps up.
-    pub(crate) pace: Cell<Pace>,
     /// Bound on log lines of requests.
     pub(crate) log: log::Limit,
 }
@@ -85,7 +82,6 @@
             pool: Pool::default(),
             fleet: RefCell::new(fleet),
             callers: Cell::new(0),
-            pace: Cell::default(),
             log: log::Limit::default(),
         }
     }
--- a/crates/entry/src/traffic/plan.rs
+++ b/crates/entry/src/traffic/plan.rs
@@ -45,9 +45,6 @@
 /// When to come back to an entry that knows no routes yet: reading them takes a few milliseconds
 /// once the store answers.
 const NO_ROUTES_RETRY: Duration = Duration::from_millis(300);
-/// When to come back to an entry that is behind, in times of its lag: it takes about that many tenths of a
-/// second to catch up, or to be known as behind.
-const BUSY_RETRY_LAGS: u32 = 3;
 /// When to come back, to another entry, after one that is about to end.
 const CLOSING_RETRY: Duration = Duration::from_millis(20);
 
@@ -63,12 +60,6 @@
         return Err((answer, outcome));
     }
     let dialect = &traffic.shared.dialect;
-    let id = request.headers.get(&dialect.request_id).cloned();
-    let nonce = id.as_ref().map_or(0, |id| balance::affinity(id.as_bytes()));
-    let pace = traffic.pace.get();
-    if !pace.serves(nonce) {
-        return Err(come_back(pace.lag() * BUSY_RETRY_LAGS, Outcome::Busy));
-    }
     let Some(table) = &snapshot.table else {
         return Err(come_back(NO_ROUTES_RETRY, Outcome::NoRoutes));
     };
@@ -77,7 +68,7 @@
     let Some(route) = host.and_then(|host| table.find(host, path)) else {
         return Err((Answer::empty(StatusCode::NOT_FOUND), Outcome::NoSuchRoute));
     };
-    let Some(id) = id else {
+    let Some(id) = request.headers.get(&dialect.request_id).cloned() else {
         return Err((Answer::empty(StatusCode::BAD_REQUEST), Outcome::NoRequestId));
     };
     let asked_ms = text(&request.headers, &dialect.deadline_ms)
--- a/crates/entry/src/traffic/ports.rs
+++ b/crates/entry/src/traffic/ports.rs
@@ -1,12 +1,9 @@
 //! The ports of the traffic thread.
 
-use crate::{
-    metric,
-    traffic::{
-        lookup::Pages,
-        Shared,
-        Traffic, //
-    },
+use crate::traffic::{
+    lookup::Pages,
+    Shared,
+    Traffic, //
 };
 use event::{
     emit,
@@ -21,10 +18,7 @@
     net::TcpListener,
     rc::Rc,
     sync::Arc,
-    time::{
-        Duration,
-        Instant, //
-    },
+    time::Duration, //
 };
 use tokio::net::TcpListener as Listener;
 
@@ -59,16 +53,10 @@
     Listener::from_std(listener)
 }
 
-/// Tells control the requests in flight, more often than control passes them on, and notes how late that
-/// comes: as late as everything else on this thread.
+/// Tells control the requests in flight, more often than control passes them on.
 async fn send_loads(traffic: Rc<Traffic>) {
     loop {
-        let due = Instant::now() + LOADS_INTERVAL;
-        tokio::time::sleep_until(due.into()).await;
-        let mut pace = traffic.pace.get();
-        pace.note(due.elapsed());
-        traffic.pace.set(pace);
-        metrics::gauge!(metric::LAG_SECONDS).set(pace.lag().as_secs_f64());
+        tokio::time::sleep(LOADS_INTERVAL).await;
         let own = traffic.fleet.borrow().loads();
         traffic.shared.loads.own.store(Arc::new(own));
     }
--- a/crates/event/src/request.rs
+++ b/crates/event/src/request.rs
@@ -31,8 +31,6 @@
     Cancelled,
     /// The entry is about to end, and the caller was told to use another one.
     Closing,
-    /// The entry is behind with its own work.
-    Busy,
     /// The entry knows no routes yet.
     NoRoutes,
     /// No route has its host and path.
@@ -54,7 +52,6 @@
             Self::TimedOut => "timed-out",
             Self::Cancelled => "cancelled",
             Self::Closing => "closing",
-            Self::Busy => "busy",
             Self::NoRoutes => "no-routes",
             Self::NoSuchRoute => "no-such-route",
             Self::NoRequestId => "no-request-id",
--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -68,8 +68,6 @@
     CallerLeft,
     /// The entry was in a planned stop.
     PlannedStop,
-    /// The entry had more to do than its processor could.
-    EntryBusy,
     /// The entry knew no routes yet.
     NoRoutes,
     /// The caller asked for what no route has, or without an id.
@@ -103,7 +101,6 @@
             Self::Late => "late",
             Self::CallerLeft => "the caller left early",
             Self::PlannedStop => "the entry was in a planned stop",
-            Self::EntryBusy => "the entry had more to do than its processor could",
             Self::NoRoutes => "the entry knew no routes yet",
             Self::BadRequest => "the request itself",
         })
@@ -163,8 +160,6 @@
         Outcome::Cancelled => of_cancelled(logs, line, ended),
         Outcome::Closing => Cause::new(Fault::PlannedStop)
             .with("the caller was told to use another entry; nothing ran"),
-        Outcome::Busy => Cause::new(Fault::EntryBusy)
-            .with("it refused a part of the requests to serve the rest in time; nothing ran"),
         Outcome::NoRoutes => of_no_routes(logs, line),
         Outcome::NoSuchRoute | Outcome::NoRequestId => Cause::new(Fault::BadRequest).with(format!(
             "{} under version {} of the routes",
