No part of the retry budget before the others are counted

Cause: an entry that has not read who else there is counts itself alone, and takes the whole constant of the retry budget for its own. After a loss of all processes all do so, from the first routes to the first reading of the entries' rows: three round trips to the store, 0.3 s from another region. The allowance of cold upstreams had this guard already. Ruled out: the ratio's part, which is of the requests that an entry saw itself. Change: balance::part gives a part of what all may do, none before they are counted; used by both. Test: no_part_of_the_retry_budget_before_the_others_are_counted (2 sends instead of 1 before).

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -18,6 +18,7 @@
 mod choose;
 mod cold;
 mod health;
+mod part;
 mod rank;
 mod retry;
 mod shift;
@@ -36,6 +37,7 @@
 };
 pub use cold::ColdGate;
 pub use health::Health;
+pub use part::part;
 pub use rank::{
     affinity,
     rank, //
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -276,6 +276,7 @@
             .clone()
             .filter(|member| member.region == settings.region)
             .count();
+        let counted = known.registered.is_some();
         let registered = known.registered.as_deref().unwrap_or_default();
         let registered_here = registered
             .iter()
@@ -287,11 +288,8 @@
             table: known.table.clone(),
             upstreams: upstreams.collect(),
             entries: self.entries(known),
-            entries_known: (others.count() + 1).max(registered.len()),
-            entries_in_region: known
-                .registered
-                .is_some()
-                .then_some((here_count + 1).max(registered_here)),
+            entries_known: counted.then_some((others.count() + 1).max(registered.len())),
+            entries_in_region: counted.then_some((here_count + 1).max(registered_here)),
             here,
             bounds: known.bounds.clone(),
             stopping: known.stopping,
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -47,9 +47,10 @@
     pub(crate) upstreams: Vec<UpstreamView>,
     /// Entries that take new callers, this one included if it does.
     pub(crate) entries: Vec<EntryView>,
-    /// Entries that may be sending, however little was heard of them; at least one.
-    pub(crate) entries_known: usize,
-    /// Of these, the ones of this region; `None` until the others have been looked for.
+    /// Entries that may be sending, however little was heard of them, this one included; `None` until the
+    /// others have been looked for.
+    pub(crate) entries_known: Option<usize>,
+    /// Of these, the ones of this region.
     pub(crate) entries_in_region: Option<usize>,
     /// Where this entry is.
     pub(crate) here: Location,
--- a/crates/entry/src/traffic/fleet.rs
+++ b/crates/entry/src/traffic/fleet.rs
@@ -15,6 +15,7 @@
 };
 use balance::{
     choose,
+    part,
     Choice,
     Expectation,
     Query,
@@ -155,7 +156,7 @@
     splits: FastMap<ByteString, Split>,
     shift: ShiftBound,
     here: balance::Location,
-    entries_known: usize,
+    entries_known: Option<usize>,
     entries_in_region: Option<usize>,
     cold_rates: FastMap<ServiceId, f64>,
     number: u64,
@@ -171,7 +172,7 @@
             splits: FastMap::default(),
             shift: ShiftBound::new(SHIFT_WINDOW),
             here: balance::Location::default(),
-            entries_known: 1,
+            entries_known: None,
             entries_in_region: None,
             cold_rates: FastMap::default(),
             number: 0,
@@ -188,7 +189,7 @@
         self.number = snapshot.number;
         self.here = snapshot.here.clone();
         self.bounds = snapshot.bounds.clone();
-        self.entries_known = snapshot.entries_known.max(1);
+        self.entries_known = snapshot.entries_known;
         self.entries_in_region = snapshot.entries_in_region;
         let mut views: FastMap<&ServiceId, Vec<&UpstreamView>> = FastMap::default();
         for view in &snapshot.upstreams {
@@ -252,7 +253,7 @@
 
     /// Takes one send beyond a request's first from the budget.
     pub(super) fn take_retry(&mut self, service: &ServiceId, now: Now) -> bool {
-        let slack = self.bounds.retry_slack / self.entries_known as f64;
+        let slack = part(self.bounds.retry_slack, self.entries_known);
         let Some(group) = self.groups.get_mut(service) else {
             return false;
         };
@@ -363,10 +364,8 @@
             return f64::MAX;
         }
         let bound = rate * self.bounds.cold_factor + self.bounds.cold_slack;
-        match self.entries_in_region {
-            Some(entries) if now > FORMER_LIFE => bound / entries.max(1) as f64,
-            _ => 0.0,
-        }
+        let counted = self.entries_in_region.filter(|_| now > FORMER_LIFE);
+        part(bound, counted)
     }
 
     /// A request is no longer at an upstream.
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -101,8 +101,19 @@
 }
 
 impl Entry {
-    /// Starts one in `region-a`, and waits until it is ready.
+    /// Starts one in `region-a`, and waits until it is ready and has counted the others: before that it
+    /// sends nothing twice.
     pub(crate) fn start(name: &'static str, store: &MemoryStore) -> Self {
+        let before = store.entries_read();
+        let entry = Self::start_uncounted(name, store);
+        eventually("the others counted", || {
+            (store.entries_read() > before).then_some(())
+        });
+        entry
+    }
+
+    /// The same without waiting for that.
+    pub(crate) fn start_uncounted(name: &'static str, store: &MemoryStore) -> Self {
         let entry = Self::start_unready(name, "region-a", store, Duration::from_secs(6));
         entry.wait_ready(true);
         entry
--- a/crates/entry/tests/support/store.rs
+++ b/crates/entry/tests/support/store.rs
@@ -30,6 +30,7 @@
     sync::{
         atomic::{
             AtomicBool,
+            AtomicUsize,
             Ordering, //
         },
         Arc,
@@ -60,6 +61,10 @@
     state: Arc<Mutex<State>>,
     /// All calls of this handle are refused.
     pub(crate) down: Arc<AtomicBool>,
+    /// Reads of the rows of entries are refused.
+    pub(crate) entries_hidden: Arc<AtomicBool>,
+    /// Reads of the rows of entries by this handle.
+    entries_read: Arc<AtomicUsize>,
 }
 
 impl MemoryStore {
@@ -68,6 +73,8 @@
         Self {
             state: self.state.clone(),
             down: Arc::default(),
+            entries_hidden: self.entries_hidden.clone(),
+            entries_read: Arc::default(),
         }
     }
 
@@ -108,6 +115,11 @@
         self.put(&format!("upstreams/{}", listed.id), value);
     }
 
+    /// How often the rows of entries were read by this handle.
+    pub(crate) fn entries_read(&self) -> usize {
+        self.entries_read.load(Ordering::Relaxed)
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("no test panics with it")
     }
@@ -175,6 +187,10 @@
 
     async fn scan(&self, prefix: &str) -> Result<Vec<Row>, ReadError> {
         self.check_up().map_err(ReadError)?;
+        if self.entries_hidden.load(Ordering::Relaxed) {
+            return Err(ReadError(Reason::Refused));
+        }
+        self.entries_read.fetch_add(1, Ordering::Relaxed);
         let keys: Vec<String> = self.lock().rows.keys().cloned().collect();
         let keys = keys.iter().filter(|key| key.starts_with(prefix));
         Ok(keys.filter_map(|key| self.row(key)).collect())
--- a/crates/entry/tests/system.rs
+++ b/crates/entry/tests/system.rs
@@ -150,6 +150,39 @@
     assert_eq!(other.seen().len(), 1, "it stays closed");
 }
 
+/// Symptom: after a loss of all processes each of them spends the whole constant of the retry budget. Sequence:
+/// a process knows routes and upstreams before it has read who else there is. Cause guarded against: taking
+/// nobody known for nobody there.
+#[test]
+fn no_part_of_the_retry_budget_before_the_others_are_counted() {
+    let store = MemoryStore::default();
+    store.put_routes(&routes(1));
+    let failing = || {
+        Upstream::start(Box::new(|_, sent, connection| {
+            let id = sent.id();
+            connection.write(format!(
+                "HTTP/1.1 500 Failed\r\njasmine-request: {id}\r\nupstream-id: s\r\n\
+                 content-length: 0\r\n\r\n"
+            ));
+            true
+        }))
+    };
+    let upstreams = [failing(), failing()];
+    store.put_upstream(&listed("u-1", upstreams[0].addr));
+    store.put_upstream(&listed("u-2", upstreams[1].addr));
+    store.entries_hidden.store(true, Ordering::Relaxed);
+    let entry = Entry::start_uncounted("entry-1", &store);
+    let sends = || upstreams.iter().map(|u| u.seen().len()).sum::<usize>();
+    assert_eq!(status(&entry, "GET", "/r/x", "a1"), 500);
+    assert_eq!(sends(), 1, "it isn't sent again");
+    store.entries_hidden.store(false, Ordering::Relaxed);
+    eventually("a send beyond the first", || {
+        let before = sends();
+        assert_eq!(status(&entry, "GET", "/r/x", "a2"), 500);
+        (sends() == before + 2).then_some(())
+    });
+}
+
 /// An upstream that leaves gets no new work; what it runs is not cut.
 #[test]
 fn leaving_upstream_gets_no_new_work() {
