--- a/crates/entry/src/traffic/attempt.rs
+++ b/crates/entry/src/traffic/attempt.rs
@@ -1,7 +1,7 @@
 //! One send to one upstream, and what is known of the run afterwards.
 
 use crate::traffic::{
-    fleet::Placement,
+    placement::Placement,
     Traffic, //
 };
 use actix_http::{
--- a/crates/entry/src/traffic/fleet.rs
+++ b/crates/entry/src/traffic/fleet.rs
@@ -11,19 +11,26 @@
         Snapshot,
         UpstreamView, //
     },
-    traffic::log::millis,
+    traffic::{
+        group::Group,
+        log::millis,
+        placement::{
+            logged,
+            Need,
+            Placed,
+            Placement,
+            Refused, //
+        },
+    },
 };
 use balance::{
     choose,
     part,
     Choice,
-    Expectation,
     Query,
     Reported,
-    RetryBudget,
     ShiftBound,
-    Upstream,
-    Work, //
+    Upstream, //
 };
 use base::{
     FastMap,
@@ -37,9 +44,7 @@
 use bytestring::ByteString;
 use event::{
     emit,
-    Census,
     Event,
-    Expected,
     Reason, //
 };
 use relay::Target;
@@ -48,10 +53,7 @@
     Split,
     Table, //
 };
-use std::{
-    net::SocketAddr,
-    time::Duration, //
-};
+use std::time::Duration;
 
 /// Windows over which the part of requests that leaves the region may change.
 const SHIFT_WINDOW: Duration = Duration::from_secs(2);
@@ -68,87 +70,6 @@
 /// elsewhere is warm: it warms within some seconds without making many requests late at once.
 const EXPLORE_EVERY: u64 = 12;
 
-/// Upstreams of one service.
-struct Group {
-    upstreams: Vec<Upstream>,
-    addrs: Vec<SocketAddr>,
-    budget: RetryBudget,
-    /// Second in which it was last said that the budget is spent.
-    spent_told: Option<u64>,
-    /// Times of the work of each route: routes of one service may differ by far.
-    work: FastMap<ByteString, Work>,
-}
-
-/// What a request needs, of what the fleet doesn't know itself.
-pub(super) struct Need<'a> {
-    pub(super) service: &'a ServiceId,
-    pub(super) route: &'a Route,
-    pub(super) key: u64,
-    pub(super) keyed: bool,
-    /// A number that is another one for each request.
-    pub(super) nonce: u64,
-    pub(super) target_left: Duration,
-    pub(super) deadline_left: Duration,
-    pub(super) tried: &'a [UpstreamId],
-}
-
-/// How a request stands at its upstream.
-#[derive(Clone, Debug)]
-pub(super) struct Placement {
-    /// Its route.
-    pub(super) route: ByteString,
-    /// Its affinity key, if it has one that makes a difference.
-    pub(super) key: Option<u64>,
-    /// The upstream had that key lately.
-    pub(super) warm: bool,
-    /// It should find a free slot.
-    pub(super) idle: bool,
-    /// Requests that the upstream had, as far as known.
-    pub(super) load: f64,
-    /// Requests that it works on at a time.
-    pub(super) slots: u32,
-    /// Age of what it last said of its load.
-    pub(super) report_age: Option<Duration>,
-    /// Its region.
-    pub(super) region: RegionId,
-    /// What was expected of it.
-    pub(super) expected: Expected,
-}
-
-/// Why a request is refused, and what that was decided from.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Refused {
-    /// Reason.
-    pub(super) reason: Reason,
-    /// When to come back.
-    pub(super) retry_after: Duration,
-    /// What was expected of the upstream that would have answered first.
-    pub(super) expected: Expected,
-    /// How the service's upstreams stood.
-    pub(super) census: Census,
-}
-
-impl Refused {
-    /// A refusal that no look at upstreams decided.
-    pub(super) fn new(reason: Reason, retry_after: Duration) -> Self {
-        Self {
-            reason,
-            retry_after,
-            ..Self::default()
-        }
-    }
-}
-
-/// What to do with a request.
-pub(super) enum Placed {
-    Send {
-        target: Target,
-        /// How it stands there.
-        placement: Placement,
-    },
-    Refuse(Refused),
-}
-
 /// Upstreams of all services, and the budgets of this entry.
 pub(crate) struct Fleet {
     bounds: Bounds,
@@ -198,13 +119,10 @@
         self.groups.retain(|service, _| views.contains_key(service));
         for (service, views) in views {
             let bounds = &self.bounds;
-            let group = self.groups.entry(service.clone()).or_insert_with(|| Group {
-                upstreams: Vec::new(),
-                addrs: Vec::new(),
-                budget: RetryBudget::new(bounds.retry_ratio, bounds.retry_window),
-                spent_told: None,
-                work: FastMap::default(),
-            });
+            let group = self
+                .groups
+                .entry(service.clone())
+                .or_insert_with(|| Group::new(bounds));
             group.follow(&views);
         }
         if let Some(table) = &snapshot.table {
@@ -480,46 +398,3 @@
         group.upstreams.iter_mut().find(|u| u.id == *id)
     }
 }
-
-impl Group {
-    /// Times of the work of a route; those of any other say nothing of it.
-    fn work(&self, route: &str) -> Work {
-        self.work.get(route).copied().unwrap_or_default()
-    }
-
-    /// How the upstreams stand, for the log.
-    fn census(&self, now: Now) -> Census {
-        let census = balance::Census::of(&self.upstreams, now);
-        Census {
-            open: census.open,
-            closed: census.closed,
-            cold: census.cold,
-            failing: census.failing,
-        }
-    }
-
-    /// Takes over what control knows; what this thread saw of an incarnation stays.
-    fn follow(&mut self, views: &[&UpstreamView]) {
-        let mut before = std::mem::take(&mut self.upstreams);
-        self.addrs.clear();
-        for view in views {
-            let place = before.iter().position(|upstream| upstream.id == view.id);
-            let mut upstream = match place {
-                Some(place) => before.swap_remove(place),
-                None => Upstream::new(view.id.clone(), view.region.clone(), view.slots),
-            };
-            upstream.closed = view.closed;
-            upstream.cold_until = view.cold_until;
-            self.upstreams.push(upstream);
-            self.addrs.push(view.addr);
-        }
-    }
-}
-
-/// An expectation as the log has it.
-fn logged(expected: Expectation) -> Expected {
-    Expected {
-        wait_ms: millis(expected.wait),
-        answer_ms: millis(expected.answer),
-    }
-}
--- /dev/null
+++ b/crates/entry/src/traffic/group.rs
@@ -0,0 +1,75 @@
+//! The upstreams of one service, as this thread sees them.
+
+use crate::{
+    settings::Bounds,
+    snapshot::UpstreamView, //
+};
+use balance::{
+    RetryBudget,
+    Upstream,
+    Work, //
+};
+use base::{
+    FastMap,
+    Now, //
+};
+use bytestring::ByteString;
+use event::Census;
+use std::net::SocketAddr;
+
+/// Upstreams of one service.
+pub(super) struct Group {
+    pub(super) upstreams: Vec<Upstream>,
+    pub(super) addrs: Vec<SocketAddr>,
+    pub(super) budget: RetryBudget,
+    /// Second in which it was last said that the budget is spent.
+    pub(super) spent_told: Option<u64>,
+    /// Times of the work of each route: routes of one service may differ by far.
+    pub(super) work: FastMap<ByteString, Work>,
+}
+
+impl Group {
+    /// One without upstreams.
+    pub(super) fn new(bounds: &Bounds) -> Self {
+        Self {
+            upstreams: Vec::new(),
+            addrs: Vec::new(),
+            budget: RetryBudget::new(bounds.retry_ratio, bounds.retry_window),
+            spent_told: None,
+            work: FastMap::default(),
+        }
+    }
+
+    /// Times of the work of a route; those of any other say nothing of it.
+    pub(super) fn work(&self, route: &str) -> Work {
+        self.work.get(route).copied().unwrap_or_default()
+    }
+
+    /// How the upstreams stand, for the log.
+    pub(super) fn census(&self, now: Now) -> Census {
+        let census = balance::Census::of(&self.upstreams, now);
+        Census {
+            open: census.open,
+            closed: census.closed,
+            cold: census.cold,
+            failing: census.failing,
+        }
+    }
+
+    /// Takes over what control knows; what this thread saw of an incarnation stays.
+    pub(super) fn follow(&mut self, views: &[&UpstreamView]) {
+        let mut before = std::mem::take(&mut self.upstreams);
+        self.addrs.clear();
+        for view in views {
+            let place = before.iter().position(|upstream| upstream.id == view.id);
+            let mut upstream = match place {
+                Some(place) => before.swap_remove(place),
+                None => Upstream::new(view.id.clone(), view.region.clone(), view.slots),
+            };
+            upstream.closed = view.closed;
+            upstream.cold_until = view.cold_until;
+            self.upstreams.push(upstream);
+            self.addrs.push(view.addr);
+        }
+    }
+}
--- a/crates/entry/src/traffic/job.rs
+++ b/crates/entry/src/traffic/job.rs
@@ -15,7 +15,7 @@
             InFlight,
             Outcome, //
         },
-        fleet::{
+        placement::{
             Need,
             Placed,
             Placement,
--- a/crates/entry/src/traffic/log.rs
+++ b/crates/entry/src/traffic/log.rs
@@ -8,14 +8,14 @@
 use crate::{
     metric,
     traffic::{
-        fleet::{
-            Placement,
-            Refused, //
-        },
         job::{
             Job,
             Progress, //
         },
+        placement::{
+            Placement,
+            Refused, //
+        },
         Traffic, //
     },
 };
--- a/crates/entry/src/traffic/mod.rs
+++ b/crates/entry/src/traffic/mod.rs
@@ -3,15 +3,18 @@
 //! - `request` takes one request from its head to its final answer; `plan` finds out what it needs.
 //! - `job` sends it until there is an answer, `attempt` sends it once and says what is known of the
 //!   run, `reply` makes the final answer, `stream` passes a long one on, `log` writes what became of it.
-//! - `fleet` holds what this thread knows of upstreams and decides where a request goes.
+//! - `fleet` holds what this thread knows of upstreams, in a `group` for each service, and decides where a
+//!   request goes (`placement`).
 //! - `lookup` answers which entries to use.
 //! - `ports` opens the ports.
 
 mod attempt;
 mod fleet;
+mod group;
 mod job;
 mod log;
 mod lookup;
+mod placement;
 mod plan;
 mod ports;
 mod reply;
--- /dev/null
+++ b/crates/entry/src/traffic/placement.rs
@@ -0,0 +1,96 @@
+//! What a request needs, and what became of the search for its upstream.
+
+use crate::traffic::log::millis;
+use balance::Expectation;
+use base::{
+    RegionId,
+    ServiceId,
+    UpstreamId, //
+};
+use bytestring::ByteString;
+use event::{
+    Census,
+    Expected,
+    Reason, //
+};
+use relay::Target;
+use route::Route;
+use std::time::Duration;
+
+/// What a request needs, of what the fleet doesn't know itself.
+pub(super) struct Need<'a> {
+    pub(super) service: &'a ServiceId,
+    pub(super) route: &'a Route,
+    pub(super) key: u64,
+    pub(super) keyed: bool,
+    /// A number that is another one for each request.
+    pub(super) nonce: u64,
+    pub(super) target_left: Duration,
+    pub(super) deadline_left: Duration,
+    pub(super) tried: &'a [UpstreamId],
+}
+
+/// How a request stands at its upstream.
+#[derive(Clone, Debug)]
+pub(super) struct Placement {
+    /// Its route.
+    pub(super) route: ByteString,
+    /// Its affinity key, if it has one that makes a difference.
+    pub(super) key: Option<u64>,
+    /// The upstream had that key lately.
+    pub(super) warm: bool,
+    /// It should find a free slot.
+    pub(super) idle: bool,
+    /// Requests that the upstream had, as far as known.
+    pub(super) load: f64,
+    /// Requests that it works on at a time.
+    pub(super) slots: u32,
+    /// Age of what it last said of its load.
+    pub(super) report_age: Option<Duration>,
+    /// Its region.
+    pub(super) region: RegionId,
+    /// What was expected of it.
+    pub(super) expected: Expected,
+}
+
+/// Why a request is refused, and what that was decided from.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Refused {
+    /// Reason.
+    pub(super) reason: Reason,
+    /// When to come back.
+    pub(super) retry_after: Duration,
+    /// What was expected of the upstream that would have answered first.
+    pub(super) expected: Expected,
+    /// How the service's upstreams stood.
+    pub(super) census: Census,
+}
+
+impl Refused {
+    /// A refusal that no look at upstreams decided.
+    pub(super) fn new(reason: Reason, retry_after: Duration) -> Self {
+        Self {
+            reason,
+            retry_after,
+            ..Self::default()
+        }
+    }
+}
+
+/// What to do with a request.
+pub(super) enum Placed {
+    Send {
+        target: Target,
+        /// How it stands there.
+        placement: Placement,
+    },
+    Refuse(Refused),
+}
+
+/// An expectation as the log has it.
+pub(super) fn logged(expected: Expectation) -> Expected {
+    Expected {
+        wait_ms: millis(expected.wait),
+        answer_ms: millis(expected.answer),
+    }
+}
--- a/crates/entry/src/traffic/reply.rs
+++ b/crates/entry/src/traffic/reply.rs
@@ -5,12 +5,12 @@
         Answered,
         AnsweredBody, //
     },
-    fleet::Refused,
     job::{
         Job,
         Progress, //
     },
     log::End,
+    placement::Refused,
     stream::Stream,
 };
 use actix_http::{
--- a/crates/explain/src/lib.rs
+++ b/crates/explain/src/lib.rs
@@ -6,19 +6,20 @@
 //!
 //! - `logs` reads lines, and remembers which could not be read.
 //! - `story` puts the lines of one request together, with their surroundings.
+//! - `text` says each event in a line; `fault` lists what can go wrong.
 //! - `cause` names what went wrong; it reads events only, so each rule is a few lines with a test.
 //!
 //! Invariant: nothing is guessed from what is missing. A request of which no line is there is unknown,
 //! with what speaks for a lost line and for a request that never came.
 
 mod cause;
+mod fault;
 mod logs;
 mod story;
+mod text;
 
-pub use cause::{
-    Cause,
-    Fault, //
-};
+pub use cause::Cause;
+pub use fault::Fault;
 pub use logs::{
     Logs,
     Placed,
--- a/crates/explain/src/logs.rs
+++ b/crates/explain/src/logs.rs
@@ -1,10 +1,8 @@
 //! The lines of any number of processes.
 
 use crate::{
-    cause::{
-        find_cause,
-        Fault, //
-    },
+    cause::find_cause,
+    fault::Fault,
     story::{
         Story,
         Unknown, //
--- /dev/null
+++ b/crates/explain/src/text.rs
@@ -0,0 +1,121 @@
+//! Events as people read them.
+
+use event::{
+    Event,
+    RequestEnded,
+    SendFailed,
+    Sent, //
+};
+
+/// An event as people read it.
+pub(crate) fn text_of(event: &Event) -> String {
+    match event {
+        Event::Request(ended) => text_of_end(ended),
+        Event::SendFailed(failed) => text_of_send(failed),
+        Event::AnswerCut {
+            upstream,
+            why,
+            sent_bytes,
+            ..
+        } => {
+            format!("answer of {upstream} cut after {sent_bytes} bytes: {why}")
+        }
+        Event::Started { .. } => "started".to_owned(),
+        Event::StoreLost { table, error } => format!("store lost, table {table}: {error}"),
+        Event::StoreRegained { table, outage_ms } => {
+            format!("store regained, table {table}, after {outage_ms} ms")
+        }
+        Event::Evacuation {
+            failure_domain,
+            on: true,
+            ..
+        } => format!("{failure_domain} evacuated"),
+        Event::Evacuation { failure_domain, .. } => format!("{failure_domain} in use again"),
+        Event::UpstreamListed {
+            upstream,
+            leaving: true,
+            ..
+        } => format!("{upstream} leaves"),
+        Event::UpstreamListed {
+            upstream,
+            cold_left_ms,
+            ..
+        } => {
+            format!("{upstream} cold for {cold_left_ms} ms more")
+        }
+        Event::UpstreamRemoved { upstream, .. } => format!("{upstream} dropped from the list"),
+        Event::UpstreamPassedOver {
+            upstream, away_ms, ..
+        } => {
+            format!("{upstream} failed and is passed over for {away_ms} ms")
+        }
+        Event::UpstreamBack { upstream, .. } => format!("{upstream} answers again"),
+        Event::UpstreamClosed { upstream, why, .. } => format!("{upstream} closed: {why}"),
+        Event::RetriesSpent { service } => format!("budget of further sends to {service} spent"),
+        Event::RoutesInForce { version, from } => format!("routes {version} in force, from {from}"),
+        Event::EntryLost { entry, why } => format!("session to {entry} lost: {why}"),
+        Event::Stopping { under_way } => {
+            format!("planned stop begins, {under_way} requests under way")
+        }
+        Event::Stopped { under_way, .. } => format!("ends, {under_way} requests under way"),
+        Event::LinesLeftOut { lines } => format!("{lines} lines about requests left out"),
+        Event::LinesDropped { lines, .. } => format!("{lines} lines lost, the queue was full"),
+        // The others have few fields, and their own form tells all.
+        other => format!("{other:?}"),
+    }
+}
+
+fn text_of_end(ended: &RequestEnded) -> String {
+    let status = ended
+        .status
+        .map_or_else(String::new, |status| format!(" {status}"));
+    let mut text = format!("{}{status} after {} ms", ended.outcome, ended.took_ms);
+    if let Some(reason) = ended.reason {
+        text += &format!(", {reason}");
+    }
+    if let (Some(route), Some(service)) = (&ended.route, &ended.service) {
+        text += &format!("; route {route}, service {service}");
+    }
+    if let Some(sent) = &ended.sent {
+        text += &format!("; {}", text_of_sent(sent));
+    }
+    if let Some(census) = ended.census {
+        text += &format!(
+            "; {} open, {} closed, {} cold, {} failing",
+            census.open, census.closed, census.cold, census.failing
+        );
+    }
+    if let Some(retry_after_ms) = ended.retry_after_ms {
+        text += &format!("; come back in {retry_after_ms} ms");
+    }
+    let picture = &ended.picture;
+    text + &format!(
+        "; picture {} of {} ms ago, routes {}",
+        picture.number, picture.age_ms, picture.routes
+    )
+}
+
+fn text_of_send(failed: &SendFailed) -> String {
+    let ran = if failed.not_run {
+        "not run"
+    } else {
+        "may have run"
+    };
+    let sent = text_of_sent(&failed.sent);
+    format!(
+        "send failed after {} ms, {ran}: {}; {sent}",
+        failed.after_ms, failed.why
+    )
+}
+
+fn text_of_sent(sent: &Sent) -> String {
+    let report = match sent.report_age_ms {
+        Some(age_ms) => format!("reported {age_ms} ms before"),
+        None => "never reported".to_owned(),
+    };
+    let warm = if sent.warm { "warm" } else { "not known warm" };
+    format!(
+        "{} in {}, load {:.1} of {} slots ({report}), {warm}, answer expected after {} ms",
+        sent.upstream, sent.region, sent.load, sent.slots, sent.expected.answer_ms
+    )
+}
--- a/crates/explain/tests/causes.rs
+++ b/crates/explain/tests/causes.rs
@@ -264,6 +264,7 @@
     of_an_unknown_route: [
         (0, request(RequestEnded { sent: None, ..ended(Outcome::NoSuchRoute) })),
     ] => BadRequest, "version 0 of the routes";
+    without_its_end: [(-5, failed("it was closed", false))] => Unfinished, "or its process ended";
     an_upstreams_own_failure: [
         (0, request(RequestEnded { status: Some(500), ..ended(Outcome::UpstreamError) })),
     ] => UpstreamFailed, "status 500 of u-1";
--- a/crates/router/tests/explain.rs
+++ b/crates/router/tests/explain.rs
@@ -4,6 +4,7 @@
 
 mod support;
 
+use event::Event;
 use explain::{
     Fault,
     Logs,
@@ -70,7 +71,13 @@
         let text = fs::read_to_string(&system.log).ok()?;
         let mut logs = Logs::default();
         logs.add("moshi-1.log", &text);
-        logs.story(id).ok()
+        let mut lines = logs.lines().iter();
+        // A send's line comes before the request's own.
+        let ended = lines.any(|placed| match &placed.line.event {
+            Event::Request(ended) => ended.id == id,
+            _ => false,
+        });
+        ended.then(|| logs.story(id).expect("it has lines"))
     });
     println!("{story}");
     story
