explain: lines are indexed as they are read

Counting all failures walked over all lines again for each of them: removals and answers of an upstream, evacuations and the region of an instance. All tests of explain pass unchanged.

--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -280,10 +280,9 @@
 
 fn of_no_routes(logs: &Logs, line: &Line) -> Cause {
     let cause = Cause::new(Fault::NoRoutes).with(format!("{} ms after its start", line.up_ms));
-    let lost = logs.lines().iter().any(|placed| {
-        placed.line.instance == line.instance
-            && placed.line.time_ms <= line.time_ms
-            && matches!(placed.line.event, Event::StoreLost { .. })
+    let mut before = logs.of_instance(&line.instance);
+    let lost = before.any(|other| {
+        other.time_ms <= line.time_ms && matches!(other.event, Event::StoreLost { .. })
     });
     if lost {
         cause.with("its calls to the store failed")
@@ -296,17 +295,13 @@
 fn removed_after(logs: &Logs, upstream: &UpstreamId, at_ms: u64) -> Option<u64> {
     let mut said_leaving = false;
     let mut removed: Option<u64> = None;
-    for placed in logs.lines() {
-        let time_ms = placed.line.time_ms;
-        match &placed.line.event {
-            Event::UpstreamListed {
-                upstream: id,
-                leaving: true,
-                ..
-            } if id == upstream => {
+    for line in logs.of_upstream(upstream) {
+        let time_ms = line.time_ms;
+        match &line.event {
+            Event::UpstreamListed { leaving: true, .. } => {
                 said_leaving |= time_ms <= at_ms;
             }
-            Event::UpstreamRemoved { upstream: id, .. } if id == upstream && time_ms >= at_ms => {
+            Event::UpstreamRemoved { .. } if time_ms >= at_ms => {
                 let first = removed.is_none_or(|known| time_ms < known);
                 removed = if first { Some(time_ms) } else { removed };
             }
@@ -320,15 +315,11 @@
 /// Times of the answers that an upstream gave to anybody between two moments and a little after.
 fn answers_of(logs: &Logs, upstream: &UpstreamId, from_ms: u64, to_ms: u64) -> Vec<u64> {
     let within = from_ms..=to_ms + AROUND_MS;
-    let answers = logs.lines().iter().filter_map(|placed| {
-        let Event::Request(other) = &placed.line.event else {
+    let answers = logs.of_upstream(upstream).filter_map(|line| {
+        let Event::Request(other) = &line.event else {
             return None;
         };
-        let sent = other.sent.as_ref()?;
-        let answered = other.outcome == Outcome::Answered
-            && sent.upstream == *upstream
-            && within.contains(&placed.line.time_ms);
-        answered.then_some(other.took_ms)
+        within.contains(&line.time_ms).then_some(other.took_ms)
     });
     answers.collect()
 }
@@ -336,9 +327,8 @@
 /// Failure domains that an instance held for evacuated when it wrote a line.
 fn evacuated(logs: &Logs, at: &Line) -> Vec<String> {
     let mut domains: Vec<String> = Vec::new();
-    for placed in logs.lines() {
-        let line = &placed.line;
-        if line.instance != at.instance || line.time_ms > at.time_ms {
+    for line in logs.of_instance(&at.instance) {
+        if line.time_ms > at.time_ms {
             continue;
         }
         if let Event::Evacuation {
--- a/crates/explain/src/logs.rs
+++ b/crates/explain/src/logs.rs
@@ -10,11 +10,13 @@
 };
 use base::{
     FastMap,
-    RegionId, //
+    RegionId,
+    UpstreamId, //
 };
 use event::{
     Event,
     Line,
+    Outcome,
     RequestEnded, //
 };
 use serde::Serialize;
@@ -57,6 +59,10 @@
 pub struct Logs {
     files: Vec<String>,
     lines: Vec<Placed>,
+    /// Places of the lines that bear on an upstream's life: its answers, its leaving and its removal.
+    of_upstream: FastMap<UpstreamId, Vec<usize>>,
+    /// Places of the lines in which an instance tells of itself, the store and evacuations.
+    of_instance: FastMap<String, Vec<usize>>,
     unreadable: Vec<Unreadable>,
     unreadable_count: usize,
 }
@@ -70,16 +76,59 @@
             let number = before + 1;
             match Line::parse(text) {
                 None => {}
-                Some(Ok(line)) => self.lines.push(Placed {
-                    file: place,
-                    number,
-                    line,
-                }),
+                Some(Ok(line)) => {
+                    self.index(&line);
+                    self.lines.push(Placed {
+                        file: place,
+                        number,
+                        line,
+                    });
+                }
                 Some(Err(error)) => self.note_unreadable(file, number, error.to_string()),
             }
         }
     }
 
+    /// Notes where a line will stand, for those that causes are looked for in again and again.
+    fn index(&mut self, line: &Line) {
+        let place = self.lines.len();
+        let upstream = match &line.event {
+            Event::Request(ended) if ended.outcome == Outcome::Answered => {
+                ended.sent.as_ref().map(|sent| &sent.upstream)
+            }
+            Event::UpstreamListed { upstream, .. } | Event::UpstreamRemoved { upstream, .. } => {
+                Some(upstream)
+            }
+            _ => None,
+        };
+        if let Some(upstream) = upstream {
+            let places = self.of_upstream.entry(upstream.clone()).or_default();
+            places.push(place);
+        }
+        if matches!(
+            line.event,
+            Event::Started { .. } | Event::Evacuation { .. } | Event::StoreLost { .. }
+        ) {
+            let places = self.of_instance.entry(line.instance.clone()).or_default();
+            places.push(place);
+        }
+    }
+
+    /// Lines that bear on an upstream's life.
+    pub(crate) fn of_upstream(&self, upstream: &str) -> impl Iterator<Item = &Line> {
+        self.at(self.of_upstream.get(upstream))
+    }
+
+    /// Lines in which an instance tells of itself, the store and evacuations.
+    pub(crate) fn of_instance(&self, instance: &str) -> impl Iterator<Item = &Line> {
+        self.at(self.of_instance.get(instance))
+    }
+
+    fn at<'a>(&'a self, places: Option<&'a Vec<usize>>) -> impl Iterator<Item = &'a Line> {
+        let places = places.into_iter().flatten();
+        places.map(|place| &self.lines[*place].line)
+    }
+
     fn note_unreadable(&mut self, file: &str, number: usize, error: String) {
         self.unreadable_count += 1;
         if self.unreadable.len() < UNREADABLE_KEPT {
@@ -114,10 +163,8 @@
 
     /// Region of an instance, as it said at its start.
     pub(crate) fn region(&self, instance: &str) -> Option<&RegionId> {
-        self.lines
-            .iter()
-            .filter(|placed| placed.line.instance == instance)
-            .find_map(|placed| match &placed.line.event {
+        self.of_instance(instance)
+            .find_map(|line| match &line.event {
                 Event::Started { region, .. } => Some(region),
                 _ => None,
             })
