One Census: the log has the type that balance counts into

event had a copy of balance::Census, field for field, and the entry a function that copied one into the other. The log holds balance's own now; the lines are the same (event's and explain's tests unchanged).

--- a/crates/balance/src/census.rs
+++ b/crates/balance/src/census.rs
@@ -2,9 +2,13 @@
 
 use crate::upstream::Upstream;
 use base::Now;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
 /// Upstreams of one service by what keeps work from them; each is counted once.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Census {
     /// Take work.
     pub open: u32,
--- a/crates/entry/src/traffic/fleet.rs
+++ b/crates/entry/src/traffic/fleet.rs
@@ -26,6 +26,7 @@
 use balance::{
     choose,
     part,
+    Census,
     Choice,
     Query,
     Reported,
@@ -245,10 +246,10 @@
                 reason: Reason::NoSlotInTime,
                 retry_after,
                 expected: logged(expected),
-                census: group.census(now),
+                census: Census::of(&group.upstreams, now),
             }),
             Choice::NoUpstream { retry_after } => Placed::Refuse(Refused {
-                census: group.census(now),
+                census: Census::of(&group.upstreams, now),
                 ..Refused::new(Reason::NoUpstreamOpen, retry_after)
             }),
         }
--- a/crates/entry/src/traffic/group.rs
+++ b/crates/entry/src/traffic/group.rs
@@ -9,12 +9,8 @@
     Upstream,
     Work, //
 };
-use base::{
-    FastMap,
-    Now, //
-};
+use base::FastMap;
 use bytestring::ByteString;
-use event::Census;
 use std::net::SocketAddr;
 
 /// Upstreams of one service.
@@ -45,17 +41,6 @@
         self.work.get(route).copied().unwrap_or_default()
     }
 
-    /// How the upstreams stand, for the log.
-    pub(super) fn census(&self, now: Now) -> Census {
-        let census = balance::Census::of(&self.upstreams, now);
-        Census {
-            open: census.open,
-            closed: census.closed,
-            cold: census.cold,
-            failing: census.failing,
-        }
-    }
-
     /// Takes over what control knows; what this thread saw of an incarnation stays.
     pub(super) fn follow(&mut self, views: &[&UpstreamView]) {
         let mut before = std::mem::take(&mut self.upstreams);
--- a/crates/event/src/lib.rs
+++ b/crates/event/src/lib.rs
@@ -16,13 +16,13 @@
 mod request;
 mod writer;
 
+pub use balance::Census;
 pub use event::{
     Event,
     Severity, //
 };
 pub use line::Line;
 pub use request::{
-    Census,
     Expected,
     Outcome,
     Picture,
--- a/crates/event/src/request.rs
+++ b/crates/event/src/request.rs
@@ -1,5 +1,6 @@
 //! Events about one request.
 
+use balance::Census;
 use base::{
     RegionId,
     ServiceId,
@@ -107,19 +108,6 @@
     pub answer_ms: u64,
 }
 
-/// Upstreams of a service by what kept work from them, when a request was refused.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Census {
-    /// Took work.
-    pub open: u32,
-    /// Were leaving, gone, or in an evacuated failure domain.
-    pub closed: u32,
-    /// Had just started.
-    pub cold: u32,
-    /// Were passed over because they failed.
-    pub failing: u32,
-}
-
 /// The upstream that a request was sent to last, and what was known of it then.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Sent {
