--- a/crates/balance/src/upstream.rs
+++ b/crates/balance/src/upstream.rs
@@ -7,6 +7,7 @@
     warm::WarmKeys, //
 };
 use base::{
+    DomainId,
     Now,
     RegionId,
     UpstreamId, //
@@ -40,6 +41,8 @@
     pub hash: u64,
     /// Its region.
     pub region: RegionId,
+    /// Its failure domain.
+    pub failure_domain: DomainId,
     /// Requests that it works on at a time.
     pub slots: u32,
     /// Whether it gets no new work: it leaves, or its failure domain is evacuated.
@@ -67,11 +70,12 @@
 
 impl Upstream {
     /// An upstream of which nothing was seen yet.
-    pub fn new(id: UpstreamId, region: RegionId, slots: u32) -> Self {
+    pub fn new(id: UpstreamId, region: RegionId, failure_domain: DomainId, slots: u32) -> Self {
         Self {
             hash: affinity(id.as_bytes()),
             id,
             region,
+            failure_domain,
             slots: slots.max(1),
             closed: false,
             gone: false,
--- a/crates/balance/src/warm.rs
+++ b/crates/balance/src/warm.rs
@@ -30,6 +30,11 @@
         self.last.insert(key, now);
     }
 
+    /// All keys that it had.
+    pub fn keys(&self) -> impl Iterator<Item = u64> + '_ {
+        self.last.keys().copied()
+    }
+
     /// Whether it had the key lately.
     pub fn has(&self, key: u64, now: Now) -> bool {
         let last = self.last.get(&key);
--- a/crates/entry/src/control/loads.rs
+++ b/crates/entry/src/control/loads.rs
@@ -45,6 +45,7 @@
                 .max(INTERVAL_MIN);
             tokio::time::sleep(interval).await;
             self.send_loads();
+            self.send_warmed();
             self.sum_loads();
         }
     }
@@ -63,6 +64,27 @@
         }
     }
 
+    /// Tells the entries of this region what its requests have warmed: what an entry doesn't know to be warm, it
+    /// warms once more at another upstream, and each time a caller waits for cold work.
+    fn send_warmed(&self) {
+        let keys = self.loads.warmed.take();
+        let Some(mesh) = self.mesh.borrow().clone() else {
+            return;
+        };
+        if keys.is_empty() {
+            return;
+        }
+        let Some(frame) = frame(&Message::Warmed(keys)) else {
+            return;
+        };
+        for peer in mesh.peers() {
+            if peer.region == self.settings.region {
+                // An entry that has no room for it finds out by itself.
+                mesh.send(&peer.instance, frame.clone());
+            }
+        }
+    }
+
     fn sum_loads(&self) {
         let now = self.now();
         let known = self.known.borrow();
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -262,6 +262,7 @@
             id: listed.id.clone(),
             service: listed.service.clone(),
             region: listed.region.clone(),
+            failure_domain: listed.failure_domain.clone(),
             addr: listed.addr,
             slots: listed.slots,
             closed,
@@ -269,6 +270,7 @@
         });
         let here = Location {
             region: settings.region.clone(),
+            failure_domain: settings.failure_domain.clone(),
             round_trips: self.round_trips(known),
         };
         let others = known.members.values().filter(|member| member.counts(now));
--- a/crates/entry/src/control/relay.rs
+++ b/crates/entry/src/control/relay.rs
@@ -117,6 +117,7 @@
         match message {
             Message::State(state) => self.on_state(from, state),
             Message::Loads(loads) => self.on_loads(from, loads, now),
+            Message::Warmed(keys) => self.loads.heard.put(keys),
             Message::Want(want) => self.answer_want(from, want, now),
             Message::Routes(routes) => {
                 let taken = self.known.borrow_mut().picture.apply_routes(&routes);
--- a/crates/entry/src/loads.rs
+++ b/crates/entry/src/loads.rs
@@ -1,14 +1,20 @@
-//! Requests in flight at upstreams, between the two threads.
+//! Requests in flight at upstreams and keys that these are warm for, between the two threads.
 
-use crate::message::UpstreamLoad;
+use crate::message::{
+    UpstreamLoad,
+    WarmKey, //
+};
 use arc_swap::ArcSwap;
 use base::FastMap;
 use std::sync::{
     atomic::{
+        AtomicBool,
         AtomicU64,
         Ordering, //
     },
-    Arc, //
+    Arc,
+    Mutex,
+    PoisonError, //
 };
 
 /// What each thread tells the other; neither waits.
@@ -20,6 +26,12 @@
     others: ArcSwap<FastMap<u64, u32>>,
     /// Grows with each change of `others`.
     number: AtomicU64,
+    /// Keys that this entry's requests warmed upstreams for, from traffic to control.
+    pub(crate) warmed: WarmQueue,
+    /// Those that other entries told of, from control to traffic.
+    pub(crate) heard: WarmQueue,
+    /// Another entry has just been connected and knows nothing: all keys are to be told once more.
+    pub(crate) tell_all: AtomicBool,
 }
 
 impl Loads {
@@ -39,3 +51,29 @@
         Some(self.others.load_full())
     }
 }
+
+/// Most keys that wait in a queue: several seconds of any entry's requests. Beyond it keys are left out, which
+/// makes choices worse, never wrong.
+const QUEUE_MAX: usize = 4096;
+
+/// Keys on their way from one thread to the other.
+///
+/// The lock is held for as long as it takes to append to a list or to take it away, so neither thread waits
+/// for the other's work.
+#[derive(Debug, Default)]
+pub(crate) struct WarmQueue(Mutex<Vec<WarmKey>>);
+
+impl WarmQueue {
+    /// Appends keys.
+    pub(crate) fn put(&self, keys: impl IntoIterator<Item = WarmKey>) {
+        let mut queue = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let room = QUEUE_MAX.saturating_sub(queue.len());
+        queue.extend(keys.into_iter().take(room));
+    }
+
+    /// Takes all keys.
+    pub(crate) fn take(&self) -> Vec<WarmKey> {
+        let mut queue = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::take(&mut queue)
+    }
+}
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -30,6 +30,8 @@
     Evacuations(Vec<(DomainId, Evacuation)>),
     /// Upstreams.
     Upstreams(Vec<UpstreamUpdate>),
+    /// Affinity keys that the sender has sent to upstreams which it did not know to be warm for them.
+    Warmed(Vec<WarmKey>),
     /// The sender's requests in flight at upstreams; none at those not named.
     Loads(Vec<UpstreamLoad>),
 }
@@ -43,6 +45,15 @@
     pub(crate) u32,
 );
 
+/// An affinity key that an upstream had.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct WarmKey(
+    /// Hash of the upstream's name, as [`balance::affinity`] makes it.
+    pub(crate) u64,
+    /// Hash of the key, made likewise.
+    pub(crate) u64,
+);
+
 /// State of an entry; told at intervals and at each change.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub(crate) struct State {
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -3,6 +3,7 @@
 use crate::settings::Bounds;
 use balance::Location;
 use base::{
+    DomainId,
     Now,
     RegionId,
     ServiceId,
@@ -20,6 +21,7 @@
     pub(crate) id: UpstreamId,
     pub(crate) service: ServiceId,
     pub(crate) region: RegionId,
+    pub(crate) failure_domain: DomainId,
     pub(crate) addr: SocketAddr,
     pub(crate) slots: u32,
     /// Gets no new work: it leaves, is gone, or its failure domain is evacuated.
--- a/crates/entry/src/traffic/fleet.rs
+++ b/crates/entry/src/traffic/fleet.rs
@@ -2,7 +2,10 @@
 
 use crate::{
     loads::Loads,
-    message::UpstreamLoad,
+    message::{
+        UpstreamLoad,
+        WarmKey, //
+    },
     settings::{
         Bounds,
         Settings, //
@@ -84,6 +87,8 @@
     number: u64,
     routes_version: Version,
     loads_seen: u64,
+    /// Keys that were sent to upstreams not known to be warm for them, and not told yet.
+    warmed: Vec<WarmKey>,
 }
 
 impl Fleet {
@@ -100,6 +105,7 @@
             number: 0,
             routes_version: 0,
             loads_seen: 0,
+            warmed: Vec::new(),
         }
     }
 
@@ -218,6 +224,12 @@
                 let load = upstream.load(now);
                 let report_age = upstream.report_age(now);
                 upstream.in_flight += 1;
+                if need.keyed {
+                    upstream.warm.note(need.key, now);
+                    if !warm {
+                        self.warmed.push(WarmKey(upstream.hash, need.key));
+                    }
+                }
                 if upstream.is_cold(now) {
                     upstream.cold_gate.note_sent(now);
                 }
@@ -235,6 +247,7 @@
                     slots: upstream.slots,
                     report_age,
                     region: upstream.region.clone(),
+                    failure_domain: upstream.failure_domain.clone(),
                     expected: logged(expected),
                 };
                 Placed::Send { target, placement }
@@ -348,8 +361,30 @@
             .collect()
     }
 
-    /// Takes over what the other entries have in flight, if that changed.
-    pub(super) fn follow_loads(&mut self, loads: &Loads) {
+    /// Keys that upstreams were warmed for since the last call, or all that are known to be warm.
+    pub(super) fn take_warmed(&mut self, all: bool) -> Vec<WarmKey> {
+        let mut warmed = std::mem::take(&mut self.warmed);
+        if all {
+            warmed.clear();
+            let upstreams = self.groups.values().flat_map(|group| &group.upstreams);
+            for upstream in upstreams {
+                warmed.extend(upstream.warm.keys().map(|key| WarmKey(upstream.hash, key)));
+            }
+        }
+        warmed
+    }
+
+    /// Takes over what the other entries told: keys that upstreams are warm for, and requests in flight.
+    pub(super) fn follow_loads(&mut self, loads: &Loads, now: Now) {
+        for WarmKey(upstream, key) in loads.heard.take() {
+            let upstreams = self
+                .groups
+                .values_mut()
+                .flat_map(|group| &mut group.upstreams);
+            for upstream in upstreams.filter(|known| known.hash == upstream) {
+                upstream.warm.note(key, now);
+            }
+        }
         let Some(sums) = loads.others_since(&mut self.loads_seen) else {
             return;
         };
--- a/crates/entry/src/traffic/group.rs
+++ b/crates/entry/src/traffic/group.rs
@@ -49,7 +49,12 @@
             let place = before.iter().position(|upstream| upstream.id == view.id);
             let mut upstream = match place {
                 Some(place) => before.swap_remove(place),
-                None => Upstream::new(view.id.clone(), view.region.clone(), view.slots),
+                None => Upstream::new(
+                    view.id.clone(),
+                    view.region.clone(),
+                    view.failure_domain.clone(),
+                    view.slots,
+                ),
             };
             upstream.closed = view.closed;
             upstream.cold_until = view.cold_until;
--- a/crates/entry/src/traffic/log.rs
+++ b/crates/entry/src/traffic/log.rs
@@ -230,6 +230,8 @@
     Sent {
         upstream: upstream.clone(),
         region: placement.region.clone(),
+        failure_domain: placement.failure_domain.clone(),
+        key: placement.key.map(|key| format!("{key:016x}")),
         load: placement.load,
         slots: placement.slots,
         report_age_ms: placement.report_age.map(millis),
--- a/crates/entry/src/traffic/placement.rs
+++ b/crates/entry/src/traffic/placement.rs
@@ -3,6 +3,7 @@
 use crate::traffic::log::millis;
 use balance::Expectation;
 use base::{
+    DomainId,
     RegionId,
     ServiceId,
     UpstreamId, //
@@ -49,6 +50,8 @@
     pub(super) report_age: Option<Duration>,
     /// Its region.
     pub(super) region: RegionId,
+    /// Its failure domain.
+    pub(super) failure_domain: DomainId,
     /// What was expected of it.
     pub(super) expected: Expected,
 }
--- a/crates/entry/src/traffic/ports.rs
+++ b/crates/entry/src/traffic/ports.rs
@@ -17,7 +17,10 @@
     io,
     net::TcpListener,
     rc::Rc,
-    sync::Arc,
+    sync::{
+        atomic::Ordering,
+        Arc, //
+    },
     time::Duration, //
 };
 use tokio::net::TcpListener as Listener;
@@ -58,7 +61,11 @@
     loop {
         tokio::time::sleep(LOADS_INTERVAL).await;
         let own = traffic.fleet.borrow().loads();
-        traffic.shared.loads.own.store(Arc::new(own));
+        let shared = &traffic.shared.loads;
+        shared.own.store(Arc::new(own));
+        let mut fleet = traffic.fleet.borrow_mut();
+        let all = shared.tell_all.swap(false, Ordering::Relaxed);
+        shared.warmed.put(fleet.take_warmed(all));
     }
 }
 
--- a/crates/event/src/request.rs
+++ b/crates/event/src/request.rs
@@ -2,6 +2,7 @@
 
 use balance::Census;
 use base::{
+    DomainId,
     RegionId,
     ServiceId,
     UpstreamId,
@@ -115,6 +116,11 @@
     pub upstream: UpstreamId,
     /// Its region.
     pub region: RegionId,
+    /// Its failure domain.
+    pub failure_domain: DomainId,
+    /// Hash of the request's affinity key, in hexadecimal, if it has one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub key: Option<String>,
     /// Requests that it had, as far as known.
     pub load: f64,
     /// Requests that it works on at a time.
--- a/crates/event/tests/lines.rs
+++ b/crates/event/tests/lines.rs
@@ -18,6 +18,8 @@
     Sent {
         upstream: "u-1".into(),
         region: "moshi".into(),
+        failure_domain: "moshi-a".into(),
+        key: Some("00000000000000a7".into()),
         load: 2.5,
         slots: 9,
         report_age_ms: Some(120),
--- a/crates/explain/tests/causes.rs
+++ b/crates/explain/tests/causes.rs
@@ -25,6 +25,8 @@
     Sent {
         upstream: "u-1".into(),
         region: "moshi".into(),
+        failure_domain: "moshi-a".into(),
+        key: Some("00000000000000a7".into()),
         load: 3.0,
         slots: 9,
         report_age_ms: Some(80),
