A few entries serve a cold upstream where its bound is less than a request an entry

Change: such a bound is served by as many entries as it has whole requests (four fifths of it), those that the upstream ranks highest; entries are counted by name over the store's list and the sessions.

Test: many_entries_together_keep_the_bound_of_a_cold_upstream (20 of 12 before, with 22 entries).

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -35,7 +35,10 @@
     Location,
     Query, //
 };
-pub use cold::ColdGate;
+pub use cold::{
+    ColdBound,
+    ColdGate, //
+};
 pub use health::Health;
 pub use part::part;
 pub use rank::{
--- a/crates/balance/tests/budgets.rs
+++ b/crates/balance/tests/budgets.rs
@@ -1,6 +1,8 @@
 //! Bounds over all entries, kept by each entry's part alone.
 
 use balance::{
+    affinity,
+    ColdBound,
     ColdGate,
     RetryBudget,
     ShiftBound,
@@ -130,6 +132,33 @@
     }
 }
 
+/// Symptom: a cold upstream that bears 12 requests in a second got 20. Sequence: it is listed, and each of the 22
+/// entries of its region sends one. Cause: a part of less than one request was rounded up.
+#[test]
+fn many_entries_together_keep_the_bound_of_a_cold_upstream() {
+    const BOUND: f64 = 12.5;
+    for count in [1, 2, 5, 9, 10, 11, 22, 67, 530] {
+        let names = 0..count as u64;
+        let entries: Vec<u64> = names.map(|n| affinity(&n.to_le_bytes())).collect();
+        for upstream in (0..50_u64).map(|number| affinity(&[number as u8, 7])) {
+            let mut sent = 0;
+            for own in &entries {
+                let bound = ColdBound {
+                    per_s: BOUND,
+                    own: *own,
+                    entries: &entries,
+                };
+                let mut gate = ColdGate::default();
+                while gate.fits(bound.part(upstream), ms(500)) {
+                    gate.note_sent(ms(500));
+                    sent += 1;
+                }
+            }
+            assert!((1..=12).contains(&sent), "{sent} of {count} entries");
+        }
+    }
+}
+
 #[test]
 fn cold_upstream_is_closed_while_its_part_is_unknown() {
     let mut gate = ColdGate::default();
--- a/crates/balance/tests/choose.rs
+++ b/crates/balance/tests/choose.rs
@@ -5,6 +5,7 @@
     choose,
     rank,
     Choice,
+    ColdBound,
     Location,
     Query,
     Reported,
@@ -74,7 +75,11 @@
         homes: &[],
         tried: &[],
         full_regions: &[],
-        cold_per_s: 10.0,
+        cold: ColdBound {
+            per_s: 10.0,
+            own: 1,
+            entries: &[1],
+        },
         work: work(),
     }
 }
--- a/crates/entry/src/control/members.rs
+++ b/crates/entry/src/control/members.rs
@@ -48,6 +48,7 @@
     Serialize, //
 };
 use std::{
+    collections::BTreeMap,
     net::{
         SocketAddr,
         TcpListener, //
@@ -221,12 +222,12 @@
             .increment(1);
         let now = self.now();
         let mut partners = Vec::new();
-        let mut regions = Vec::new();
+        let mut registered = BTreeMap::new();
         for row in &rows {
             let instance = row.key.strip_prefix(ENTRIES).unwrap_or(&row.key);
             match serde_json::from_str::<EntryRow>(&row.value) {
                 Ok(entry) => {
-                    regions.push(entry.region);
+                    registered.insert(InstanceId::from(instance), entry.region);
                     partners.push(Partner {
                         instance: instance.into(),
                         addr: entry.peers_addr,
@@ -240,7 +241,7 @@
                 }
             }
         }
-        self.known.borrow_mut().registered = Some(regions);
+        self.known.borrow_mut().registered = Some(registered);
         if let Some(mesh) = &*self.mesh.borrow() {
             mesh.set_partners(partners);
         }
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -33,7 +33,10 @@
     },
 };
 use arc_swap::ArcSwap;
-use balance::Location;
+use balance::{
+    affinity,
+    Location, //
+};
 use base::{
     InstanceId,
     Now,
@@ -53,7 +56,10 @@
 use route::Table;
 use std::{
     cell::RefCell,
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     rc::Rc,
     sync::Arc,
     time::{
@@ -99,8 +105,8 @@
     /// Compiled routes of the picture.
     table: Option<Arc<Table>>,
     members: BTreeMap<InstanceId, Member>,
-    /// Region of each entry that the store lists, this one included; `None` until it was read.
-    registered: Option<Vec<RegionId>>,
+    /// Entries that the store lists, this one included, with their regions; `None` until it was read.
+    registered: Option<BTreeMap<InstanceId, RegionId>>,
     bounds: Bounds,
     stopping: bool,
     number: u64,
@@ -284,30 +290,41 @@
             round_trips: self.round_trips(known),
         };
         let others = known.members.values().filter(|member| member.counts(now));
-        let here_count = others
-            .clone()
-            .filter(|member| member.region == settings.region)
-            .count();
-        let counted = known.registered.is_some();
-        let registered = known.registered.as_deref().unwrap_or_default();
-        let registered_here = registered
-            .iter()
-            .filter(|region| **region == settings.region)
-            .count();
+        let registered = known.registered.as_ref();
         Snapshot {
             number: known.number,
             made_at: now,
             table: known.table.clone(),
             upstreams: upstreams.collect(),
             entries: self.entries(known),
-            entries_known: counted.then_some((others.count() + 1).max(registered.len())),
-            entries_in_region: counted.then_some((here_count + 1).max(registered_here)),
+            entries_known: registered.map(|registered| (others.count() + 1).max(registered.len())),
+            entries_in_region: self.entries_in_region(known, now),
             here,
             bounds: known.bounds.clone(),
             stopping: known.stopping,
         }
     }
 
+    /// Hashes of the names of all entries of this region that may be sending; none until the store's list was read.
+    fn entries_in_region(&self, known: &Known, now: Now) -> Vec<u64> {
+        let Some(registered) = &known.registered else {
+            return Vec::new();
+        };
+        let members = known
+            .members
+            .iter()
+            .filter(|(_, member)| member.counts(now));
+        let members = members.map(|(instance, member)| (instance, &member.region));
+        let own = (&self.settings.instance, &self.settings.region);
+        let all = members.chain(registered).chain([own]);
+        let here = all.filter(|(_, region)| **region == self.settings.region);
+        let names: BTreeSet<&InstanceId> = here.map(|(instance, _)| instance).collect();
+        names
+            .into_iter()
+            .map(|name| affinity(name.as_bytes()))
+            .collect()
+    }
+
     /// Entries that take new callers.
     fn entries(&self, known: &Known) -> Vec<EntryView> {
         let mut entries = Vec::with_capacity(known.members.len() + 1);
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -52,8 +52,9 @@
     /// Entries that may be sending, however little was heard of them, this one included; `None` until the
     /// others have been looked for.
     pub(crate) entries_known: Option<usize>,
-    /// Of these, the ones of this region.
-    pub(crate) entries_in_region: Option<usize>,
+    /// Of these, hashes of the names of the ones of this region, this one included; empty as long as they are not
+    /// known.
+    pub(crate) entries_in_region: Vec<u64>,
     /// Where this entry is.
     pub(crate) here: Location,
     /// Promised bounds.
--- a/crates/entry/src/traffic/fleet.rs
+++ b/crates/entry/src/traffic/fleet.rs
@@ -27,10 +27,12 @@
     },
 };
 use balance::{
+    affinity,
     choose,
     part,
     Census,
     Choice,
+    ColdBound,
     Query,
     Reported,
     ShiftBound,
@@ -82,7 +84,9 @@
     shift: ShiftBound,
     here: balance::Location,
     entries_known: Option<usize>,
-    entries_in_region: Option<usize>,
+    /// Hash of this entry's name.
+    own: u64,
+    entries_in_region: Vec<u64>,
     cold_rates: FastMap<ServiceId, f64>,
     number: u64,
     routes_version: Version,
@@ -100,7 +104,8 @@
             shift: ShiftBound::new(SHIFT_WINDOW),
             here: balance::Location::default(),
             entries_known: None,
-            entries_in_region: None,
+            own: affinity(settings.instance.as_bytes()),
+            entries_in_region: Vec::new(),
             cold_rates: FastMap::default(),
             number: 0,
             routes_version: 0,
@@ -118,7 +123,8 @@
         self.here = snapshot.here.clone();
         self.bounds = snapshot.bounds.clone();
         self.entries_known = snapshot.entries_known;
-        self.entries_in_region = snapshot.entries_in_region;
+        self.entries_in_region
+            .clone_from(&snapshot.entries_in_region);
         let mut views: FastMap<&ServiceId, Vec<&UpstreamView>> = FastMap::default();
         for view in &snapshot.upstreams {
             views.entry(&view.service).or_default().push(view);
@@ -193,7 +199,7 @@
 
     /// Decides where a request goes; what it is sent to then counts it as in flight.
     pub(super) fn place(&mut self, need: &Need<'_>, now: Now) -> Placed {
-        let cold_per_s = self.cold_per_s(need.service, now);
+        let cold_per_s = self.cold_per_s(need.service);
         let full_regions = self.full_regions(need.service, now);
         let Some(group) = self.groups.get_mut(need.service) else {
             return Placed::Refuse(Refused::new(Reason::NoUpstreamListed, NOT_LISTED_RETRY));
@@ -210,7 +216,15 @@
             homes: &need.route.homes,
             tried: &tried,
             full_regions: &full_regions,
-            cold_per_s,
+            cold: ColdBound {
+                per_s: cold_per_s,
+                own: self.own,
+                entries: if now > FORMER_LIFE {
+                    &self.entries_in_region
+                } else {
+                    &[]
+                },
+            },
             work: group.work(&need.route.id),
         };
         match choose(&mut group.upstreams, &query, &self.here, now) {
@@ -289,15 +303,13 @@
         full
     }
 
-    /// This entry's part of what a cold upstream of this region bears; zero as long as it isn't known.
-    fn cold_per_s(&self, service: &ServiceId, now: Now) -> f64 {
+    /// Requests in a second that a cold upstream bears.
+    fn cold_per_s(&self, service: &ServiceId) -> f64 {
         let rate = self.cold_rates.get(service).copied().unwrap_or(0.0);
         if rate <= 0.0 {
             return f64::MAX;
         }
-        let bound = rate * self.bounds.cold_factor + self.bounds.cold_slack;
-        let counted = self.entries_in_region.filter(|_| now > FORMER_LIFE);
-        part(bound, counted)
+        rate * self.bounds.cold_factor + self.bounds.cold_slack
     }
 
     /// A request is no longer at an upstream.
