--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -174,6 +174,9 @@
     /// Id of the request; without it, all failures are counted by cause.
     #[arg(long)]
     pub(crate) id: Option<String>,
+    /// Count all requests by route, failure domain, way to the upstream, cause and second.
+    #[arg(long, conflicts_with = "id")]
+    pub(crate) summary: bool,
     /// Logs of any number of processes; `-` is standard input.
     #[arg(required = true)]
     pub(crate) files: Vec<PathBuf>,
--- a/crates/ctl/src/command/explain.rs
+++ b/crates/ctl/src/command/explain.rs
@@ -35,6 +35,10 @@
             Ok(story) => Ok(Output::new(story.to_string(), &story)),
             Err(unknown) => Err(Failure::Refused(unknown.to_string())),
         },
+        None if args.summary => {
+            let summary = logs.summary();
+            Ok(Output::new(summary.to_string(), &summary))
+        }
         None => Ok(failures(&logs)),
     }
 }
--- a/crates/entry/src/control/feeds.rs
+++ b/crates/entry/src/control/feeds.rs
@@ -37,9 +37,14 @@
 /// A first change is read at once, since a call waits for it.
 ///
 /// What goes wrong without it: rows that are written one after the other, as by upstreams that start or are
-/// replaced, each end a call of every entry, and each such call costs the store work. A quarter of a second is a tenth
-/// of the shortest bound within which a change has to be in force.
-const GATHER: Duration = Duration::from_millis(250);
+/// replaced, each end a call of every entry, and each such call costs the store work. So it grows with the entries:
+/// all of them together make a hundred calls a second for a table, a tenth of what the smallest store bears for
+/// all purposes.
+const GATHER_PER_ENTRY: Duration = Duration::from_millis(10);
+/// Least such time: a tenth of the shortest bound within which a change has to be in force.
+const GATHER_MIN: Duration = Duration::from_millis(250);
+/// Longest such time: a third of that bound.
+const GATHER_MAX: Duration = Duration::from_millis(800);
 /// First pause after a call that failed.
 const PAUSE_MIN: Duration = Duration::from_millis(200);
 /// Longest pause after a call that failed: what the store says after its return has to be in force
@@ -157,6 +162,13 @@
         }
     }
 
+    fn gather(&self) -> Duration {
+        let entries = self.known.borrow().members.len() + 1;
+        let entries = u32::try_from(entries).unwrap_or(u32::MAX);
+        let gather = GATHER_PER_ENTRY.saturating_mul(entries);
+        gather.clamp(GATHER_MIN, GATHER_MAX)
+    }
+
     /// The next changes, however long it takes; `None` if the table has to be read anew.
     async fn next_changes(
         &self,
@@ -166,7 +178,7 @@
     ) -> Option<Rows> {
         loop {
             let gathered = self.now().saturating_sub(calls.changed_at);
-            tokio::time::sleep(GATHER.saturating_sub(gathered)).await;
+            tokio::time::sleep(self.gather().saturating_sub(gathered)).await;
             let begun = self.now();
             match self.store.changes(table, position, WAIT).await {
                 // A position before ours: another history than the one that we followed.
--- a/crates/explain/src/lib.rs
+++ b/crates/explain/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! - `logs` reads lines, and remembers which could not be read.
 //! - `story` puts the lines of one request together, with their surroundings.
+//! - `summary` counts all requests by what they have in common.
 //! - `text` says each event in a line; `fault` lists what can go wrong.
 //! - `cause` names what went wrong; it reads events only, so each rule is a few lines with a test.
 //!
@@ -16,6 +17,7 @@
 mod fault;
 mod logs;
 mod story;
+mod summary;
 mod text;
 
 pub use cause::Cause;
@@ -30,3 +32,7 @@
     Story,
     Unknown, //
 };
+pub use summary::{
+    Ends,
+    Summary, //
+};
--- a/crates/explain/src/logs.rs
+++ b/crates/explain/src/logs.rs
@@ -7,6 +7,7 @@
         Story,
         Unknown, //
     },
+    summary::Summary,
 };
 use base::{
     FastMap,
@@ -170,6 +171,15 @@
             })
     }
 
+    /// Failure domain of an instance, as it said at its start.
+    pub(crate) fn failure_domain(&self, instance: &str) -> Option<&str> {
+        self.of_instance(instance)
+            .find_map(|line| match &line.event {
+                Event::Started { failure_domain, .. } => Some(&**failure_domain),
+                _ => None,
+            })
+    }
+
     /// The story of one request.
     ///
     /// # Errors
@@ -187,6 +197,20 @@
     /// Requests that failed, by fault: how many, and the id of the first.
     pub fn failures(&self) -> BTreeMap<Fault, (usize, String)> {
         let mut failures = BTreeMap::new();
+        for (_, ended, fault) in self.ends().filter(|(_, _, fault)| fault.is_failure()) {
+            let first = || (0, ended.id.clone());
+            failures.entry(fault).or_insert_with(first).0 += 1;
+        }
+        failures
+    }
+
+    /// How requests ended, counted by what they have in common.
+    pub fn summary(&self) -> Summary {
+        Summary::new(self)
+    }
+
+    /// The end of each request and what went wrong with it.
+    pub(crate) fn ends(&self) -> impl Iterator<Item = (&Line, &RequestEnded, Fault)> {
         let mut sends: FastMap<&str, Vec<&Placed>> = FastMap::default();
         for placed in &self.lines {
             if let (Some(id), false) = (placed.line.event.request_id(), is_end(&placed.line.event))
@@ -194,19 +218,15 @@
                 sends.entry(id).or_default().push(placed);
             }
         }
-        for placed in &self.lines {
+        self.lines.iter().filter_map(move |placed| {
             let Event::Request(ended) = &placed.line.event else {
-                continue;
+                return None;
             };
             let mut lines = sends.get(ended.id.as_str()).cloned().unwrap_or_default();
             lines.push(placed);
             let fault = find_cause(self, &lines).fault;
-            if fault.is_failure() {
-                let first = || (0, ended.id.clone());
-                failures.entry(fault).or_insert_with(first).0 += 1;
-            }
-        }
-        failures
+            Some((&placed.line, ended.as_ref(), fault))
+        })
     }
 }
 
