--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -110,6 +110,8 @@
     pub cold: ColdBound<'a>,
     /// Times of the service's work.
     pub work: Work,
+    /// Keys that its upstreams remember.
+    pub memory_keys: usize,
 }
 
 /// What is expected of one upstream.
@@ -128,8 +130,8 @@
     Send {
         /// Place among the upstreams.
         place: usize,
-        /// The upstream had its key lately.
-        warm: bool,
+        /// The upstream had its key lately; how many others it had since.
+        warm: Option<usize>,
         /// It should find a free slot.
         idle: bool,
         /// What is expected of it.
@@ -166,7 +168,8 @@
     place: usize,
     rank: u64,
     crossing: Crossing,
-    known_warm: bool,
+    /// How many other keys it had since it had this one, if it still remembers it.
+    known_warm: Option<usize>,
     /// How many upstreams of the same region the key ranks higher.
     order: usize,
     /// It is the one of this entry's failure domain that the key ranks highest.
@@ -178,7 +181,7 @@
 struct Expected {
     place: usize,
     crossing: Crossing,
-    known_warm: bool,
+    known_warm: Option<usize>,
     order: usize,
     nearest: bool,
     /// Part of its region's slots that are busy.
@@ -250,7 +253,7 @@
         Crossing::None | Crossing::Domain => USED_NEAR,
         Crossing::Region => USED_FAR,
     };
-    !query.keyed || candidate.known_warm || candidate.nearest || candidate.order < used
+    !query.keyed || candidate.known_warm.is_some() || candidate.nearest || candidate.order < used
 }
 
 /// Part of the slots of a region's open upstreams that are busy.
@@ -300,7 +303,11 @@
         let nearer = expected
             .iter()
             .find(|one| one.nearest && one.expectation.wait.is_zero());
-        return Some(nearer.filter(|one| !one.known_warm).unwrap_or(best));
+        return Some(
+            nearer
+                .filter(|one| one.known_warm.is_none())
+                .unwrap_or(best),
+        );
     }
     Some(best)
 }
@@ -313,7 +320,7 @@
     now: Now,
 ) -> Expected {
     let upstream = &upstreams[candidate.place];
-    let work = if query.keyed && candidate.known_warm {
+    let work = if query.keyed && candidate.known_warm.is_some() {
         query.work.warm()
     } else if query.keyed && candidate.order == 0 {
         query.work.assumed()
@@ -387,7 +394,11 @@
             place,
             rank: rank(query.key, upstream.hash),
             crossing,
-            known_warm: query.keyed && upstream.warm.has(query.key, now),
+            known_warm: query
+                .keyed
+                .then(|| upstream.warm.since(query.key, now))
+                .flatten()
+                .filter(|since| *since < query.memory_keys),
             order: 0,
             nearest: false,
         };
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -18,6 +18,7 @@
 mod choose;
 mod cold;
 mod health;
+mod memory;
 mod part;
 mod rank;
 mod retry;
@@ -40,6 +41,7 @@
     ColdGate, //
 };
 pub use health::Health;
+pub use memory::Memory;
 pub use part::part;
 pub use rank::{
     affinity,
