--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -110,8 +110,6 @@
     pub cold: ColdBound<'a>,
     /// Times of the service's work.
     pub work: Work,
-    /// Keys that its upstreams remember.
-    pub memory_keys: usize,
 }
 
 /// What is expected of one upstream.
@@ -130,8 +128,8 @@
     Send {
         /// Place among the upstreams.
         place: usize,
-        /// The upstream had its key lately; how many others it had since.
-        warm: Option<usize>,
+        /// The upstream had its key lately.
+        warm: bool,
         /// It should find a free slot.
         idle: bool,
         /// What is expected of it.
@@ -168,8 +166,7 @@
     place: usize,
     rank: u64,
     crossing: Crossing,
-    /// How many other keys it had since it had this one, if it still remembers it.
-    known_warm: Option<usize>,
+    known_warm: bool,
     /// How many upstreams of the same region the key ranks higher.
     order: usize,
     /// It is the one of this entry's failure domain that the key ranks highest.
@@ -181,7 +178,7 @@
 struct Expected {
     place: usize,
     crossing: Crossing,
-    known_warm: Option<usize>,
+    known_warm: bool,
     order: usize,
     nearest: bool,
     /// Part of its region's slots that are busy.
@@ -253,7 +250,7 @@
         Crossing::None | Crossing::Domain => USED_NEAR,
         Crossing::Region => USED_FAR,
     };
-    !query.keyed || candidate.known_warm.is_some() || candidate.nearest || candidate.order < used
+    !query.keyed || candidate.known_warm || candidate.nearest || candidate.order < used
 }
 
 /// Part of the slots of a region's open upstreams that are busy.
@@ -303,11 +300,7 @@
         let nearer = expected
             .iter()
             .find(|one| one.nearest && one.expectation.wait.is_zero());
-        return Some(
-            nearer
-                .filter(|one| one.known_warm.is_none())
-                .unwrap_or(best),
-        );
+        return Some(nearer.filter(|one| !one.known_warm).unwrap_or(best));
     }
     Some(best)
 }
@@ -320,7 +313,7 @@
     now: Now,
 ) -> Expected {
     let upstream = &upstreams[candidate.place];
-    let work = if query.keyed && candidate.known_warm.is_some() {
+    let work = if query.keyed && candidate.known_warm {
         query.work.warm()
     } else if query.keyed && candidate.order == 0 {
         query.work.assumed()
@@ -394,11 +387,7 @@
             place,
             rank: rank(query.key, upstream.hash),
             crossing,
-            known_warm: query
-                .keyed
-                .then(|| upstream.warm.since(query.key, now))
-                .flatten()
-                .filter(|since| *since < query.memory_keys),
+            known_warm: query.keyed && upstream.warm.has(query.key, now),
             order: 0,
             nearest: false,
         };
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -18,7 +18,6 @@
 mod choose;
 mod cold;
 mod health;
-mod memory;
 mod part;
 mod rank;
 mod retry;
@@ -41,7 +40,6 @@
     ColdGate, //
 };
 pub use health::Health;
-pub use memory::Memory;
 pub use part::part;
 pub use rank::{
     affinity,
--- a/crates/balance/src/warm.rs
+++ b/crates/balance/src/warm.rs
@@ -6,9 +6,9 @@
 };
 use std::time::Duration;
 
-/// Most keys remembered for each upstream, some more than any remembers itself; how many of them count is learned by
-/// [`crate::Memory`].
-pub(crate) const KEYS: usize = 128;
+/// Keys remembered for each upstream. An upstream remembers some dozens to a hundred itself; more
+/// here would take a key for warm that it has dropped long since.
+const KEYS: usize = 128;
 /// How long a key counts as had lately.
 const LATELY: Duration = Duration::from_secs(60);
 
@@ -35,10 +35,9 @@
         self.last.keys().copied()
     }
 
-    /// How many other keys it had since it had this one, if it had it lately.
-    pub fn since(&self, key: u64, now: Now) -> Option<usize> {
-        let last = *self.last.get(&key)?;
-        let lately = now.saturating_sub(last) < LATELY;
-        lately.then(|| self.last.values().filter(|at| **at > last).count())
+    /// Whether it had the key lately.
+    pub fn has(&self, key: u64, now: Now) -> bool {
+        let last = self.last.get(&key);
+        last.is_some_and(|at| now.saturating_sub(*at) < LATELY)
     }
 }
--- a/crates/balance/src/work.rs
+++ b/crates/balance/src/work.rs
@@ -57,13 +57,6 @@
         self.warm_s = Some(warm + weight * (took_s - warm));
     }
 
-    /// Whether an answer that took so long was warm; `None` as long as warm and cold work don't differ enough to tell.
-    pub fn was_warm(&self, took: Duration) -> Option<bool> {
-        let (warm, cold) = (self.warm_s?, self.cold_s?);
-        let border = (warm * cold).sqrt();
-        (cold > warm * WARM_UP_TO).then(|| took.as_secs_f64() < border)
-    }
-
     /// Work whose key the upstream had lately.
     pub fn warm(&self) -> Duration {
         let cold = self.cold();
--- a/crates/balance/tests/choose.rs
+++ b/crates/balance/tests/choose.rs
@@ -80,7 +80,6 @@
             own: 1,
             entries: &[1],
         },
-        memory_keys: 100,
         work: work(),
     }
 }
--- a/crates/entry/src/traffic/fleet.rs
+++ b/crates/entry/src/traffic/fleet.rs
@@ -227,7 +227,6 @@
                 },
             },
             work: group.work(&need.route.id),
-            memory_keys: group.memory.keys(),
         };
         match choose(&mut group.upstreams, &query, &self.here, now) {
             Choice::Send {
@@ -242,7 +241,7 @@
                 upstream.in_flight += 1;
                 if need.keyed {
                     upstream.warm.note(need.key, now);
-                    if warm.is_none() {
+                    if !warm {
                         self.warmed.push(WarmKey(upstream.hash, need.key));
                     }
                 }
@@ -362,15 +361,9 @@
         if let Some(key) = placement.key {
             upstream.warm.note(key, now);
         }
-        let keys_known = upstream.warm.keys().count();
         if placement.idle && !upstream.is_cold(now) {
             let known = group.work.entry(placement.route.clone()).or_default();
-            if let Some(since) = placement.warm {
-                if let Some(was_warm) = known.was_warm(work) {
-                    group.memory.note(since, keys_known, was_warm);
-                }
-            }
-            known.note(placement.warm.is_some(), work);
+            known.note(placement.warm, work);
         }
     }
 
--- a/crates/entry/src/traffic/group.rs
+++ b/crates/entry/src/traffic/group.rs
@@ -5,7 +5,6 @@
     snapshot::UpstreamView, //
 };
 use balance::{
-    Memory,
     RetryBudget,
     Upstream,
     Work, //
@@ -21,8 +20,6 @@
     pub(super) budget: RetryBudget,
     /// Second in which it was last said that the budget is spent.
     pub(super) spent_told: Option<u64>,
-    /// Keys that its upstreams remember.
-    pub(super) memory: Memory,
     /// Times of the work of each route: routes of one service may differ by far.
     pub(super) work: FastMap<ByteString, Work>,
 }
@@ -35,7 +32,6 @@
             addrs: Vec::new(),
             budget: RetryBudget::new(bounds.retry_ratio, bounds.retry_window),
             spent_told: None,
-            memory: Memory::default(),
             work: FastMap::default(),
         }
     }
--- a/crates/entry/src/traffic/log.rs
+++ b/crates/entry/src/traffic/log.rs
@@ -235,7 +235,7 @@
         load: placement.load,
         slots: placement.slots,
         report_age_ms: placement.report_age.map(millis),
-        warm: placement.warm.is_some(),
+        warm: placement.warm,
         expected: placement.expected,
     }
 }
--- a/crates/entry/src/traffic/placement.rs
+++ b/crates/entry/src/traffic/placement.rs
@@ -59,8 +59,8 @@
     pub(super) route: ByteString,
     /// Its affinity key, if it has one that makes a difference.
     pub(super) key: Option<u64>,
-    /// The upstream had that key lately; how many others it had since.
-    pub(super) warm: Option<usize>,
+    /// The upstream had that key lately.
+    pub(super) warm: bool,
     /// It should find a free slot.
     pub(super) idle: bool,
     /// Requests that the upstream had, as far as known.
