--- a/crates/entry/src/control/loads.rs
+++ b/crates/entry/src/control/loads.rs
@@ -36,9 +36,9 @@
 const FAR_EVERY: u64 = 4;
 /// Shortest time between two tellings: about the time of one request.
 const INTERVAL_MIN: Duration = Duration::from_millis(150);
-/// Age at which what an entry said of its requests says nothing any more: two tellings that are lost, or this time if
-/// it is longer.
+/// Shortest age at which what an entry said of its requests says nothing any more, and ...
 const STALE_MIN: Duration = Duration::from_millis(1200);
+/// ... the tellings that may be due meanwhile: two of three may be lost.
 const STALE_TELLINGS: u32 = 3;
 
 impl<S: Feed + StoreTable + 'static, W: RowReader> Control<S, W> {
