Requests without a key are spread over the region again

Requests without a key all stayed at the upstream of the entry's own failure domain, so that the other one never showed that it works.

Change: a failure domain's boundary costs nothing where there is no key.

--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -279,6 +279,8 @@
     let cost = |one: &&Expected| {
         let crossed = match one.crossing {
             Crossing::None => 0.0,
+            // Requests without a key are spread over the region: an upstream that gets none is not known to work.
+            Crossing::Domain if !query.keyed => 0.0,
             Crossing::Domain => DOMAIN_COST,
             Crossing::Region => REGION_COST,
         };
--- a/crates/balance/tests/choose.rs
+++ b/crates/balance/tests/choose.rs
@@ -259,6 +259,22 @@
     assert_eq!(sent_to(choose(&mut all, &query(key), &here(), NOW)), 2);
 }
 
+/// Symptom: an upstream of the other failure domain got no request for as long as the near one had room. Sequence: requests
+/// without a key all stay in the entry's failure domain. Cause guarded against: a boundary's cost where no key is warm.
+#[test]
+fn requests_without_a_key_are_spread_over_the_region() {
+    let mut all = vec![upstream("h", "home"), upstream_in("i", "home", "b")];
+    let mut counts = [0, 0];
+    for number in 0..100_u64 {
+        let unkeyed = Query {
+            keyed: false,
+            ..query(affinity(&number.to_le_bytes()))
+        };
+        counts[sent_to(choose(&mut all, &unkeyed, &here(), NOW))] += 1;
+    }
+    assert!(counts.iter().all(|count| *count > 30), "{counts:?}");
+}
+
 /// Symptom: a region with few upstreams refused a fifth of its requests for fourteen seconds, while others stood idle.
 /// Sequence: all work stays until no slot is free; from then on the bound on shifts lets little of it go. Cause guarded
 /// against: nothing leaves as long as there is any room. Here all but one slot are busy and warm work would fit.
