--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -198,13 +198,12 @@
         candidates.retain(open);
     }
     put_in_order(&mut candidates, upstreams);
-    let expected: Vec<Expected> = candidates
+    let busy = busy_parts(upstreams, now);
+    let used = candidates
         .iter()
-        .filter(|candidate| is_used(candidate, query))
-        .map(|candidate| Expected {
-            busy: busy_part(upstreams, &upstreams[candidate.place].region, now),
-            ..expect(upstreams, candidate, query, here, now)
-        })
+        .filter(|candidate| is_used(candidate, query));
+    let expected: Vec<Expected> = used
+        .map(|candidate| expect(upstreams, candidate, &busy, query, here, now))
         .collect();
     let Some(best) = best(&expected, query) else {
         return Choice::NoUpstream {
@@ -233,14 +232,17 @@
 /// Puts the candidates into the order in which the key prefers them, and notes it.
 fn put_in_order(candidates: &mut [Candidate], upstreams: &[Upstream]) {
     candidates.sort_unstable_by_key(|candidate| Reverse(candidate.rank));
-    for index in 0..candidates.len() {
-        let (before, rest) = candidates.split_at_mut(index);
-        let candidate = &mut rest[0];
-        let region = &upstreams[candidate.place].region;
-        let same_region = |other: &&Candidate| upstreams[other.place].region == *region;
-        candidate.order = before.iter().filter(same_region).count();
-        let same_domain = |other: &Candidate| other.crossing == Crossing::None;
-        candidate.nearest = same_domain(candidate) && !before.iter().any(same_domain);
+    let mut higher: FastMap<&RegionId, usize> = FastMap::default();
+    let mut nearest_found = false;
+    for candidate in candidates {
+        let higher = higher
+            .entry(&upstreams[candidate.place].region)
+            .or_default();
+        candidate.order = *higher;
+        *higher += 1;
+        if candidate.crossing == Crossing::None {
+            candidate.nearest = !std::mem::replace(&mut nearest_found, true);
+        }
     }
 }
 
@@ -253,16 +255,19 @@
     !query.keyed || candidate.known_warm || candidate.nearest || candidate.order < used
 }
 
-/// Part of the slots of a region's open upstreams that are busy.
-fn busy_part(upstreams: &[Upstream], region: &str, now: Now) -> f64 {
-    let here = upstreams
-        .iter()
-        .filter(|upstream| upstream.region == region && !upstream.is_closed());
-    let (load, slots) = here.fold((0.0, 0.0), |(load, slots), upstream| {
+/// Part of the slots of each region's open upstreams that are busy.
+fn busy_parts(upstreams: &[Upstream], now: Now) -> FastMap<&RegionId, f64> {
+    let mut sums: FastMap<&RegionId, (f64, f64)> = FastMap::default();
+    for upstream in upstreams.iter().filter(|upstream| !upstream.is_closed()) {
+        let (load, slots) = sums.entry(&upstream.region).or_default();
         let own = f64::from(upstream.slots);
-        (load + upstream.load(now).min(own), slots + own)
-    });
-    load / f64::max(slots, 1.0)
+        *load += upstream.load(now).min(own);
+        *slots += own;
+    }
+    let parts = sums.into_iter();
+    parts
+        .map(|(region, (load, slots))| (region, load / slots))
+        .collect()
 }
 
 fn is_in_target(expected: &Expected, query: &Query<'_>) -> bool {
@@ -310,6 +315,7 @@
 fn expect(
     upstreams: &[Upstream],
     candidate: &Candidate,
+    busy: &FastMap<&RegionId, f64>,
     query: &Query<'_>,
     here: &Location,
     now: Now,
@@ -333,7 +339,7 @@
         known_warm: candidate.known_warm,
         order: candidate.order,
         nearest: candidate.nearest,
-        busy: 0.0,
+        busy: busy.get(&upstream.region).copied().unwrap_or_default(),
         expectation: Expectation {
             wait,
             answer: way + wait + work.mul_f64(slowness),
--- a/crates/balance/src/upstream.rs
+++ b/crates/balance/src/upstream.rs
@@ -38,7 +38,7 @@
     /// Its name, which an earlier incarnation may have had.
     pub id: UpstreamId,
     /// When it started, in Unix milliseconds; with the name it tells incarnations apart.
-    pub born_ms: u64,
+    pub started_ms: u64,
     /// Hash of the name, for affinity.
     pub hash: u64,
     /// Its region.
@@ -76,7 +76,7 @@
         Self {
             hash: affinity(id.as_bytes()),
             id,
-            born_ms: 0,
+            started_ms: 0,
             region,
             failure_domain,
             slots: slots.max(1),
--- a/crates/ctl/src/command/check.rs
+++ b/crates/ctl/src/command/check.rs
@@ -46,7 +46,7 @@
 
 /// Checks routes.
 pub(super) fn run_routes(file: &Path) -> Result<Output, Failure> {
-    let routes = read_routes(file)?;
+    let (routes, _) = read_routes(file)?;
     let count: usize = routes.hosts.iter().map(|host| host.routes.len()).sum();
     let text = format!(
         "{}: no findings (version {}, {} services, {count} routes)",
--- a/crates/ctl/src/command/routes.rs
+++ b/crates/ctl/src/command/routes.rs
@@ -11,10 +11,7 @@
         RoutesCommand, //
     },
     command::change::quoted,
-    context::{
-        read_file,
-        read_routes, //
-    },
+    context::read_routes,
     outcome::{
         Failure,
         Output, //
@@ -132,8 +129,7 @@
 
 /// Makes a file the routes in force.
 async fn accept(file: &Path, rows: &Rows) -> Result<Output, Failure> {
-    let routes = read_routes(file)?;
-    let text = read_file(file)?;
+    let (routes, text) = read_routes(file)?;
     let before = rows.read(keys::ROUTES_KEY).await?;
     let in_force = before.as_ref().and_then(in_force);
     let repeated = before.as_ref().is_some_and(|row| *row.value == *text);
--- a/crates/ctl/src/context.rs
+++ b/crates/ctl/src/context.rs
@@ -66,10 +66,12 @@
 }
 
 /// Reads and checks routes.
-pub(crate) fn read_routes(path: &Path) -> Result<Routes, Failure> {
+pub(crate) fn read_routes(path: &Path) -> Result<(Routes, String), Failure> {
     let text = read_file(path)?;
-    let routes = route::parse(&path.display().to_string(), &text);
-    routes.map_err(|findings| Failure::BadInput(findings.to_string()))
+    match route::parse(&path.display().to_string(), &text) {
+        Ok(routes) => Ok((routes, text)),
+        Err(findings) => Err(Failure::BadInput(findings.to_string())),
+    }
 }
 
 /// Reads and checks a block file; gives its text.
--- a/crates/entry/src/control/loads.rs
+++ b/crates/entry/src/control/loads.rs
@@ -6,14 +6,10 @@
 //! lost or late makes a choice worse, never wrong.
 
 use crate::{
-    control::{
-        relay::frame,
-        Control, //
-    },
+    control::Control,
     message::{
         Message,
-        UpstreamLoad,
-        Want, //
+        UpstreamLoad, //
     },
     rows::RowReader,
 };
@@ -26,7 +22,10 @@
     Feed,
     Table as StoreTable, //
 };
-use std::time::Duration;
+use std::{
+    sync::atomic::Ordering,
+    time::Duration, //
+};
 
 /// Time between two tellings for each other entry of the region: with eleven others every 220 ms, so that control
 /// handles some fifty of these messages a second whatever the number of entries.
@@ -65,20 +64,10 @@
     }
 
     fn send_loads(&self, far: bool) {
-        let Some(mesh) = self.mesh.borrow().clone() else {
-            return;
-        };
         let own = self.loads.own.load();
-        let Some(frame) = frame(&Message::Loads(own.to_vec())) else {
-            return;
-        };
-        for peer in mesh.peers() {
-            if !far && peer.region != self.settings.region {
-                continue;
-            }
-            // What is not taken is replaced by the next telling.
-            mesh.send(&peer.instance, frame.clone());
-        }
+        self.tell(&Message::Loads(own.to_vec()), |peer| {
+            far || peer.region == self.settings.region
+        });
     }
 
     /// Asks an entry of this region, once, which keys upstreams are warm for: a process that is started anew would
@@ -91,12 +80,13 @@
             return;
         }
         drop(known);
-        let want = Want {
-            operator: false,
-            upstreams: false,
-            warm: true,
-        };
-        self.send(instance, &Message::Want(want));
+        self.send(instance, &Message::WantWarmed);
+    }
+
+    /// An entry that has just started asks for all keys.
+    pub(super) fn want_warmth(&self, from: &InstanceId) {
+        self.loads.all_wanted.store(true, Ordering::Relaxed);
+        self.known.borrow_mut().want_warmth.push(from.clone());
     }
 
     /// Answers those that asked, once traffic has put the keys.
@@ -115,20 +105,10 @@
     /// warms once more at another upstream, and each time a caller waits for cold work.
     fn send_warmed(&self) {
         let keys = self.loads.warmed.take();
-        let Some(mesh) = self.mesh.borrow().clone() else {
-            return;
-        };
-        if keys.is_empty() {
-            return;
-        }
-        let Some(frame) = frame(&Message::Warmed(keys)) else {
-            return;
-        };
-        for peer in mesh.peers() {
-            if peer.region == self.settings.region {
-                // An entry that has no room for it finds out by itself.
-                mesh.send(&peer.instance, frame.clone());
-            }
+        if !keys.is_empty() {
+            self.tell(&Message::Warmed(keys), |peer| {
+                peer.region == self.settings.region
+            });
         }
     }
 
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -282,7 +282,7 @@
         let upstreams = known.picture.upstreams(now);
         let upstreams = upstreams.map(|(listed, closed, cold_until)| UpstreamView {
             id: listed.id.clone(),
-            born_ms: listed.born_ms,
+            started_ms: listed.started_ms,
             service: listed.service.clone(),
             region: listed.region.clone(),
             failure_domain: listed.failure_domain.clone(),
--- a/crates/entry/src/control/relay.rs
+++ b/crates/entry/src/control/relay.rs
@@ -25,7 +25,8 @@
     from_payload,
     to_payload,
     Frame,
-    Note, //
+    Note,
+    PeerInfo, //
 };
 use picture::{
     Applied,
@@ -35,10 +36,7 @@
     Feed,
     Table as StoreTable, //
 };
-use std::{
-    sync::atomic::Ordering,
-    time::Duration, //
-};
+use std::time::Duration;
 
 /// Time between two tellings of an unchanged state.
 const TELL_INTERVAL: Duration = Duration::from_secs(2);
@@ -89,16 +87,7 @@
     }
 
     fn broadcast(&self, known: &mut Known, state: State, now: Now) {
-        let Some(mesh) = self.mesh.borrow().clone() else {
-            return;
-        };
-        let Some(frame) = frame(&Message::State(state.clone())) else {
-            return;
-        };
-        for peer in mesh.peers() {
-            // An entry that has no room for it hears the next telling.
-            mesh.send(&peer.instance, frame.clone());
-        }
+        self.tell(&Message::State(state.clone()), |_| true);
         known.told = Told {
             again: known.told.state.as_ref() != Some(&state),
             state: Some(state),
@@ -123,6 +112,20 @@
         }
     }
 
+    /// Sends a message to each connected entry that `to` names.
+    pub(super) fn tell(&self, message: &Message, to: impl Fn(&PeerInfo) -> bool) {
+        let Some(mesh) = self.mesh.borrow().clone() else {
+            return;
+        };
+        let Some(frame) = frame(message) else {
+            return;
+        };
+        for peer in mesh.peers().into_iter().filter(|peer| to(peer)) {
+            // An entry that has no room for it hears the next telling, or finds out by itself.
+            mesh.send(&peer.instance, frame.clone());
+        }
+    }
+
     pub(super) fn send(&self, to: &InstanceId, message: &Message) {
         let Some(mesh) = self.mesh.borrow().clone() else {
             return;
@@ -153,6 +156,7 @@
             Message::State(state) => self.on_state(from, state),
             Message::Loads(loads) => self.on_loads(from, loads, now),
             Message::Warmed(keys) => self.loads.heard.put(keys),
+            Message::WantWarmed => self.want_warmth(from),
             Message::Want(want) => self.answer_want(from, want, now),
             Message::Routes(routes) => {
                 let taken = self.known.borrow_mut().picture.apply_routes(&routes);
@@ -206,7 +210,6 @@
         let want = Want {
             operator: theirs.routes > own.routes || theirs.operator > own.operator,
             upstreams: theirs.upstreams > own.upstreams,
-            warm: false,
         };
         let urgent = own.routes == 0;
         if (want.operator || want.upstreams) && (told_before || urgent) && self.may_want() {
@@ -239,12 +242,6 @@
             let evacuations = evacuations.map(|(domain, told)| (domain.clone(), *told));
             self.send(from, &Message::Evacuations(evacuations.collect()));
         }
-        if want.warm {
-            drop(known);
-            self.loads.all_wanted.store(true, Ordering::Relaxed);
-            self.known.borrow_mut().want_warmth.push(from.clone());
-            return;
-        }
         if want.upstreams {
             self.send(from, &Message::Upstreams(picture.upstream_updates(now)));
         }
@@ -256,7 +253,7 @@
     a.routes >= b.routes && a.operator >= b.operator && a.upstreams >= b.upstreams
 }
 
-pub(super) fn frame(message: &Message) -> Option<Frame> {
+fn frame(message: &Message) -> Option<Frame> {
     match to_payload(message) {
         Ok(payload) => Some(Frame::Note(Note { payload })),
         Err(error) => {
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -32,6 +32,8 @@
     Upstreams(Vec<UpstreamUpdate>),
     /// Affinity keys that the sender has sent to upstreams which it did not know to be warm for them.
     Warmed(Vec<WarmKey>),
+    /// The sender has just started: tell it all such keys that are known.
+    WantWarmed,
     /// The sender's requests in flight at upstreams; none at those not named.
     Loads(Vec<UpstreamLoad>),
 }
@@ -70,7 +72,4 @@
 pub(crate) struct Want {
     pub(crate) operator: bool,
     pub(crate) upstreams: bool,
-    /// Keys that upstreams are warm for; asked by a process once, of the first entry of its region that it meets.
-    #[serde(default)]
-    pub(crate) warm: bool,
 }
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -20,7 +20,7 @@
 pub(crate) struct UpstreamView {
     pub(crate) id: UpstreamId,
     /// Tells incarnations of one name apart.
-    pub(crate) born_ms: u64,
+    pub(crate) started_ms: u64,
     pub(crate) service: ServiceId,
     pub(crate) region: RegionId,
     pub(crate) failure_domain: DomainId,
--- a/crates/entry/src/traffic/fleet.rs
+++ b/crates/entry/src/traffic/fleet.rs
@@ -73,8 +73,8 @@
 /// When to come back if the service has no upstream at all: as long as one that starts takes to be
 /// listed.
 const NOT_LISTED_RETRY: Duration = Duration::from_millis(500);
-/// One request in so many tries the upstream of this region that its key ranks highest, though one
-/// elsewhere is warm: it warms within some seconds without making many requests late at once.
+/// One request in so many tries the upstream of this failure domain that its key ranks highest, though one
+/// beyond it is warm: it warms within some seconds without making many requests late at once.
 const EXPLORE_EVERY: u64 = 12;
 
 /// Upstreams of all services, and the budgets of this entry.
@@ -256,7 +256,7 @@
                 let at = Incarnation {
                     service: need.service.clone(),
                     id: upstream.id.clone(),
-                    born_ms: upstream.born_ms,
+                    started_ms: upstream.started_ms,
                 };
                 let placement = Placement {
                     at,
@@ -391,17 +391,25 @@
         keys.collect()
     }
 
-    /// Takes over what the other entries told: keys that upstreams are warm for, and requests in flight.
-    pub(super) fn follow_loads(&mut self, loads: &Loads, now: Now) {
-        for WarmKey(upstream, key) in loads.heard.take() {
-            let upstreams = self
-                .groups
-                .values_mut()
-                .flat_map(|group| &mut group.upstreams);
-            for upstream in upstreams.filter(|known| known.hash == upstream) {
-                upstream.warm.note(key, now);
+    fn take_over_warmed(&mut self, heard: Vec<WarmKey>, now: Now) {
+        if heard.is_empty() {
+            return;
+        }
+        let mut by_upstream: FastMap<u64, Vec<u64>> = FastMap::default();
+        for WarmKey(upstream, key) in heard {
+            by_upstream.entry(upstream).or_default().push(key);
+        }
+        let groups = self.groups.values_mut();
+        for upstream in groups.flat_map(|group| &mut group.upstreams) {
+            for key in by_upstream.get(&upstream.hash).into_iter().flatten() {
+                upstream.warm.note(*key, now);
             }
         }
+    }
+
+    /// Takes over what the other entries told: keys that upstreams are warm for, and requests in flight.
+    pub(super) fn follow_loads(&mut self, loads: &Loads, now: Now) {
+        self.take_over_warmed(loads.heard.take(), now);
         let Some(sums) = loads.others_since(&mut self.loads_seen) else {
             return;
         };
--- a/crates/entry/src/traffic/group.rs
+++ b/crates/entry/src/traffic/group.rs
@@ -46,8 +46,9 @@
         let mut before = std::mem::take(&mut self.upstreams);
         self.addrs.clear();
         for view in views {
-            let same =
-                |upstream: &Upstream| upstream.id == view.id && upstream.born_ms == view.born_ms;
+            let same = |upstream: &Upstream| {
+                upstream.id == view.id && upstream.started_ms == view.started_ms
+            };
             let place = before.iter().position(same);
             let mut upstream = match place {
                 Some(place) => before.swap_remove(place),
@@ -58,7 +59,7 @@
                     view.slots,
                 ),
             };
-            upstream.born_ms = view.born_ms;
+            upstream.started_ms = view.started_ms;
             upstream.closed = view.closed;
             upstream.cold_until = view.cold_until;
             self.upstreams.push(upstream);
--- a/crates/entry/src/traffic/placement.rs
+++ b/crates/entry/src/traffic/placement.rs
@@ -40,13 +40,13 @@
     pub(super) service: ServiceId,
     pub(super) id: UpstreamId,
     /// When it started, in Unix milliseconds.
-    pub(super) born_ms: u64,
+    pub(super) started_ms: u64,
 }
 
 impl Incarnation {
     /// Whether `upstream` is it.
     pub(super) fn is(&self, upstream: &Upstream) -> bool {
-        self.id == upstream.id && self.born_ms == upstream.born_ms
+        self.id == upstream.id && self.started_ms == upstream.started_ms
     }
 }
 
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -281,7 +281,7 @@
         slots: 8,
         leaving: false,
         cold_left: Duration::ZERO,
-        born_ms: 0,
+        started_ms: 0,
     }
 }
 
--- a/crates/entry/tests/system.rs
+++ b/crates/entry/tests/system.rs
@@ -232,7 +232,7 @@
     store.put_routes(&routes(1));
     let first = Upstream::good("first life");
     let mut row = listed("u-1", first.addr);
-    row.born_ms = 1000;
+    row.started_ms = 1000;
     store.put_upstream(&row);
     let entry = Entry::start("entry-1", &store);
     eventually("the first life", || {
@@ -245,7 +245,7 @@
     });
     let second = Upstream::good("second life");
     row = listed("u-1", second.addr);
-    row.born_ms = 2000;
+    row.started_ms = 2000;
     store.put_upstream(&row);
     eventually("the second life", || {
         (status(&entry, "GET", "/r/x", "a3") == 200).then_some(())
--- a/crates/event/src/event.rs
+++ b/crates/event/src/event.rs
@@ -68,7 +68,7 @@
     },
     /// The store has forgotten the changes that were to come next: the table is read anew.
     HistoryGone { table: String, position: u64 },
-    /// A row can't be read; what was known before stays in force.
+    /// A row can't be read. One of operators leaves what was known in force; one of an upstream names none.
     RowUnreadable { row: String, findings: Vec<String> },
     /// This entry's row could not be removed at its planned stop; others remove it later.
     OwnRowNotRemoved,
--- a/crates/explain/src/logs.rs
+++ b/crates/explain/src/logs.rs
@@ -10,6 +10,7 @@
     summary::Summary,
 };
 use base::{
+    DomainId,
     FastMap,
     RegionId,
     UpstreamId, //
@@ -164,18 +165,18 @@
 
     /// Region of an instance, as it said at its start.
     pub(crate) fn region(&self, instance: &str) -> Option<&RegionId> {
-        self.of_instance(instance)
-            .find_map(|line| match &line.event {
-                Event::Started { region, .. } => Some(region),
-                _ => None,
-            })
+        self.location(instance).map(|(region, _)| region)
     }
 
-    /// Failure domain of an instance, as it said at its start.
-    pub(crate) fn failure_domain(&self, instance: &str) -> Option<&str> {
+    /// Region and failure domain of an instance, as it said at its start.
+    pub(crate) fn location(&self, instance: &str) -> Option<(&RegionId, &DomainId)> {
         self.of_instance(instance)
             .find_map(|line| match &line.event {
-                Event::Started { failure_domain, .. } => Some(&**failure_domain),
+                Event::Started {
+                    region,
+                    failure_domain,
+                    ..
+                } => Some((region, failure_domain)),
                 _ => None,
             })
     }
--- a/crates/explain/src/summary.rs
+++ b/crates/explain/src/summary.rs
@@ -8,6 +8,10 @@
     logs::Logs,
     Fault, //
 };
+use base::{
+    DomainId,
+    RegionId, //
+};
 use event::{
     Line,
     Outcome,
@@ -85,7 +89,8 @@
         let first_ms = first_ms.unwrap_or_default();
         for (line, ended, fault) in logs.ends() {
             let route = ended.route.as_ref().map(ToString::to_string);
-            let domain = logs.failure_domain(&line.instance).unwrap_or("unknown");
+            let location = logs.location(&line.instance);
+            let domain = location.map_or("unknown", |(_, domain)| domain);
             let second = (came_ms(line, ended) - first_ms) / 1000;
             let count = |ends: &mut Ends| ends.count(ended);
             count(
@@ -95,7 +100,7 @@
                     .or_default(),
             );
             count(summary.by_domain.entry(domain.to_owned()).or_default());
-            let way = way(logs, line, ended.sent.as_ref());
+            let way = way(location, ended.sent.as_ref());
             count(summary.by_way.entry(way).or_default());
             count(summary.by_cause.entry(fault).or_default());
             count(summary.by_second.entry(second).or_default());
@@ -105,16 +110,15 @@
 }
 
 /// Boundary between an entry and its upstream, and what was known of the upstream's warmth.
-fn way(logs: &Logs, line: &Line, sent: Option<&Sent>) -> String {
+fn way(location: Option<(&RegionId, &DomainId)>, sent: Option<&Sent>) -> String {
     let Some(sent) = sent else {
         return "not sent".to_owned();
     };
-    let crossed = if logs.region(&line.instance) != Some(&sent.region) {
-        "to another region"
-    } else if logs.failure_domain(&line.instance) != Some(&*sent.failure_domain) {
-        "within the region"
-    } else {
-        "within the failure domain"
+    let crossed = match location {
+        None => "from an unknown region",
+        Some((region, _)) if *region != sent.region => "to another region",
+        Some((_, domain)) if *domain != sent.failure_domain => "within the region",
+        Some(_) => "within the failure domain",
     };
     let warm = if sent.warm { "warm" } else { "not known warm" };
     format!("{crossed}, {warm}")
--- a/crates/model/src/picture.rs
+++ b/crates/model/src/picture.rs
@@ -121,7 +121,7 @@
         slots: 1,
         leaving,
         cold_left: Duration::ZERO,
-        born_ms: 0,
+        started_ms: 0,
     }
 }
 
--- a/crates/picture/src/picture.rs
+++ b/crates/picture/src/picture.rs
@@ -181,12 +181,12 @@
             return Applied::Unchanged;
         }
         // A write of an earlier incarnation may take effect late: what it says of the later one is nothing.
-        if self.guards.incarnations && listed.born_ms < known.listed.born_ms {
+        if self.guards.incarnations && listed.started_ms < known.listed.started_ms {
             known.version = version;
             return Applied::Unchanged;
         }
         // An incarnation that was seen leaving doesn't come back; a later one of the same name is another one.
-        let same_life = !self.guards.incarnations || listed.born_ms == known.listed.born_ms;
+        let same_life = !self.guards.incarnations || listed.started_ms == known.listed.started_ms;
         let leaving = (same_life && known.listed.leaving) || listed.leaving;
         known.listed = ListedUpstream {
             leaving,
--- a/crates/picture/src/update.rs
+++ b/crates/picture/src/update.rs
@@ -38,7 +38,7 @@
     /// When it started, in Unix milliseconds by its own clock; zero if it doesn't say. An upstream may start again
     /// under its name: it then knows nothing of before, and a later start is another incarnation.
     #[serde(default)]
-    pub born_ms: u64,
+    pub started_ms: u64,
 }
 
 /// A statement about one failure domain.
--- a/crates/picture/tests/picture.rs
+++ b/crates/picture/tests/picture.rs
@@ -30,7 +30,7 @@
         slots: 8,
         leaving: false,
         cold_left: Duration::ZERO,
-        born_ms: 0,
+        started_ms: 0,
     }
 }
 
@@ -274,9 +274,9 @@
     assert_eq!(state(&picture, "u", s(3)), "closed");
 }
 
-fn born(born_ms: u64, leaving: bool) -> ListedUpstream {
+fn life(started_ms: u64, leaving: bool) -> ListedUpstream {
     ListedUpstream {
-        born_ms,
+        started_ms,
         leaving,
         ..row("u")
     }
@@ -312,17 +312,17 @@
 // leaving doesn't come back. The other way, a write of the earlier one that takes effect late must not take the
 // later one out of use, nor bring it back.
 incarnations! {
-    a_later_incarnation_undoes_a_leaving: [(1, Some(born(10, true))), (2, Some(born(20, false)))] => "open";
+    a_later_incarnation_undoes_a_leaving: [(1, Some(life(10, true))), (2, Some(life(20, false)))] => "open";
     a_later_incarnation_undoes_a_removal: [
-        (1, Some(born(10, false))),
+        (1, Some(life(10, false))),
         (2, None),
-        (3, Some(born(20, false)))
+        (3, Some(life(20, false)))
     ] => "open";
-    the_same_incarnation_stays_leaving: [(1, Some(born(10, false))), (2, Some(born(10, true)))] => "closed";
+    the_same_incarnation_stays_leaving: [(1, Some(life(10, false))), (2, Some(life(10, true)))] => "closed";
     a_later_incarnation_leaves_by_itself: [
-        (1, Some(born(10, true))),
-        (2, Some(born(20, false))),
-        (3, Some(born(20, true)))
+        (1, Some(life(10, true))),
+        (2, Some(life(20, false))),
+        (3, Some(life(20, true)))
     ] => "closed";
 }
 
@@ -330,9 +330,9 @@
 #[test]
 fn a_late_write_of_an_earlier_incarnation_is_nothing() {
     let mut picture = Picture::default();
-    picture.apply_upstream(&born(20, false), 2, s(1));
+    picture.apply_upstream(&life(20, false), 2, s(1));
     assert_eq!(
-        picture.apply_upstream(&born(10, true), 3, s(1)),
+        picture.apply_upstream(&life(10, true), 3, s(1)),
         Applied::Unchanged
     );
     assert_eq!(state(&picture, "u", s(1)), "open");
@@ -347,8 +347,8 @@
         incarnations: false,
         ..Guards::default()
     });
-    picture.apply_upstream(&born(10, true), 1, s(1));
-    picture.apply_upstream(&born(20, false), 2, s(1));
+    picture.apply_upstream(&life(10, true), 1, s(1));
+    picture.apply_upstream(&life(20, false), 2, s(1));
     assert_eq!(state(&picture, "u", s(1)), "closed");
 }
 
--- a/crates/router/src/store.rs
+++ b/crates/router/src/store.rs
@@ -92,7 +92,7 @@
                 leaving: listed.state == ListedState::Leaving,
                 cold_left: Duration::from_millis(listed.cold_left_ms),
                 // The product's list gives each start a name of its own.
-                born_ms: 0,
+                started_ms: 0,
             };
             let value =
                 serde_json::to_vec(&upstream).map_err(|error| malformed(error.to_string()))?;
