--- a/crates/entry/src/control/feeds.rs
+++ b/crates/entry/src/control/feeds.rs
@@ -38,12 +38,12 @@
 ///
 /// What goes wrong without it: rows that are written one after the other, as by upstreams that start or are
 /// replaced, each end a call of every entry, and each such call costs the store work. So it grows with the entries:
-/// all of them together make a hundred calls a second for a table, a tenth of what the smallest store bears for
-/// all purposes.
+/// up to eighty of them together make a hundred calls a second for a table, a twentieth of the two thousand reads
+/// that the smallest store bears.
 const GATHER_PER_ENTRY: Duration = Duration::from_millis(10);
-/// Least such time: a tenth of the shortest bound within which a change has to be in force.
+/// Least such time: an eighth of the shortest bound within which a change has to be in force, two seconds.
 const GATHER_MIN: Duration = Duration::from_millis(250);
-/// Longest such time: a third of that bound.
+/// Longest such time: a quarter of that bound where deployments have so many entries, three seconds or more.
 const GATHER_MAX: Duration = Duration::from_millis(800);
 /// First pause after a call that failed.
 const PAUSE_MIN: Duration = Duration::from_millis(200);
