An upstream whose port refuses has ended, and gets nothing until a later start is known

Callers saw nothing yet; an upstream that started again under its name got 204 requests in its first second in the test of it, where it bears 8 while cold. Cause: an upstream that was not there was tried again by each entry within 0.4 to 3.2 s, and taken for the one that it was as soon as it answered, until its row named the later start. Change: a refused connection proves that no process listens, so that what answers there later has started anew. It is passed over for the time in which a start is heard of (3 s) and the service's cold time, or until its row names a later start. A reset, a timeout or a cut proves nothing and is treated as before. Ruled out: closing it for good, since a process may be listed before it listens.

--- a/crates/balance/src/health.rs
+++ b/crates/balance/src/health.rs
@@ -77,6 +77,15 @@
         Some(away)
     }
 
+    /// Notes that its process has ended, and passes it over for `away` in any case; whether that begins now.
+    pub fn note_ended(&mut self, away: Duration, now: Now) -> bool {
+        let begins = !self.is_away(now);
+        self.failures = self.failures.max(FAILING);
+        self.hard = true;
+        self.away_until = self.away_until.max(now + away);
+        begins
+    }
+
     /// Whether it is passed over at `now`.
     pub fn is_away(&self, now: Now) -> bool {
         now < self.away_until
--- a/crates/entry/src/traffic/attempt.rs
+++ b/crates/entry/src/traffic/attempt.rs
@@ -212,11 +212,12 @@
 }
 
 fn note_failure(traffic: &Traffic, at: &Incarnation, failure: &Failure) {
-    let hard = match failure {
-        Failure::NotSent(_) => true,
-        Failure::BodyCut => return,
-        _ => false,
-    };
+    let now = traffic.now();
     let mut fleet = traffic.fleet.borrow_mut();
-    fleet.note_failure(at, hard, traffic.now());
+    match failure {
+        Failure::BodyCut => {}
+        Failure::Refused => fleet.note_ended(at, now),
+        Failure::NotSent(_) => fleet.note_failure(at, true, now),
+        _ => fleet.note_failure(at, false, now),
+    }
 }
--- a/crates/entry/src/traffic/fleet.rs
+++ b/crates/entry/src/traffic/fleet.rs
@@ -70,6 +70,9 @@
 /// Time after the start in which nothing is sent to a cold upstream. What goes wrong without it: a
 /// process that is started anew within a second of its end spends its part of that second twice.
 const FORMER_LIFE: Duration = Duration::from_millis(1100);
+/// Longest time that the start of an upstream under a former one's name takes to be heard of: what has to be in force
+/// within some seconds is known by then.
+const START_HEARD: Duration = Duration::from_secs(3);
 /// When to come back if the service has no upstream at all: as long as one that starts takes to be
 /// listed.
 const NOT_LISTED_RETRY: Duration = Duration::from_millis(500);
@@ -77,6 +80,15 @@
 /// beyond it is warm: it warms within some seconds without making many requests late at once.
 const EXPLORE_EVERY: u64 = 12;
 
+/// How upstreams of a service start.
+#[derive(Clone, Copy, Debug, Default)]
+struct ColdStart {
+    /// How long they are cold.
+    lasts: Duration,
+    /// Requests that a cold one bears in a second; zero is no bound.
+    per_s: f64,
+}
+
 /// Upstreams of all services, and the budgets of this entry.
 pub(crate) struct Fleet {
     bounds: Bounds,
@@ -88,7 +100,7 @@
     /// Hash of this entry's name.
     own: u64,
     entries_in_region: Vec<u64>,
-    cold_rates: FastMap<ServiceId, f64>,
+    starts: FastMap<ServiceId, ColdStart>,
     number: u64,
     routes_version: Version,
     loads_seen: u64,
@@ -107,7 +119,7 @@
             entries_known: None,
             own: affinity(settings.instance.as_bytes()),
             entries_in_region: Vec::new(),
-            cold_rates: FastMap::default(),
+            starts: FastMap::default(),
             number: 0,
             routes_version: 0,
             loads_seen: 0,
@@ -152,8 +164,14 @@
         }
         self.routes_version = table.version();
         let services = &table.routes().services;
-        let rates = services.iter().map(|s| (s.id.clone(), s.cold_per_s));
-        self.cold_rates = rates.collect();
+        let starts = services.iter().map(|service| {
+            let start = ColdStart {
+                lasts: service.cold_start,
+                per_s: service.cold_per_s,
+            };
+            (service.id.clone(), start)
+        });
+        self.starts = starts.collect();
         let hosts = &table.routes().hosts;
         let routes = hosts.iter().flat_map(|host| &host.routes);
         let ids: FastSet<&ByteString> = routes.map(|route| &route.id).collect();
@@ -315,13 +333,17 @@
 
     /// Requests in a second that a cold upstream bears.
     fn cold_per_s(&self, service: &ServiceId) -> f64 {
-        let rate = self.cold_rates.get(service).copied().unwrap_or(0.0);
+        let rate = self.start_of(service).per_s;
         if rate <= 0.0 {
             return f64::MAX;
         }
         rate * self.bounds.cold_factor + self.bounds.cold_slack
     }
 
+    fn start_of(&self, service: &ServiceId) -> ColdStart {
+        self.starts.get(service).copied().unwrap_or_default()
+    }
+
     /// A request is no longer at an upstream.
     pub(super) fn ended(&mut self, at: &Incarnation) {
         if let Some(upstream) = self.upstream(at) {
@@ -434,6 +456,27 @@
         }
     }
 
+    /// No process listens at an upstream's address: that incarnation has ended.
+    ///
+    /// What goes wrong if it is tried again as one that merely fails: it starts anew under its name, cold, and before its
+    /// row says so each entry takes the first answer for the return of the one that it was; all of them together
+    /// send more than a cold one bears. So it gets nothing until its row names a later start, or until one that was not
+    /// heard of is cold no more.
+    pub(super) fn note_ended(&mut self, at: &Incarnation, now: Now) {
+        let away = START_HEARD + self.start_of(&at.service).lasts;
+        let Some(upstream) = self.upstream(at) else {
+            return;
+        };
+        if upstream.health.note_ended(away, now) {
+            emit(&Event::UpstreamPassedOver {
+                upstream: at.id.clone(),
+                service: at.service.clone(),
+                away_ms: millis(away),
+                not_there: true,
+            });
+        }
+    }
+
     /// An upstream is gone: another one has its address.
     pub(super) fn close(&mut self, at: &Incarnation, why: &str) {
         let Some(upstream) = self.upstream(at) else {
--- a/crates/entry/src/traffic/job.rs
+++ b/crates/entry/src/traffic/job.rs
@@ -289,7 +289,7 @@
     match outcome {
         Outcome::Answered(_) => "answered",
         Outcome::NotRun { .. } => "not run",
-        Outcome::Failed(Failure::NotSent(_)) => "not sent",
+        Outcome::Failed(Failure::NotSent(_) | Failure::Refused) => "not sent",
         Outcome::Failed(Failure::Timeout) => "timed out",
         Outcome::Failed(_) => "broken",
     }
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -79,6 +79,8 @@
 pub enum Failure {
     /// No byte of the request was written.
     NotSent(String),
+    /// No process listens at the address; no byte was written.
+    Refused,
     /// The connection ended after some or all of it was written: it may have run.
     Broken(String),
     /// What came is no HTTP answer: it may have run.
@@ -92,7 +94,7 @@
 impl Failure {
     /// Whether it is proved that the request didn't run.
     pub fn not_run(&self) -> bool {
-        matches!(self, Self::NotSent(_))
+        matches!(self, Self::NotSent(_) | Self::Refused)
     }
 }
 
@@ -100,6 +102,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::NotSent(why) => write!(f, "not sent: {why}"),
+            Self::Refused => f.write_str("not sent: no process listens there"),
             Self::Broken(why) => write!(f, "connection broke after the request was sent: {why}"),
             Self::Malformed(why) => write!(f, "malformed answer: {why}"),
             Self::BodyCut => f.write_str("the caller's body broke off"),
@@ -235,6 +238,9 @@
     let connected = timeout_at(limit.into(), TcpStream::connect(addr)).await;
     let stream = match connected {
         Ok(Ok(stream)) => stream,
+        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            return Err(Failure::Refused);
+        }
         Ok(Err(error)) => return Err(Failure::NotSent(error.to_string())),
         Err(_elapsed) => return Err(Failure::NotSent("no connection in time".to_owned())),
     };
