Requests to a cold upstream count until they are sent, and are asked for again when a connection stands

Cause: a request was counted when it was chosen. One that waits for a connection, up to 1.2 s, was sent when that second had passed, beside as many that were chosen then. Change: one counts as waiting from the choice, as sent from its first byte; and right before that byte, with a connection, it is asked once more whether its upstream may have it. So an upstream that has begun to leave, or has started again, since the choice gets nothing either: the request goes elsewhere, and the connection is kept. Ruled out: a bound on the wait for a connection alone, since the choice's picture is as old then.

--- a/crates/balance/src/cold.rs
+++ b/crates/balance/src/cold.rs
@@ -53,14 +53,21 @@
 }
 
 /// Requests that this entry sends to one cold upstream in any second.
+///
+/// One counts from its choice until a second after its first byte. What goes wrong otherwise: requests that wait
+/// for a connection are sent when the second in which they were chosen has passed, beside as many that
+/// are chosen then.
 #[derive(Clone, Debug)]
 pub struct ColdGate {
+    /// Chosen, and neither sent nor withdrawn yet.
+    waiting: u32,
     sent: Window,
 }
 
 impl Default for ColdGate {
     fn default() -> Self {
         Self {
+            waiting: 0,
             sent: Window::new(SPAN),
         }
     }
@@ -76,11 +83,21 @@
             return false;
         }
         let allowed = (per_s * USED_PCT / 100.0).floor().max(1.0);
-        (self.sent.count(now) as f64) < allowed
+        ((self.sent.count(now) + u64::from(self.waiting)) as f64) < allowed
     }
 
-    /// Counts a request that was sent.
+    /// Counts a request that was chosen for it.
+    pub fn note_chosen(&mut self) {
+        self.waiting += 1;
+    }
+
+    /// Counts a request that is sent now.
     pub fn note_sent(&mut self, now: Now) {
         self.sent.add(1, now);
     }
+
+    /// One that was chosen waits no more: it is sent, or never will be.
+    pub fn note_waited(&mut self) {
+        self.waiting = self.waiting.saturating_sub(1);
+    }
 }
--- a/crates/balance/tests/budgets.rs
+++ b/crates/balance/tests/budgets.rs
@@ -132,6 +132,62 @@
     }
 }
 
+/// Symptom: a cold upstream got twice what its entry counted in a second. Sequence: requests are chosen for it and
+/// wait for connections, some of them over a second; others are chosen meanwhile; all are sent. Cause guarded against:
+/// counting at the choice.
+#[test]
+fn requests_that_wait_to_be_sent_count_until_they_are() {
+    const BOUND: f64 = 13.1;
+    bolero::check!()
+        .with_type::<Vec<(u8, u8)>>()
+        .for_each(|steps| {
+            let mut gate = ColdGate::default();
+            let mut waiting: Vec<Now> = Vec::new();
+            let mut sent: Vec<Now> = Vec::new();
+            let mut now = Now::ZERO;
+            for (wait, connect) in steps {
+                now += ms(u64::from(*wait % 64));
+                waiting.retain(|ready| {
+                    if *ready > now {
+                        return true;
+                    }
+                    gate.note_waited();
+                    if gate.fits(BOUND, now) {
+                        gate.note_sent(now);
+                        sent.push(now);
+                    }
+                    false
+                });
+                if gate.fits(BOUND, now) {
+                    gate.note_chosen();
+                    waiting.push(now + ms(u64::from(*connect) * 6));
+                }
+            }
+            for end in &sent {
+                let second = Duration::from_secs(1);
+                let within = sent.iter().filter(|at| *at <= end && **at + second > *end);
+                assert!(within.count() as f64 <= BOUND);
+            }
+        });
+}
+
+/// One that waited and is not sent leaves its place to another.
+#[test]
+fn a_request_that_is_not_sent_counts_no_more() {
+    let mut gate = ColdGate::default();
+    let fill = |gate: &mut ColdGate| {
+        let mut chosen = 0;
+        while gate.fits(10.0, ms(500)) {
+            gate.note_chosen();
+            chosen += 1;
+        }
+        chosen
+    };
+    assert_eq!(fill(&mut gate), 8);
+    gate.note_waited();
+    assert_eq!(fill(&mut gate), 1);
+}
+
 /// Symptom: a cold upstream that bears 12 requests in a second got 20. Sequence: it is listed, and each of the 22
 /// entries of its region sends one. Cause: a part of less than one request was rounded up.
 #[test]
--- a/crates/entry/src/traffic/attempt.rs
+++ b/crates/entry/src/traffic/attempt.rs
@@ -25,6 +25,7 @@
     Target, //
 };
 use std::{
+    cell::Cell,
     rc::Rc,
     time::Instant, //
 };
@@ -38,6 +39,8 @@
     traffic: Rc<Traffic>,
     target: Target,
     placement: Placement,
+    /// It counts as waiting at a cold upstream, until it is sent.
+    waits: Cell<bool>,
 }
 
 impl InFlight {
@@ -46,6 +49,7 @@
         Self {
             traffic: traffic.clone(),
             target: target.clone(),
+            waits: Cell::new(placement.cold),
             placement,
         }
     }
@@ -57,12 +61,21 @@
     pub(super) fn upstream(&self) -> &UpstreamId {
         &self.target.id
     }
+
+    /// Whether its upstream may have it now, when a connection stands.
+    fn may_send(&self) -> bool {
+        // What has come since the choice counts, too.
+        self.traffic.snapshot();
+        let mut fleet = self.traffic.fleet.borrow_mut();
+        let waited = self.waits.replace(false);
+        fleet.may_send(&self.placement.at, waited, self.traffic.now())
+    }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
         let mut fleet = self.traffic.fleet.borrow_mut();
-        fleet.ended(&self.placement.at);
+        fleet.ended(&self.placement.at, self.waits.get());
     }
 }
 
@@ -108,7 +121,8 @@
     let (at, target) = (in_flight.placement.at.clone(), in_flight.target.clone());
     let deadline = exchange.deadline;
     let sent = Instant::now();
-    let response = match traffic.pool.exchange(&target, exchange).await {
+    let may_send = || in_flight.may_send();
+    let response = match traffic.pool.exchange(&target, exchange, may_send).await {
         Ok(response) => response,
         Err(failure) => {
             note_failure(traffic, &at, &failure);
@@ -215,7 +229,7 @@
     let now = traffic.now();
     let mut fleet = traffic.fleet.borrow_mut();
     match failure {
-        Failure::BodyCut => {}
+        Failure::BodyCut | Failure::Withdrawn => {}
         Failure::Refused => fleet.note_ended(at, now),
         Failure::NotSent(_) => fleet.note_failure(at, true, now),
         _ => fleet.note_failure(at, false, now),
--- a/crates/entry/src/traffic/fleet.rs
+++ b/crates/entry/src/traffic/fleet.rs
@@ -263,8 +263,9 @@
                         self.warmed.push(WarmKey(upstream.hash, need.key));
                     }
                 }
-                if upstream.is_cold(now) {
-                    upstream.cold_gate.note_sent(now);
+                let cold = upstream.is_cold(now);
+                if cold {
+                    upstream.cold_gate.note_chosen();
                 }
                 self.shift.note(&upstream.region, now);
                 let target = Target {
@@ -282,6 +283,7 @@
                     key: need.keyed.then_some(need.key),
                     warm,
                     idle,
+                    cold,
                     load,
                     slots: upstream.slots,
                     report_age,
@@ -344,10 +346,47 @@
         self.starts.get(service).copied().unwrap_or_default()
     }
 
-    /// A request is no longer at an upstream.
-    pub(super) fn ended(&mut self, at: &Incarnation) {
+    /// Whether a request may be sent to the upstream that was chosen for it, now that a connection stands; `waited` says
+    /// that it counts as waiting there. If so it counts as sent.
+    ///
+    /// What goes wrong without it: the upstream has said meanwhile that it leaves, or has started again under its name
+    /// and is cold.
+    pub(super) fn may_send(&mut self, at: &Incarnation, waited: bool, now: Now) -> bool {
+        let bound = ColdBound {
+            per_s: self.cold_per_s(&at.service),
+            own: self.own,
+            entries: if now > FORMER_LIFE {
+                &self.entries_in_region.clone()
+            } else {
+                &[]
+            },
+        };
+        let Some(upstream) = self.upstream(at) else {
+            return false;
+        };
+        if waited {
+            upstream.cold_gate.note_waited();
+        }
+        if upstream.is_closed() {
+            return false;
+        }
+        if !upstream.is_cold(now) {
+            return true;
+        }
+        let fits = upstream.cold_gate.fits(bound.part(upstream.hash), now);
+        if fits {
+            upstream.cold_gate.note_sent(now);
+        }
+        fits
+    }
+
+    /// A request is no longer at an upstream; `waited` says that it still counts as waiting there.
+    pub(super) fn ended(&mut self, at: &Incarnation, waited: bool) {
         if let Some(upstream) = self.upstream(at) {
             upstream.in_flight = upstream.in_flight.saturating_sub(1);
+            if waited {
+                upstream.cold_gate.note_waited();
+            }
         }
     }
 
--- a/crates/entry/src/traffic/job.rs
+++ b/crates/entry/src/traffic/job.rs
@@ -290,6 +290,7 @@
         Outcome::Answered(_) => "answered",
         Outcome::NotRun { .. } => "not run",
         Outcome::Failed(Failure::NotSent(_) | Failure::Refused) => "not sent",
+        Outcome::Failed(Failure::Withdrawn) => "withdrawn",
         Outcome::Failed(Failure::Timeout) => "timed out",
         Outcome::Failed(_) => "broken",
     }
--- a/crates/entry/tests/cold.rs
+++ b/crates/entry/tests/cold.rs
@@ -189,6 +189,10 @@
         .collect();
     thread::sleep(Duration::from_millis(950));
     drop(filler);
+    // Room for all: each comes about at its next try.
+    socket2::SockRef::from(&listener)
+        .listen(128)
+        .expect("it listens");
     let upstream = Upstream::serve(listener, true, answers());
     for caller in callers {
         caller.join().expect("answers");
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -81,6 +81,8 @@
     NotSent(String),
     /// No process listens at the address; no byte was written.
     Refused,
+    /// Its upstream may not have it any more, as was found when a connection stood; no byte was written.
+    Withdrawn,
     /// The connection ended after some or all of it was written: it may have run.
     Broken(String),
     /// What came is no HTTP answer: it may have run.
@@ -94,7 +96,7 @@
 impl Failure {
     /// Whether it is proved that the request didn't run.
     pub fn not_run(&self) -> bool {
-        matches!(self, Self::NotSent(_) | Self::Refused)
+        matches!(self, Self::NotSent(_) | Self::Refused | Self::Withdrawn)
     }
 }
 
@@ -103,6 +105,7 @@
         match self {
             Self::NotSent(why) => write!(f, "not sent: {why}"),
             Self::Refused => f.write_str("not sent: no process listens there"),
+            Self::Withdrawn => f.write_str("not sent: the upstream may not have it any more"),
             Self::Broken(why) => write!(f, "connection broke after the request was sent: {why}"),
             Self::Malformed(why) => write!(f, "malformed answer: {why}"),
             Self::BodyCut => f.write_str("the caller's body broke off"),
@@ -127,15 +130,28 @@
 impl Pool {
     /// Sends a request and waits for the head of its answer.
     ///
+    /// `may_send` is asked once a connection stands, right before the first byte, and nothing is sent if it says no. What
+    /// goes wrong without it: what was true at the choice of the upstream is taken for true a second later, when
+    /// a connection has come about.
+    ///
     /// # Errors
     ///
     /// No answer came; [`Failure`] says whether the request may have run.
-    pub async fn exchange(&self, target: &Target, request: Exchange) -> Result<Response, Failure> {
+    pub async fn exchange(
+        &self,
+        target: &Target,
+        request: Exchange,
+        may_send: impl FnOnce() -> bool,
+    ) -> Result<Response, Failure> {
         let deadline = request.deadline.into();
         let stream = match self.take(&target.id) {
             Some(stream) => stream,
             None => connect(target.addr, request.deadline).await?,
         };
+        if !may_send() {
+            self.put(&target.id, stream, None);
+            return Err(Failure::Withdrawn);
+        }
         let mut sender = Sender::default();
         let exchange = self.send(stream, target, request, &mut sender);
         match timeout_at(deadline, exchange).await {
