A cold upstream is sent to by the entry that holds its lease, and by no other

Cause, of a class: who may send followed from the list of entries that each had read, so that lists which differ chose different senders. Change: the right is a lease by a row of the store, claimed on the condition that it is as it was read, counted by the holder from when it asked and by others from when they saw it, with a gap of the bound's second between. The holder has the whole allowance. It is claimed in the order in which the upstream ranks the entries of its region, and told to the others. The clock counts suspensions. A process that starts anew knows nothing of its former leases, so the wait after a start is not needed any more. Rows that nobody renews are removed after a minute by one entry. Ruled out: seats of a fixed number (too few of them taken), rights by rank (any list differs), the upstream's report (it states no rate). Costs: a store that is away gives no new leases, and cold upstreams then wait until they are warm. cold_upstream_is_closed_ while_its_part_is_unknown let one request a second through whatever the bound; its successor asks that a bound under one lets none through.

--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -14,7 +14,6 @@
 //! would only make the next ones late, too.
 
 use crate::{
-    cold::ColdBound,
     rank::rank,
     upstream::Upstream,
     work::Work, //
@@ -106,8 +105,8 @@
     pub tried: &'a [usize],
     /// Regions that get no more for now, by the bound on shifts.
     pub full_regions: &'a [RegionId],
-    /// What a cold upstream of this region bears; those of other regions are left to the entries there.
-    pub cold: ColdBound<'a>,
+    /// Requests in a second that a cold upstream bears.
+    pub cold_per_s: f64,
     /// Times of the service's work.
     pub work: Work,
 }
@@ -380,11 +379,8 @@
         if upstream.is_closed() || !home || query.tried.contains(&place) {
             continue;
         }
-        if upstream.is_cold(now) {
-            let cold_part = query.cold.part(upstream.hash);
-            if !local || !upstream.cold_gate.fits(cold_part, now) {
-                continue;
-            }
+        if upstream.is_cold(now) && !upstream.bears_cold(query.cold_per_s, now) {
+            continue;
         }
         let crossing = match (local, upstream.failure_domain == here.failure_domain) {
             (true, true) => Crossing::None,
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -7,9 +7,9 @@
 //! last reported it, and its [`Health`] as this entry saw it.
 //!
 //! What all entries together may not pass is cut into parts that each entry keeps by itself:
-//! [`RetryBudget`] (sends beyond a request's first), [`ColdGate`] (requests to a cold upstream) and
-//! [`ShiftBound`] (how fast the part of requests that leaves its region may change). The parts add
-//! up to no more than the whole, so no message is needed for the bound to hold.
+//! [`RetryBudget`] (sends beyond a request's first) and [`ShiftBound`] (how fast the part of requests that
+//! leaves its region may change). What a cold upstream bears is too little to be cut: the entry that holds its
+//! lease has it whole ([`ColdGate`]), all others have nothing.
 //!
 //! Invariants: no clock, socket or randomness; `now` is an argument. An upstream that is leaving,
 //! in an evacuated failure domain or outside a route's home regions is never chosen.
@@ -35,10 +35,7 @@
     Location,
     Query, //
 };
-pub use cold::{
-    ColdBound,
-    ColdGate, //
-};
+pub use cold::ColdGate;
 pub use health::Health;
 pub use part::part;
 pub use rank::{
--- a/crates/balance/src/upstream.rs
+++ b/crates/balance/src/upstream.rs
@@ -54,6 +54,8 @@
     pub gone: bool,
     /// Cold until then.
     pub cold_until: Now,
+    /// Until when this entry alone may send to it while it is cold; `None` if it may not.
+    pub cold_lease_until: Option<Now>,
     /// What it may get while cold.
     pub cold_gate: ColdGate,
     /// Requests of this entry that it works on.
@@ -83,6 +85,7 @@
             closed: false,
             gone: false,
             cold_until: Now::ZERO,
+            cold_lease_until: None,
             cold_gate: ColdGate::default(),
             in_flight: 0,
             reported: 0.0,
@@ -129,6 +132,12 @@
         (self.reported_at > Now::ZERO).then(|| now.saturating_sub(self.reported_at))
     }
 
+    /// Whether it may get one more from this entry while it is cold; `per_s` is what it bears from all of them.
+    pub fn bears_cold(&mut self, per_s: f64, now: Now) -> bool {
+        let leased = self.cold_lease_until.is_some_and(|until| now < until);
+        leased && self.cold_gate.fits(per_s, now)
+    }
+
     /// Whether it is cold.
     pub fn is_cold(&self, now: Now) -> bool {
         now < self.cold_until
--- a/crates/balance/tests/budgets.rs
+++ b/crates/balance/tests/budgets.rs
@@ -2,10 +2,10 @@
 
 use balance::{
     affinity,
-    ColdBound,
     ColdGate,
     RetryBudget,
     ShiftBound,
+    Upstream,
     Window, //
 };
 use base::{
@@ -194,32 +194,28 @@
 fn many_entries_together_keep_the_bound_of_a_cold_upstream() {
     const BOUND: f64 = 12.5;
     for count in [1, 2, 5, 9, 10, 11, 22, 67, 530] {
-        let names = 0..count as u64;
-        let entries: Vec<u64> = names.map(|n| affinity(&n.to_le_bytes())).collect();
-        for upstream in (0..50_u64).map(|number| affinity(&[number as u8, 7])) {
-            let mut sent = 0;
-            for own in &entries {
-                let bound = ColdBound {
-                    per_s: BOUND,
-                    own: *own,
-                    entries: &entries,
-                };
-                let mut gate = ColdGate::default();
-                while gate.fits(bound.part(upstream), ms(500)) {
-                    gate.note_sent(ms(500));
-                    sent += 1;
-                }
+        let holder = count / 2;
+        let mut sent = 0;
+        for entry in 0..count {
+            let mut upstream = Upstream::new("u-1".into(), HOME, "a".into(), 9);
+            upstream.cold_until = ms(4000);
+            upstream.cold_lease_until = (entry == holder).then_some(ms(4000));
+            while upstream.bears_cold(BOUND, ms(500)) {
+                upstream.cold_gate.note_sent(ms(500));
+                sent += 1;
             }
-            assert!((1..=12).contains(&sent), "{sent} of {count} entries");
         }
+        assert!((1..=12).contains(&sent), "{sent} of {count} entries");
     }
 }
 
+/// A bound of less than one request in a second lets none through; one of a request does.
 #[test]
-fn cold_upstream_is_closed_while_its_part_is_unknown() {
+fn cold_upstream_that_bears_less_than_a_request_gets_none() {
     let mut gate = ColdGate::default();
     assert!(!gate.fits(0.0, ms(0)));
-    assert!(gate.fits(0.1, ms(0)));
+    assert!(!gate.fits(0.9, ms(0)));
+    assert!(gate.fits(1.0, ms(0)));
 }
 
 const HOME: RegionId = RegionId::from_static("home");
--- a/crates/balance/tests/choose.rs
+++ b/crates/balance/tests/choose.rs
@@ -5,7 +5,6 @@
     choose,
     rank,
     Choice,
-    ColdBound,
     Location,
     Query,
     Reported,
@@ -75,11 +74,7 @@
         homes: &[],
         tried: &[],
         full_regions: &[],
-        cold: ColdBound {
-            per_s: 10.0,
-            own: 1,
-            entries: &[1],
-        },
+        cold_per_s: 10.0,
         work: work(),
     }
 }
@@ -333,8 +328,9 @@
 
 never_chosen! {
     closed: |upstream| upstream.closed = true;
-    cold_beyond_its_part: |upstream| {
+    cold_beyond_what_it_bears: |upstream| {
         upstream.cold_until = NOW + Duration::from_secs(1);
+        upstream.cold_lease_until = Some(NOW + Duration::from_secs(1));
         for _ in 0..8 {
             upstream.cold_gate.note_sent(NOW);
         }
@@ -343,6 +339,11 @@
         upstream.region = "near".into();
         upstream.cold_until = NOW + Duration::from_secs(1);
     };
+    cold_and_another_entrys: |upstream| upstream.cold_until = NOW + Duration::from_secs(1);
+    cold_with_a_lease_that_ran_out: |upstream| {
+        upstream.cold_until = NOW + Duration::from_secs(1);
+        upstream.cold_lease_until = Some(NOW);
+    };
     not_there: |upstream| {
         upstream.health.note_failure(true, NOW);
     };
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -6,15 +6,18 @@
 //!
 //! - `feeds` follows the two tables of the store.
 //! - `members` registers this entry, finds the others and keeps sessions to them.
+//! - `cold` holds leases of cold upstreams.
 //! - `loads` exchanges how many requests each entry has in flight at each upstream.
 //! - `relay` tells them what the store said and takes what they heard.
 
+mod cold;
 mod feeds;
 mod loads;
 mod members;
 mod relay;
 
 use crate::{
+    clock::Clock,
     loads::Loads,
     message::{
         State,
@@ -33,10 +36,7 @@
     },
 };
 use arc_swap::ArcSwap;
-use balance::{
-    affinity,
-    Location, //
-};
+use balance::Location;
 use base::{
     InstanceId,
     Now,
@@ -47,6 +47,7 @@
     take_dropped,
     Event, //
 };
+use lease::Leases;
 use peer::Mesh;
 use picture::Picture;
 use plat::{
@@ -54,20 +55,11 @@
     Table as StoreTable, //
 };
 use route::Table;
-use std::{
-    cell::RefCell,
-    collections::{
-        BTreeMap,
-        BTreeSet, //
-    },
-    rc::Rc,
-    sync::Arc,
-    time::{
-        Duration,
-        Instant, //
-    },
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
+use tokio::{
+    signal::unix::Signal,
+    sync::Notify, //
 };
-use tokio::signal::unix::Signal;
 
 /// Time between two looks whether the settings have changed, which may come without a signal.
 const SETTINGS_LOOK: Duration = Duration::from_secs(2);
@@ -99,9 +91,11 @@
 }
 
 /// Everything that control knows.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Known {
     picture: Picture,
+    /// Leases of this entry on cold upstreams.
+    cold_leases: Leases,
     /// Compiled routes of the picture.
     table: Option<Arc<Table>>,
     members: BTreeMap<InstanceId, Member>,
@@ -120,6 +114,23 @@
 }
 
 impl Known {
+    fn new(bounds: Bounds) -> Self {
+        Self {
+            picture: Picture::default(),
+            cold_leases: cold::none_held(),
+            table: None,
+            members: BTreeMap::new(),
+            registered: None,
+            bounds,
+            stopping: false,
+            number: 0,
+            told: Told::default(),
+            wanted_at: None,
+            asked_for_warmth: false,
+            want_warmth: Vec::new(),
+        }
+    }
+
     /// Forgets what is long gone.
     fn sweep(&mut self, now: Now) {
         self.picture.sweep(now);
@@ -133,12 +144,14 @@
     settings: Arc<Settings>,
     store: S,
     rows: W,
-    start: Instant,
+    clock: Clock,
     incarnation: u64,
     known: RefCell<Known>,
     mesh: RefCell<Option<Mesh>>,
     published: Arc<ArcSwap<Snapshot>>,
     loads: Arc<Loads>,
+    /// Something changed on which leases of cold upstreams depend.
+    cold_due: Notify,
 }
 
 impl<S: Feed + StoreTable + 'static, W: RowReader> Control<S, W> {
@@ -146,24 +159,22 @@
         settings: Arc<Settings>,
         store: S,
         rows: W,
-        start: Instant,
+        clock: Clock,
         published: Arc<ArcSwap<Snapshot>>,
         loads: Arc<Loads>,
     ) -> Rc<Self> {
-        let known = Known {
-            bounds: settings.bounds.clone(),
-            ..Known::default()
-        };
+        let known = Known::new(settings.bounds.clone());
         Rc::new(Self {
             settings,
             store,
             rows,
-            start,
+            clock,
             incarnation: incarnation(),
             known: RefCell::new(known),
             mesh: RefCell::default(),
             published,
             loads,
+            cold_due: Notify::new(),
         })
     }
 
@@ -179,6 +190,10 @@
         let control = self.clone();
         actix_rt::spawn(async move { control.exchange_loads().await });
         let control = self.clone();
+        actix_rt::spawn(async move { control.hold_cold_leases().await });
+        let control = self.clone();
+        actix_rt::spawn(async move { control.sweep_cold_leases().await });
+        let control = self.clone();
         actix_rt::spawn(async move { control.tick().await });
     }
 
@@ -223,7 +238,7 @@
     }
 
     fn now(&self) -> Now {
-        self.start.elapsed()
+        self.clock.now()
     }
 
     async fn tick(&self) {
@@ -275,6 +290,7 @@
         let snapshot = self.snapshot(known, now);
         self.published.store(Arc::new(snapshot));
         self.broadcast_urgent(known, now);
+        self.cold_due.notify_one();
     }
 
     fn snapshot(&self, known: &Known, now: Now) -> Snapshot {
@@ -290,6 +306,7 @@
             slots: listed.slots,
             closed,
             cold_until,
+            cold_lease_until: known.cold_leases.held_until(&listed.id, now),
         });
         let here = Location {
             region: settings.region.clone(),
@@ -305,33 +322,12 @@
             upstreams: upstreams.collect(),
             entries: self.entries(known),
             entries_known: registered.map(|registered| (others.count() + 1).max(registered.len())),
-            entries_in_region: self.entries_in_region(known, now),
             here,
             bounds: known.bounds.clone(),
             stopping: known.stopping,
         }
     }
 
-    /// Hashes of the names of all entries of this region that may be sending; none until the store's list was read.
-    fn entries_in_region(&self, known: &Known, now: Now) -> Vec<u64> {
-        let Some(registered) = &known.registered else {
-            return Vec::new();
-        };
-        let members = known
-            .members
-            .iter()
-            .filter(|(_, member)| member.counts(now));
-        let members = members.map(|(instance, member)| (instance, &member.region));
-        let own = (&self.settings.instance, &self.settings.region);
-        let all = members.chain(registered).chain([own]);
-        let here = all.filter(|(_, region)| **region == self.settings.region);
-        let names: BTreeSet<&InstanceId> = here.map(|(instance, _)| instance).collect();
-        names
-            .into_iter()
-            .map(|name| affinity(name.as_bytes()))
-            .collect()
-    }
-
     /// Entries that take new callers.
     fn entries(&self, known: &Known) -> Vec<EntryView> {
         let mut entries = Vec::with_capacity(known.members.len() + 1);
--- a/crates/entry/src/control/relay.rs
+++ b/crates/entry/src/control/relay.rs
@@ -155,6 +155,7 @@
         match message {
             Message::State(state) => self.on_state(from, state),
             Message::Loads(loads) => self.on_loads(from, loads, now),
+            Message::ColdHeld(upstreams) => self.on_cold_held(&upstreams, now),
             Message::Warmed(keys) => self.loads.heard.put(keys),
             Message::WantWarmed => self.want_warmth(from),
             Message::Want(want) => self.answer_want(from, want, now),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,6 +13,7 @@
 //! leaving stays closed for as long as its incarnation is listed. What was learnt last stays in
 //! force while the store is away, and entries tell each other what the store told them.
 
+mod clock;
 mod control;
 mod dialect;
 mod loads;
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -1,6 +1,9 @@
 //! What entries tell each other.
 
-use base::DomainId;
+use base::{
+    DomainId,
+    UpstreamId, //
+};
 use picture::{
     Evacuation,
     Reach,
@@ -30,6 +33,8 @@
     Evacuations(Vec<(DomainId, Evacuation)>),
     /// Upstreams.
     Upstreams(Vec<UpstreamUpdate>),
+    /// Cold upstreams of which the sender holds the leases.
+    ColdHeld(Vec<UpstreamId>),
     /// Affinity keys that the sender has sent to upstreams which it did not know to be warm for them.
     Warmed(Vec<WarmKey>),
     /// The sender has just started: tell it all such keys that are known.
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -1,6 +1,7 @@
 //! The life of the process: ports, two threads, and the planned stop.
 
 use crate::{
+    clock::Clock,
     control::Control,
     dialect::Dialect,
     loads::Loads,
@@ -104,14 +105,14 @@
     };
     let published = Arc::new(ArcSwap::from_pointee(first));
     let loads = Arc::new(Loads::default());
-    let start = Instant::now();
+    let clock = Clock::start();
     let shared = Arc::new(Shared {
         settings: settings.clone(),
         dialect,
         published: published.clone(),
         loads: loads.clone(),
         metrics,
-        start,
+        clock,
         under_way: AtomicUsize::new(0),
         closing: AtomicBool::new(false),
     });
@@ -135,7 +136,7 @@
             return Err(eyre!("the traffic thread ended at its start"));
         }
         actix_rt::spawn(keep_up(shared.metrics.clone()));
-        let control = Control::new(settings.clone(), store(), rows, start, published, loads);
+        let control = Control::new(settings.clone(), store(), rows, clock, published, loads);
         control.start();
         let hangups = signal(SignalKind::hangup()).wrap_err("handling SIGHUP")?;
         let following = control.clone();
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -30,6 +30,8 @@
     pub(crate) closed: bool,
     /// Cold until then.
     pub(crate) cold_until: Now,
+    /// Until when this entry may send to it while it is cold; `None` if another one may.
+    pub(crate) cold_lease_until: Option<Now>,
 }
 
 /// An entry as callers may use it.
@@ -54,9 +56,6 @@
     /// Entries that may be sending, however little was heard of them, this one included; `None` until the
     /// others have been looked for.
     pub(crate) entries_known: Option<usize>,
-    /// Of these, hashes of the names of the ones of this region, this one included; empty as long as they are not
-    /// known.
-    pub(crate) entries_in_region: Vec<u64>,
     /// Where this entry is.
     pub(crate) here: Location,
     /// Promised bounds.
--- a/crates/entry/src/traffic/fleet.rs
+++ b/crates/entry/src/traffic/fleet.rs
@@ -33,7 +33,6 @@
     part,
     Census,
     Choice,
-    ColdBound,
     Query,
     Reported,
     ShiftBound,
@@ -67,9 +66,6 @@
 /// Part of the promised bound on that change that one entry uses: windows of different entries
 /// overlap, so that a window of the whole may see the growth of two of theirs.
 const SHIFT_USED: f64 = 0.5;
-/// Time after the start in which nothing is sent to a cold upstream. What goes wrong without it: a
-/// process that is started anew within a second of its end spends its part of that second twice.
-const FORMER_LIFE: Duration = Duration::from_millis(1100);
 /// Longest time that the start of an upstream under a former one's name takes to be heard of: what has to be in force
 /// within some seconds is known by then.
 const START_HEARD: Duration = Duration::from_secs(3);
@@ -97,9 +93,6 @@
     shift: ShiftBound,
     here: balance::Location,
     entries_known: Option<usize>,
-    /// Hash of this entry's name.
-    own: u64,
-    entries_in_region: Vec<u64>,
     starts: FastMap<ServiceId, ColdStart>,
     number: u64,
     routes_version: Version,
@@ -117,8 +110,6 @@
             shift: ShiftBound::new(SHIFT_WINDOW, affinity(settings.instance.as_bytes())),
             here: balance::Location::default(),
             entries_known: None,
-            own: affinity(settings.instance.as_bytes()),
-            entries_in_region: Vec::new(),
             starts: FastMap::default(),
             number: 0,
             routes_version: 0,
@@ -136,8 +127,6 @@
         self.here = snapshot.here.clone();
         self.bounds = snapshot.bounds.clone();
         self.entries_known = snapshot.entries_known;
-        self.entries_in_region
-            .clone_from(&snapshot.entries_in_region);
         let mut views: FastMap<&ServiceId, Vec<&UpstreamView>> = FastMap::default();
         for view in &snapshot.upstreams {
             views.entry(&view.service).or_default().push(view);
@@ -235,15 +224,7 @@
             homes: &need.route.homes,
             tried: &tried,
             full_regions: &full_regions,
-            cold: ColdBound {
-                per_s: cold_per_s,
-                own: self.own,
-                entries: if now > FORMER_LIFE {
-                    &self.entries_in_region
-                } else {
-                    &[]
-                },
-            },
+            cold_per_s,
             work: group.work(&need.route.id),
         };
         match choose(&mut group.upstreams, &query, &self.here, now) {
@@ -352,15 +333,7 @@
     /// What goes wrong without it: the upstream has said meanwhile that it leaves, or has started again under its name
     /// and is cold.
     pub(super) fn may_send(&mut self, at: &Incarnation, waited: bool, now: Now) -> bool {
-        let bound = ColdBound {
-            per_s: self.cold_per_s(&at.service),
-            own: self.own,
-            entries: if now > FORMER_LIFE {
-                &self.entries_in_region.clone()
-            } else {
-                &[]
-            },
-        };
+        let cold_per_s = self.cold_per_s(&at.service);
         let Some(upstream) = self.upstream(at) else {
             return false;
         };
@@ -373,7 +346,7 @@
         if !upstream.is_cold(now) {
             return true;
         }
-        let fits = upstream.cold_gate.fits(bound.part(upstream.hash), now);
+        let fits = upstream.bears_cold(cold_per_s, now);
         if fits {
             upstream.cold_gate.note_sent(now);
         }
--- a/crates/entry/src/traffic/mod.rs
+++ b/crates/entry/src/traffic/mod.rs
@@ -27,6 +27,7 @@
 };
 
 use crate::{
+    clock::Clock,
     dialect::Dialect,
     loads::Loads,
     settings::Settings,
@@ -49,7 +50,6 @@
         },
         Arc, //
     },
-    time::Instant,
 };
 
 /// What both threads hold.
@@ -59,7 +59,7 @@
     pub(crate) published: Arc<ArcSwap<Snapshot>>,
     pub(crate) loads: Arc<Loads>,
     pub(crate) metrics: PrometheusHandle,
-    pub(crate) start: Instant,
+    pub(crate) clock: Clock,
     /// Requests without a final answer.
     pub(crate) under_way: AtomicUsize,
     /// The end is near: no request is begun any more.
@@ -102,6 +102,6 @@
     }
 
     pub(crate) fn now(&self) -> Now {
-        self.shared.start.elapsed()
+        self.shared.clock.now()
     }
 }
--- a/crates/event/src/event.rs
+++ b/crates/event/src/event.rs
@@ -103,6 +103,16 @@
         row_version: u64,
         after_outage: bool,
     },
+    /// Leases of cold upstreams were claimed: who holds one sends to it, and nobody else. The version is that of the
+    /// rows if they were granted.
+    ColdLeases {
+        outcome: String,
+        upstreams: Vec<UpstreamId>,
+        row_version: u64,
+        asked_ms: u64,
+    },
+    /// Rows of leases that nobody has renewed for long were to be removed.
+    ColdLeasesRemoved { rows: usize, outcome: String },
     /// An upstream failed and gets nothing for a while.
     UpstreamPassedOver {
         upstream: UpstreamId,
--- a/crates/event/tests/lines.rs
+++ b/crates/event/tests/lines.rs
@@ -130,6 +130,13 @@
         row_version: 9,
         after_outage: true,
     };
+    cold_leases: Event::ColdLeases {
+        outcome: "granted".into(),
+        upstreams: vec!["u-1".into()],
+        row_version: 9,
+        asked_ms: 12,
+    };
+    cold_leases_removed: Event::ColdLeasesRemoved { rows: 3, outcome: "done".into() };
     upstream_passed_over: Event::UpstreamPassedOver {
         upstream: "u-1".into(),
         service: "menu".into(),
--- a/crates/explain/src/story.rs
+++ b/crates/explain/src/story.rs
@@ -218,6 +218,9 @@
         | Event::UpstreamPassedOver { upstream, .. }
         | Event::UpstreamBack { upstream, .. }
         | Event::UpstreamClosed { upstream, .. } => upstreams.contains(&upstream),
+        Event::ColdLeases {
+            upstreams: claimed, ..
+        } => claimed.iter().any(|one| upstreams.contains(&one)),
         Event::RetriesSpent { service: of } => service == Some(&**of),
         Event::Request(_)
         | Event::SendFailed(_)
@@ -225,6 +228,7 @@
         | Event::RequestNotRead { .. }
         | Event::EntryConnected { .. }
         | Event::UpstreamsHeard { .. }
+        | Event::ColdLeasesRemoved { .. }
         | Event::TableRead { .. } => false,
         _ => true,
     }
--- a/crates/explain/src/text.rs
+++ b/crates/explain/src/text.rs
@@ -49,6 +49,12 @@
         } => {
             format!("{upstream} failed and is passed over for {away_ms} ms")
         }
+        Event::ColdLeases {
+            outcome, upstreams, ..
+        } => {
+            let upstreams = upstreams.join(", ");
+            format!("lease of cold {upstreams} claimed: {outcome}")
+        }
         Event::UpstreamBack { upstream, .. } => format!("{upstream} answers again"),
         Event::UpstreamClosed { upstream, why, .. } => format!("{upstream} closed: {why}"),
         Event::RetriesSpent { service } => format!("budget of further sends to {service} spent"),
