A process has no part of the retry budget's constant in its first window

The same class as the lease of cold upstreams: a bound that holds only if each process knows what others, here its own former life, did. Seen in a test only: four entries, each killed twice within five seconds, 48 further sends where a window allows 20. Cause: the constant's part is counted from the process's start, what the former life spent is forgotten. Change: no part of the constant in the first window; the part that follows from its own requests stays. Ruled out: keeping what was spent in the store, a call for each send. After: 20 at most (0 before the window has passed). Tests of entries have a window of 0.4 s and wait for it.

--- a/crates/balance/src/retry.rs
+++ b/crates/balance/src/retry.rs
@@ -13,8 +13,12 @@
 /// Within any window the added sends of all entries must stay under a ratio of the requests plus a
 /// constant. Each entry spends the ratio on the requests that it saw itself and the constant divided
 /// by the number of entries; the sum keeps the bound whatever reaches which entry.
+///
+/// A process has no part of the constant in its first window. What goes wrong otherwise: after a loss of processes each
+/// new one spends what its former life has just spent.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
+    window: Duration,
     ratio: f64,
     offered: Window,
     added: Window,
@@ -24,6 +28,7 @@
     /// Budget of `ratio` times the requests of any `window`, plus a part of a constant.
     pub fn new(ratio: f64, window: Duration) -> Self {
         Self {
+            window,
             ratio,
             offered: Window::new(window),
             added: Window::new(window),
@@ -35,9 +40,11 @@
         self.offered.add(1, now);
     }
 
-    /// Takes one added send if the budget holds it; `slack` is this entry's part of the constant.
+    /// Takes one added send if the budget holds it; `slack` is this entry's part of the constant, `now` the time since
+    /// the start of the process.
     #[must_use]
     pub fn take(&mut self, slack: f64, now: Now) -> bool {
+        let slack = if now < self.window { 0.0 } else { slack };
         let offered = self.offered.count_at_most(now) as f64;
         let allowed = (offered * self.ratio + slack) * USED_PCT / 100.0;
         let taken = self.added.count(now) as f64 + 1.0 <= allowed;
--- a/crates/balance/tests/budgets.rs
+++ b/crates/balance/tests/budgets.rs
@@ -83,6 +83,34 @@
         });
 }
 
+/// Symptom: retries of all entries pass the bound after a loss of processes. Sequence: an entry spends its part of the
+/// constant, is killed and starts anew, and spends it again within the same window. Cause: a process doesn't know what
+/// its former life spent.
+#[test]
+fn processes_that_start_anew_spend_no_part_twice() {
+    const ENTRIES: usize = 4;
+    const SLACK: f64 = 20.0;
+    let part = SLACK / ENTRIES as f64;
+    let length = Duration::from_secs(10);
+    let spend =
+        |budget: &mut RetryBudget, now: Now| (0..100).filter(|_| budget.take(part, now)).count();
+    let mut spent = 0;
+    for _ in 0..ENTRIES {
+        // It has run for a minute, is killed, and is killed twice again within five seconds.
+        let mut former = RetryBudget::new(0.2, length);
+        spent += spend(&mut former, ms(60_000));
+        for _ in 0..2 {
+            let mut next = RetryBudget::new(0.2, length);
+            spent += spend(&mut next, ms(0));
+            spent += spend(&mut next, ms(2_000));
+        }
+    }
+    assert!((1..=20).contains(&spent), "{spent} within a window");
+    // What its former life spent has left the window, and a process has its part again.
+    let mut budget = RetryBudget::new(0.2, length);
+    assert_eq!(spend(&mut budget, ms(10_500)), 4);
+}
+
 /// Symptom: a cold upstream got 34 requests in a second that allows 33.5. Sequence: several entries
 /// each send up to their part, at any moments. Cause guarded against: windows that begin anew.
 #[test]
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -66,6 +66,9 @@
 };
 use tokio::sync::oneshot;
 
+/// Window of the entries' retry budget. In its first one a process has no part of the constant, and tests wait for
+/// that to pass.
+const RETRY_WINDOW: Duration = Duration::from_millis(400);
 /// Wait where an answer is to come, however busy the machine.
 pub(crate) const AMPLE: Duration = Duration::from_secs(20);
 
@@ -104,14 +107,15 @@
 }
 
 impl Entry {
-    /// Starts one in `region-a`, and waits until it is ready and has counted the others: before that it
-    /// sends nothing twice.
+    /// Starts one in `region-a`, and waits until it is ready, has counted the others and has its part of the retry
+    /// budget: before that it sends nothing twice.
     pub(crate) fn start(name: &'static str, store: &MemoryStore) -> Self {
         let before = store.entries_read();
         let entry = Self::start_uncounted(name, store);
         eventually("the others counted", || {
             (store.entries_read() > before).then_some(())
         });
+        thread::sleep(RETRY_WINDOW);
         entry
     }
 
@@ -145,7 +149,7 @@
             bounds: Bounds {
                 grace,
                 retry_ratio: 0.2,
-                retry_window: Duration::from_secs(10),
+                retry_window: RETRY_WINDOW,
                 retry_slack: 60.0,
                 cold_factor: 1.5,
                 cold_slack: 5.0,
