--- a/crates/balance/src/shift.rs
+++ b/crates/balance/src/shift.rs
@@ -28,6 +28,9 @@
 /// window may each send one more away, and 27 in 100 requests of their region change theirs. So the bound of a
 /// window and region is rounded up or down by a number that belongs to the entry and the window, and the sum over
 /// entries keeps the bound as it is.
+///
+/// Windows begin with the first request, not with the process. What goes wrong otherwise: callers come in the middle of a
+/// window, the next one is still free, and the bound of the one after it is taken from a part of their first seconds.
 #[derive(Clone, Debug)]
 pub struct ShiftBound {
     window: Duration,
@@ -38,7 +41,9 @@
     previous: Counts,
     /// Counts of the windows since then.
     gathered: Counts,
-    /// Number of the current window.
+    /// When the window with number zero began; `None` before the first request.
+    origin: Option<Now>,
+    /// Number of the current window, from there.
     number: u128,
 }
 
@@ -70,6 +75,7 @@
             current: Counts::default(),
             previous: Counts::default(),
             gathered: Counts::default(),
+            origin: None,
             number: 0,
         }
     }
@@ -113,12 +119,16 @@
     }
 
     fn advance(&mut self, now: Now) {
-        let number = now.as_nanos() / self.window.as_nanos().max(1);
+        let origin = *self.origin.get_or_insert(now);
+        let number = now.saturating_sub(origin).as_nanos() / self.window.as_nanos().max(1);
         if number > self.number {
             let ended = std::mem::take(&mut self.current);
             if number > self.number + FORGET_AFTER {
                 self.previous = Counts::default();
                 self.gathered = Counts::default();
+                self.origin = Some(now);
+                self.number = 0;
+                return;
             }
             self.gathered.add(ended);
             if self.gathered.all >= FEW {
--- a/crates/balance/tests/budgets.rs
+++ b/crates/balance/tests/budgets.rs
@@ -336,6 +336,73 @@
     }
 }
 
+/// Whether each request of a region's first eight seconds ran away, and when it came, in ms; the region has half of the
+/// slots that its work needs. `offset_ms` is how far into a window of the processes callers come.
+fn runs_of_a_flood(offset_ms: u64) -> Vec<(u64, bool)> {
+    const ENTRIES: u64 = 28;
+    const SLOTS: usize = 320;
+    let new = |entry: u64| ShiftBound::new(Duration::from_secs(2), affinity(&entry.to_le_bytes()));
+    let mut bounds: Vec<ShiftBound> = (0..ENTRIES).map(new).collect();
+    let mut runs: Vec<(u64, bool)> = Vec::new();
+    // When each busy slot is free again.
+    let mut busy: Vec<u64> = Vec::new();
+    for request in 0..90 * ENTRIES {
+        // Each entry has one every 90 ms.
+        let at = request * 90 / ENTRIES;
+        let now = ms(10_000 + offset_ms + at);
+        busy.retain(|free_at| *free_at > at);
+        let has_room = busy.len() < SLOTS;
+        let (wanted, other) = if has_room { (HOME, AWAY) } else { (AWAY, HOME) };
+        let bound = &mut bounds[(request % ENTRIES) as usize];
+        let fits = bound.fits(&wanted, BOUND_OF_SHIFTS / 2.0, now);
+        let region = if fits { wanted } else { other };
+        bound.note(&region, now);
+        if region == HOME {
+            // Work of 2.35 s, give or take a third.
+            busy.push(at + 1560 + request * 7919 % 1580);
+        }
+        runs.push((at, region == AWAY));
+    }
+    runs
+}
+
+/// The largest change of the part that runs away from one two seconds to the next, and when.
+fn worst_change(runs: &[(u64, bool)]) -> (f64, u64) {
+    let part = |from: u64| {
+        let within = runs
+            .iter()
+            .filter(|(at, _)| (from..from + 2000).contains(at));
+        let away = within.clone().filter(|(_, is_away)| *is_away).count();
+        away as f64 / within.count() as f64
+    };
+    let changes = (2000..6000_u64).step_by(50).map(|middle| {
+        let change: f64 = part(middle) - part(middle - 2000);
+        (change.abs(), middle)
+    });
+    changes.fold(
+        (0.0, 0),
+        |worst, one| if one.0 > worst.0 { one } else { worst },
+    )
+}
+
+/// Promised bound on the change of the part of requests that changes its region.
+const BOUND_OF_SHIFTS: f64 = 0.15;
+
+/// Symptom: more of a region's requests change theirs within two seconds than the bound allows. Sequence: callers come at
+/// once, the first requests fill the region within a second, and what follows goes away. Cause: windows began with the
+/// process, at any moment of the callers' first seconds, so that the free first one took in what came before the
+/// slots were full, or after it, as it happened.
+#[test]
+fn a_region_that_fills_at_once_keeps_the_bound_of_shifts() {
+    for offset_ms in (0..2000).step_by(50) {
+        let (change, at_ms) = worst_change(&runs_of_a_flood(offset_ms));
+        assert!(
+            change <= BOUND_OF_SHIFTS,
+            "{change:.3} at {at_ms} ms, callers {offset_ms} ms into a window"
+        );
+    }
+}
+
 /// A process's first window has nothing before it to be measured against.
 #[test]
 fn first_window_may_leave() {
