--- a/crates/entry/src/control/cold.rs
+++ b/crates/entry/src/control/cold.rs
@@ -111,6 +111,8 @@
         let mut known = self.known.borrow_mut();
         let wanted = self.wanted_leases(&known, now);
         known.cold_leases.want(wanted, now);
+        let held = known.cold_leases.held(now).count();
+        metrics::gauge!(metric::COLD_LEASES).set(held as f64);
         known.cold_leases.due(CLAIMS_MAX, now)
     }
 
--- a/crates/entry/src/metric.rs
+++ b/crates/entry/src/metric.rs
@@ -9,6 +9,10 @@
         "Time from a request's head to its final answer.";
     SENDS = "jasmine_entry_sends_total", Counter, "requests", "outcome",
         "Requests sent to upstreams, by what became of them.";
+    SEND_WAIT_SECONDS = "jasmine_entry_send_wait_seconds", Histogram, "seconds", "",
+        "Time from the choice of an upstream to a connection on which the request may be sent.";
+    COLD_LEASES = "jasmine_entry_cold_leases", Gauge, "leases", "",
+        "Cold upstreams that only this entry sends to.";
     LOOKUPS = "jasmine_entry_lookups_total", Counter, "look-ups", "",
         "Look-ups answered.";
     STORE_CALLS = "jasmine_entry_store_calls_total", Counter, "calls", "call,outcome",
--- a/crates/entry/src/traffic/attempt.rs
+++ b/crates/entry/src/traffic/attempt.rs
@@ -1,11 +1,14 @@
 //! One send to one upstream, and what is known of the run afterwards.
 
-use crate::traffic::{
-    placement::{
-        Incarnation,
-        Placement, //
+use crate::{
+    metric,
+    traffic::{
+        placement::{
+            Incarnation,
+            Placement, //
+        },
+        Traffic, //
     },
-    Traffic, //
 };
 use actix_http::{
     header::HeaderMap,
@@ -39,6 +42,7 @@
     traffic: Rc<Traffic>,
     target: Target,
     placement: Placement,
+    chosen_at: Instant,
     /// It counts as waiting at a cold upstream, until it is sent.
     waits: Cell<bool>,
 }
@@ -49,6 +53,7 @@
         Self {
             traffic: traffic.clone(),
             target: target.clone(),
+            chosen_at: Instant::now(),
             waits: Cell::new(placement.cold),
             placement,
         }
@@ -67,6 +72,8 @@
         // What has come since the choice counts, too.
         self.traffic.snapshot();
         let mut fleet = self.traffic.fleet.borrow_mut();
+        let wait = self.chosen_at.elapsed();
+        metrics::histogram!(metric::SEND_WAIT_SECONDS).record(wait.as_secs_f64());
         let waited = self.waits.replace(false);
         fleet.may_send(&self.placement.at, waited, self.traffic.now())
     }
--- a/crates/entry/src/traffic/fleet.rs
+++ b/crates/entry/src/traffic/fleet.rs
@@ -1,9 +1,13 @@
 //! What the traffic thread knows of upstreams, and where a request goes.
+//!
+//! - `outcome` takes what becomes of a request, from its first byte on, and what that says of its upstream.
+//! - `told` is what entries tell each other: requests in flight, and keys that upstreams are warm for.
+
+mod outcome;
+mod told;
 
 use crate::{
-    loads::Loads,
     message::{
-        UpstreamLoad,
         WarmKey, //
     },
     settings::{
@@ -16,7 +20,6 @@
     },
     traffic::{
         group::Group,
-        log::millis,
         placement::{
             logged,
             Incarnation,
@@ -34,7 +37,6 @@
     Census,
     Choice,
     Query,
-    Reported,
     ShiftBound,
     Upstream, //
 };
@@ -66,9 +68,6 @@
 /// Part of the promised bound on that change that one entry uses: windows of different entries
 /// overlap, so that a window of the whole may see the growth of two of theirs.
 const SHIFT_USED: f64 = 0.5;
-/// Longest time that the start of an upstream under a former one's name takes to be heard of: what has to be in force
-/// within some seconds is known by then.
-const START_HEARD: Duration = Duration::from_secs(3);
 /// When to come back if the service has no upstream at all: as long as one that starts takes to be
 /// listed.
 const NOT_LISTED_RETRY: Duration = Duration::from_millis(500);
@@ -327,182 +326,6 @@
         self.starts.get(service).copied().unwrap_or_default()
     }
 
-    /// Whether a request may be sent to the upstream that was chosen for it, now that a connection stands; `waited` says
-    /// that it counts as waiting there. If so it counts as sent.
-    ///
-    /// What goes wrong without it: the upstream has said meanwhile that it leaves, or has started again under its name
-    /// and is cold.
-    pub(super) fn may_send(&mut self, at: &Incarnation, waited: bool, now: Now) -> bool {
-        let cold_per_s = self.cold_per_s(&at.service);
-        let Some(upstream) = self.upstream(at) else {
-            return false;
-        };
-        if waited {
-            upstream.cold_gate.note_waited();
-        }
-        if upstream.is_closed() {
-            return false;
-        }
-        if !upstream.is_cold(now) {
-            return true;
-        }
-        let fits = upstream.bears_cold(cold_per_s, now);
-        if fits {
-            upstream.cold_gate.note_sent(now);
-        }
-        fits
-    }
-
-    /// A request is no longer at an upstream; `waited` says that it still counts as waiting there.
-    pub(super) fn ended(&mut self, at: &Incarnation, waited: bool) {
-        if let Some(upstream) = self.upstream(at) {
-            upstream.in_flight = upstream.in_flight.saturating_sub(1);
-            if waited {
-                upstream.cold_gate.note_waited();
-            }
-        }
-    }
-
-    /// An answer said how loaded its upstream is.
-    pub(super) fn report(&mut self, at: &Incarnation, reported: Reported, now: Now) {
-        if let Some(upstream) = self.upstream(at) {
-            upstream.report(reported, now);
-        }
-    }
-
-    /// An answer came whole after `took`.
-    pub(super) fn note_answer(
-        &mut self,
-        at: &Incarnation,
-        placement: &Placement,
-        took: Duration,
-        now: Now,
-    ) {
-        let Some(group) = self.groups.get_mut(&at.service) else {
-            return;
-        };
-        let Some(upstream) = group.upstreams.iter_mut().find(|upstream| at.is(upstream)) else {
-            return;
-        };
-        let way = self.here.round_trip(&upstream.region);
-        let work = took.saturating_sub(way);
-        if upstream.health.note_answer(work) {
-            emit(&Event::UpstreamBack {
-                upstream: at.id.clone(),
-                service: at.service.clone(),
-            });
-        }
-        if let Some(key) = placement.key {
-            upstream.warm.note(key, now);
-        }
-        if placement.idle && !upstream.is_cold(now) {
-            let known = group.work.entry(placement.route.clone()).or_default();
-            known.note(placement.warm, work);
-        }
-    }
-
-    /// Requests in flight at each upstream that has any.
-    pub(super) fn loads(&self) -> Vec<UpstreamLoad> {
-        let upstreams = self.groups.values().flat_map(|group| &group.upstreams);
-        upstreams
-            .filter(|upstream| upstream.in_flight > 0)
-            .map(|upstream| UpstreamLoad(upstream.hash, upstream.in_flight))
-            .collect()
-    }
-
-    /// Keys that upstreams were warmed for since the last call.
-    pub(super) fn take_warmed(&mut self) -> Vec<WarmKey> {
-        std::mem::take(&mut self.warmed)
-    }
-
-    /// All keys that upstreams are known to be warm for.
-    pub(super) fn all_warm(&self) -> Vec<WarmKey> {
-        let upstreams = self.groups.values().flat_map(|group| &group.upstreams);
-        let keys = upstreams.flat_map(|upstream| {
-            let keys = upstream.warm.keys();
-            keys.map(|key| WarmKey(upstream.hash, key))
-        });
-        keys.collect()
-    }
-
-    fn take_over_warmed(&mut self, heard: Vec<WarmKey>, now: Now) {
-        if heard.is_empty() {
-            return;
-        }
-        let mut by_upstream: FastMap<u64, Vec<u64>> = FastMap::default();
-        for WarmKey(upstream, key) in heard {
-            by_upstream.entry(upstream).or_default().push(key);
-        }
-        let groups = self.groups.values_mut();
-        for upstream in groups.flat_map(|group| &mut group.upstreams) {
-            for key in by_upstream.get(&upstream.hash).into_iter().flatten() {
-                upstream.warm.note(*key, now);
-            }
-        }
-    }
-
-    /// Takes over what the other entries told: keys that upstreams are warm for, and requests in flight.
-    pub(super) fn follow_loads(&mut self, loads: &Loads, now: Now) {
-        self.take_over_warmed(loads.heard.take(), now);
-        let Some(sums) = loads.others_since(&mut self.loads_seen) else {
-            return;
-        };
-        let groups = self.groups.values_mut();
-        for upstream in groups.flat_map(|group| &mut group.upstreams) {
-            upstream.told = Some(sums.get(&upstream.hash).copied().unwrap_or(0));
-        }
-    }
-
-    /// A request failed at an upstream; `hard` means that the upstream isn't there.
-    pub(super) fn note_failure(&mut self, at: &Incarnation, hard: bool, now: Now) {
-        let Some(upstream) = self.upstream(at) else {
-            return;
-        };
-        if let Some(away) = upstream.health.note_failure(hard, now) {
-            emit(&Event::UpstreamPassedOver {
-                upstream: at.id.clone(),
-                service: at.service.clone(),
-                away_ms: millis(away),
-                not_there: hard,
-            });
-        }
-    }
-
-    /// No process listens at an upstream's address: that incarnation has ended.
-    ///
-    /// What goes wrong if it is tried again as one that merely fails: it starts anew under its name, cold, and before its
-    /// row says so each entry takes the first answer for the return of the one that it was; all of them together
-    /// send more than a cold one bears. So it gets nothing until its row names a later start, or until one that was not
-    /// heard of is cold no more.
-    pub(super) fn note_ended(&mut self, at: &Incarnation, now: Now) {
-        let away = START_HEARD + self.start_of(&at.service).lasts;
-        let Some(upstream) = self.upstream(at) else {
-            return;
-        };
-        if upstream.health.note_ended(away, now) {
-            emit(&Event::UpstreamPassedOver {
-                upstream: at.id.clone(),
-                service: at.service.clone(),
-                away_ms: millis(away),
-                not_there: true,
-            });
-        }
-    }
-
-    /// An upstream is gone: another one has its address.
-    pub(super) fn close(&mut self, at: &Incarnation, why: &str) {
-        let Some(upstream) = self.upstream(at) else {
-            return;
-        };
-        if !std::mem::replace(&mut upstream.gone, true) {
-            emit(&Event::UpstreamClosed {
-                upstream: at.id.clone(),
-                service: at.service.clone(),
-                why: why.to_owned(),
-            });
-        }
-    }
-
     fn upstream(&mut self, at: &Incarnation) -> Option<&mut Upstream> {
         let group = self.groups.get_mut(&at.service)?;
         group.upstreams.iter_mut().find(|upstream| at.is(upstream))
--- /dev/null
+++ b/crates/entry/src/traffic/fleet/told.rs
@@ -0,0 +1,68 @@
+//! What entries tell each other of upstreams.
+
+use crate::{
+    loads::Loads,
+    message::{
+        UpstreamLoad,
+        WarmKey, //
+    },
+    traffic::fleet::Fleet,
+};
+use base::{
+    FastMap,
+    Now, //
+};
+
+impl Fleet {
+    /// Requests in flight at each upstream that has any.
+    pub(in crate::traffic) fn loads(&self) -> Vec<UpstreamLoad> {
+        let upstreams = self.groups.values().flat_map(|group| &group.upstreams);
+        upstreams
+            .filter(|upstream| upstream.in_flight > 0)
+            .map(|upstream| UpstreamLoad(upstream.hash, upstream.in_flight))
+            .collect()
+    }
+
+    /// Keys that upstreams were warmed for since the last call.
+    pub(in crate::traffic) fn take_warmed(&mut self) -> Vec<WarmKey> {
+        std::mem::take(&mut self.warmed)
+    }
+
+    /// All keys that upstreams are known to be warm for.
+    pub(in crate::traffic) fn all_warm(&self) -> Vec<WarmKey> {
+        let upstreams = self.groups.values().flat_map(|group| &group.upstreams);
+        let keys = upstreams.flat_map(|upstream| {
+            let keys = upstream.warm.keys();
+            keys.map(|key| WarmKey(upstream.hash, key))
+        });
+        keys.collect()
+    }
+
+    fn take_over_warmed(&mut self, heard: Vec<WarmKey>, now: Now) {
+        if heard.is_empty() {
+            return;
+        }
+        let mut by_upstream: FastMap<u64, Vec<u64>> = FastMap::default();
+        for WarmKey(upstream, key) in heard {
+            by_upstream.entry(upstream).or_default().push(key);
+        }
+        let groups = self.groups.values_mut();
+        for upstream in groups.flat_map(|group| &mut group.upstreams) {
+            for key in by_upstream.get(&upstream.hash).into_iter().flatten() {
+                upstream.warm.note(*key, now);
+            }
+        }
+    }
+
+    /// Takes over what the other entries told: keys that upstreams are warm for, and requests in flight.
+    pub(in crate::traffic) fn follow_loads(&mut self, loads: &Loads, now: Now) {
+        self.take_over_warmed(loads.heard.take(), now);
+        let Some(sums) = loads.others_since(&mut self.loads_seen) else {
+            return;
+        };
+        let groups = self.groups.values_mut();
+        for upstream in groups.flat_map(|group| &mut group.upstreams) {
+            upstream.told = Some(sums.get(&upstream.hash).copied().unwrap_or(0));
+        }
+    }
+}
