--- a/crates/balance/tests/budgets.rs
+++ b/crates/balance/tests/budgets.rs
@@ -18,6 +18,16 @@
     Duration::from_millis(ms)
 }
 
+/// Most of these moments within any second.
+fn most_in_a_second(sent: &[Now]) -> usize {
+    let second = Duration::from_secs(1);
+    let windows = sent.iter().map(|end| {
+        let within = sent.iter().filter(|at| *at <= end && **at + second > *end);
+        within.count()
+    });
+    windows.max().unwrap_or(0)
+}
+
 /// What is counted for a bound on events is never younger than the window; what is counted in its favour
 /// is never older. Both err by a tenth at most.
 #[test]
@@ -131,11 +141,7 @@
                     sent.push(now);
                 }
             }
-            for end in &sent {
-                let second = Duration::from_secs(1);
-                let within = sent.iter().filter(|at| *at <= end && **at + second > *end);
-                assert!(within.count() as f64 <= BOUND);
-            }
+            assert!(most_in_a_second(&sent) as f64 <= BOUND);
         });
 }
 
@@ -191,11 +197,7 @@
                     waiting.push(now + ms(u64::from(*connect) * 6));
                 }
             }
-            for end in &sent {
-                let second = Duration::from_secs(1);
-                let within = sent.iter().filter(|at| *at <= end && **at + second > *end);
-                assert!(within.count() as f64 <= BOUND);
-            }
+            assert!(most_in_a_second(&sent) as f64 <= BOUND);
         });
 }
 
--- a/crates/entry/src/control/cold.rs
+++ b/crates/entry/src/control/cold.rs
@@ -116,8 +116,12 @@
         known.cold_leases.due(CLAIMS_MAX, now)
     }
 
-    /// The cold upstreams of this region that get work, and how many entries each ranks before this one.
+    /// The cold upstreams of this region that get work, and how many entries each ranks before this one; none once
+    /// this entry is about to stop, since its callers go elsewhere.
     fn wanted_leases(&self, known: &Known, now: Now) -> Vec<Wanted> {
+        if known.stopping {
+            return Vec::new();
+        }
         let upstreams = known.picture.upstreams(now);
         let cold = upstreams.filter(|(listed, closed, cold_until)| {
             let short = listed.id.len() <= NAME_BYTES_MAX;
