--- a/crates/balance/tests/budgets.rs
+++ b/crates/balance/tests/budgets.rs
@@ -250,6 +250,7 @@
 
 const HOME: RegionId = RegionId::from_static("home");
 const AWAY: RegionId = RegionId::from_static("away");
+const BEYOND: RegionId = RegionId::from_static("beyond");
 
 /// Part of the requests that run away from home in each of some windows of two seconds, when all would
 /// go to the region that `wanted` names for the window, as far as the bound lets them.
@@ -349,21 +350,28 @@
     // When each busy slot is free again.
     let mut busy: Vec<u64> = Vec::new();
     for request in 0..90 * ENTRIES {
-        // Each entry has one every 90 ms.
+        // Each entry has one every 90 ms or so, since callers pick an entry by chance.
         let at = request * 90 / ENTRIES;
         let now = ms(10_000 + offset_ms + at);
         busy.retain(|free_at| *free_at > at);
         let has_room = busy.len() < SLOTS;
-        let (wanted, other) = if has_room { (HOME, AWAY) } else { (AWAY, HOME) };
-        let bound = &mut bounds[(request % ENTRIES) as usize];
-        let fits = bound.fits(&wanted, BOUND_OF_SHIFTS / 2.0, now);
-        let region = if fits { wanted } else { other };
+        let entry = affinity(&request.to_le_bytes()) % ENTRIES;
+        let bound = &mut bounds[entry as usize];
+        let mut fits = |region: &RegionId| bound.fits(region, BOUND_OF_SHIFTS / 2.0, now);
+        // Two other regions have room, now one more and now the other.
+        let mut away = [AWAY, BEYOND];
+        away.rotate_left((request / 7 % 2) as usize);
+        let away_fits = away.into_iter().find(|region| fits(region));
+        let region = match away_fits {
+            Some(away) if !has_room || !fits(&HOME) => away,
+            _ => HOME,
+        };
         bound.note(&region, now);
         if region == HOME {
             // Work of 2.35 s, give or take a third.
             busy.push(at + 1560 + request * 7919 % 1580);
         }
-        runs.push((at, region == AWAY));
+        runs.push((at, region != HOME));
     }
     runs
 }
