A row from before the end of an evacuation says nothing of the time after it

Cause: an entry that hears of the end first, and then reads a row that the upstream wrote before it, took its zero for news and the upstream for warm. Change: such a row doesn't shorten the time for which the upstream counts as cold after the end.

--- a/crates/entry/src/traffic/fleet.rs
+++ b/crates/entry/src/traffic/fleet.rs
@@ -7,9 +7,7 @@
 mod told;
 
 use crate::{
-    message::{
-        WarmKey, //
-    },
+    message::WarmKey,
     settings::{
         Bounds,
         Settings, //
--- a/crates/picture/src/picture.rs
+++ b/crates/picture/src/picture.rs
@@ -38,6 +38,8 @@
     listed: ListedUpstream,
     version: u64,
     cold_until: Now,
+    /// Version of the end of its failure domain's last evacuation. Rows from before it don't say how cold it is since.
+    back_since: u64,
     /// Closed from then on, because its row is gone.
     gone_at: Option<Now>,
 }
@@ -141,7 +143,7 @@
         self.evacuations.insert(domain.clone(), next);
         let was_on = known.is_some_and(|known| known.on);
         if was_on && !on {
-            self.mark_cold(domain, now);
+            self.mark_cold(domain, version, now);
         }
         if was_on == on {
             Applied::Unchanged
@@ -167,6 +169,7 @@
                 listed: listed.clone(),
                 version,
                 cold_until,
+                back_since: 0,
                 gone_at: None,
             };
             self.upstreams.insert(listed.id.clone(), known);
@@ -193,7 +196,11 @@
             ..listed.clone()
         };
         known.version = version;
-        known.cold_until = cold_until;
+        known.cold_until = if version < known.back_since {
+            cold_until.max(known.cold_until)
+        } else {
+            cold_until
+        };
         known.gone_at = None;
         Applied::Changed
     }
@@ -407,11 +414,12 @@
         taken
     }
 
-    /// Counts the upstreams of a failure domain as cold for a while.
-    fn mark_cold(&mut self, domain: &DomainId, now: Now) {
+    /// Counts the upstreams of a failure domain, whose evacuation ended with this version, as cold for a while.
+    fn mark_cold(&mut self, domain: &DomainId, ended: u64, now: Now) {
         let of_domain = self.upstreams.values_mut();
         for known in of_domain.filter(|known| known.listed.failure_domain == *domain) {
             known.cold_until = known.cold_until.max(now + COLD_AFTER_EVACUATION);
+            known.back_since = ended;
         }
     }
 }
--- a/crates/picture/tests/picture.rs
+++ b/crates/picture/tests/picture.rs
@@ -162,6 +162,22 @@
     assert_eq!(cold_until(&picture), Now::ZERO);
 }
 
+/// Symptom: upstreams whose evacuation has just ended get their full load at once, from some entries. Sequence: an entry
+/// hears of the end first, and then reads a row that an upstream wrote before it. Cause: that row says nothing of the
+/// time after the end, and was taken for news.
+#[test]
+fn a_row_from_before_the_end_of_an_evacuation_warms_nothing() {
+    let mut picture = Picture::default();
+    picture.apply_upstream(&row("u"), 3, s(1));
+    picture.apply_evacuation(&"domain-a".into(), true, 4, s(2));
+    picture.apply_evacuation(&"domain-a".into(), false, 6, s(4));
+    picture.apply_upstream(&row("u"), 5, s(4));
+    let cold_until = |picture: &Picture| picture.upstreams(s(4)).next().expect("one").2;
+    assert!(cold_until(&picture) > s(4));
+    picture.apply_upstream(&row("u"), 7, s(4));
+    assert_eq!(cold_until(&picture), Now::ZERO);
+}
+
 /// Symptom: an evacuation that was taken back stayed in force. Sequence: the history of the store is
 /// gone, and with it the row's removal. Cause guarded against: reading a table anew for what it holds
 /// only.
