On rereading the change: one line for an upstream that is passed over, one load of callers in the tests

note_failure and note_ended logged the same event each in its own words; the test of waiting connections had the callers' loop of Load a second time; what is held was gathered also where nobody was told; a row's value was read by nobody; a field of an event is named as its kin.

--- a/crates/balance/src/health.rs
+++ b/crates/balance/src/health.rs
@@ -77,13 +77,14 @@
         Some(away)
     }
 
-    /// Notes that its process has ended, and passes it over for `away` in any case; whether that begins now.
-    pub fn note_ended(&mut self, away: Duration, now: Now) -> bool {
+    /// Notes that its process has ended, and passes it over for `away` in any case. Gives that time if it begins to be
+    /// passed over.
+    pub fn note_ended(&mut self, away: Duration, now: Now) -> Option<Duration> {
         let begins = !self.is_away(now);
         self.failures = self.failures.max(FAILING);
         self.hard = true;
         self.away_until = self.away_until.max(now + away);
-        begins
+        begins.then_some(away)
     }
 
     /// Whether it is passed over at `now`.
--- a/crates/entry/src/control/cold.rs
+++ b/crates/entry/src/control/cold.rs
@@ -45,10 +45,7 @@
     Txn,
     Write, //
 };
-use serde::{
-    Deserialize,
-    Serialize, //
-};
+use serde::Serialize;
 use std::{
     collections::BTreeMap,
     time::Duration, //
@@ -78,7 +75,7 @@
 const SWEEP: Duration = Duration::from_secs(60);
 
 /// Value of a lease's row, for whoever reads the table.
-#[derive(Debug, Deserialize, Serialize)]
+#[derive(Debug, Serialize)]
 struct LeaseRow<'a> {
     entry: &'a str,
     incarnation: u64,
@@ -163,7 +160,6 @@
             // Made again after a while; until then nobody can know whether it stands.
             Outcome::NotDone(_) | Outcome::Unknown(_) => ("unknown", 0),
         };
-        let held: Vec<UpstreamId> = leases.held(now).cloned().collect();
         drop(known);
         metrics::counter!(metric::STORE_CALLS, "call" => "lease", "outcome" => outcome)
             .increment(1);
@@ -171,16 +167,22 @@
             outcome: outcome.to_owned(),
             upstreams: claims.iter().map(|claim| claim.subject.clone()).collect(),
             row_version,
-            asked_ms: (now - asked_at).as_millis() as u64,
+            took_ms: (now - asked_at).as_millis() as u64,
         });
         if outcome == "granted" {
             self.publish();
-            self.tell(&Message::ColdHeld(held), |peer| {
-                peer.region == self.settings.region
-            });
+            self.tell_held(now);
         }
     }
 
+    /// Tells the entries of this region which leases this one holds.
+    fn tell_held(&self, now: Now) {
+        let held = self.known.borrow().cold_leases.held(now).cloned().collect();
+        self.tell(&Message::ColdHeld(held), |peer| {
+            peer.region == self.settings.region
+        });
+    }
+
     fn txn_of(&self, claims: &[Claim]) -> Txn {
         let row = LeaseRow {
             entry: &self.settings.instance,
--- a/crates/entry/src/traffic/fleet/outcome.rs
+++ b/crates/entry/src/traffic/fleet/outcome.rs
@@ -102,17 +102,9 @@
 
     /// A request failed at an upstream; `hard` means that the upstream isn't there.
     pub(in crate::traffic) fn note_failure(&mut self, at: &Incarnation, hard: bool, now: Now) {
-        let Some(upstream) = self.upstream(at) else {
-            return;
-        };
-        if let Some(away) = upstream.health.note_failure(hard, now) {
-            emit(&Event::UpstreamPassedOver {
-                upstream: at.id.clone(),
-                service: at.service.clone(),
-                away_ms: millis(away),
-                not_there: hard,
-            });
-        }
+        let upstream = self.upstream(at);
+        let away = upstream.and_then(|upstream| upstream.health.note_failure(hard, now));
+        log_passed_over(at, away, hard);
     }
 
     /// No process listens at an upstream's address: that incarnation has ended.
@@ -123,17 +115,9 @@
     /// heard of is cold no more.
     pub(in crate::traffic) fn note_ended(&mut self, at: &Incarnation, now: Now) {
         let away = START_HEARD + self.start_of(&at.service).lasts;
-        let Some(upstream) = self.upstream(at) else {
-            return;
-        };
-        if upstream.health.note_ended(away, now) {
-            emit(&Event::UpstreamPassedOver {
-                upstream: at.id.clone(),
-                service: at.service.clone(),
-                away_ms: millis(away),
-                not_there: true,
-            });
-        }
+        let upstream = self.upstream(at);
+        let away = upstream.and_then(|upstream| upstream.health.note_ended(away, now));
+        log_passed_over(at, away, true);
     }
 
     /// An upstream is gone: another one has its address.
@@ -150,3 +134,15 @@
         }
     }
 }
+
+/// Says that an upstream is passed over for `away`, if that begins now.
+fn log_passed_over(at: &Incarnation, away: Option<Duration>, not_there: bool) {
+    if let Some(away) = away {
+        emit(&Event::UpstreamPassedOver {
+            upstream: at.id.clone(),
+            service: at.service.clone(),
+            away_ms: millis(away),
+            not_there,
+        });
+    }
+}
--- a/crates/entry/tests/cold.rs
+++ b/crates/entry/tests/cold.rs
@@ -16,10 +16,7 @@
         self,
         JoinHandle, //
     },
-    time::{
-        Duration,
-        Instant, //
-    },
+    time::Duration,
 };
 use support::{
     good,
@@ -70,16 +67,16 @@
     windows.max().unwrap_or(0)
 }
 
-/// Callers that keep asking, each an entry of its own, until dropped.
+/// Callers that keep asking, one for each entry given, until dropped.
 struct Load {
     ended: Arc<AtomicBool>,
     callers: Vec<JoinHandle<()>>,
 }
 
 impl Load {
-    fn on(entries: &[Entry], pause: Duration) -> Self {
+    fn on<'a>(entries: impl IntoIterator<Item = &'a Entry>, pause: Duration) -> Self {
         let ended = Arc::new(AtomicBool::new(false));
-        let callers = entries.iter().enumerate().map(|(place, entry)| {
+        let callers = entries.into_iter().enumerate().map(|(place, entry)| {
             let mut caller = Caller::connect(entry);
             let ended = ended.clone();
             thread::spawn(move || {
@@ -168,25 +165,7 @@
     row.cold_left = COLD;
     store.put_upstream(&row);
     // Each caller waits for its own answer, so many of them wait for a connection at the same time.
-    let many = [&entry; 24];
-    let callers: Vec<JoinHandle<()>> = many
-        .into_iter()
-        .enumerate()
-        .map(|(place, entry)| {
-            let mut caller = Caller::connect(entry);
-            thread::spawn(move || {
-                let ended = Instant::now() + Duration::from_millis(3500);
-                for number in 0_u32.. {
-                    if Instant::now() > ended {
-                        return;
-                    }
-                    caller.send(request("GET", "/r/x", &format!("{place:x}a{number:x}"), ""));
-                    caller.answer().expect("an answer");
-                    thread::sleep(Duration::from_millis(30));
-                }
-            })
-        })
-        .collect();
+    let load = Load::on([&entry; 24], Duration::from_millis(30));
     thread::sleep(Duration::from_millis(950));
     drop(filler);
     // Room for all: each comes about at its next try.
@@ -194,9 +173,8 @@
         .listen(128)
         .expect("it listens");
     let upstream = Upstream::serve(listener, true, answers());
-    for caller in callers {
-        caller.join().expect("answers");
-    }
+    thread::sleep(Duration::from_millis(2550));
+    drop(load);
     let most = most_in_a_second(&upstream.seen());
     assert!(most <= BOUND, "{most} requests in a second");
     assert!(most > 0, "it is used");
--- a/crates/event/src/event.rs
+++ b/crates/event/src/event.rs
@@ -109,7 +109,7 @@
         outcome: String,
         upstreams: Vec<UpstreamId>,
         row_version: u64,
-        asked_ms: u64,
+        took_ms: u64,
     },
     /// Rows of leases that nobody has renewed for long were to be removed.
     ColdLeasesRemoved { rows: usize, outcome: String },
--- a/crates/event/tests/lines.rs
+++ b/crates/event/tests/lines.rs
@@ -134,7 +134,7 @@
         outcome: "granted".into(),
         upstreams: vec!["u-1".into()],
         row_version: 9,
-        asked_ms: 12,
+        took_ms: 12,
     };
     cold_leases_removed: Event::ColdLeasesRemoved { rows: 3, outcome: "done".into() };
     upstream_passed_over: Event::UpstreamPassedOver {
