On rereading: what others told isn't taken once more before each send; comments tell no tuning

Right before a send only what control knows matters; taking over requests in flight and warm keys there locked a queue a second time for each request. One import a line.

--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -35,16 +35,13 @@
 /// Upstreams of each other region that they may have to warm.
 const USED_FAR: usize = 1;
 /// What crossing a failure domain's boundary costs, as a part of the target: a wait of so much longer is accepted
-/// at the nearer upstream. Measured with a third of it: a hundredth more of all credit, a seventh more bytes between
-/// failure domains.
+/// at the nearer upstream, which saves bytes between failure domains.
 const DOMAIN_COST: f64 = 0.15;
 /// What a region's busy slots cost, as a part of the target if all are busy: work goes elsewhere bit by bit while
 /// there still is room, since the bound on shifts lets little go at once when there is none. Without it a region
-/// with a sixth of the slots and a third of the callers refused a fifth of its requests for fourteen seconds while
-/// others stood idle. It adds 0.012 to the mean worth of five days with four seeds each, 1.5 in its place 0.008.
+/// with few slots for its callers refuses requests for many seconds while others stand idle.
 const BUSY_COST: f64 = 0.5;
-/// What crossing a region's boundary costs besides the way, as a part of the target; measured with
-/// [`DOMAIN_COST`].
+/// What crossing a region's boundary costs besides the way, as a part of the target.
 const REGION_COST: f64 = 0.3;
 /// Part of the time left that the expected answer may take: it is a mean, and half of all answers
 /// take longer.
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -55,7 +55,13 @@
     Table as StoreTable, //
 };
 use route::Table;
-use std::{cell::RefCell, collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    rc::Rc,
+    sync::Arc,
+    time::Duration, //
+};
 use tokio::{
     signal::unix::Signal,
     sync::Notify, //
--- a/crates/entry/src/control/relay.rs
+++ b/crates/entry/src/control/relay.rs
@@ -41,12 +41,11 @@
 /// Time between two tellings of an unchanged state.
 const TELL_INTERVAL: Duration = Duration::from_secs(2);
 /// Least time between two tellings of how far the picture reaches. Each change of each row moves that, and each
-/// entry tells each other one: without the bound, 190 upstreams that start made 67 entries send a hundred megabytes.
+/// entry tells each other one: without the bound, upstreams that start together make the entries fill their links.
 /// Whoever is cut off from the store asks after the second telling, so within twice the time.
 const REACH_INTERVAL: Duration = Duration::from_millis(500);
 /// Least time between two requests for a picture: an answer takes a round trip, at most some 200 ms; after this time
-/// another entry is asked. Without it each of 66 entries sent its 190 upstreams to each entry that the store had
-/// turned away.
+/// another entry is asked. Without it each entry sends all its upstreams to each one that the store has turned away.
 const WANT_INTERVAL: Duration = Duration::from_millis(400);
 
 impl<S: Feed + StoreTable + 'static, W: RowReader> Control<S, W> {
--- a/crates/entry/src/traffic/attempt.rs
+++ b/crates/entry/src/traffic/attempt.rs
@@ -70,7 +70,7 @@
     /// Whether its upstream may have it now, when a connection stands.
     fn may_send(&self) -> bool {
         // What has come since the choice counts, too.
-        self.traffic.snapshot();
+        self.traffic.follow_control();
         let mut fleet = self.traffic.fleet.borrow_mut();
         let wait = self.chosen_at.elapsed();
         metrics::histogram!(metric::SEND_WAIT_SECONDS).record(wait.as_secs_f64());
--- a/crates/entry/src/traffic/mod.rs
+++ b/crates/entry/src/traffic/mod.rs
@@ -89,15 +89,22 @@
         }
     }
 
-    /// The newest snapshot, which the fleet then follows.
+    /// The newest snapshot, which the fleet then follows, with what the other entries told.
     pub(crate) fn snapshot(&self) -> Arc<Snapshot> {
+        let snapshot = self.follow_control();
+        // What is said of an upstream counts for those that the snapshot has.
+        let mut fleet = self.fleet.borrow_mut();
+        fleet.follow_loads(&self.shared.loads, self.now());
+        snapshot
+    }
+
+    /// The newest snapshot, which the fleet then follows.
+    pub(crate) fn follow_control(&self) -> Arc<Snapshot> {
         let snapshot = self.shared.published.load_full();
         let mut fleet = self.fleet.borrow_mut();
         if fleet.follow(&snapshot) {
             self.pool.sweep(|id| fleet.knows(id));
         }
-        // What is said of an upstream counts for those that the snapshot has.
-        fleet.follow_loads(&self.shared.loads, self.now());
         snapshot
     }
 
