overlay: hubs of failure domains in place of sessions between all entries

The crate decides whom an entry dials, who is up, what is added up and how far a table was read; pure, no clock.

--- /dev/null
+++ b/crates/overlay/src/sums.rs
@@ -0,0 +1,173 @@
+//! Requests in flight at upstreams, added up over entries.
+//!
+//! A leaf reports its own to one hub. Hubs tell each other the sums over themselves and their leaves, and their leaves
+//! the sum over all. Nothing but the choice among upstreams depends on it: what is lost or late makes a
+//! choice worse, never wrong.
+
+use base::{
+    FastMap,
+    InstanceId,
+    Now, //
+};
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
+
+/// Hash of an upstream's name, cut to what a message has room for.
+pub type LoadKey = u32;
+
+/// Requests in flight at one upstream.
+pub type Load = (LoadKey, u32);
+
+/// What one entry or hub said, and when.
+#[derive(Clone, Debug)]
+struct Report {
+    at: Now,
+    loads: Vec<Load>,
+    /// Age at which it says nothing any more.
+    stale_after: Duration,
+}
+
+impl Report {
+    fn is_fresh(&self, now: Now) -> bool {
+        now.saturating_sub(self.at) <= self.stale_after
+    }
+}
+
+/// Reports of entries, and what follows for this one.
+#[derive(Clone, Debug, Default)]
+pub struct Sums {
+    leaves: BTreeMap<InstanceId, Report>,
+    hubs: BTreeMap<InstanceId, Report>,
+    /// Sum over all entries, as this leaf's hub told.
+    fleet: Option<Report>,
+    /// What this leaf reported last, and before that: the hub's sum holds one of both.
+    reported: [Vec<Load>; 2],
+}
+
+impl Sums {
+    /// A leaf reports to this hub.
+    pub fn take_leaf(
+        &mut self,
+        leaf: &InstanceId,
+        loads: Vec<Load>,
+        stale_after: Duration,
+        now: Now,
+    ) {
+        let report = Report {
+            at: now,
+            loads,
+            stale_after,
+        };
+        self.leaves.insert(leaf.clone(), report);
+    }
+
+    /// Another hub tells the sum over itself and its leaves.
+    pub fn take_hub(
+        &mut self,
+        hub: &InstanceId,
+        loads: Vec<Load>,
+        stale_after: Duration,
+        now: Now,
+    ) {
+        let report = Report {
+            at: now,
+            loads,
+            stale_after,
+        };
+        self.hubs.insert(hub.clone(), report);
+    }
+
+    /// This leaf's hub tells the sum over all entries.
+    pub fn take_fleet(&mut self, loads: Vec<Load>, stale_after: Duration, now: Now) {
+        self.fleet = Some(Report {
+            at: now,
+            loads,
+            stale_after,
+        });
+    }
+
+    /// Notes what this leaf reports now.
+    pub fn note_reported(&mut self, own: &[Load]) {
+        self.reported.swap(0, 1);
+        self.reported[0] = own.to_vec();
+    }
+
+    /// Forgets a session's reports.
+    pub fn forget(&mut self, instance: &InstanceId) {
+        self.leaves.remove(instance);
+        self.hubs.remove(instance);
+    }
+
+    /// Leaves that report to this hub.
+    pub fn reporting(&self, now: Now) -> impl Iterator<Item = &InstanceId> {
+        let leaves = self.leaves.iter();
+        leaves
+            .filter(move |(_, report)| report.is_fresh(now))
+            .map(|(leaf, _)| leaf)
+    }
+
+    /// What this hub tells the other hubs: its own requests and those of its leaves.
+    pub fn of_domain(&self, own: &[Load], now: Now) -> Vec<Load> {
+        let mut sums = FastMap::default();
+        add(&mut sums, own);
+        add_fresh(&mut sums, &self.leaves, now);
+        sorted(sums)
+    }
+
+    /// What this hub tells its leaves: the requests of all entries.
+    pub fn of_fleet(&self, own: &[Load], now: Now) -> Vec<Load> {
+        let mut sums = FastMap::default();
+        add(&mut sums, own);
+        add_fresh(&mut sums, &self.leaves, now);
+        add_fresh(&mut sums, &self.hubs, now);
+        sorted(sums)
+    }
+
+    /// Requests of all other entries, for a hub.
+    pub fn others_of_hub(&self, now: Now) -> FastMap<LoadKey, u32> {
+        let mut sums = FastMap::default();
+        add_fresh(&mut sums, &self.leaves, now);
+        add_fresh(&mut sums, &self.hubs, now);
+        sums
+    }
+
+    /// Requests of all other entries, for a leaf; `None` as long as no hub has told them.
+    ///
+    /// Of its own, those are taken off that both of its last reports have: a request that has just begun must not
+    /// hide another entry's.
+    pub fn others_of_leaf(&self, now: Now) -> Option<FastMap<LoadKey, u32>> {
+        let fleet = self.fleet.as_ref().filter(|fleet| fleet.is_fresh(now))?;
+        let mut sums = FastMap::default();
+        add(&mut sums, &fleet.loads);
+        let [last, before] = &self.reported;
+        let before: FastMap<LoadKey, u32> = before.iter().copied().collect();
+        for (key, own) in last {
+            let both = before.get(key).copied().unwrap_or(0).min(*own);
+            if let Some(sum) = sums.get_mut(key) {
+                *sum = sum.saturating_sub(both);
+            }
+        }
+        Some(sums)
+    }
+}
+
+fn add(sums: &mut FastMap<LoadKey, u32>, loads: &[Load]) {
+    for (key, requests) in loads {
+        let sum = sums.entry(*key).or_insert(0);
+        *sum = sum.saturating_add(*requests);
+    }
+}
+
+fn add_fresh(sums: &mut FastMap<LoadKey, u32>, reports: &BTreeMap<InstanceId, Report>, now: Now) {
+    for report in reports.values().filter(|report| report.is_fresh(now)) {
+        add(sums, &report.loads);
+    }
+}
+
+fn sorted(sums: FastMap<LoadKey, u32>) -> Vec<Load> {
+    let mut loads: Vec<Load> = sums.into_iter().collect();
+    loads.sort_unstable();
+    loads
+}
