--- a/crates/entry/src/traffic/fleet.rs
+++ b/crates/entry/src/traffic/fleet.rs
@@ -129,13 +129,13 @@
             views.entry(&view.service).or_default().push(view);
         }
         self.groups.retain(|service, _| views.contains_key(service));
-        for (service, views) in views {
+        for (service, mut views) in views {
             let bounds = &self.bounds;
             let group = self
                 .groups
                 .entry(service.clone())
                 .or_insert_with(|| Group::new(bounds));
-            group.follow(&views);
+            group.follow(&mut views);
         }
         if let Some(table) = &snapshot.table {
             self.follow_routes(table);
@@ -169,8 +169,10 @@
 
     /// Whether connections to an upstream may still be of use.
     pub(super) fn knows(&self, id: &UpstreamId) -> bool {
-        let mut upstreams = self.groups.values().flat_map(|group| &group.upstreams);
-        upstreams.any(|upstream| upstream.id == *id && !upstream.is_closed())
+        self.groups.values().any(|group| {
+            let place = group.place(id);
+            place.is_some_and(|place| !group.upstreams[place].is_closed())
+        })
     }
 
     /// Service for the next request of a route.
@@ -209,9 +211,8 @@
         let Some(group) = self.groups.get_mut(need.service) else {
             return Placed::Refuse(Refused::new(Reason::NoUpstreamListed, NOT_LISTED_RETRY));
         };
-        let tried: Vec<usize> = (0..group.upstreams.len())
-            .filter(|&place| need.tried.contains(&group.upstreams[place].id))
-            .collect();
+        let tried = need.tried.iter().filter_map(|id| group.place(id));
+        let tried: Vec<usize> = tried.collect();
         let query = Query {
             key: need.key,
             keyed: need.keyed,
@@ -326,6 +327,8 @@
 
     fn upstream(&mut self, at: &Incarnation) -> Option<&mut Upstream> {
         let group = self.groups.get_mut(&at.service)?;
-        group.upstreams.iter_mut().find(|upstream| at.is(upstream))
+        let place = group.place(&at.id)?;
+        let upstream = &mut group.upstreams[place];
+        at.is(upstream).then_some(upstream)
     }
 }
--- a/crates/entry/src/traffic/group.rs
+++ b/crates/entry/src/traffic/group.rs
@@ -15,6 +15,7 @@
 
 /// Upstreams of one service.
 pub(super) struct Group {
+    /// In order of their names.
     pub(super) upstreams: Vec<Upstream>,
     pub(super) addrs: Vec<SocketAddr>,
     pub(super) budget: RetryBudget,
@@ -41,24 +42,28 @@
         self.work.get(route).copied().unwrap_or_default()
     }
 
+    /// Place of an upstream.
+    pub(super) fn place(&self, id: &str) -> Option<usize> {
+        let place = self.upstreams.binary_search_by(|one| (*one.id).cmp(id));
+        place.ok()
+    }
+
     /// Takes over what control knows; what this thread saw of an incarnation stays.
-    pub(super) fn follow(&mut self, views: &[&UpstreamView]) {
-        let mut before = std::mem::take(&mut self.upstreams);
+    pub(super) fn follow(&mut self, views: &mut [&UpstreamView]) {
+        views.sort_by(|a, b| a.id.cmp(&b.id));
+        let mut before = std::mem::take(&mut self.upstreams).into_iter().peekable();
         self.addrs.clear();
         for view in views {
-            let same = |upstream: &Upstream| {
-                upstream.id == view.id && upstream.started_ms == view.started_ms
-            };
-            let place = before.iter().position(same);
-            let mut upstream = match place {
-                Some(place) => before.swap_remove(place),
-                None => Upstream::new(
+            while before.next_if(|one| one.id < view.id).is_some() {}
+            let same = |one: &Upstream| one.id == view.id && one.started_ms == view.started_ms;
+            let mut upstream = before.next_if(same).unwrap_or_else(|| {
+                Upstream::new(
                     view.id.clone(),
                     view.region.clone(),
                     view.failure_domain.clone(),
                     view.slots,
-                ),
-            };
+                )
+            });
             upstream.started_ms = view.started_ms;
             upstream.closed = view.closed;
             upstream.cold_until = view.cold_until;
