Entries learn of each other, of loads and of the store through hubs and readers

- sessions by the overlay; hubs exchange rosters of who is up, and forward them to their leaves;
- leaves report loads to one hub, hubs exchange sums, four bytes an upstream;
- one hub of each region reads the store and forwards rows with the versions that they follow on; who hears of none reads by itself;
- a new leaf takes its hub's picture; roles are taken after a second look at the rows, since of entries that start together the first to look sees few; the key stands among the rows, which saves a call;
- what is asked of another entry is what changed since, not all upstreams;
- whole tables are compared by a set, not each with each.

Tests: entry/tests/hubs.rs, where leaves_do_not_call_the_store fails on the code before.

--- a/crates/entry/src/control/cold.rs
+++ b/crates/entry/src/control/cold.rs
@@ -128,8 +128,8 @@
         if cold.peek().is_none() {
             return Vec::new();
         }
-        let others = known.members.iter().filter(|(_, member)| member.up);
-        let others = others.filter(|(_, member)| member.region == self.settings.region);
+        let others = known.overlay.live().iter();
+        let others = others.filter(|(_, live)| live.region == self.settings.region);
         let others: Vec<u64> = others.map(|(instance, _)| hash(instance)).collect();
         let own = hash(&self.settings.instance);
         cold.map(|subject| {
@@ -178,9 +178,20 @@
     /// Tells the entries of this region which leases this one holds.
     fn tell_held(&self, now: Now) {
         let held = self.known.borrow().cold_leases.held(now).cloned().collect();
-        self.tell(&Message::ColdHeld(held), |peer| {
-            peer.region == self.settings.region
-        });
+        self.tell_near(&Message::ColdHeld(held), None);
+    }
+
+    /// Sends a message towards all entries of this region: a leaf to its hubs, a hub to its leaves and, unless the
+    /// message came from a hub, to the others.
+    fn tell_near(&self, message: &Message, from: Option<&InstanceId>) {
+        let known = self.known.borrow();
+        let overlay = &known.overlay;
+        let from_hub = from.is_some_and(|from| overlay.other_hubs().any(|hub| hub == from));
+        let hubs = overlay
+            .other_hubs()
+            .filter(|hub| !from_hub && overlay.region_of(hub) == Some(&self.settings.region));
+        let to = hubs.chain(overlay.leaves());
+        self.send_to(to.filter(|to| Some(*to) != from), message);
     }
 
     fn txn_of(&self, claims: &[Claim]) -> Txn {
@@ -208,9 +219,14 @@
     }
 
     /// Another entry holds these.
-    pub(super) fn on_cold_held(&self, upstreams: &[UpstreamId], now: Now) {
+    pub(super) fn on_cold_held(&self, from: &InstanceId, upstreams: Vec<UpstreamId>, now: Now) {
         let mut known = self.known.borrow_mut();
-        known.cold_leases.heard(upstreams, now);
+        known.cold_leases.heard(&upstreams, now);
+        let is_hub = known.overlay.is_hub(now);
+        drop(known);
+        if is_hub {
+            self.tell_near(&Message::ColdHeld(upstreams), Some(from));
+        }
     }
 
     /// Removes the rows of leases that nobody has renewed for long; one entry of all does it, as far as it sees.
@@ -226,8 +242,8 @@
 
     fn sweeps(&self) -> bool {
         let known = self.known.borrow();
-        let mut up = known.members.iter().filter(|(_, member)| member.up);
-        up.all(|(instance, _)| *instance > self.settings.instance)
+        let mut up = known.overlay.live().keys();
+        up.all(|instance| *instance > self.settings.instance)
     }
 
     /// Removes the rows that are as they were `before`; gives those that there are, with their versions.
--- a/crates/entry/src/control/members.rs
+++ b/crates/entry/src/control/members.rs
@@ -1,28 +1,30 @@
 //! This entry's place among the others: its row in the store, and sessions to them.
 //!
-//! An entry writes one row at its start and reads the rows of the others; it then opens a session to
-//! each. Whether an entry lives is seen by its session, not in the store, so that an outage of the
+//! An entry writes one row at its start and reads the rows of the others; the overlay then says to which of them it
+//! keeps sessions. Whether an entry is up is seen by sessions, not in the store, so that an outage of the
 //! store takes no entry away and no entry has to write to it at intervals.
 
 use crate::{
-    control::{
-        Control,
-        Member, //
-    },
+    control::Control,
     metric,
     rows::RowReader,
+    settings::Settings, //
 };
 use base::{
     InstanceId,
-    Now,
-    RegionId, //
+    Now, //
 };
 use bytestring::ByteString;
 use event::{
     emit,
     Event as LogEvent, //
 };
+use overlay::{
+    Down,
+    Member, //
+};
 use peer::{
+    DownReason,
     Event,
     Events,
     Frame,
@@ -43,16 +45,8 @@
     Write, //
 };
 use rand::RngExt;
-use serde::{
-    Deserialize,
-    Serialize, //
-};
 use std::{
-    collections::BTreeMap,
-    net::{
-        SocketAddr,
-        TcpListener, //
-    },
+    net::TcpListener,
     rc::Rc,
     time::Duration, //
 };
@@ -60,31 +54,50 @@
 /// Prefix of the rows of entries.
 const ENTRIES: &str = "entries/";
 /// Row of the key that entries prove themselves by to each other. Whoever reads the store is one of
-/// them.
-const KEY_ROW: &str = "mesh/key";
+/// them. It stands among their rows, so that one call reads all; no instance has such a name.
+const KEY_ROW: &str = "entries/.key";
 /// Bytes of that key.
 const KEY_BYTES: usize = 32;
-/// Time between two looks at the rows of the others. A newcomer opens the sessions itself, so this
-/// only finds what its first look missed.
-const LOOK_INTERVAL: Duration = Duration::from_secs(10);
+/// Time between two looks of a hub at the rows of the others. A newcomer opens the sessions itself, so this only finds
+/// what its first look missed, and what is long gone.
+const HUB_LOOK: Duration = Duration::from_secs(30);
+/// The same of a leaf, which learns of the others through its hubs.
+const LEAF_LOOK: Duration = Duration::from_secs(60);
+/// Time after which an entry that wasn't listed looks again, before it takes its place: of entries that start
+/// together, the first to look sees few.
+const SETTLE_LOOK: Duration = Duration::from_millis(700);
+/// Time between two looks whether a leaf still has a hub.
+const ALONE_LOOK: Duration = Duration::from_millis(1500);
+/// So many such looks in a row without one make it look at the rows again.
+const ALONE_LOOKS: u32 = 2;
 /// Pause after a call that failed.
 const PAUSE: Duration = Duration::from_millis(600);
 /// After this time without a session, the row of another entry is removed: an instance that was
 /// replaced never removes its own.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 
-/// Value of an entry's row.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-struct EntryRow {
-    incarnation: u64,
-    region: RegionId,
-    peers_addr: SocketAddr,
+/// This entry as the others know it.
+pub(super) fn own_member(settings: &Settings) -> Member {
+    Member {
+        instance: settings.instance.clone(),
+        region: settings.region.clone(),
+        failure_domain: settings.failure_domain.clone(),
+        peers_addr: settings.peers_addr,
+        cpu_milli: settings.cpu_milli,
+    }
 }
 
 impl<S: Feed + StoreTable + 'static, W: RowReader> Control<S, W> {
     /// Joins the other entries, and keeps looking for new ones.
     pub(super) async fn join(self: Rc<Self>) {
-        let key = self.shared_key().await;
+        let rows = loop {
+            match self.scan().await {
+                Some(rows) => break rows,
+                None => pause(PAUSE).await,
+            }
+        };
+        self.take_entries(&rows);
+        let key = self.shared_key(&rows).await;
         let events = loop {
             match self.open_mesh(&key) {
                 Ok((mesh, events)) => {
@@ -101,46 +114,74 @@
         };
         let control = self.clone();
         actix_rt::spawn(async move { control.hear(events).await });
-        while !self.register().await {
-            pause(PAUSE).await;
-        }
+        let mut rows = rows;
         loop {
-            let looked = self.look().await;
-            pause(if looked { LOOK_INTERVAL } else { PAUSE }).await;
+            self.forget_lost(&rows, self.now()).await;
+            if self.known.borrow().stopping || self.is_listed(&rows) {
+                self.known.borrow_mut().settled = true;
+                self.update_partners(self.now());
+                self.until_next_look().await;
+            } else if self.register().await {
+                pause(SETTLE_LOOK).await;
+            } else {
+                pause(PAUSE).await;
+            }
+            rows = loop {
+                match self.scan().await {
+                    Some(rows) => break rows,
+                    None => pause(PAUSE).await,
+                }
+            };
+            self.take_entries(&rows);
+        }
+    }
+
+    /// Waits until the rows of the others are to be looked at again.
+    async fn until_next_look(&self) {
+        let begun = self.now();
+        let mut alone = 0;
+        while alone < ALONE_LOOKS {
+            pause(ALONE_LOOK).await;
+            let now = self.now();
+            let known = self.known.borrow();
+            let is_hub = known.overlay.is_hub(now);
+            let interval = if is_hub { HUB_LOOK } else { LEAF_LOOK };
+            if now.saturating_sub(begun) >= interval {
+                return;
+            }
+            let has_hub = is_hub || known.overlay.primary(now).is_some();
+            alone = if has_hub { 0 } else { alone + 1 };
         }
     }
 
     /// The key that all entries share; the first one makes it.
-    async fn shared_key(&self) -> ByteString {
-        let row = ByteString::from_static(KEY_ROW);
+    async fn shared_key(&self, rows: &[Row]) -> ByteString {
+        if let Some(row) = rows.iter().find(|row| row.key == KEY_ROW) {
+            return row.value.clone();
+        }
+        let key = ByteString::from_static(KEY_ROW);
+        let random: [u8; KEY_BYTES] = rand::rng().random();
+        let value: String = random.iter().map(|byte| format!("{byte:02x}")).collect();
+        let value = ByteString::from(value);
         loop {
-            let check = Check::Absent { key: row.clone() };
-            let read = self.store.read(std::slice::from_ref(&row)).await;
-            if let Ok(rows) = read {
-                if let Some(Some(row)) = rows.into_iter().next() {
-                    return row.value;
-                }
-                let random: [u8; KEY_BYTES] = rand::rng().random();
-                let value: String = random.iter().map(|byte| format!("{byte:02x}")).collect();
-                let value = ByteString::from(value);
-                let write = Write::Put {
-                    key: row.clone(),
-                    value: value.clone(),
-                };
-                let txn = Txn {
-                    checks: vec![check],
-                    writes: vec![write],
-                };
-                match self.store.commit(txn).await {
-                    Outcome::Done(Commit::Committed { .. }) => return value,
-                    Outcome::Done(Commit::Conflict { rows }) => {
-                        if let Some(Some(row)) = rows.into_iter().next() {
-                            return row.value;
-                        }
+            let check = Check::Absent { key: key.clone() };
+            let write = Write::Put {
+                key: key.clone(),
+                value: value.clone(),
+            };
+            let txn = Txn {
+                checks: vec![check],
+                writes: vec![write],
+            };
+            match self.store.commit(txn).await {
+                Outcome::Done(Commit::Committed { .. }) => return value,
+                Outcome::Done(Commit::Conflict { rows }) => {
+                    if let Some(Some(row)) = rows.into_iter().next() {
+                        return row.value;
                     }
-                    // Whatever came of it, the next read finds the key that was made.
-                    Outcome::NotDone(_) | Outcome::Unknown(_) => {}
                 }
+                // Whatever came of it, the next try finds the key that was made.
+                Outcome::NotDone(_) | Outcome::Unknown(_) => {}
             }
             pause(PAUSE).await;
         }
@@ -174,12 +215,8 @@
 
     /// Writes this entry's row; whether it is known to stand.
     async fn register(&self) -> bool {
-        let row = EntryRow {
-            incarnation: self.incarnation,
-            region: self.settings.region.clone(),
-            peers_addr: self.settings.peers_addr,
-        };
-        let value = serde_json::to_string(&row).expect("plain fields have a text form");
+        let value = serde_json::to_string(&own_member(&self.settings))
+            .expect("plain fields have a text form");
         let write = Write::Put {
             key: self.own_row(),
             value: value.into(),
@@ -210,28 +247,29 @@
         }
     }
 
-    /// Reads the rows of all entries and opens sessions; whether that worked.
-    async fn look(&self) -> bool {
-        let Ok(rows) = self.store.scan(ENTRIES).await else {
-            metrics::counter!(metric::STORE_CALLS, "call" => "entries", "outcome" => "failed")
-                .increment(1);
-            return false;
-        };
-        metrics::counter!(metric::STORE_CALLS, "call" => "entries", "outcome" => "done")
+    /// Reads the rows of all entries.
+    async fn scan(&self) -> Option<Vec<Row>> {
+        let scanned = self.store.scan(ENTRIES).await;
+        let outcome = if scanned.is_ok() { "done" } else { "failed" };
+        metrics::counter!(metric::STORE_CALLS, "call" => "entries", "outcome" => outcome)
             .increment(1);
-        let now = self.now();
-        let mut partners = Vec::new();
-        let mut registered = BTreeMap::new();
-        for row in &rows {
-            let instance = row.key.strip_prefix(ENTRIES).unwrap_or(&row.key);
-            match serde_json::from_str::<EntryRow>(&row.value) {
-                Ok(entry) => {
-                    registered.insert(InstanceId::from(instance), entry.region);
-                    partners.push(Partner {
-                        instance: instance.into(),
-                        addr: entry.peers_addr,
-                    });
-                }
+        match scanned {
+            Ok(rows) => Some(rows),
+            Err(error) => {
+                emit(&LogEvent::EntriesNotRead {
+                    error: error.to_string(),
+                });
+                None
+            }
+        }
+    }
+
+    /// Takes the rows of all entries.
+    fn take_entries(&self, rows: &[Row]) {
+        let mut registered = Vec::with_capacity(rows.len());
+        for row in rows.iter().filter(|row| row.key != KEY_ROW) {
+            match serde_json::from_str::<Member>(&row.value) {
+                Ok(member) => registered.push(member),
                 Err(error) => {
                     emit(&LogEvent::RowUnreadable {
                         row: row.key.to_string(),
@@ -240,32 +278,52 @@
                 }
             }
         }
-        self.known.borrow_mut().registered = Some(registered);
-        if let Some(mesh) = &*self.mesh.borrow() {
-            mesh.set_partners(partners);
+        let own = own_member(&self.settings);
+        let is_new = !registered.contains(&own);
+        if is_new {
+            registered.retain(|member| member.instance != own.instance);
+            registered.push(own);
         }
+        let mut known = self.known.borrow_mut();
+        known.overlay.take_registered(registered);
+        known.is_new.get_or_insert(is_new);
+        drop(known);
         self.publish();
-        self.forget_lost(&rows, now).await;
-        if !rows.iter().any(|row| row.key == self.own_row()) && !self.known.borrow().stopping {
-            self.register().await;
-        }
-        true
     }
 
-    /// Removes the rows of entries that have been gone for long.
-    async fn forget_lost(&self, rows: &[Row], now: Now) {
-        let lost: Vec<&Row> = rows
-            .iter()
-            .filter(|row| {
-                let instance = row.key.strip_prefix(ENTRIES).unwrap_or(&row.key);
-                let known = self.known.borrow();
-                let member = known.members.get(instance);
-                member.is_some_and(|member| {
-                    !member.up && now.saturating_sub(member.lost_at) > FORGET_AFTER
-                })
+    /// Whether this entry's row stands as it is to be.
+    fn is_listed(&self, rows: &[Row]) -> bool {
+        let own = rows.iter().find(|row| row.key == self.own_row());
+        let listed = own.and_then(|row| serde_json::from_str::<Member>(&row.value).ok());
+        listed == Some(own_member(&self.settings))
+    }
+
+    /// Keeps sessions to those that the overlay names now.
+    pub(super) fn update_partners(&self, now: Now) {
+        let mut known = self.known.borrow_mut();
+        if !known.settled {
+            return;
+        }
+        let partners = known.overlay.partners(now).into_iter();
+        let partners: Vec<Partner> = partners
+            .map(|member| Partner {
+                instance: member.instance,
+                addr: member.peers_addr,
             })
             .collect();
-        for row in lost {
+        if partners == known.partners {
+            return;
+        }
+        known.partners.clone_from(&partners);
+        drop(known);
+        if let Some(mesh) = &*self.mesh.borrow() {
+            mesh.set_partners(partners);
+        }
+    }
+
+    /// Removes the rows of entries of a hub's domain that have been gone for long.
+    async fn forget_lost(&self, rows: &[Row], now: Now) {
+        for row in self.long_missing(rows, now) {
             let txn = Txn {
                 checks: vec![Check::Version {
                     key: row.key.clone(),
@@ -284,6 +342,29 @@
         }
     }
 
+    fn long_missing<'a>(&self, rows: &'a [Row], now: Now) -> Vec<&'a Row> {
+        let mut known = self.known.borrow_mut();
+        let known = &mut *known;
+        if !known.overlay.is_hub(now) {
+            known.missing.clear();
+            return Vec::new();
+        }
+        let instance_of = |row: &Row| -> InstanceId {
+            let instance = row.key.strip_prefix(ENTRIES).unwrap_or(&row.key);
+            instance.into()
+        };
+        let gone = |row: &&Row| known.overlay.is_gone(&instance_of(row));
+        let gone: Vec<&Row> = rows.iter().filter(gone).collect();
+        let since = gone.iter().map(|row| {
+            let instance = instance_of(row);
+            let since = known.missing.get(&instance).copied().unwrap_or(now);
+            (instance, since)
+        });
+        known.missing = since.collect();
+        let long = |row: &&Row| now.saturating_sub(known.missing[&instance_of(row)]) > FORGET_AFTER;
+        gone.into_iter().filter(long).collect()
+    }
+
     /// Takes what happens on the sessions.
     async fn hear(&self, mut events: Events) {
         while let Some(event) = events.recv().await {
@@ -294,18 +375,16 @@
                         incarnation: info.incarnation,
                     });
                     let mut known = self.known.borrow_mut();
-                    let state = known.members.remove(&info.instance);
-                    let member = Member {
-                        region: info.region,
-                        up: true,
-                        lost_at: Now::ZERO,
-                        round_trip: info.rtt,
-                        state: state.and_then(|member| member.state),
-                        loads: Default::default(),
-                    };
-                    known.members.insert(info.instance.clone(), member);
+                    known.overlay.take_up(
+                        &info.instance,
+                        &info.region,
+                        &info.failure_domain,
+                        info.rtt,
+                    );
+                    known.rosters.forget(&info.instance);
                     drop(known);
                     self.send_state(&info.instance);
+                    self.send_positions(&info.instance);
                     self.ask_for_warmth(&info.instance);
                 }
                 Event::Frame { from, frame, .. } => {
@@ -324,20 +403,29 @@
         }
     }
 
-    fn lose(&self, instance: &InstanceId, why: peer::DownReason) {
+    fn lose(&self, instance: &InstanceId, why: DownReason) {
         emit(&LogEvent::EntryLost {
             entry: instance.clone(),
             why: format!("{why:?}"),
         });
         let now = self.now();
+        let down = match why {
+            DownReason::Unwanted | DownReason::Dropped => Down::Unneeded,
+            DownReason::Stopping
+            | DownReason::Silent
+            | DownReason::Lost
+            | DownReason::Restarted => Down::Lost,
+        };
         let mut known = self.known.borrow_mut();
-        if let Some(member) = known.members.get_mut(instance) {
-            member.up = false;
-            member.lost_at = now;
-            member.state = None;
-            member.loads.1.clear();
-        }
+        known.overlay.take_down(instance, down, now);
+        known.states.remove(instance);
+        known.sums.forget(instance);
+        known.rosters.forget(instance);
+        known.operator.follow.stop(instance);
+        known.upstreams.follow.stop(instance);
         drop(known);
+        self.feed_due.notify_waiters();
+        self.update_partners(now);
         self.publish();
     }
 }
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -6,12 +6,14 @@
 //!
 //! - `feeds` follows the two tables of the store.
 //! - `members` registers this entry, finds the others and keeps sessions to them.
+//! - `hubs` exchanges rosters, and forwards what the store said to a hub's leaves.
 //! - `cold` holds leases of cold upstreams.
 //! - `loads` exchanges how many requests each entry has in flight at each upstream.
-//! - `relay` tells them what the store said and takes what they heard.
+//! - `relay` takes the messages of other entries, and gives them what they miss.
 
 mod cold;
 mod feeds;
+mod hubs;
 mod loads;
 mod members;
 mod relay;
@@ -20,8 +22,8 @@
     clock::Clock,
     loads::Loads,
     message::{
-        State,
-        UpstreamLoad, //
+        Followed,
+        State, //
     },
     rows::RowReader,
     settings::{
@@ -48,13 +50,21 @@
     Event, //
 };
 use lease::Leases;
-use peer::Mesh;
+use overlay::{
+    Follow,
+    Member,
+    Overlay,
+    Sums, //
+};
+use peer::{
+    Mesh,
+    Partner, //
+};
 use picture::Picture;
 use plat::{
     Feed,
     Table as StoreTable, //
 };
-use route::Table;
 use std::{
     cell::RefCell,
     collections::BTreeMap,
@@ -72,19 +82,21 @@
 /// Time between two looks at what comes due by itself.
 const TICK: Duration = Duration::from_millis(250);
 
-/// Another entry.
+/// A table of the store that is followed.
 #[derive(Debug)]
-struct Member {
-    region: RegionId,
-    /// A session stands.
-    up: bool,
-    /// When the last session ended.
-    lost_at: Now,
-    round_trip: Duration,
-    /// What it said of itself last.
-    state: Option<State>,
-    /// Its requests in flight, and when it said so.
-    loads: (Now, Vec<UpstreamLoad>),
+struct Table {
+    follow: Follow,
+    /// Calls for it fail.
+    lost: bool,
+}
+
+impl Table {
+    fn new() -> Self {
+        Self {
+            follow: Follow::new(),
+            lost: false,
+        }
+    }
 }
 
 /// What the other entries were told last of this one.
@@ -103,10 +115,27 @@
     /// Leases of this entry on cold upstreams.
     cold_leases: Leases,
     /// Compiled routes of the picture.
-    table: Option<Arc<Table>>,
-    members: BTreeMap<InstanceId, Member>,
-    /// Entries that the store lists, this one included, with their regions; `None` until it was read.
-    registered: Option<BTreeMap<InstanceId, RegionId>>,
+    routes: Option<Arc<route::Table>>,
+    operator: Table,
+    upstreams: Table,
+    overlay: Overlay,
+    /// The overlay's number when the last snapshot was made.
+    overlay_published: u64,
+    /// What entries in session said of themselves last.
+    states: BTreeMap<InstanceId, State>,
+    rosters: hubs::Rosters,
+    /// Whom sessions are kept to.
+    partners: Vec<Partner>,
+    sums: Sums,
+    /// Keys that this hub forwards.
+    warmed: loads::Forwarding,
+    /// Whether the store had no row of this entry when it first looked: its deployment or its instance is new, and
+    /// nobody waits for it yet. `None` before that.
+    is_new: Option<bool>,
+    /// This entry is listed and has seen the others since: it takes its place among them.
+    settled: bool,
+    /// Since when entries that the store lists are missing.
+    missing: BTreeMap<InstanceId, Now>,
     bounds: Bounds,
     stopping: bool,
     number: u64,
@@ -120,13 +149,23 @@
 }
 
 impl Known {
-    fn new(bounds: Bounds) -> Self {
+    fn new(own: Member, bounds: Bounds) -> Self {
         Self {
             picture: Picture::default(),
             cold_leases: cold::none_held(),
-            table: None,
-            members: BTreeMap::new(),
-            registered: None,
+            routes: None,
+            operator: Table::new(),
+            upstreams: Table::new(),
+            overlay: Overlay::new(own),
+            overlay_published: 0,
+            states: BTreeMap::new(),
+            rosters: hubs::Rosters::default(),
+            partners: Vec::new(),
+            sums: Sums::default(),
+            warmed: loads::Forwarding::default(),
+            is_new: None,
+            settled: false,
+            missing: BTreeMap::new(),
             bounds,
             stopping: false,
             number: 0,
@@ -137,11 +176,17 @@
         }
     }
 
+    fn followed(&mut self, table: Followed) -> &mut Table {
+        match table {
+            Followed::Operator => &mut self.operator,
+            Followed::Upstreams => &mut self.upstreams,
+        }
+    }
+
     /// Forgets what is long gone.
     fn sweep(&mut self, now: Now) {
         self.picture.sweep(now);
-        self.members
-            .retain(|_, member| member.up || now.saturating_sub(member.lost_at) < MEMBER_MEMORY);
+        self.overlay.sweep(now);
     }
 }
 
@@ -158,6 +203,8 @@
     loads: Arc<Loads>,
     /// Something changed on which leases of cold upstreams depend.
     cold_due: Notify,
+    /// Something changed on which it depends whether the store is to be called.
+    feed_due: Notify,
 }
 
 impl<S: Feed + StoreTable + 'static, W: RowReader> Control<S, W> {
@@ -169,7 +216,8 @@
         published: Arc<ArcSwap<Snapshot>>,
         loads: Arc<Loads>,
     ) -> Rc<Self> {
-        let known = Known::new(settings.bounds.clone());
+        let own = members::own_member(&settings);
+        let known = Known::new(own, settings.bounds.clone());
         Rc::new(Self {
             settings,
             store,
@@ -181,6 +229,7 @@
             published,
             loads,
             cold_due: Notify::new(),
+            feed_due: Notify::new(),
         })
     }
 
@@ -256,10 +305,14 @@
             let due = closing.is_some_and(|at| at <= now);
             self.known.borrow_mut().sweep(now);
             closing = self.known.borrow().picture.next_closing(now);
-            if due {
+            self.update_partners(now);
+            if due || self.known.borrow().overlay.number() != self.known.borrow().overlay_published
+            {
                 self.publish();
             }
             self.broadcast_periodically(now);
+            self.send_rosters(now);
+            self.ask_for_picture(now);
             dropped_since_start += self.tell_dropped(dropped_since_start);
         }
     }
@@ -283,15 +336,18 @@
         let now = self.now();
         let mut known = self.known.borrow_mut();
         let known = &mut *known;
-        let compiled = known.table.as_ref().map(|table| table.version());
+        let compiled = known.routes.as_ref().map(|table| table.version());
         if let Some(routes) = known.picture.routes() {
             if compiled != Some(routes.version) {
-                known.table = Some(Arc::new(Table::new(routes.clone())));
+                known.routes = Some(Arc::new(route::Table::new(routes.clone())));
                 metrics::gauge!(crate::metric::ROUTES_VERSION).set(routes.version as f64);
             }
         }
-        let connected = known.members.values().filter(|member| member.up).count();
-        metrics::gauge!(crate::metric::PEERS).set(connected as f64);
+        known.overlay.sweep(now);
+        known.overlay_published = known.overlay.number();
+        let entries = known.overlay.live().len() + 1;
+        metrics::gauge!(crate::metric::ENTRIES).set(entries as f64);
+        metrics::gauge!(crate::metric::PEERS).set(known.overlay.sessions() as f64);
         known.number += 1;
         let snapshot = self.snapshot(known, now);
         self.published.store(Arc::new(snapshot));
@@ -319,15 +375,13 @@
             failure_domain: settings.failure_domain.clone(),
             round_trips: self.round_trips(known),
         };
-        let others = known.members.values().filter(|member| member.counts(now));
-        let registered = known.registered.as_ref();
         Snapshot {
             number: known.number,
             made_at: now,
-            table: known.table.clone(),
+            table: known.routes.clone(),
             upstreams: upstreams.collect(),
             entries: self.entries(known),
-            entries_known: registered.map(|registered| (others.count() + 1).max(registered.len())),
+            entries_known: known.overlay.count(),
             here,
             bounds: known.bounds.clone(),
             stopping: known.stopping,
@@ -336,51 +390,40 @@
 
     /// Entries that take new callers.
     fn entries(&self, known: &Known) -> Vec<EntryView> {
-        let mut entries = Vec::with_capacity(known.members.len() + 1);
-        if known.table.is_some() && !known.stopping {
+        let live = known.overlay.live();
+        let mut entries = Vec::with_capacity(live.len() + 1);
+        if known.routes.is_some() && !known.stopping {
             entries.push(EntryView {
                 region: self.settings.region.clone(),
                 callers_addr: self.settings.callers_addr,
             });
         }
-        for member in known.members.values() {
-            let state = member.state.as_ref().filter(|state| state.ready);
-            if let Some(state) = state.filter(|_| member.up) {
+        for one in live.values().filter(|one| one.ready) {
+            if let Some(callers_addr) = one.callers_addr {
                 entries.push(EntryView {
-                    region: member.region.clone(),
-                    callers_addr: state.callers_addr,
+                    region: one.region.clone(),
+                    callers_addr,
                 });
             }
         }
         entries
     }
 
-    /// Shortest round trip to each other region.
+    /// Shortest round trip to each other region, by this entry's sessions or else by its hubs'.
     fn round_trips(&self, known: &Known) -> base::FastMap<RegionId, Duration> {
-        let mut shortest = base::FastMap::<RegionId, Duration>::default();
-        for member in known.members.values().filter(|member| member.up) {
-            if member.region != self.settings.region && !member.round_trip.is_zero() {
-                let known = shortest.entry(member.region.clone());
-                let trip = known.or_insert(member.round_trip);
-                *trip = (*trip).min(member.round_trip);
+        let own = known.overlay.round_trips();
+        let hubs = known.states.values().flat_map(|state| &state.round_trips);
+        let mut shortest: base::FastMap<RegionId, Duration> = own.into_iter().collect();
+        for (region, trip) in hubs {
+            if *region != self.settings.region {
+                let shortest = shortest.entry(region.clone()).or_insert(*trip);
+                *shortest = (*shortest).min(*trip);
             }
         }
         shortest
     }
 }
 
-/// How long an entry that was lost is remembered: well beyond the time after which its row is removed.
-const MEMBER_MEMORY: Duration = Duration::from_secs(600);
-/// How long an entry that was lost without a goodbye may still be sending.
-const LOST_MEMORY: Duration = Duration::from_secs(20);
-
-impl Member {
-    /// Whether it may be sending to upstreams.
-    fn counts(&self, now: Now) -> bool {
-        self.up || now.saturating_sub(self.lost_at) < LOST_MEMORY
-    }
-}
-
 /// A number that grows from one life of an instance to the next.
 ///
 /// The time of day may jump; a restart that gets a lower number is refused by the others until the
--- a/crates/entry/src/control/relay.rs
+++ b/crates/entry/src/control/relay.rs
@@ -2,15 +2,18 @@
 
 use crate::{
     control::{
+        members::own_member,
         Control,
         Known,
         Told, //
     },
     message::{
+        Followed,
         Message,
         State,
         Want, //
     },
+    metric,
     rows::RowReader,
 };
 use base::{
@@ -26,7 +29,8 @@
     to_payload,
     Frame,
     Note,
-    PeerInfo, //
+    PeerInfo,
+    SendResult, //
 };
 use picture::{
     Applied,
@@ -52,9 +56,12 @@
     /// This entry's state.
     fn state(&self, known: &Known) -> State {
         State {
+            member: own_member(&self.settings),
             callers_addr: self.settings.callers_addr,
-            ready: known.table.is_some() && !known.stopping,
+            ready: known.routes.is_some() && !known.stopping,
+            is_hub: known.overlay.is_hub(self.now()),
             reach: known.picture.reach(self.now()),
+            round_trips: known.overlay.round_trips().into_iter().collect(),
         }
     }
 
@@ -62,11 +69,9 @@
     /// [`Self::broadcast_periodically`].
     pub(super) fn broadcast_urgent(&self, known: &mut Known, now: Now) {
         let state = self.state(known);
+        known.overlay.set_own(state.callers_addr, state.ready);
         let told = known.told.state.as_ref();
-        let urgent = told.is_none_or(|told| {
-            told.ready != state.ready || told.callers_addr != state.callers_addr
-        });
-        if urgent {
+        if told.is_none_or(|told| told.is_urgent(&state)) {
             self.broadcast(known, state, now);
         }
     }
@@ -77,8 +82,15 @@
         let mut known = self.known.borrow_mut();
         let state = self.state(&known);
         let since = now.saturating_sub(known.told.at);
-        let changed = known.told.state.as_ref() != Some(&state);
-        let soon = changed || known.told.again;
+        let told = known.told.state.as_ref();
+        if told.is_none_or(|told| told.is_urgent(&state)) {
+            self.broadcast(&mut known, state, now);
+            return;
+        }
+        let changed = told.is_none_or(|told| told.differs(&state));
+        // What others forward is no news to them.
+        let forwarded = self.is_forwarded(&mut known, Followed::Upstreams, now);
+        let soon = (changed || known.told.again) && !forwarded;
         if since >= TELL_INTERVAL || (soon && since >= REACH_INTERVAL) {
             self.refresh_round_trips(&mut known);
             self.broadcast(&mut known, state, now);
@@ -87,8 +99,9 @@
 
     fn broadcast(&self, known: &mut Known, state: State, now: Now) {
         self.tell(&Message::State(state.clone()), |_| true);
+        let told = known.told.state.as_ref();
         known.told = Told {
-            again: known.told.state.as_ref() != Some(&state),
+            again: told.is_none_or(|told| told.differs(&state)),
             state: Some(state),
             at: now,
         };
@@ -105,9 +118,7 @@
             return;
         };
         for peer in mesh.peers() {
-            if let Some(member) = known.members.get_mut(&peer.instance) {
-                member.round_trip = peer.rtt;
-            }
+            known.overlay.set_round_trip(&peer.instance, peer.rtt);
         }
     }
 
@@ -121,19 +132,36 @@
         };
         for peer in mesh.peers().into_iter().filter(|peer| to(peer)) {
             // An entry that has no room for it hears the next telling, or finds out by itself.
+            count_sent(message, &frame, 1);
             mesh.send(&peer.instance, frame.clone());
         }
     }
 
-    pub(super) fn send(&self, to: &InstanceId, message: &Message) {
+    /// Sends a message to one entry; `None` if there is no way to. An entry that has no room for it, or is lost, gets
+    /// what is sent next.
+    pub(super) fn send(&self, to: &InstanceId, message: &Message) -> Option<SendResult> {
+        let mesh = self.mesh.borrow().clone()?;
+        let frame = frame(message)?;
+        count_sent(message, &frame, 1);
+        Some(mesh.send(to, frame))
+    }
+
+    /// Sends a message to each of these entries.
+    pub(super) fn send_to<'a>(&self, to: impl Iterator<Item = &'a InstanceId>, message: &Message) {
+        let mut to = to.peekable();
         let Some(mesh) = self.mesh.borrow().clone() else {
             return;
         };
+        if to.peek().is_none() {
+            return;
+        }
         let Some(frame) = frame(message) else {
             return;
         };
-        // An entry that has no room for it, or is lost, hears the next telling.
-        mesh.send(to, frame);
+        for instance in to {
+            count_sent(message, &frame, 1);
+            mesh.send(instance, frame.clone());
+        }
     }
 
     /// Takes a message of another entry.
@@ -153,14 +181,24 @@
         let now = self.now();
         match message {
             Message::State(state) => self.on_state(from, state),
-            Message::Loads(loads) => self.on_loads(from, loads, now),
-            Message::ColdHeld(upstreams) => self.on_cold_held(&upstreams, now),
-            Message::Warmed(keys) => self.loads.heard.put(keys),
+            Message::Rows(rows) => self.on_rows(from, rows, now),
+            Message::Position(table, position) => self.on_position(from, table, position, now),
+            Message::NotReading(table) => self.on_not_reading(from, table),
+            Message::WantPicture => self.answer_want_picture(from, now),
+            Message::Picture(picture) => self.on_picture(from, picture, now),
+            Message::Roster(roster) => self.on_roster(from, roster, now),
+            Message::RosterGone(hub) => self.on_roster_gone(from, &hub, now),
+            Message::Loads(loads) => self.on_loads(from, &loads, now),
+            Message::DomainLoads(loads) => self.on_domain_loads(from, &loads, now),
+            Message::FleetLoads(loads) => self.on_fleet_loads(&loads, now),
+            Message::ColdHeld(upstreams) => self.on_cold_held(from, upstreams, now),
+            Message::Warmed(keys) => self.on_warmed(from, keys),
             Message::WantWarmed => self.want_warmth(from),
             Message::Want(want) => self.answer_want(from, want, now),
             Message::Routes(routes) => {
                 let taken = self.known.borrow_mut().picture.apply_routes(&routes);
                 if taken == Applied::Changed {
+                    self.tell_leaves(&Message::Routes(routes.clone()), Some(from));
                     emit(&Event::RoutesInForce {
                         version: routes.version,
                         from: from.to_string(),
@@ -169,11 +207,12 @@
                 }
             }
             Message::Evacuations(evacuations) => {
-                let evacuations = evacuations.into_iter().collect();
+                let updates = evacuations.iter().cloned().collect();
                 let mut known = self.known.borrow_mut();
-                let taken = known.picture.apply_evacuation_updates(&evacuations, now);
+                let taken = known.picture.apply_evacuation_updates(&updates, now);
                 drop(known);
                 if taken == Applied::Changed {
+                    self.tell_leaves(&Message::Evacuations(evacuations), Some(from));
                     emit(&Event::EvacuationsHeard { from: from.clone() });
                     self.publish();
                 }
@@ -183,6 +222,7 @@
                 let taken = known.picture.apply_upstream_updates(&upstreams, now);
                 drop(known);
                 if taken == Applied::Changed {
+                    self.tell_leaves(&Message::Upstreams(upstreams), Some(from));
                     emit(&Event::UpstreamsHeard { from: from.clone() });
                     self.publish();
                 }
@@ -194,15 +234,20 @@
         let mut known = self.known.borrow_mut();
         let own = known.picture.reach(self.now());
         let theirs = state.reach;
-        let Some(member) = known.members.get_mut(from) else {
+        if state.member.instance != *from || !known.overlay.is_up(from) {
             return;
-        };
-        let before = member.state.replace(state.clone());
-        let changed = before.as_ref().is_none_or(|before| {
-            before.ready != state.ready || before.callers_addr != state.callers_addr
-        });
+        }
+        let changed = known.overlay.take_state(
+            state.member.clone(),
+            state.callers_addr,
+            state.ready,
+            state.is_hub,
+        );
+        let before = known.states.insert(from.clone(), state);
         // The same reach told twice: the store's own word has had the time to come.
         let told_before = before.is_some_and(|before| reaches(&before.reach, &theirs));
+        let store_lost = known.operator.lost || known.upstreams.lost;
+        let upstreams_after = known.picture.upstreams_read_to();
         drop(known);
         if changed {
             self.publish();
@@ -210,8 +255,9 @@
         let want = Want {
             operator: theirs.routes > own.routes || theirs.operator > own.operator,
             upstreams: theirs.upstreams > own.upstreams,
+            upstreams_after,
         };
-        let urgent = own.routes == 0;
+        let urgent = own.routes == 0 || store_lost;
         if (want.operator || want.upstreams) && (told_before || urgent) && self.may_want() {
             self.send(from, &Message::Want(want));
         }
@@ -243,7 +289,8 @@
             self.send(from, &Message::Evacuations(evacuations.collect()));
         }
         if want.upstreams {
-            self.send(from, &Message::Upstreams(picture.upstream_updates(now)));
+            let updates = picture.upstream_updates(want.upstreams_after, now);
+            self.send(from, &Message::Upstreams(updates));
         }
     }
 }
@@ -253,6 +300,14 @@
     a.routes >= b.routes && a.operator >= b.operator && a.upstreams >= b.upstreams
 }
 
+fn count_sent(message: &Message, frame: &Frame, times: u64) {
+    let Frame::Note(note) = frame else {
+        return;
+    };
+    let bytes = note.payload.len() as u64 * times;
+    metrics::counter!(metric::SENT_BYTES, "message" => message.kind()).increment(bytes);
+}
+
 fn frame(message: &Message) -> Option<Frame> {
     match to_payload(message) {
         Ok(payload) => Some(Frame::Note(Note { payload })),
--- a/crates/entry/src/loads.rs
+++ b/crates/entry/src/loads.rs
@@ -1,11 +1,12 @@
 //! Requests in flight at upstreams and keys that these are warm for, between the two threads.
 
-use crate::message::{
-    UpstreamLoad,
-    WarmKey, //
-};
+use crate::message::WarmKey;
 use arc_swap::ArcSwap;
 use base::FastMap;
+use overlay::{
+    Load,
+    LoadKey, //
+};
 use std::sync::{
     atomic::{
         AtomicBool,
@@ -21,9 +22,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct Loads {
     /// This entry's, as traffic last put them.
-    pub(crate) own: ArcSwap<Vec<UpstreamLoad>>,
-    /// Sums over the other entries by the hash of the upstream's name, as control last put them.
-    others: ArcSwap<FastMap<u64, u32>>,
+    pub(crate) own: ArcSwap<Vec<Load>>,
+    /// Sums over the other entries, as control last put them; `None` if nothing is known of them.
+    others: ArcSwap<Option<FastMap<LoadKey, u32>>>,
     /// Grows with each change of `others`.
     number: AtomicU64,
     /// Keys that this entry's requests warmed upstreams for, from traffic to control.
@@ -38,13 +39,16 @@
 
 impl Loads {
     /// Puts the sums over the other entries.
-    pub(crate) fn put_others(&self, sums: FastMap<u64, u32>) {
+    pub(crate) fn put_others(&self, sums: Option<FastMap<LoadKey, u32>>) {
         self.others.store(Arc::new(sums));
         self.number.fetch_add(1, Ordering::Release);
     }
 
     /// The sums, if they changed since `seen`, which is then set.
-    pub(crate) fn others_since(&self, seen: &mut u64) -> Option<Arc<FastMap<u64, u32>>> {
+    pub(crate) fn others_since(
+        &self,
+        seen: &mut u64,
+    ) -> Option<Arc<Option<FastMap<LoadKey, u32>>>> {
         let number = self.number.load(Ordering::Acquire);
         if number == *seen {
             return None;
--- a/crates/entry/src/metric.rs
+++ b/crates/entry/src/metric.rs
@@ -23,6 +23,14 @@
         "Version of the routes in force; 0 is none.";
     PEERS = "jasmine_entry_peers", Gauge, "sessions", "",
         "Sessions with other entries.";
+    ENTRIES = "jasmine_entry_entries", Gauge, "entries", "",
+        "Entries that are up, this one included.";
+    HUB = "jasmine_entry_hub", Gauge, "flag", "",
+        "1 if this entry is a hub of its failure domain.";
+    FORWARDED_ROWS = "jasmine_entry_forwarded_rows_total", Counter, "messages", "step",
+        "Messages with rows that a hub forwarded, by what was done with them.";
+    SENT_BYTES = "jasmine_entry_peer_sent_bytes_total", Counter, "bytes", "message",
+        "Bytes sent to other entries, by kind of message.";
 }
 
 /// The entry's part of `docs/METRICS.md`.
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -79,6 +79,8 @@
     pub bounds: Bounds,
     /// Most sockets that the process may hold.
     pub max_sockets: usize,
+    /// Processor, in thousandths of a core.
+    pub cpu_milli: u32,
 }
 
 impl Settings {
@@ -101,6 +103,7 @@
             ("peers_addr", self.peers_addr != next.peers_addr),
             ("metrics_addr", self.metrics_addr != next.metrics_addr),
             ("max_sockets", self.max_sockets != next.max_sockets),
+            ("cpu_milli", self.cpu_milli != next.cpu_milli),
         ];
         let differing = differs.into_iter().filter(|(_, differs)| *differs);
         differing.map(|(name, _)| name).collect()
--- a/crates/entry/src/traffic/fleet/told.rs
+++ b/crates/entry/src/traffic/fleet/told.rs
@@ -3,7 +3,7 @@
 use crate::{
     loads::Loads,
     message::{
-        UpstreamLoad,
+        load_key,
         WarmKey, //
     },
     traffic::fleet::Fleet,
@@ -12,14 +12,15 @@
     FastMap,
     Now, //
 };
+use overlay::Load;
 
 impl Fleet {
     /// Requests in flight at each upstream that has any.
-    pub(in crate::traffic) fn loads(&self) -> Vec<UpstreamLoad> {
+    pub(in crate::traffic) fn loads(&self) -> Vec<Load> {
         let upstreams = self.groups.values().flat_map(|group| &group.upstreams);
         upstreams
             .filter(|upstream| upstream.in_flight > 0)
-            .map(|upstream| UpstreamLoad(upstream.hash, upstream.in_flight))
+            .map(|upstream| (load_key(upstream.hash), upstream.in_flight))
             .collect()
     }
 
@@ -62,7 +63,8 @@
         };
         let groups = self.groups.values_mut();
         for upstream in groups.flat_map(|group| &mut group.upstreams) {
-            upstream.told = Some(sums.get(&upstream.hash).copied().unwrap_or(0));
+            let told = |sums: &FastMap<_, _>| sums.get(&load_key(upstream.hash)).copied();
+            upstream.told = sums.as_ref().as_ref().map(|sums| told(sums).unwrap_or(0));
         }
     }
 }
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -157,6 +157,7 @@
                 lookup_ttl_max: Duration::from_secs(5),
             },
             max_sockets: 1050,
+            cpu_milli: 1000,
         };
         let store = store.clone();
         let kept = settings.clone();
--- a/crates/entry/tests/support/store.rs
+++ b/crates/entry/tests/support/store.rs
@@ -69,6 +69,10 @@
     entries_read: Arc<AtomicUsize>,
     /// Answers with changes of this handle.
     changes_told: Arc<AtomicUsize>,
+    /// Calls of this handle for changes.
+    changes_asked: Arc<AtomicUsize>,
+    /// Whole tables that this handle read.
+    tables_read: Arc<AtomicUsize>,
 }
 
 impl MemoryStore {
@@ -81,6 +85,8 @@
             shown: Arc::default(),
             entries_read: Arc::default(),
             changes_told: Arc::default(),
+            changes_asked: Arc::default(),
+            tables_read: Arc::default(),
         }
     }
 
@@ -142,6 +148,16 @@
         self.changes_told.load(Ordering::Relaxed)
     }
 
+    /// How often this handle asked for changes of any table.
+    pub(crate) fn changes_asked(&self) -> usize {
+        self.changes_asked.load(Ordering::Relaxed)
+    }
+
+    /// How many whole tables this handle read.
+    pub(crate) fn tables_read(&self) -> usize {
+        self.tables_read.load(Ordering::Relaxed)
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("no test panics with it")
     }
@@ -177,6 +193,7 @@
 impl Feed for MemoryStore {
     async fn read_all(&self, table: &str) -> Result<Rows, ReadError> {
         self.check_up().map_err(ReadError)?;
+        self.tables_read.fetch_add(1, Ordering::Relaxed);
         Ok(self.rows_after(table, 0, false))
     }
 
@@ -187,6 +204,7 @@
         wait: Duration,
     ) -> Result<Changes, ReadError> {
         let begun = Instant::now();
+        self.changes_asked.fetch_add(1, Ordering::Relaxed);
         loop {
             self.check_up().map_err(ReadError)?;
             if position < self.lock().forgotten {
--- a/crates/event/src/event.rs
+++ b/crates/event/src/event.rs
@@ -134,6 +134,8 @@
     /// The budget of sends beyond a request's first is spent; said once a second and service.
     RetriesSpent { service: ServiceId },
 
+    /// The rows of the entries could not be read.
+    EntriesNotRead { error: String },
     /// The port for other entries could not be opened.
     NoPeersPort { error: String },
     /// A session to another entry stands.
@@ -142,6 +144,15 @@
     EntryLost { entry: InstanceId, why: String },
     /// A connection to the port for other entries did not prove itself.
     StrangerRefused { addr: String, why: String },
+    /// A new entry has taken its hub's picture in the place of the first whole tables.
+    PictureTaken {
+        from: InstanceId,
+        routes_version: Version,
+        upstreams: usize,
+        position: u64,
+    },
+    /// A hub can't read a table of the store, and forwards nothing of it.
+    HubNotReading { hub: InstanceId, table: String },
     /// A message of another entry can't be read.
     MessageUnreadable { from: InstanceId, error: String },
     /// A message could not be written.
@@ -187,6 +198,8 @@
             | Self::OwnRowNotRemoved
             | Self::StrangerRefused { .. }
             | Self::MessageUnreadable { .. }
+            | Self::EntriesNotRead { .. }
+            | Self::HubNotReading { .. }
             | Self::RequestNotRead { .. }
             | Self::AcceptFailed { .. }
             | Self::CallerTurnedAway { .. }
--- a/crates/event/tests/lines.rs
+++ b/crates/event/tests/lines.rs
@@ -117,6 +117,14 @@
     evacuation: Event::Evacuation { failure_domain: "moshi-a".into(), on: true, row_version: 9 };
     evacuations_ended: Event::EvacuationsEnded { position: 9 };
     evacuations_heard: Event::EvacuationsHeard { from: "dar-1".into() };
+    picture_taken: Event::PictureTaken {
+        from: "dar-1".into(),
+        routes_version: 7,
+        upstreams: 3,
+        position: 9,
+    };
+    entries_not_read: Event::EntriesNotRead { error: "no answer".into() };
+    hub_not_reading: Event::HubNotReading { hub: "dar-1".into(), table: "operator".into() };
     upstreams_heard: Event::UpstreamsHeard { from: "dar-1".into() };
     upstream_listed: Event::UpstreamListed {
         upstream: "u-1".into(),
--- a/crates/model/src/picture.rs
+++ b/crates/model/src/picture.rs
@@ -263,9 +263,11 @@
             if state.messages_left > 0 && entry.read > 0 {
                 let mut next = state.clone();
                 next.messages_left -= 1;
+                // The other one says with its request how far it has read.
+                let after = state.entries[1 - number].picture.upstreams_read_to();
                 next.messages.push(Message {
                     to: 1 - number,
-                    updates: entry.picture.upstream_updates(state.now()),
+                    updates: entry.picture.upstream_updates(after, state.now()),
                 });
                 step(format!("{number} tells its picture"), next);
             }
--- a/crates/picture/src/picture.rs
+++ b/crates/picture/src/picture.rs
@@ -12,6 +12,7 @@
 };
 use base::{
     DomainId,
+    FastSet,
     Now,
     UpstreamId,
     Version, //
@@ -297,12 +298,11 @@
             self.apply_upstream(upstream, *version, now);
         }
         self.note_read(position);
+        let standing: FastSet<&UpstreamId> = listed.iter().map(|(_, row)| &row.id).collect();
         let missing: Vec<UpstreamId> = self
             .upstreams
             .iter()
-            .filter(|(id, known)| {
-                known.version <= position && !listed.iter().any(|(_, row)| row.id == **id)
-            })
+            .filter(|(id, known)| known.version <= position && !standing.contains(id))
             .map(|(id, _)| id.clone())
             .collect();
         for id in missing {
@@ -374,12 +374,17 @@
         &self.evacuations
     }
 
-    /// What other entries are told of upstreams.
-    pub fn upstream_updates(&self, now: Now) -> Vec<UpstreamUpdate> {
+    /// All rows of upstreams up to this version were read from the store.
+    pub fn upstreams_read_to(&self) -> u64 {
+        self.upstreams_read_to
+    }
+
+    /// What other entries are told of upstreams whose rows changed after a version.
+    pub fn upstream_updates(&self, after: u64, now: Now) -> Vec<UpstreamUpdate> {
         // A removal in doubt is neither a listing nor a removal: nothing is told of it until that is over.
         let all = !self.guards.doubt;
         let told = self.upstreams.values();
-        let told = told.filter(|known| all || known.is_sure(now));
+        let told = told.filter(|known| known.version > after && (all || known.is_sure(now)));
         told.map(|known| UpstreamUpdate {
             listed: known.listed.clone(),
             version: known.version,
--- a/crates/picture/tests/picture.rs
+++ b/crates/picture/tests/picture.rs
@@ -206,7 +206,7 @@
     sure.apply_removal(&"u".into(), 5, false, s(2));
     in_doubt.apply_removal(&"u".into(), 5, true, s(3));
     assert_eq!(state(&in_doubt, "u", s(3)), "open");
-    sure.apply_upstream_updates(&in_doubt.upstream_updates(s(3)), s(3));
+    sure.apply_upstream_updates(&in_doubt.upstream_updates(0, s(3)), s(3));
     assert_eq!(state(&sure, "u", s(3)), "closed");
     // Of one version, a removal counts more than a listing, whoever says it.
     assert_eq!(sure.apply_upstream(&row("u"), 5, s(4)), Applied::Unchanged);
@@ -214,7 +214,7 @@
     // Once it is over, the removal is told.
     let mut third = Picture::default();
     third.apply_upstream(&row("u"), 3, s(1));
-    third.apply_upstream_updates(&in_doubt.upstream_updates(s(5)), s(5));
+    third.apply_upstream_updates(&in_doubt.upstream_updates(0, s(5)), s(5));
     assert_eq!(state(&third, "u", s(5)), "closed");
 }
 
@@ -229,7 +229,7 @@
     }
     sure.apply_removal(&"u".into(), 5, false, s(2));
     in_doubt.apply_removal(&"u".into(), 5, true, s(3));
-    let told = sure.upstream_updates(s(3));
+    let told = sure.upstream_updates(0, s(3));
     assert_eq!(
         in_doubt.apply_upstream_updates(&told, s(3)),
         Applied::Changed
@@ -250,7 +250,7 @@
     let mut started = Picture::default();
     started.apply_upstream_table(&[(6, row("v"))], 9, false, s(2));
     started.end_evacuations_without_row(&[], 9, s(2));
-    let told = behind.upstream_updates(s(2));
+    let told = behind.upstream_updates(0, s(2));
     assert_eq!(
         started.apply_upstream_updates(&told, s(2)),
         Applied::Unchanged
@@ -264,7 +264,7 @@
     // What is newer than the table is news.
     behind.apply_upstream(&row("w"), 12, s(3));
     behind.apply_evacuation(&"domain-b".into(), true, 11, s(3));
-    let told = behind.upstream_updates(s(3));
+    let told = behind.upstream_updates(0, s(3));
     assert_eq!(
         started.apply_upstream_updates(&told, s(3)),
         Applied::Changed
@@ -286,7 +286,7 @@
     picture.apply_upstream_table(&[], 4, true, s(3));
     let mut behind = Picture::default();
     behind.apply_upstream(&row("u"), 3, s(3));
-    picture.apply_upstream_updates(&behind.upstream_updates(s(3)), s(3));
+    picture.apply_upstream_updates(&behind.upstream_updates(0, s(3)), s(3));
     assert_eq!(state(&picture, "u", s(3)), "closed");
 }
 
--- a/crates/plat/src/types.rs
+++ b/crates/plat/src/types.rs
@@ -146,7 +146,7 @@
 }
 
 /// A row of one table as its feed gives it.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct FeedRow {
     /// Name of the row within its table.
     pub key: ByteString,
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -19,6 +19,12 @@
 const SOCKETS_MIN: usize = 600;
 /// Most sockets that a field may give.
 const SOCKETS_MAX: usize = 1 << 20;
+/// Thousandths of a core that a field may give.
+const CPU_MILLI_MIN: u32 = 1;
+/// Most of them.
+const CPU_MILLI_MAX: u32 = 1_000_000;
+/// Processor where none is stated: a whole core.
+const CPU_MILLI: u32 = 1000;
 /// Sockets of a process where none are stated: what common systems give a process, less some for files.
 const SOCKETS: usize = 1000;
 /// Deadline of calls to the platform where none is stated: that of `jasmined`.
@@ -69,6 +75,8 @@
     let look = time(map.optional("look_ms"));
     let sockets = map.optional("max_sockets");
     let sockets = sockets.integer(SOCKETS_MIN..=SOCKETS_MAX, "sockets");
+    let cpu_milli = map.optional("cpu_milli");
+    let cpu_milli = cpu_milli.integer(CPU_MILLI_MIN..=CPU_MILLI_MAX, "thousandths of a core");
     let bounds = map.optional("bounds").map();
     let bounds = bounds.map_or_else(Bounds::default, |mut map| read_bounds(&mut map));
     Some(Settings {
@@ -85,6 +93,7 @@
             metrics_addr: metrics_addr?,
             bounds,
             max_sockets: sockets.unwrap_or(SOCKETS),
+            cpu_milli: cpu_milli.unwrap_or(CPU_MILLI),
         },
         platform_url: platform_url?,
         platform_timeout: platform_timeout.unwrap_or(PLATFORM_TIMEOUT),
