Hubs tell their leaves of a table in which nothing changes; upstreams are published anew only if one changed

The feed's answers without rows bear the version of the last change, so a hub that hears of a reader's empty reading has nothing new to forward, and its leaves took it for lost. Ruled out: gaps, looks at the entries' rows (two each), leases (no claim before the scale-out). A hub now says once a second how far it has read. Test: leaves_of_a_domain_without_a_reader_do_not_call_the_store, which fails on the code before.

A new leaf waits 4 s for its hub's picture, not 2: of 37 entries of a domain, 13 read both tables by themselves at 2.1 to 2.7 s, while the hub was still sending. Nobody waits for a new entry yet.

By a profile of 40 entries at their start, clones and drops of upstreams' names were the greatest part of the entry's own time: each change of who is up made all 1,485 upstreams anew.

--- a/crates/entry/src/control/feeds.rs
+++ b/crates/entry/src/control/feeds.rs
@@ -34,8 +34,9 @@
 /// meanwhile is ended by its probes within some six seconds, and the other entries tell sooner that
 /// there is something new.
 const WAIT: Duration = Duration::from_millis(2000);
-/// Longest wait of a new entry for the picture of its hub: sessions stand within a second of the start.
-const PICTURE_WAIT: Duration = Duration::from_millis(2000);
+/// Longest wait of a new entry for the picture of its hub: sessions stand within a second of the start, and a hub sends
+/// it to a whole domain that starts at once, one after the other. Nobody waits for a new entry yet.
+const PICTURE_WAIT: Duration = Duration::from_millis(4000);
 /// Longest wait for the rows of the other entries, which say whether it is new.
 const ROLE_WAIT: Duration = Duration::from_millis(300);
 /// Time between two looks whether either has come.
--- a/crates/entry/src/control/hubs.rs
+++ b/crates/entry/src/control/hubs.rs
@@ -44,6 +44,8 @@
 const READER_SILENCE: Duration = Duration::from_millis(3500);
 /// Time without a word of any hub after which a leaf does: what its hub needs to notice the same, and to read.
 const HUB_SILENCE: Duration = Duration::from_millis(5000);
+/// Least time between two words of a hub to its leaves about a table in which nothing changes.
+const UNCHANGED_INTERVAL: Duration = Duration::from_millis(1000);
 /// Number of a roster that has not been advertised.
 const NEVER: u64 = 0;
 
@@ -199,13 +201,33 @@
             Step::Gap => "gap",
         };
         metrics::counter!(metric::FORWARDED_ROWS, "step" => name).increment(1);
-        if step == Step::Next {
-            self.take_changes(table, &forwarded.rows, position, forwarded.after_outage);
-            self.tell_leaves(&Message::Rows(forwarded), Some(from));
+        match step {
+            Step::Next => {
+                self.take_changes(table, &forwarded.rows, position, forwarded.after_outage);
+                self.tell_leaves(&Message::Rows(forwarded), Some(from));
+                self.known.borrow_mut().followed(table).told_at = now;
+            }
+            Step::Known => self.tell_unchanged(table, now),
+            Step::Gap => {}
         }
         self.feed_due.notify_waiters();
     }
 
+    /// Tells the leaves of this hub once in a while that it hears of a table in which nothing changes.
+    fn tell_unchanged(&self, table: Followed, now: Now) {
+        let mut known = self.known.borrow_mut();
+        let followed = known.followed(table);
+        let Some(position) = followed.follow.position() else {
+            return;
+        };
+        if now.saturating_sub(followed.told_at) < UNCHANGED_INTERVAL {
+            return;
+        }
+        followed.told_at = now;
+        drop(known);
+        self.tell_leaves(&Message::Position(table, position), None);
+    }
+
     pub(super) fn on_position(&self, from: &InstanceId, table: Followed, position: u64, now: Now) {
         let mut known = self.known.borrow_mut();
         let follow = &mut known.followed(table).follow;
--- a/crates/entry/src/control/members.rs
+++ b/crates/entry/src/control/members.rs
@@ -288,7 +288,7 @@
         known.overlay.take_registered(registered);
         known.is_new.get_or_insert(is_new);
         drop(known);
-        self.publish();
+        self.publish_entries();
     }
 
     /// Whether this entry's row stands as it is to be.
@@ -426,7 +426,7 @@
         drop(known);
         self.feed_due.notify_waiters();
         self.update_partners(now);
-        self.publish();
+        self.publish_entries();
     }
 }
 
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -88,6 +88,8 @@
     follow: Follow,
     /// Calls for it fail.
     lost: bool,
+    /// When the leaves of this hub were last told of it.
+    told_at: Now,
 }
 
 impl Table {
@@ -95,6 +97,7 @@
         Self {
             follow: Follow::new(),
             lost: false,
+            told_at: Now::ZERO,
         }
     }
 }
@@ -134,6 +137,8 @@
     is_new: Option<bool>,
     /// This entry is listed and has seen the others since: it takes its place among them.
     settled: bool,
+    /// Upstreams as the last snapshot has them.
+    views: Arc<Vec<UpstreamView>>,
     /// Since when entries that the store lists are missing.
     missing: BTreeMap<InstanceId, Now>,
     bounds: Bounds,
@@ -165,6 +170,7 @@
             warmed: loads::Forwarding::default(),
             is_new: None,
             settled: false,
+            views: Arc::default(),
             missing: BTreeMap::new(),
             bounds,
             stopping: false,
@@ -306,9 +312,10 @@
             self.known.borrow_mut().sweep(now);
             closing = self.known.borrow().picture.next_closing(now);
             self.update_partners(now);
-            if due || self.known.borrow().overlay.number() != self.known.borrow().overlay_published
-            {
+            if due {
                 self.publish();
+            } else if self.entries_changed() {
+                self.publish_entries();
             }
             self.broadcast_periodically(now);
             self.send_rosters(now);
@@ -331,8 +338,22 @@
         lines
     }
 
+    fn entries_changed(&self) -> bool {
+        let known = self.known.borrow();
+        known.overlay.number() != known.overlay_published
+    }
+
     /// Publishes what is known, and tells the other entries.
     fn publish(&self) {
+        let now = self.now();
+        let mut known = self.known.borrow_mut();
+        known.views = Arc::new(views(&known, now));
+        drop(known);
+        self.publish_entries();
+    }
+
+    /// Publishes what is known after a change that concerns no upstream.
+    fn publish_entries(&self) {
         let now = self.now();
         let mut known = self.known.borrow_mut();
         let known = &mut *known;
@@ -357,19 +378,6 @@
 
     fn snapshot(&self, known: &Known, now: Now) -> Snapshot {
         let settings = &self.settings;
-        let upstreams = known.picture.upstreams(now);
-        let upstreams = upstreams.map(|(listed, closed, cold_until)| UpstreamView {
-            id: listed.id.clone(),
-            started_ms: listed.started_ms,
-            service: listed.service.clone(),
-            region: listed.region.clone(),
-            failure_domain: listed.failure_domain.clone(),
-            addr: listed.addr,
-            slots: listed.slots,
-            closed,
-            cold_until,
-            cold_lease_until: known.cold_leases.held_until(&listed.id, now),
-        });
         let here = Location {
             region: settings.region.clone(),
             failure_domain: settings.failure_domain.clone(),
@@ -379,7 +387,7 @@
             number: known.number,
             made_at: now,
             table: known.routes.clone(),
-            upstreams: upstreams.collect(),
+            upstreams: known.views.clone(),
             entries: self.entries(known),
             entries_known: known.overlay.count(),
             here,
@@ -424,6 +432,24 @@
     }
 }
 
+/// Upstreams as traffic sees them.
+fn views(known: &Known, now: Now) -> Vec<UpstreamView> {
+    let upstreams = known.picture.upstreams(now);
+    let views = upstreams.map(|(listed, closed, cold_until)| UpstreamView {
+        id: listed.id.clone(),
+        started_ms: listed.started_ms,
+        service: listed.service.clone(),
+        region: listed.region.clone(),
+        failure_domain: listed.failure_domain.clone(),
+        addr: listed.addr,
+        slots: listed.slots,
+        closed,
+        cold_until,
+        cold_lease_until: known.cold_leases.held_until(&listed.id, now),
+    });
+    views.collect()
+}
+
 /// A number that grows from one life of an instance to the next.
 ///
 /// The time of day may jump; a restart that gets a lower number is refused by the others until the
--- a/crates/entry/src/control/relay.rs
+++ b/crates/entry/src/control/relay.rs
@@ -250,7 +250,7 @@
         let upstreams_after = known.picture.upstreams_read_to();
         drop(known);
         if changed {
-            self.publish();
+            self.publish_entries();
         }
         let want = Want {
             operator: theirs.routes > own.routes || theirs.operator > own.operator,
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -50,7 +50,8 @@
     pub(crate) made_at: Now,
     /// Routes in force; `None` until a first version is known.
     pub(crate) table: Option<Arc<Table>>,
-    pub(crate) upstreams: Vec<UpstreamView>,
+    /// The same list in each snapshot until one of them changes.
+    pub(crate) upstreams: Arc<Vec<UpstreamView>>,
     /// Entries that take new callers, this one included if it does.
     pub(crate) entries: Vec<EntryView>,
     /// Entries that may be sending, however little was heard of them, this one included; `None` until the
--- a/crates/entry/src/traffic/fleet.rs
+++ b/crates/entry/src/traffic/fleet.rs
@@ -59,7 +59,10 @@
     Split,
     Table, //
 };
-use std::time::Duration;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 /// Windows over which the part of requests that leaves the region may change.
 const SHIFT_WINDOW: Duration = Duration::from_secs(2);
@@ -92,6 +95,8 @@
     entries_known: Option<usize>,
     starts: FastMap<ServiceId, ColdStart>,
     number: u64,
+    /// Upstreams of the snapshot that was followed last.
+    views: Arc<Vec<UpstreamView>>,
     routes_version: Version,
     loads_seen: u64,
     /// Keys that were sent to upstreams not known to be warm for them, and not told yet.
@@ -109,6 +114,7 @@
             entries_known: None,
             starts: FastMap::default(),
             number: 0,
+            views: Arc::default(),
             routes_version: 0,
             loads_seen: 0,
             warmed: Vec::new(),
@@ -124,8 +130,19 @@
         self.here = snapshot.here.clone();
         self.bounds = snapshot.bounds.clone();
         self.entries_known = snapshot.entries_known;
+        if !Arc::ptr_eq(&self.views, &snapshot.upstreams) {
+            self.views = snapshot.upstreams.clone();
+            self.follow_upstreams(&snapshot.upstreams);
+        }
+        if let Some(table) = &snapshot.table {
+            self.follow_routes(table);
+        }
+        true
+    }
+
+    fn follow_upstreams(&mut self, upstreams: &[UpstreamView]) {
         let mut views: FastMap<&ServiceId, Vec<&UpstreamView>> = FastMap::default();
-        for view in &snapshot.upstreams {
+        for view in upstreams {
             views.entry(&view.service).or_default().push(view);
         }
         self.groups.retain(|service, _| views.contains_key(service));
@@ -137,10 +154,6 @@
                 .or_insert_with(|| Group::new(bounds));
             group.follow(&mut views);
         }
-        if let Some(table) = &snapshot.table {
-            self.follow_routes(table);
-        }
-        true
     }
 
     /// Takes over a newer version of the routes; what belongs to routes that are gone is forgotten.
--- a/crates/entry/tests/hubs.rs
+++ b/crates/entry/tests/hubs.rs
@@ -19,9 +19,14 @@
 
 /// In order of their names, so that the first two are hubs.
 const NAMES: [&str; 4] = ["entry-1", "entry-2", "entry-3", "entry-4"];
+/// Entries of another domain, of which none is the reader of the region.
+const OTHERS: [&str; 3] = ["entry-5", "entry-6", "entry-7"];
 /// In which a call that waits at the store has ended.
 const CALLS_END: Duration = Duration::from_millis(2600);
 
+/// Longer than an entry waits for a word of its hubs.
+const QUIET: Duration = Duration::from_millis(7500);
+
 /// Entries with a handle to the store each.
 struct Domain {
     store: MemoryStore,
@@ -81,11 +86,31 @@
         domain.wait_for_routes(2, version);
         domain.wait_for_routes(3, version);
     }
-    thread::sleep(CALLS_END);
+    // While nothing changes, no rows come; the hubs are there all the same.
+    thread::sleep(QUIET);
     assert_eq!([domain.asked(2), domain.asked(3)], before);
     assert!(!domain.upstream.seen().is_empty());
 }
 
+/// A leaf would take the hubs of its domain for lost while nothing changes: they forward what a reader elsewhere reads.
+#[test]
+fn leaves_of_a_domain_without_a_reader_do_not_call_the_store() {
+    let domain = Domain::start();
+    let handles: Vec<MemoryStore> = OTHERS.iter().map(|_| domain.store.handle()).collect();
+    let grace = Duration::from_secs(6);
+    let others = OTHERS.iter().zip(&handles).map(|(name, handle)| {
+        let entry = Entry::start_in_domain(name, "region-a", "domain-c", handle, grace);
+        entry.wait_ready(true);
+        entry
+    });
+    let _others: Vec<Entry> = others.collect();
+    thread::sleep(CALLS_END);
+    let asked = || -> Vec<usize> { handles.iter().map(MemoryStore::changes_asked).collect() };
+    let before = asked();
+    thread::sleep(QUIET);
+    assert_eq!(asked(), before);
+}
+
 /// A whole table a process at the start of a deployment: most of all calls of a quiet day.
 #[test]
 fn a_new_leaf_takes_its_hubs_picture() {
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -131,6 +131,18 @@
         region: &'static str,
         store: &MemoryStore,
         grace: Duration,
+    ) -> Self {
+        let domain = region.replace("region", "domain");
+        Self::start_in_domain(name, region, &domain, store, grace)
+    }
+
+    /// The same in a failure domain of this name.
+    pub(crate) fn start_in_domain(
+        name: &'static str,
+        region: &'static str,
+        domain: &str,
+        store: &MemoryStore,
+        grace: Duration,
     ) -> Self {
         let [callers, lookups, ready, peers, metrics] = free_addrs();
         let mut regions = FastMap::default();
@@ -139,7 +151,7 @@
         let settings = Settings {
             instance: name.into(),
             region: region.into(),
-            failure_domain: region.replace("region", "domain").into(),
+            failure_domain: domain.into(),
             regions,
             callers_addr: callers,
             lookup_addr: lookups,
