Before any answer was seen, a key goes to its first upstream of the region

Cause: as long as no work time is known, every upstream was expected in target, and the nearest of those is taken. So in the first seconds after a start the entries of each failure domain warmed an upstream of their own for each key, though cold work comes late and the key's first upstream of the region is the one that all use once that is known. Ruled out: the bound on shifts, which is free in that window.

Until the first answer nothing counts as in target that may have to be warmed; the key's order decides.

--- /dev/null
+++ b/crates/balance/examples/choice_time.rs
@@ -0,0 +1,68 @@
+//! Time of one choice among many upstreams: `cargo run --release -p balance --example choice_time`.
+
+use balance::{
+    affinity,
+    choose,
+    Choice,
+    Location,
+    Query,
+    Upstream,
+    Work, //
+};
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+/// Choices for each number of upstreams.
+const CHOICES: u64 = 2000;
+/// Keys that are asked for.
+const KEYS: u64 = 700;
+/// Regions, of three failure domains each.
+const REGIONS: usize = 3;
+
+fn upstream(number: usize) -> Upstream {
+    let region = number % REGIONS;
+    let domain = number % (3 * REGIONS);
+    Upstream::new(
+        format!("i-{number:010}").into(),
+        format!("region-{region}").into(),
+        format!("domain-{domain}").into(),
+        9,
+    )
+}
+
+fn main() {
+    let here = Location {
+        region: "region-0".into(),
+        failure_domain: "domain-0".into(),
+        ..Location::default()
+    };
+    for count in [100, 1_000, 10_000] {
+        let mut upstreams: Vec<Upstream> = (0..count).map(upstream).collect();
+        let begun = Instant::now();
+        let mut sent = 0;
+        for number in 0..CHOICES {
+            let now = Duration::from_millis(1000 + number);
+            let key = affinity(&(number % KEYS).to_le_bytes());
+            let query = Query {
+                key,
+                keyed: true,
+                explores: number % 12 == 0,
+                target_left: Duration::from_millis(1500),
+                deadline_left: Duration::from_millis(8000),
+                homes: &[],
+                tried: &[],
+                full_regions: &[],
+                cold_per_s: f64::MAX,
+                work: Work::default(),
+            };
+            if let Choice::Send { place, .. } = choose(&mut upstreams, &query, &here, now) {
+                upstreams[place].warm.note(key, now);
+                sent += 1;
+            }
+        }
+        let each = begun.elapsed() / CHOICES as u32;
+        println!("{count} upstreams: {each:?} a choice, {sent} sent");
+    }
+}
--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -266,8 +266,11 @@
         .collect()
 }
 
+/// Whether an answer is expected in target. As long as no answer was seen, that is known of no upstream which may have
+/// to be warmed first: the key's first one is used by all entries, and not another one by those of each domain.
 fn is_in_target(expected: &Expected, query: &Query<'_>) -> bool {
-    expected.expectation.answer <= query.target_left.mul_f64(TIME_USED)
+    let known = query.work.is_known() || !query.keyed || expected.known_warm;
+    known && expected.expectation.answer <= query.target_left.mul_f64(TIME_USED)
 }
 
 /// Where the request goes, if it is to be sent at all.
--- a/crates/balance/src/work.rs
+++ b/crates/balance/src/work.rs
@@ -57,6 +57,11 @@
         self.warm_s = Some(warm + weight * (took_s - warm));
     }
 
+    /// Whether any answer was seen.
+    pub fn is_known(&self) -> bool {
+        self.warm_s.is_some() || self.cold_s.is_some()
+    }
+
     /// Work whose key the upstream had lately.
     pub fn warm(&self) -> Duration {
         let cold = self.cold();
