--- a/crates/entry/src/control/members.rs
+++ b/crates/entry/src/control/members.rs
@@ -1,28 +1,28 @@
-//! This entry's place among the others: its row in the store, and sessions to them.
+//! This entry's place among the others: sessions to those that the overlay names.
 //!
 //! An entry writes one row at its start and reads the rows of the others; the overlay then says to which of them it
 //! keeps sessions. Whether an entry is up is seen by sessions, not in the store, so that an outage of the
 //! store takes no entry away and no entry has to write to it at intervals.
 
 use crate::{
-    control::Control,
-    metric,
+    control::{
+        listing::{
+            pause,
+            PAUSE, //
+        },
+        Control, //
+    },
     rows::RowReader,
-    settings::Settings, //
 };
 use base::{
     InstanceId,
     Now, //
 };
-use bytestring::ByteString;
 use event::{
     emit,
     Event as LogEvent, //
 };
-use overlay::{
-    Down,
-    Member, //
-};
+use overlay::Down;
 use peer::{
     DownReason,
     Event,
@@ -35,14 +35,8 @@
     Partner, //
 };
 use plat::{
-    Check,
-    Commit,
     Feed,
-    Outcome,
-    Row,
-    Table as StoreTable,
-    Txn,
-    Write, //
+    Table as StoreTable, //
 };
 use rand::RngExt;
 use std::{
@@ -51,13 +45,6 @@
     time::Duration, //
 };
 
-/// Prefix of the rows of entries.
-const ENTRIES: &str = "entries/";
-/// Row of the key that entries prove themselves by to each other. Whoever reads the store is one of
-/// them. It stands among their rows, so that one call reads all; no instance has such a name.
-const KEY_ROW: &str = "entries/.key";
-/// Bytes of that key.
-const KEY_BYTES: usize = 32;
 /// Time between two looks of a hub at the rows of the others. A newcomer opens the sessions itself, so this only finds
 /// what its first look missed, and what is long gone.
 const HUB_LOOK: Duration = Duration::from_secs(30);
@@ -70,23 +57,6 @@
 const ALONE_LOOK: Duration = Duration::from_millis(1500);
 /// So many such looks in a row without one make it look at the rows again.
 const ALONE_LOOKS: u32 = 2;
-/// Pause after a call that failed.
-const PAUSE: Duration = Duration::from_millis(600);
-/// After this time without a session, the row of another entry is removed: an instance that was
-/// replaced never removes its own.
-const FORGET_AFTER: Duration = Duration::from_secs(30);
-
-/// This entry as the others know it.
-pub(super) fn own_member(settings: &Settings) -> Member {
-    Member {
-        instance: settings.instance.clone(),
-        region: settings.region.clone(),
-        failure_domain: settings.failure_domain.clone(),
-        peers_addr: settings.peers_addr,
-        cpu_milli: settings.cpu_milli,
-    }
-}
-
 impl<S: Feed + StoreTable + 'static, W: RowReader> Control<S, W> {
     /// Joins the other entries, and keeps looking for new ones.
     pub(super) async fn join(self: Rc<Self>) {
@@ -154,39 +124,6 @@
         }
     }
 
-    /// The key that all entries share; the first one makes it.
-    async fn shared_key(&self, rows: &[Row]) -> ByteString {
-        if let Some(row) = rows.iter().find(|row| row.key == KEY_ROW) {
-            return row.value.clone();
-        }
-        let key = ByteString::from_static(KEY_ROW);
-        let random: [u8; KEY_BYTES] = rand::rng().random();
-        let value: String = random.iter().map(|byte| format!("{byte:02x}")).collect();
-        let value = ByteString::from(value);
-        loop {
-            let check = Check::Absent { key: key.clone() };
-            let write = Write::Put {
-                key: key.clone(),
-                value: value.clone(),
-            };
-            let txn = Txn {
-                checks: vec![check],
-                writes: vec![write],
-            };
-            match self.store.commit(txn).await {
-                Outcome::Done(Commit::Committed { .. }) => return value,
-                Outcome::Done(Commit::Conflict { rows }) => {
-                    if let Some(Some(row)) = rows.into_iter().next() {
-                        return row.value;
-                    }
-                }
-                // Whatever came of it, the next try finds the key that was made.
-                Outcome::NotDone(_) | Outcome::Unknown(_) => {}
-            }
-            pause(PAUSE).await;
-        }
-    }
-
     fn open_mesh(&self, key: &str) -> std::io::Result<(Mesh, Events)> {
         let settings = &self.settings;
         let identity = Identity {
@@ -209,95 +146,6 @@
         Mesh::start(listener, identity, Key::from_text(key), options)
     }
 
-    fn own_row(&self) -> ByteString {
-        format!("{ENTRIES}{}", self.settings.instance).into()
-    }
-
-    /// Writes this entry's row; whether it is known to stand.
-    async fn register(&self) -> bool {
-        let value = serde_json::to_string(&own_member(&self.settings))
-            .expect("plain fields have a text form");
-        let write = Write::Put {
-            key: self.own_row(),
-            value: value.into(),
-        };
-        let txn = Txn {
-            checks: Vec::new(),
-            writes: vec![write],
-        };
-        let done = matches!(self.store.commit(txn).await, Outcome::Done(_));
-        let outcome = if done { "done" } else { "failed" };
-        metrics::counter!(metric::STORE_CALLS, "call" => "register", "outcome" => outcome)
-            .increment(1);
-        done
-    }
-
-    /// Removes this entry's row, and tells the others that it takes no more callers.
-    pub(super) async fn leave(&self) {
-        let write = Write::Delete {
-            key: self.own_row(),
-        };
-        let txn = Txn {
-            checks: Vec::new(),
-            writes: vec![write],
-        };
-        // Others forget a row that has no session behind it.
-        if !matches!(self.store.commit(txn).await, Outcome::Done(_)) {
-            emit(&LogEvent::OwnRowNotRemoved);
-        }
-    }
-
-    /// Reads the rows of all entries.
-    async fn scan(&self) -> Option<Vec<Row>> {
-        let scanned = self.store.scan(ENTRIES).await;
-        let outcome = if scanned.is_ok() { "done" } else { "failed" };
-        metrics::counter!(metric::STORE_CALLS, "call" => "entries", "outcome" => outcome)
-            .increment(1);
-        match scanned {
-            Ok(rows) => Some(rows),
-            Err(error) => {
-                emit(&LogEvent::EntriesNotRead {
-                    error: error.to_string(),
-                });
-                None
-            }
-        }
-    }
-
-    /// Takes the rows of all entries.
-    fn take_entries(&self, rows: &[Row]) {
-        let mut registered = Vec::with_capacity(rows.len());
-        for row in rows.iter().filter(|row| row.key != KEY_ROW) {
-            match serde_json::from_str::<Member>(&row.value) {
-                Ok(member) => registered.push(member),
-                Err(error) => {
-                    emit(&LogEvent::RowUnreadable {
-                        row: row.key.to_string(),
-                        findings: vec![error.to_string()],
-                    });
-                }
-            }
-        }
-        let own = own_member(&self.settings);
-        let is_new = !registered.contains(&own);
-        if is_new {
-            registered.retain(|member| member.instance != own.instance);
-            registered.push(own);
-        }
-        let mut known = self.known.borrow_mut();
-        known.overlay.take_registered(registered);
-        known.is_new.get_or_insert(is_new);
-        drop(known);
-        self.publish_entries();
-    }
-
-    /// Whether this entry's row stands as it is to be.
-    fn is_listed(&self, rows: &[Row]) -> bool {
-        let own = rows.iter().find(|row| row.key == self.own_row());
-        let listed = own.and_then(|row| serde_json::from_str::<Member>(&row.value).ok());
-        listed == Some(own_member(&self.settings))
-    }
-
     /// Keeps sessions to those that the overlay names now.
     pub(super) fn update_partners(&self, now: Now) {
         let mut known = self.known.borrow_mut();
@@ -321,50 +169,6 @@
         }
     }
 
-    /// Removes the rows of entries of a hub's domain that have been gone for long.
-    async fn forget_lost(&self, rows: &[Row], now: Now) {
-        for row in self.long_missing(rows, now) {
-            let txn = Txn {
-                checks: vec![Check::Version {
-                    key: row.key.clone(),
-                    version: row.version,
-                }],
-                writes: vec![Write::Delete {
-                    key: row.key.clone(),
-                }],
-            };
-            // Another entry may have done it, or its owner may be back.
-            let outcome = self.store.commit(txn).await;
-            emit(&LogEvent::LostEntryRow {
-                row: row.key.to_string(),
-                outcome: format!("{outcome:?}"),
-            });
-        }
-    }
-
-    fn long_missing<'a>(&self, rows: &'a [Row], now: Now) -> Vec<&'a Row> {
-        let mut known = self.known.borrow_mut();
-        let known = &mut *known;
-        if !known.overlay.is_hub(now) {
-            known.missing.clear();
-            return Vec::new();
-        }
-        let instance_of = |row: &Row| -> InstanceId {
-            let instance = row.key.strip_prefix(ENTRIES).unwrap_or(&row.key);
-            instance.into()
-        };
-        let gone = |row: &&Row| known.overlay.is_gone(&instance_of(row));
-        let gone: Vec<&Row> = rows.iter().filter(gone).collect();
-        let since = gone.iter().map(|row| {
-            let instance = instance_of(row);
-            let since = known.missing.get(&instance).copied().unwrap_or(now);
-            (instance, since)
-        });
-        known.missing = since.collect();
-        let long = |row: &&Row| now.saturating_sub(known.missing[&instance_of(row)]) > FORGET_AFTER;
-        gone.into_iter().filter(long).collect()
-    }
-
     /// Takes what happens on the sessions.
     async fn hear(&self, mut events: Events) {
         while let Some(event) = events.recv().await {
@@ -429,9 +233,3 @@
         self.publish_entries();
     }
 }
-
-/// Waits about so long, not in step with other entries.
-async fn pause(about: Duration) {
-    let jitter = rand::rng().random_range(0.8..1.2);
-    tokio::time::sleep(about.mul_f64(jitter)).await;
-}
--- a/crates/entry/src/control/relay.rs
+++ b/crates/entry/src/control/relay.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     control::{
-        members::own_member,
+        listing::own_member,
         Control,
         Known,
         Told, //
--- a/crates/overlay/src/lib.rs
+++ b/crates/overlay/src/lib.rs
@@ -19,8 +19,10 @@
 //! Through a hub a table is never read past a gap.
 
 mod follow;
+mod live;
 mod member;
 mod overlay;
+mod roles;
 mod roster;
 mod sums;
 
@@ -32,9 +34,9 @@
 pub use member::Member;
 pub use overlay::{
     Down,
-    Overlay,
-    HUBS, //
+    Overlay, //
 };
+pub use roles::HUBS;
 pub use roster::{
     Listed,
     Live,
--- a/crates/overlay/src/sums.rs
+++ b/crates/overlay/src/sums.rs
@@ -30,6 +30,14 @@
 }
 
 impl Report {
+    fn new(loads: Vec<Load>, stale_after: Duration, at: Now) -> Self {
+        Self {
+            at,
+            loads,
+            stale_after,
+        }
+    }
+
     fn is_fresh(&self, now: Now) -> bool {
         now.saturating_sub(self.at) <= self.stale_after
     }
@@ -55,11 +63,7 @@
         stale_after: Duration,
         now: Now,
     ) {
-        let report = Report {
-            at: now,
-            loads,
-            stale_after,
-        };
+        let report = Report::new(loads, stale_after, now);
         self.leaves.insert(leaf.clone(), report);
     }
 
@@ -71,21 +75,13 @@
         stale_after: Duration,
         now: Now,
     ) {
-        let report = Report {
-            at: now,
-            loads,
-            stale_after,
-        };
+        let report = Report::new(loads, stale_after, now);
         self.hubs.insert(hub.clone(), report);
     }
 
     /// This leaf's hub tells the sum over all entries.
     pub fn take_fleet(&mut self, loads: Vec<Load>, stale_after: Duration, now: Now) {
-        self.fleet = Some(Report {
-            at: now,
-            loads,
-            stale_after,
-        });
+        self.fleet = Some(Report::new(loads, stale_after, now));
     }
 
     /// Notes what this leaf reports now.
