Roles and what closes next are found without a walk over all upstreams four times a second

No change of behaviour: the fleet's failures, the cold upstreams' bound and the picture's searches as before.

--- a/crates/entry/src/control/cold.rs
+++ b/crates/entry/src/control/cold.rs
@@ -116,7 +116,7 @@
     /// The cold upstreams of this region that get work, and how many entries each ranks before this one; none once
     /// this entry is about to stop, since its callers go elsewhere.
     fn wanted_leases(&self, known: &Known, now: Now) -> Vec<Wanted> {
-        if known.stopping {
+        if known.stopping || now >= known.cold_until {
             return Vec::new();
         }
         let upstreams = known.picture.upstreams(now);
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -82,6 +82,8 @@
 const SETTINGS_LOOK: Duration = Duration::from_secs(2);
 /// Time between two looks at what comes due by itself.
 const TICK: Duration = Duration::from_millis(250);
+/// Ticks between two sweeps of what is long gone.
+const SWEEP_TICKS: u32 = 8;
 
 /// A table of the store that is followed.
 #[derive(Debug)]
@@ -140,6 +142,10 @@
     settled: bool,
     /// Upstreams as the last snapshot has them.
     views: Arc<Vec<UpstreamView>>,
+    /// When the next of them closes by itself.
+    closing: Option<Now>,
+    /// Until when any of them is cold.
+    cold_until: Now,
     /// Since when entries that the store lists are missing.
     missing: BTreeMap<InstanceId, Now>,
     bounds: Bounds,
@@ -172,6 +178,8 @@
             is_new: None,
             settled: false,
             views: Arc::default(),
+            closing: None,
+            cold_until: Now::ZERO,
             missing: BTreeMap::new(),
             bounds,
             stopping: false,
@@ -189,12 +197,6 @@
             Followed::Upstreams => &mut self.upstreams,
         }
     }
-
-    /// Forgets what is long gone.
-    fn sweep(&mut self, now: Now) {
-        self.picture.sweep(now);
-        self.overlay.sweep(now);
-    }
 }
 
 /// The control of one process.
@@ -304,16 +306,19 @@
     }
 
     async fn tick(&self) {
-        let mut closing = None;
         let mut dropped_since_start = 0;
-        loop {
+        for number in 0_u32.. {
             tokio::time::sleep(TICK).await;
             let now = self.now();
-            let due = closing.is_some_and(|at| at <= now);
-            self.known.borrow_mut().sweep(now);
-            closing = self.known.borrow().picture.next_closing(now);
+            let mut known = self.known.borrow_mut();
+            known.overlay.sweep(now);
+            if number % SWEEP_TICKS == 0 {
+                known.picture.sweep(now);
+            }
+            let closes = known.closing.is_some_and(|at| at <= now);
+            drop(known);
             self.update_partners(now);
-            if due {
+            if closes {
                 self.publish();
             } else if self.entries_changed() {
                 self.publish_entries();
--- a/crates/entry/src/control/publish.rs
+++ b/crates/entry/src/control/publish.rs
@@ -39,6 +39,9 @@
         let now = self.now();
         let mut known = self.known.borrow_mut();
         known.views = Arc::new(views(&known, now));
+        known.closing = known.picture.next_closing(now);
+        let cold_until = known.views.iter().map(|view| view.cold_until).max();
+        known.cold_until = cold_until.unwrap_or_default();
         drop(known);
         self.publish_entries();
     }
--- a/crates/overlay/src/roles.rs
+++ b/crates/overlay/src/roles.rs
@@ -24,8 +24,8 @@
 impl Overlay {
     /// Entries to keep sessions to; to be asked for again after each change and at short intervals.
     pub fn partners(&mut self, now: Now) -> Vec<Member> {
-        let (mut partners, own_is_first) = self.first_of(&self.own.failure_domain, now);
-        if own_is_first || self.has_leaf() {
+        let mut partners = self.first_of(&self.own.failure_domain, now);
+        if self.is_hub(now) {
             let domains: BTreeSet<&DomainId> = self
                 .members
                 .values()
@@ -33,7 +33,7 @@
                 .filter(|domain| **domain != self.own.failure_domain)
                 .collect();
             for domain in domains {
-                partners.extend(self.first_of(domain, now).0);
+                partners.extend(self.first_of(domain, now));
             }
         }
         let wanted: BTreeSet<&InstanceId> =
@@ -48,31 +48,39 @@
         partners
     }
 
-    /// The first entries of a domain, up to as many hubs as there are to be, and those before them that don't
-    /// answer; whether this one is among them.
-    fn first_of(&self, domain: &DomainId, now: Now) -> (Vec<Member>, bool) {
-        let mut order: Vec<&Member> = self
-            .members
-            .values()
-            .filter(|member| member.failure_domain == *domain)
-            .collect();
+    /// The first entries of a domain but this one, up to as many hubs as there are to be, and those before them that
+    /// don't answer.
+    fn first_of(&self, domain: &DomainId, now: Now) -> Vec<Member> {
+        let mut order: Vec<&Member> = self.of_domain(domain).collect();
         order.sort_unstable_by_key(|member| member.place());
         let mut first = Vec::new();
-        let mut own = false;
         let mut hubs = 0;
         for member in order {
             if hubs == HUBS {
                 break;
             }
             if member.instance == self.own.instance {
-                own = true;
                 hubs += 1;
                 continue;
             }
             first.push(member.clone());
             hubs += usize::from(!self.is_suspect(&member.instance, now));
         }
-        (first, own)
+        first
+    }
+
+    /// Whether too few entries of this one's domain that answer come before it to be its hubs.
+    fn is_first(&self, now: Now) -> bool {
+        let place = self.own.place();
+        let before = self
+            .of_domain(&self.own.failure_domain)
+            .filter(|member| member.place() < place && !self.is_suspect(&member.instance, now));
+        before.take(HUBS).count() < HUBS
+    }
+
+    fn of_domain<'a>(&'a self, domain: &'a DomainId) -> impl Iterator<Item = &'a Member> {
+        let members = self.members.values();
+        members.filter(move |member| member.failure_domain == *domain)
     }
 
     /// Whether an entry doesn't answer.
@@ -99,7 +107,7 @@
 
     /// Whether this entry is a hub: by its place, or because another one of its domain has chosen it.
     pub fn is_hub(&self, now: Now) -> bool {
-        self.has_leaf() || self.first_of(&self.own.failure_domain, now).1
+        self.has_leaf() || self.is_first(now)
     }
 
     /// Whether this hub reads the store for the others: one of each region does, the first in order of those that are up.
