--- a/crates/overlay/src/live.rs
+++ b/crates/overlay/src/live.rs
@@ -27,6 +27,7 @@
 /// it. Together with the time in which a silent session is noticed it stays under the six seconds after which a
 /// look-up may no longer name an entry that is gone.
 const HOLD: Duration = Duration::from_millis(2000);
+
 impl Overlay {
     /// Forgets what has run out, and finds who is up.
     pub fn sweep(&mut self, now: Now) {
--- a/crates/overlay/src/roles.rs
+++ b/crates/overlay/src/roles.rs
@@ -21,6 +21,7 @@
 pub const HUBS: usize = 2;
 /// How long a first session may take before the next entry in order is tried besides.
 const JOIN_WAIT: Duration = Duration::from_millis(1000);
+
 impl Overlay {
     /// Entries to keep sessions to; to be asked for again after each change and at short intervals.
     pub fn partners(&mut self, now: Now) -> Vec<Member> {
