Connections to upstreams are kept by name and address

What callers saw: a request for an upstream that had started again under its name went to the former one's address. Cause: relay::Pool kept idle connections by name. One that is put back after the former incarnation's were closed (by a request that was withdrawn, or by an answer that ends late) or that is idle when the row names another address was used for the next one. Now the name and the address are the key, so that no connection leads where its upstream isn't.

Test: a_connection_of_a_former_incarnation_is_not_used_again; on the code before the second upstream gets nothing in 20 s.

--- a/crates/entry/tests/system.rs
+++ b/crates/entry/tests/system.rs
@@ -253,6 +253,44 @@
     assert!(!second.seen().is_empty());
 }
 
+/// A request that is still running when its upstream starts again under its name, at another address, leaves a connection
+/// behind on which the later one's requests would go to the former one.
+#[test]
+fn a_connection_of_a_former_incarnation_is_not_used_again() {
+    let store = MemoryStore::default();
+    store.put_routes(&routes(1));
+    let first = Upstream::start(Box::new(|number, sent, connection| {
+        if number == 0 {
+            thread::sleep(Duration::from_millis(1500));
+        }
+        connection.write(good(sent, "first"));
+        true
+    }));
+    let mut row = listed("u-1", first.addr);
+    row.started_ms = 1000;
+    store.put_upstream(&row);
+    let entry = Entry::start("entry-1", &store);
+    let mut running = Caller::connect(&entry);
+    running.send(request("GET", "/r/x", "a1", ""));
+    eventually("the request at the first", || {
+        (!first.seen().is_empty()).then_some(())
+    });
+    let second = Upstream::good("second");
+    row = listed("u-1", second.addr);
+    row.started_ms = 2000;
+    store.put_upstream(&row);
+    eventually("the second", || {
+        let fine = status(&entry, "GET", "/r/x", "probe") == 200;
+        (fine && !second.seen().is_empty()).then_some(())
+    });
+    assert_eq!(running.answer().expect("an answer").body, b"first");
+    let before = first.seen().len();
+    for number in 0..5 {
+        assert_eq!(status(&entry, "GET", "/r/x", &format!("b{number}")), 200);
+    }
+    assert_eq!(first.seen().len(), before);
+}
+
 /// Symptom: work went to an upstream that its row did not name any more. Sequence: another writer puts bytes that can't
 /// be read, or fields of another type, in the place of a row. Cause guarded against: what a row said before passing
 /// for what it says. The other rows hold, and the upstream's own next row brings it back.
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -51,9 +51,9 @@
 const IDLE_MAX: usize = 32;
 
 /// An upstream to send to.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct Target {
-    /// Incarnation; connections belong to it, not to its address, which another one may get.
+    /// Name. Connections belong to it and to its address: another upstream may get either.
     pub id: UpstreamId,
     /// Address.
     pub addr: SocketAddr,
@@ -124,7 +124,7 @@
 /// Connections to upstreams of one thread.
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
-    idle: Rc<RefCell<FastMap<UpstreamId, Vec<Idle>>>>,
+    idle: Rc<RefCell<FastMap<Target, Vec<Idle>>>>,
 }
 
 impl Pool {
@@ -144,12 +144,12 @@
         may_send: impl FnOnce() -> bool,
     ) -> Result<Response, Failure> {
         let deadline = request.deadline.into();
-        let stream = match self.take(&target.id) {
+        let stream = match self.take(target) {
             Some(stream) => stream,
             None => connect(target.addr, request.deadline).await?,
         };
         if !may_send() {
-            self.put(&target.id, stream, None);
+            self.put(target, stream, None);
             return Err(Failure::Withdrawn);
         }
         let mut sender = Sender::default();
@@ -159,7 +159,7 @@
             Err(_elapsed) => {
                 // A path that went silent takes its other connections along; each would cost one
                 // more deadline.
-                self.retire(&target.id);
+                self.retire(target);
                 Err(if sender.written_bytes == 0 {
                     Failure::NotSent("the deadline passed before the first byte".to_owned())
                 } else {
@@ -170,34 +170,34 @@
     }
 
     /// Closes all idle connections to an upstream.
-    pub fn retire(&self, id: &UpstreamId) {
-        self.idle.borrow_mut().remove(id);
+    pub fn retire(&self, target: &Target) {
+        self.idle.borrow_mut().remove(target);
     }
 
     /// Closes idle connections to upstreams that `keep` doesn't name, and those too old to use.
     pub fn sweep(&self, keep: impl Fn(&UpstreamId) -> bool) {
         let now = Instant::now();
-        self.idle.borrow_mut().retain(|id, connections| {
+        self.idle.borrow_mut().retain(|target, connections| {
             connections.retain(|idle| now < idle.until);
-            keep(id) && !connections.is_empty()
+            keep(&target.id) && !connections.is_empty()
         });
     }
 
     /// Puts a connection back; `stated` is the idle timeout that the upstream stated.
-    pub(crate) fn put(&self, id: &UpstreamId, stream: TcpStream, stated: Option<Duration>) {
+    pub(crate) fn put(&self, target: &Target, stream: TcpStream, stated: Option<Duration>) {
         let keep = stated.map_or(KEEP_IDLE, |stated| stated * KEEP_IDLE_PCT / 100);
         let until = Instant::now() + keep;
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.entry(id.clone()).or_default();
+        let connections = idle.entry(target.clone()).or_default();
         if connections.len() < IDLE_MAX {
             connections.push(Idle { stream, until });
         }
     }
 
     /// The connection used last that is still open and has nothing to say.
-    fn take(&self, id: &UpstreamId) -> Option<TcpStream> {
+    fn take(&self, target: &Target) -> Option<TcpStream> {
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.get_mut(id)?;
+        let connections = idle.get_mut(target)?;
         let now = Instant::now();
         while let Some(connection) = connections.pop() {
             // Bytes that no request asked for retire a connection, as its end does.
@@ -245,7 +245,7 @@
         // An answer that came before the body was sent ends the sending; what the upstream reads
         // next on this connection would be taken for the rest of that body.
         let reusable = sent == Some(true);
-        Ok(reader.into_response(head, stream, self.clone(), target.id.clone(), reusable))
+        Ok(reader.into_response(head, stream, self.clone(), target.clone(), reusable))
     }
 }
 
--- a/crates/relay/src/response.rs
+++ b/crates/relay/src/response.rs
@@ -3,7 +3,8 @@
 use crate::pool::{
     read_some,
     Failure,
-    Pool, //
+    Pool,
+    Target, //
 };
 use actix_codec::Decoder;
 use actix_http::{
@@ -22,7 +23,6 @@
     ResponseHead,
     StatusCode, //
 };
-use base::UpstreamId;
 use bytes::{
     Bytes,
     BytesMut, //
@@ -204,7 +204,7 @@
         head: ResponseHead,
         stream: TcpStream,
         pool: Pool,
-        upstream: UpstreamId,
+        upstream: Target,
         reusable: bool,
     ) -> Response {
         let stays_open = match head.connection_type() {
@@ -270,7 +270,7 @@
     buf: BytesMut,
     end: End,
     pool: Pool,
-    upstream: UpstreamId,
+    upstream: Target,
     reusable: bool,
     keep_idle: Option<Duration>,
 }
