--- a/crates/entry/src/control/feeds.rs
+++ b/crates/entry/src/control/feeds.rs
@@ -108,17 +108,8 @@
 }
 
 impl<S: Feed + StoreTable + 'static, W: RowReader> Control<S, W> {
-    /// Follows what operators say.
-    pub(super) async fn follow_operator(&self, table: &'static str) {
-        self.follow(table, Followed::Operator).await;
-    }
-
-    /// Follows the upstreams.
-    pub(super) async fn follow_upstreams(&self, table: &'static str) {
-        self.follow(table, Followed::Upstreams).await;
-    }
-
-    async fn follow(&self, table: &'static str, followed: Followed) {
+    /// Follows a table of the store.
+    pub(super) async fn follow(&self, table: &'static str, followed: Followed) {
         let mut calls = Calls::new(table, followed);
         if self.picture_came(followed).await {
             self.follow_changes(&mut calls).await;
--- a/crates/entry/src/control/hubs.rs
+++ b/crates/entry/src/control/hubs.rs
@@ -240,7 +240,7 @@
         drop(known);
         emit(&Event::HubNotReading {
             hub: from.clone(),
-            table: format!("{table:?}").to_lowercase(),
+            table: table.name().to_owned(),
         });
         self.feed_due.notify_waiters();
     }
@@ -266,13 +266,11 @@
             return;
         };
         let picture = &known.picture;
-        let evacuations = picture.evacuations().iter();
-        let evacuations = evacuations.map(|(domain, told)| (domain.clone(), *told));
         let whole = WholePicture {
             operator_position,
             upstreams_position,
             routes: picture.routes().cloned(),
-            evacuations: evacuations.collect(),
+            evacuations: picture.evacuation_updates(),
             upstreams: picture.upstream_updates(0, now),
         };
         self.send(from, &Message::Picture(whole));
@@ -289,8 +287,9 @@
         }
         let standing = whole.evacuations.iter().filter(|(_, told)| told.on);
         let standing: Vec<_> = standing.map(|(domain, _)| domain.clone()).collect();
-        let evacuations = whole.evacuations.into_iter().collect();
-        known.picture.apply_evacuation_updates(&evacuations, now);
+        known
+            .picture
+            .apply_evacuation_updates(&whole.evacuations, now);
         known
             .picture
             .end_evacuations_without_row(&standing, whole.operator_position, now);
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -246,9 +246,9 @@
     pub(crate) fn start(self: &Rc<Self>) {
         let tables = self.rows.tables();
         let control = self.clone();
-        actix_rt::spawn(async move { control.follow_operator(tables.operator).await });
+        actix_rt::spawn(async move { control.follow(tables.operator, Followed::Operator).await });
         let control = self.clone();
-        actix_rt::spawn(async move { control.follow_upstreams(tables.upstreams).await });
+        actix_rt::spawn(async move { control.follow(tables.upstreams, Followed::Upstreams).await });
         let control = self.clone();
         actix_rt::spawn(async move { control.join().await });
         let control = self.clone();
--- a/crates/entry/src/control/publish.rs
+++ b/crates/entry/src/control/publish.rs
@@ -62,7 +62,7 @@
         known.overlay_published = known.overlay.number();
         let entries = known.overlay.live().len() + 1;
         metrics::gauge!(metric::ENTRIES).set(entries as f64);
-        metrics::gauge!(metric::PEERS).set(known.overlay.sessions() as f64);
+        metrics::gauge!(metric::PEERS).set(known.overlay.up().count() as f64);
         known.number += 1;
         let snapshot = self.snapshot(known, now);
         self.published.store(Arc::new(snapshot));
--- a/crates/entry/src/control/relay.rs
+++ b/crates/entry/src/control/relay.rs
@@ -29,7 +29,6 @@
     to_payload,
     Frame,
     Note,
-    PeerInfo,
     SendResult, //
 };
 use picture::{
@@ -98,7 +97,7 @@
     }
 
     fn broadcast(&self, known: &mut Known, state: State, now: Now) {
-        self.tell(&Message::State(state.clone()), |_| true);
+        self.send_to(known.overlay.up(), &Message::State(state.clone()));
         let told = known.told.state.as_ref();
         known.told = Told {
             again: told.is_none_or(|told| told.differs(&state)),
@@ -122,27 +121,12 @@
         }
     }
 
-    /// Sends a message to each connected entry that `to` names.
-    pub(super) fn tell(&self, message: &Message, to: impl Fn(&PeerInfo) -> bool) {
-        let Some(mesh) = self.mesh.borrow().clone() else {
-            return;
-        };
-        let Some(frame) = frame(message) else {
-            return;
-        };
-        for peer in mesh.peers().into_iter().filter(|peer| to(peer)) {
-            // An entry that has no room for it hears the next telling, or finds out by itself.
-            count_sent(message, &frame, 1);
-            mesh.send(&peer.instance, frame.clone());
-        }
-    }
-
     /// Sends a message to one entry; `None` if there is no way to. An entry that has no room for it, or is lost, gets
     /// what is sent next.
     pub(super) fn send(&self, to: &InstanceId, message: &Message) -> Option<SendResult> {
         let mesh = self.mesh.borrow().clone()?;
         let frame = frame(message)?;
-        count_sent(message, &frame, 1);
+        count_sent(message, &frame);
         Some(mesh.send(to, frame))
     }
 
@@ -159,7 +143,7 @@
             return;
         };
         for instance in to {
-            count_sent(message, &frame, 1);
+            count_sent(message, &frame);
             mesh.send(instance, frame.clone());
         }
     }
@@ -207,9 +191,8 @@
                 }
             }
             Message::Evacuations(evacuations) => {
-                let updates = evacuations.iter().cloned().collect();
                 let mut known = self.known.borrow_mut();
-                let taken = known.picture.apply_evacuation_updates(&updates, now);
+                let taken = known.picture.apply_evacuation_updates(&evacuations, now);
                 drop(known);
                 if taken == Applied::Changed {
                     self.tell_leaves(&Message::Evacuations(evacuations), Some(from));
@@ -284,9 +267,7 @@
             if let Some(routes) = picture.routes() {
                 self.send(from, &Message::Routes(routes.clone()));
             }
-            let evacuations = picture.evacuations().iter();
-            let evacuations = evacuations.map(|(domain, told)| (domain.clone(), *told));
-            self.send(from, &Message::Evacuations(evacuations.collect()));
+            self.send(from, &Message::Evacuations(picture.evacuation_updates()));
         }
         if want.upstreams {
             let updates = picture.upstream_updates(want.upstreams_after, now);
@@ -300,11 +281,11 @@
     a.routes >= b.routes && a.operator >= b.operator && a.upstreams >= b.upstreams
 }
 
-fn count_sent(message: &Message, frame: &Frame, times: u64) {
+fn count_sent(message: &Message, frame: &Frame) {
     let Frame::Note(note) = frame else {
         return;
     };
-    let bytes = note.payload.len() as u64 * times;
+    let bytes = note.payload.len() as u64;
     metrics::counter!(metric::SENT_BYTES, "message" => message.kind()).increment(bytes);
 }
 
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -112,6 +112,16 @@
     Upstreams,
 }
 
+impl Followed {
+    /// Its name in log lines.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Operator => "operator",
+            Self::Upstreams => "upstreams",
+        }
+    }
+}
+
 /// All changes of one table from one version to another.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(crate) struct ForwardedRows {
--- a/crates/overlay/src/overlay.rs
+++ b/crates/overlay/src/overlay.rs
@@ -184,10 +184,10 @@
         self.callers = Some((callers_addr, ready));
     }
 
-    /// Takes a roster that came by a session; whether it is news.
-    pub fn take_roster(&mut self, via: &InstanceId, roster: Roster, now: Now) -> bool {
+    /// Takes a roster that came by a session.
+    pub fn take_roster(&mut self, via: &InstanceId, roster: Roster, now: Now) {
         if roster.hub == self.own.instance || !self.is_up(via) {
-            return false;
+            return;
         }
         let key = (via.clone(), roster.hub.clone());
         let before = self.rosters.get(&key);
@@ -204,7 +204,6 @@
             lost_at: None,
         };
         self.rosters.insert(key, held);
-        changed
     }
 
     /// Whoever a session leads to has lost this hub.
--- a/crates/overlay/src/roles.rs
+++ b/crates/overlay/src/roles.rs
@@ -95,9 +95,10 @@
         }
     }
 
-    /// How many sessions stand.
-    pub fn sessions(&self) -> usize {
-        self.sessions.values().filter(|session| session.up).count()
+    /// Entries to which a session stands.
+    pub fn up(&self) -> impl Iterator<Item = &InstanceId> {
+        let up = self.sessions.iter().filter(|(_, session)| session.up);
+        up.map(|(instance, _)| instance)
     }
 
     /// Whether a session stands.
--- a/crates/overlay/tests/fleet.rs
+++ b/crates/overlay/tests/fleet.rs
@@ -279,7 +279,7 @@
     fn most_sessions(&self) -> (usize, usize) {
         let mut most = (0, 0);
         for one in self.entries.iter().filter(|one| one.alive) {
-            let sessions = one.overlay.sessions();
+            let sessions = one.overlay.up().count();
             if one.overlay.is_hub(self.now) {
                 most.1 = most.1.max(sessions);
             } else {
--- a/crates/picture/src/picture.rs
+++ b/crates/picture/src/picture.rs
@@ -243,7 +243,7 @@
     /// One that isn't known here and is older than what was read from the store is over: its row was gone.
     pub fn apply_evacuation_updates(
         &mut self,
-        updates: &BTreeMap<DomainId, Evacuation>,
+        updates: &[(DomainId, Evacuation)],
         now: Now,
     ) -> Applied {
         let mut taken = Applied::Unchanged;
@@ -369,9 +369,12 @@
         }
     }
 
-    /// What is known of each failure domain.
-    pub fn evacuations(&self) -> &BTreeMap<DomainId, Evacuation> {
-        &self.evacuations
+    /// What other entries are told of evacuations.
+    pub fn evacuation_updates(&self) -> Vec<(DomainId, Evacuation)> {
+        let known = self.evacuations.iter();
+        known
+            .map(|(domain, known)| (domain.clone(), *known))
+            .collect()
     }
 
     /// All rows of upstreams up to this version were read from the store.
--- a/crates/picture/tests/picture.rs
+++ b/crates/picture/tests/picture.rs
@@ -257,7 +257,7 @@
     );
     assert_eq!(state(&started, "u", s(2)), "unknown");
     assert_eq!(
-        started.apply_evacuation_updates(behind.evacuations(), s(2)),
+        started.apply_evacuation_updates(&behind.evacuation_updates(), s(2)),
         Applied::Unchanged
     );
     assert!(!started.is_evacuated("domain-a"));
@@ -270,7 +270,7 @@
         Applied::Changed
     );
     assert_eq!(state(&started, "w", s(3)), "open");
-    started.apply_evacuation_updates(behind.evacuations(), s(3));
+    started.apply_evacuation_updates(&behind.evacuation_updates(), s(3));
     assert!(started.is_evacuated("domain-b"));
 }
 
