--- a/crates/entry/src/control/hubs.rs
+++ b/crates/entry/src/control/hubs.rs
@@ -39,13 +39,13 @@
 };
 use std::time::Duration;
 
-/// Time without a word of any reader after which a hub reads the store itself: the longest call, one that fails, and a
+/// Time without a message of any reader after which a hub reads the store itself: the longest call, one that fails, and a
 /// moment.
 const READER_SILENCE: Duration = Duration::from_millis(3500);
-/// Time without a word of any hub after which a leaf does: what its hub needs to notice the same, and to read.
+/// Time without a message of any hub after which a leaf does: what its hub needs to notice the same, and to read.
 const HUB_SILENCE: Duration = Duration::from_millis(5000);
-/// Least time between two words of a hub to its leaves about a table in which nothing changes.
-const UNCHANGED_INTERVAL: Duration = Duration::from_millis(1000);
+/// Least time between two keep-alives of a hub to its leaves for a table in which nothing changes.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(1000);
 /// Number of a roster that has not been advertised.
 const NEVER: u64 = 0;
 
@@ -207,20 +207,20 @@
                 self.tell_leaves(&Message::Rows(forwarded), Some(from));
                 self.known.borrow_mut().followed(table).told_at = now;
             }
-            Step::Known => self.tell_unchanged(table, now),
+            Step::Known => self.send_keep_alive(table, now),
             Step::Gap => {}
         }
         self.feed_due.notify_waiters();
     }
 
-    /// Tells the leaves of this hub once in a while that it hears of a table in which nothing changes.
-    fn tell_unchanged(&self, table: Followed, now: Now) {
+    /// Sends the leaves of this hub a keep-alive for a table in which nothing changes.
+    fn send_keep_alive(&self, table: Followed, now: Now) {
         let mut known = self.known.borrow_mut();
         let followed = known.followed(table);
         let Some(position) = followed.follow.position() else {
             return;
         };
-        if now.saturating_sub(followed.told_at) < UNCHANGED_INTERVAL {
+        if now.saturating_sub(followed.told_at) < KEEP_ALIVE_INTERVAL {
             return;
         }
         followed.told_at = now;
--- a/crates/entry/tests/hubs.rs
+++ b/crates/entry/tests/hubs.rs
@@ -24,7 +24,7 @@
 /// In which a call that waits at the store has ended.
 const CALLS_END: Duration = Duration::from_millis(2600);
 
-/// Longer than an entry waits for a word of its hubs.
+/// Longer than an entry waits for a message of its hubs.
 const QUIET: Duration = Duration::from_millis(7500);
 
 /// Entries with a handle to the store each.
--- a/crates/overlay/src/follow.rs
+++ b/crates/overlay/src/follow.rs
@@ -14,7 +14,7 @@
 pub struct Guards {
     /// Rows that begin after the position are not taken.
     pub gap: bool,
-    /// A hub from which nothing came for a while forwards no more.
+    /// A hub that has been silent for too long no longer counts as forwarding.
     pub silence: bool,
 }
 
@@ -83,8 +83,8 @@
         self.gap = false;
     }
 
-    /// A hub says how far it has read; from then on it forwards what comes. As long as that is farther than what was
-    /// read here, its word is none to wait for.
+    /// A hub says how far it has read; from then on it forwards what comes. A hub that is ahead of this entry doesn't
+    /// count as forwarding, since it won't send what is missing here.
     pub fn take_position(&mut self, hub: &InstanceId, position: u64, now: Now) {
         if self.position.is_some_and(|known| position <= known) {
             self.hubs.insert(hub.clone(), now);
--- a/crates/overlay/src/live.rs
+++ b/crates/overlay/src/live.rs
@@ -23,7 +23,7 @@
     time::Duration, //
 };
 
-/// How long entries count as up whose only word came through a hub that is lost: a leaf finds another hub within
+/// How long entries count as up that only a lost hub advertised: a leaf finds another hub within
 /// it. Together with the time in which a silent session is noticed it stays under the six seconds after which a
 /// look-up may no longer name an entry that is gone.
 const HOLD: Duration = Duration::from_millis(2000);
@@ -73,7 +73,7 @@
     }
 
     /// Rosters of other hubs that an entry is to be forwarded, with a number for each version: a hub's leaves get all.
-    /// Whoever of another domain has turned to a leaf gets those of its hubs.
+    /// An entry of another domain that dialled a leaf gets those of its hubs.
     pub fn forwarded(&self, to: &InstanceId, now: Now) -> impl Iterator<Item = (u64, &Roster)> {
         let is_leaf = self.leaves().any(|leaf| leaf == to);
         let of_own_hubs = !self.is_hub(now);
@@ -83,7 +83,7 @@
             if held.lost_at.is_some() || !(is_leaf || (of_own_hubs && near)) {
                 continue;
             }
-            // A hub's own word goes before what another one has of it.
+            // A roster from its own hub goes before a forwarded copy.
             if via == hub || !by_hub.contains_key(hub) {
                 by_hub.insert(hub, held);
             }
@@ -108,7 +108,7 @@
         }
         for held in self.rosters.values() {
             for listed in &held.roster.entries {
-                if listed.instance == self.own.instance || !self.vouches(held, listed) {
+                if listed.instance == self.own.instance || !self.is_newer(held, listed) {
                     continue;
                 }
                 live.entry(listed.instance.clone()).or_insert_with(|| Live {
@@ -121,8 +121,8 @@
         live
     }
 
-    /// Whether a roster says more of an entry than this one's own session to it: it came after that was lost.
-    fn vouches(&self, held: &Held, listed: &Listed) -> bool {
+    /// Whether a roster is newer than the loss of this entry's own session to a listed one.
+    fn is_newer(&self, held: &Held, listed: &Listed) -> bool {
         let session = self.sessions.get(&listed.instance);
         session.is_none_or(|session| !session.up && session.lost_at < held.received_at)
     }
--- a/crates/overlay/src/roles.rs
+++ b/crates/overlay/src/roles.rs
@@ -145,7 +145,7 @@
     }
 
     /// Entries that are told who is in session with this one: the other hubs if it is one, and whoever of another domain
-    /// has turned to it because the hubs don't answer there.
+    /// has dialled it because the hubs don't answer there.
     pub fn advertised_to(&self, now: Now) -> impl Iterator<Item = &InstanceId> {
         let is_hub = self.is_hub(now);
         let up = self.sessions.iter().filter(|(_, session)| session.up);
