Log request fingerprints in failed sends and failed requests

Each attempt by a caller has its own id, so the log did not show which attempts were the same request, or how many upstreams one request was sent to across all entries.

The fingerprint is a hash of the method, host, path and query, Authorization header and body, and is identical in every process. For a streamed body, its declared length is hashed instead. The fingerprint is written to `send-failed` lines and to `request` lines of failures (status 500 and above) once the request's route and service are known; the size of other lines is unchanged. It is computed once per request, from bytes that are already in memory.

Routing is unchanged. The tests of quarantine, event, explain and entry pass.

--- a/crates/entry/src/traffic/job.rs
+++ b/crates/entry/src/traffic/job.rs
@@ -41,6 +41,7 @@
 };
 use bytes::Bytes;
 use event::Reason;
+use quarantine::Fingerprint;
 use relay::{
     request_head,
     Exchange,
@@ -78,6 +79,8 @@
     pub(super) path: String,
     pub(super) headers: HeaderMap,
     pub(super) body: Resend,
+    /// Identical for all attempts of a request, which have different ids.
+    pub(super) fingerprint: Fingerprint,
     /// Hash of the affinity key, or of the id if there is none.
     pub(super) key: u64,
     pub(super) keyed: bool,
--- a/crates/entry/src/traffic/log.rs
+++ b/crates/entry/src/traffic/log.rs
@@ -122,6 +122,7 @@
             service: None,
             sends: 0,
             may_have_run: false,
+            fingerprint: None,
             sent: None,
             census: None,
             expected: None,
@@ -152,6 +153,7 @@
         }
         emit(&Event::SendFailed(Box::new(SendFailed {
             id: text(&self.id),
+            fingerprint: Some(hex(self.fingerprint)),
             service: self.service.clone(),
             sent: sent(&target.id, placement),
             not_run,
@@ -176,6 +178,7 @@
             reason: refused.map(|refused| refused.reason),
             sends: progress.sends,
             may_have_run: progress.may_have_run,
+            fingerprint: failure.then(|| hex(self.fingerprint)),
             sent: self.sent_last(progress),
             census: unsent.map(|refused| refused.census),
             expected: unsent.map(|refused| refused.expected),
@@ -231,7 +234,7 @@
         upstream: upstream.clone(),
         region: placement.region.clone(),
         failure_domain: placement.failure_domain.clone(),
-        key: placement.key.map(|key| format!("{key:016x}")),
+        key: placement.key.map(hex),
         load: placement.load,
         slots: placement.slots,
         report_age_ms: placement.report_age.map(millis),
@@ -240,6 +243,10 @@
     }
 }
 
+fn hex(hash: u64) -> String {
+    format!("{hash:016x}")
+}
+
 pub(super) fn text(value: &HeaderValue) -> String {
     value.to_str().unwrap_or("?").to_owned()
 }
--- a/crates/entry/src/traffic/plan.rs
+++ b/crates/entry/src/traffic/plan.rs
@@ -19,13 +19,17 @@
     header::{
         HeaderMap,
         HeaderName,
+        HeaderValue,
+        AUTHORIZATION,
         COOKIE,
         EXPECT,
         HOST, //
     },
+    Method,
     StatusCode, //
 };
 use event::Outcome;
+use quarantine::Fingerprint;
 use relay::{
     forwardable,
     Answer,
@@ -91,6 +95,7 @@
     let path = path_and_query.map_or("/", |path| path.as_str()).to_owned();
     let mut headers = forwardable(&request.headers);
     headers.remove(EXPECT);
+    let fingerprint = request_fingerprint(&request.method, &path, &headers, &request.body);
     let body = match request.body {
         RequestBody::Whole(bytes) => Resend::Whole(bytes),
         body @ RequestBody::Stream { .. } => Resend::Once(Some(body)),
@@ -104,6 +109,7 @@
         path,
         headers,
         body,
+        fingerprint,
         key,
         keyed,
         received: request.received,
@@ -113,6 +119,31 @@
     })
 }
 
+/// Computes the fingerprint of a request. A streamed body contributes only its declared length.
+fn request_fingerprint(
+    method: &Method,
+    path: &str,
+    headers: &HeaderMap,
+    body: &RequestBody,
+) -> Fingerprint {
+    let header = |name| headers.get(name).map_or(&[][..], HeaderValue::as_bytes);
+    let length;
+    let body = match body {
+        RequestBody::Whole(bytes) => &bytes[..],
+        RequestBody::Stream { length_bytes, .. } => {
+            length = length_bytes.unwrap_or_default().to_be_bytes();
+            &length[..]
+        }
+    };
+    quarantine::fingerprint(&[
+        method.as_str().as_bytes(),
+        header(HOST),
+        path.as_bytes(),
+        header(AUTHORIZATION),
+        body,
+    ])
+}
+
 /// Hash of the affinity cookie's value.
 fn affinity_key(dialect: &Dialect, headers: &HeaderMap) -> Option<u64> {
     let cookies = headers.get_all(COOKIE).filter_map(|v| v.to_str().ok());
--- a/crates/event/src/request.rs
+++ b/crates/event/src/request.rs
@@ -170,6 +170,9 @@
     /// Whether it may have run.
     #[serde(default)]
     pub may_have_run: bool,
+    /// Fingerprint of the request, in hexadecimal, if it failed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub fingerprint: Option<String>,
     /// Where it was sent last.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub sent: Option<Sent>,
@@ -199,6 +202,9 @@
 pub struct SendFailed {
     /// Id of the request.
     pub id: String,
+    /// Fingerprint of the request, in hexadecimal.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub fingerprint: Option<String>,
     /// The service.
     pub service: ServiceId,
     /// Where it was sent.
--- a/crates/event/tests/lines.rs
+++ b/crates/event/tests/lines.rs
@@ -41,6 +41,7 @@
         service: Some("menu".into()),
         sends: 0,
         may_have_run: false,
+        fingerprint: Some("0a".into()),
         sent: None,
         census: Some(Census {
             open: 3,
@@ -173,6 +174,7 @@
     }));
     send_failed: Event::SendFailed(Box::new(SendFailed {
         id: "4f".into(),
+        fingerprint: Some("0a".into()),
         service: "menu".into(),
         sent: sent(),
         not_run: false,
--- a/crates/explain/tests/causes.rs
+++ b/crates/explain/tests/causes.rs
@@ -48,6 +48,7 @@
         service: Some("menu".into()),
         sends: 1,
         may_have_run: true,
+        fingerprint: None,
         sent: Some(sent()),
         census: None,
         expected: None,
@@ -65,6 +66,7 @@
         reason: Some(reason),
         sends: 0,
         may_have_run: false,
+        fingerprint: None,
         sent: None,
         census: Some(census),
         expected: Some(Expected {
@@ -79,6 +81,7 @@
 fn failed(why: &str, not_run: bool) -> Event {
     Event::SendFailed(Box::new(SendFailed {
         id: "4f".into(),
+        fingerprint: None,
         service: "menu".into(),
         sent: sent(),
         not_run,
