--- a/crates/entry/tests/support/upstream.rs
+++ b/crates/entry/tests/support/upstream.rs
@@ -13,8 +13,13 @@
         TcpStream, //
     },
     sync::{
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
         Arc,
-        Mutex, //
+        Mutex,
+        Weak, //
     },
     thread,
     time::{
@@ -52,16 +57,56 @@
 /// What an upstream does with a request; gives whether it goes on with the connection.
 pub(crate) type Script = Box<dyn Fn(usize, &Sent, &mut Connection) -> bool + Send + Sync>;
 
+/// The process of an upstream, which a script may end.
+struct Process {
+    addr: SocketAddr,
+    ended: AtomicBool,
+    port_closed: AtomicBool,
+    connections: Mutex<Vec<Weak<TcpStream>>>,
+}
+
+impl Process {
+    fn keep(&self, stream: &Arc<TcpStream>) {
+        let mut connections = self.connections.lock().expect("no script panics with it");
+        connections.push(Arc::downgrade(stream));
+    }
+
+    /// Ends as a crash does: the port closes and all connections are reset.
+    fn crash(&self) {
+        if self.ended.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        while !self.port_closed.load(Ordering::Relaxed) {
+            // Wakes the listener, which then closes its port.
+            let _ = TcpStream::connect(self.addr);
+            thread::sleep(Duration::from_millis(1));
+        }
+        let connections = self.connections.lock().expect("no script panics with it");
+        for stream in connections.iter().filter_map(Weak::upgrade) {
+            reset(&stream);
+            // It may be closed already.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+}
+
+fn reset(stream: &TcpStream) {
+    socket2::SockRef::from(stream)
+        .set_linger(Some(Duration::ZERO))
+        .expect("an open socket");
+}
+
 /// The connection that a script writes to.
 pub(crate) struct Connection {
-    stream: TcpStream,
+    stream: Arc<TcpStream>,
     read: Vec<u8>,
+    process: Arc<Process>,
 }
 
 impl Connection {
     pub(crate) fn write(&mut self, bytes: impl AsRef<[u8]>) {
         // An entry that has gone is what some scripts wait for.
-        let _ = self.stream.write_all(bytes.as_ref());
+        let _ = (&*self.stream).write_all(bytes.as_ref());
     }
 
     pub(crate) fn close(&mut self) {
@@ -71,20 +116,22 @@
 
     /// Ends the connection by a reset.
     pub(crate) fn reset(&mut self) {
-        let socket = socket2::SockRef::from(&self.stream);
-        socket
-            .set_linger(Some(Duration::ZERO))
-            .expect("an open socket");
+        reset(&self.stream);
+    }
+
+    /// Ends the upstream's process.
+    pub(crate) fn crash(&mut self) {
+        self.process.crash();
     }
 
     /// Waits until the other end has closed; what comes is read over.
     pub(crate) fn wait_for_end(&mut self) {
-        while matches!(self.stream.read(&mut [0; 4096]), Ok(1..)) {}
+        while matches!((&*self.stream).read(&mut [0; 4096]), Ok(1..)) {}
     }
 
     fn fill(&mut self) -> bool {
         let mut buf = [0; 65536];
-        match self.stream.read(&mut buf) {
+        match (&*self.stream).read(&mut buf) {
             Ok(0) | Err(_) => false,
             Ok(read) => {
                 self.read.extend_from_slice(&buf[..read]);
@@ -167,13 +214,25 @@
         let seen = Arc::new(Mutex::new(Vec::<Sent>::new()));
         let log = seen.clone();
         let script = Arc::new(script);
+        let process = Arc::new(Process {
+            addr,
+            ended: AtomicBool::new(false),
+            port_closed: AtomicBool::new(false),
+            connections: Mutex::default(),
+        });
         thread::spawn(move || {
             for (number, stream) in listener.incoming().flatten().enumerate() {
-                let (log, script) = (log.clone(), script.clone());
+                if process.ended.load(Ordering::Relaxed) {
+                    break;
+                }
+                let stream = Arc::new(stream);
+                process.keep(&stream);
+                let (log, script, process) = (log.clone(), script.clone(), process.clone());
                 thread::spawn(move || {
                     let mut connection = Connection {
                         stream,
                         read: Vec::new(),
+                        process,
                     };
                     while let Some(sent) = connection.request(number, whole) {
                         let count = {
@@ -187,6 +246,8 @@
                     }
                 });
             }
+            drop(listener);
+            process.port_closed.store(true, Ordering::Relaxed);
         });
         Self { addr, seen }
     }
