Quarantine requests that crash upstreams, using crash reports merged by all entries

Symptom: a caller that repeated one request took down a service. Other callers' requests were delayed, broken off or refused.

Cause: an entry kept no state about a request after the request had ended. Each attempt, at whichever entry, started with no upstreams tried and no known crashes, so the number of crashes grew with the number of attempts. The number of crashes has to be limited across all entries, and nothing enforced such a limit.

Ruled out: that resends by the entries alone caused it. The test with a non-idempotent request, which is sent once per attempt, failed as well (12 sends where 6 are allowed).

Change: when a connection breaks after a request was sent, the entry tries to open a new connection to the upstream. If that is refused, the upstream has ended, and the entry reports the request's fingerprint together with the upstream's incarnation. Reports are sent to all sessions, forwarded by hubs, repeated for five seconds, and sent in full to each new session. They are merged as a set, so order, duplicates and routes do not matter as long as no more crashes are known than are stored (16 a request, 4,096 requests). A request with three crashed upstreams is rejected immediately: with 503 and the time remaining of the ten minutes for which a crash counts, or with 502 if an attempt of it has run. An answer clears the crashes before it, so that a request that only ran concurrently with one that crashes upstreams is not mistaken for one.

Why this is sufficient: the limit counts upstreams that ended, over all entries, and does not depend on a list of entries. An entry can send too much only until the reports reach it, that is, for as long as a message takes.

Cost: while nothing crashes, two look-ups in an empty map behind an uncontended lock per request. A broken connection costs one new connection, which is kept for the next request.

The tests of quarantine, event, explain, relay, entry, lease and platform otherwise pass. In router, served_metrics_are_declared failed once: the system assigns its ports, and one was taken before its entry bound it ("port of look-ups: Address already in use"). It passed three times when run alone.

--- a/crates/entry/src/control/members.rs
+++ b/crates/entry/src/control/members.rs
@@ -189,6 +189,7 @@
                     drop(known);
                     self.send_state(&info.instance);
                     self.send_positions(&info.instance);
+                    self.send_all_crashes(&info.instance);
                     self.ask_for_warmth(&info.instance);
                 }
                 Event::Frame { from, frame, .. } => {
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -9,11 +9,13 @@
 //! - `listing` registers this entry and finds the others, `members` keeps sessions to them.
 //! - `hubs` exchanges rosters, and forwards what the store said to a hub's leaves.
 //! - `cold` holds leases of cold upstreams.
+//! - `crashes` exchanges reports of requests that crashed upstreams.
 //! - `loads` exchanges how many requests each entry has in flight at each upstream.
 //! - `relay` takes the messages of other entries, and gives them what they miss.
 
 mod apply;
 mod cold;
+mod crashes;
 mod feeds;
 mod hubs;
 mod listing;
@@ -24,6 +26,7 @@
 
 use crate::{
     clock::Clock,
+    crashes::Crashes,
     loads::Loads,
     message::{
         Followed,
@@ -210,6 +213,7 @@
     mesh: RefCell<Option<Mesh>>,
     published: Arc<ArcSwap<Snapshot>>,
     loads: Arc<Loads>,
+    crashes: Arc<Crashes>,
     /// Something changed on which leases of cold upstreams depend.
     cold_due: Notify,
     /// Something changed on which it depends whether the store is to be called.
@@ -224,6 +228,7 @@
         clock: Clock,
         published: Arc<ArcSwap<Snapshot>>,
         loads: Arc<Loads>,
+        crashes: Arc<Crashes>,
     ) -> Rc<Self> {
         let own = listing::own_member(&settings);
         let known = Known::new(own, settings.bounds.clone());
@@ -237,6 +242,7 @@
             mesh: RefCell::default(),
             published,
             loads,
+            crashes,
             cold_due: Notify::new(),
             feed_due: Notify::new(),
         })
@@ -254,6 +260,8 @@
         let control = self.clone();
         actix_rt::spawn(async move { control.exchange_loads().await });
         let control = self.clone();
+        actix_rt::spawn(async move { control.exchange_crashes().await });
+        let control = self.clone();
         actix_rt::spawn(async move { control.hold_cold_leases().await });
         let control = self.clone();
         actix_rt::spawn(async move { control.sweep_cold_leases().await });
--- /dev/null
+++ b/crates/entry/src/crashes.rs
@@ -0,0 +1,117 @@
+//! Crash reports, shared by the control and traffic threads.
+
+use base::Now;
+use quarantine::{
+    Fingerprint,
+    IncarnationHash,
+    Quarantine,
+    Report, //
+};
+use std::{
+    sync::{
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::Duration, //
+};
+use tokio::sync::Notify;
+
+/// Crash reports shared by both threads.
+///
+/// The lock is held only for a look-up, an update or the merge of one message, so neither thread blocks the other for
+/// long.
+#[derive(Debug, Default)]
+pub(crate) struct Crashes {
+    state: Mutex<State>,
+    /// Signals that there are reports to send to the other entries.
+    pub(crate) due: Notify,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    quarantine: Quarantine,
+    /// Reports by this entry that have not been sent to the others.
+    unsent: Vec<Report>,
+}
+
+impl Crashes {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records that an upstream crashed while it ran a request. Returns whether this put the request in quarantine.
+    pub(crate) fn note_crash(
+        &self,
+        request: Fingerprint,
+        upstream: IncarnationHash,
+        now: Now,
+    ) -> bool {
+        let mut state = self.lock();
+        let before = state.quarantine.remaining(request, now);
+        let Some(report) = state.quarantine.note_crash(request, upstream, now) else {
+            return false;
+        };
+        state.unsent.push(report);
+        self.due.notify_one();
+        before.is_none() && state.quarantine.remaining(request, now).is_some()
+    }
+
+    /// Records that a request was answered, which clears its earlier crashes.
+    pub(crate) fn note_answer(&self, request: Fingerprint, now: Now) {
+        let mut state = self.lock();
+        let cleared = state.quarantine.note_answer(request, now);
+        if !cleared.is_empty() {
+            state.unsent.extend(cleared);
+            self.due.notify_one();
+        }
+    }
+
+    /// Returns the remaining quarantine time of a request, or `None` if it may be sent.
+    pub(crate) fn remaining(&self, request: Fingerprint, now: Now) -> Option<Duration> {
+        self.lock().quarantine.remaining(request, now)
+    }
+
+    /// Merges reports received from another entry.
+    pub(crate) fn merge(&self, reports: &[Report], now: Now) -> Merged {
+        let mut state = self.lock();
+        let mut merged = Merged::default();
+        for report in reports {
+            let before = state.quarantine.remaining(report.request, now);
+            if state.quarantine.merge(&[*report], now).is_empty() {
+                continue;
+            }
+            merged.new_reports.push(*report);
+            if before.is_none() && state.quarantine.remaining(report.request, now).is_some() {
+                merged.quarantined.push(report.request);
+            }
+        }
+        merged
+    }
+
+    /// Takes the reports by this entry that have not been sent to the others.
+    pub(crate) fn take_unsent(&self) -> Vec<Report> {
+        std::mem::take(&mut self.lock().unsent)
+    }
+
+    /// Returns all reports that are at most `age_max` old.
+    pub(crate) fn reports(&self, age_max: Duration, now: Now) -> Vec<Report> {
+        self.lock().quarantine.reports(age_max, now)
+    }
+
+    /// Removes expired crashes and returns the number of quarantined requests.
+    pub(crate) fn sweep(&self, now: Now) -> usize {
+        let mut state = self.lock();
+        state.quarantine.sweep(now);
+        state.quarantine.quarantined(now).count()
+    }
+}
+
+/// Result of merging another entry's reports.
+#[derive(Debug, Default)]
+pub(crate) struct Merged {
+    /// Reports that changed this entry's state.
+    pub(crate) new_reports: Vec<Report>,
+    /// Requests that the reports put in quarantine.
+    pub(crate) quarantined: Vec<Fingerprint>,
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 
 mod clock;
 mod control;
+mod crashes;
 mod dialect;
 mod loads;
 mod message;
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -23,6 +23,7 @@
     UpstreamUpdate, //
 };
 use plat::FeedRow;
+use quarantine::Report;
 use route::Routes;
 use serde::{
     Deserialize,
@@ -68,6 +69,8 @@
     Warmed(Vec<WarmKey>),
     /// The sender has just started: tell it all such keys that are known.
     WantWarmed,
+    /// Reports of upstreams that crashed while they ran a request.
+    Crashes(Vec<Report>),
     /// A leaf's requests in flight at upstreams, for its hub; none at those not named.
     Loads(PackedLoads),
     /// Those of a hub and its leaves, for the other hubs.
@@ -95,6 +98,7 @@
             Self::ColdHeld(_) => "cold-held",
             Self::Warmed(_) => "warmed",
             Self::WantWarmed => "want-warmed",
+            Self::Crashes(_) => "crashes",
             Self::Loads(_) => "loads",
             Self::DomainLoads(_) => "domain-loads",
             Self::FleetLoads(_) => "fleet-loads",
--- a/crates/entry/src/metric.rs
+++ b/crates/entry/src/metric.rs
@@ -13,6 +13,10 @@
         "Time from the choice of an upstream to a connection on which the request may be sent.";
     COLD_LEASES = "jasmine_entry_cold_leases", Gauge, "leases", "",
         "Cold upstreams that only this entry sends to.";
+    CRASHES = "jasmine_entry_crashes_total", Counter, "crashes", "",
+        "Upstreams found to have ended while they had a request of this entry, once for each request.";
+    QUARANTINED_REQUESTS = "jasmine_entry_quarantined_requests", Gauge, "requests", "",
+        "Requests that are rejected because they crash upstreams.";
     LOOKUPS = "jasmine_entry_lookups_total", Counter, "look-ups", "",
         "Look-ups answered.";
     STORE_CALLS = "jasmine_entry_store_calls_total", Counter, "calls", "call,outcome",
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -3,6 +3,7 @@
 use crate::{
     clock::Clock,
     control::Control,
+    crashes::Crashes,
     dialect::Dialect,
     loads::Loads,
     rows::RowReader,
@@ -105,12 +106,14 @@
     };
     let published = Arc::new(ArcSwap::from_pointee(first));
     let loads = Arc::new(Loads::default());
+    let crashes = Arc::new(Crashes::default());
     let clock = Clock::start();
     let shared = Arc::new(Shared {
         settings: settings.clone(),
         dialect,
         published: published.clone(),
         loads: loads.clone(),
+        crashes: crashes.clone(),
         metrics,
         clock,
         under_way: AtomicUsize::new(0),
@@ -136,7 +139,15 @@
             return Err(eyre!("the traffic thread ended at its start"));
         }
         actix_rt::spawn(keep_up(shared.metrics.clone()));
-        let control = Control::new(settings.clone(), store(), rows, clock, published, loads);
+        let control = Control::new(
+            settings.clone(),
+            store(),
+            rows,
+            clock,
+            published,
+            loads,
+            crashes,
+        );
         control.start();
         let hangups = signal(SignalKind::hangup()).wrap_err("handling SIGHUP")?;
         let following = control.clone();
--- a/crates/entry/src/traffic/attempt.rs
+++ b/crates/entry/src/traffic/attempt.rs
@@ -3,6 +3,7 @@
 use crate::{
     metric,
     traffic::{
+        log::hex,
         placement::{
             Incarnation,
             Placement, //
@@ -20,6 +21,11 @@
     Bytes,
     BytesMut, //
 };
+use event::{
+    emit,
+    Event, //
+};
+use quarantine::Fingerprint;
 use relay::{
     BodyReader,
     Exchange,
@@ -30,13 +36,20 @@
 use std::{
     cell::Cell,
     rc::Rc,
-    time::Instant, //
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 /// Longest answer that is held whole before its first byte goes to the caller. One that breaks off
 /// can then be asked for again; a longer one is passed on as it comes.
 const WHOLE_ANSWER_BYTES: usize = 256 << 10;
 
+/// Timeout of the connection attempt that checks whether an upstream has crashed. Covers a round trip to the farthest
+/// region, including jitter.
+const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// A request in flight at an upstream, until it is dropped.
 pub(super) struct InFlight {
     traffic: Rc<Traffic>,
@@ -86,6 +99,39 @@
     }
 }
 
+/// Checks whether an upstream whose connection broke has crashed, and records the crash if new connections to it are
+/// refused.
+pub(super) async fn check_crash(
+    traffic: Rc<Traffic>,
+    target: Target,
+    at: Incarnation,
+    id: String,
+    request: Fingerprint,
+) {
+    let deadline = Instant::now() + CRASH_CHECK_TIMEOUT;
+    if traffic.pool.open(&target, deadline).await != Err(Failure::Refused) {
+        return;
+    }
+    let now = traffic.now();
+    traffic.fleet.borrow_mut().note_ended(&at, now);
+    metrics::counter!(metric::CRASHES).increment(1);
+    let upstream = quarantine::incarnation_hash(&at.id, at.started_ms);
+    let quarantined = traffic.shared.crashes.note_crash(request, upstream, now);
+    let fingerprint = hex(request);
+    if traffic.log.take(true, now) {
+        emit(&Event::UpstreamCrashed {
+            id,
+            fingerprint: fingerprint.clone(),
+            upstream: at.id,
+            service: at.service,
+        });
+    }
+    if quarantined {
+        let from = traffic.shared.settings.instance.to_string();
+        emit(&Event::RequestQuarantined { fingerprint, from });
+    }
+}
+
 /// Answer of an upstream.
 pub(super) struct Answered {
     pub(super) status: StatusCode,
--- a/crates/entry/src/traffic/job.rs
+++ b/crates/entry/src/traffic/job.rs
@@ -15,6 +15,7 @@
             InFlight,
             Outcome, //
         },
+        log::text,
         placement::{
             Need,
             Placed,
@@ -63,6 +64,7 @@
         Instant, //
     },
 };
+use tokio::time::timeout_at;
 
 /// When to come back after a failure that left nothing running.
 const FAILED_RETRY: Duration = Duration::from_millis(100);
@@ -79,7 +81,7 @@
     pub(super) path: String,
     pub(super) headers: HeaderMap,
     pub(super) body: Resend,
-    /// Identical for all attempts of a request, which have different ids.
+    /// Identical for all attempts of a request, unlike the id.
     pub(super) fingerprint: Fingerprint,
     /// Hash of the affinity key, or of the id if there is none.
     pub(super) key: u64,
@@ -141,6 +143,10 @@
     pub(super) async fn run(mut self) -> Final {
         let mut progress = Progress::default();
         loop {
+            let crashes = &self.traffic.shared.crashes;
+            if let Some(remaining) = crashes.remaining(self.fingerprint, self.traffic.now()) {
+                return self.give_up(progress, &Refused::new(Reason::Quarantined, remaining));
+            }
             let (target, placement) = match self.place(&progress.tried) {
                 Placed::Send { target, placement } => (target, *placement),
                 Placed::Refuse(refused) => return self.give_up(progress, &refused),
@@ -165,6 +171,9 @@
                 Outcome::Failed(failure) => {
                     let why = failure.to_string();
                     self.log_send(&target, &placement, failure.not_run(), why);
+                    if matches!(failure, Failure::Broken(_)) {
+                        self.check_crash(&target, &placement).await;
+                    }
                     self.after_failure(&mut progress, &failure)
                 }
             };
@@ -174,6 +183,19 @@
         }
     }
 
+    /// Checks whether the upstream crashed while it ran this request.
+    async fn check_crash(&self, target: &Target, placement: &Placement) {
+        let check = attempt::check_crash(
+            self.traffic.clone(),
+            target.clone(),
+            placement.at.clone(),
+            text(&self.id),
+            self.fingerprint,
+        );
+        // The spawned check continues after the deadline, or if the caller disconnects, so that the crash is recorded.
+        let _ = timeout_at(self.deadline.into(), actix_rt::spawn(check)).await;
+    }
+
     /// An answer is the caller's, unless it is a failure and another upstream may do better.
     fn after_answer(&self, progress: &mut Progress, answered: Box<Answered>) -> Next {
         let retry = answered.status.is_server_error()
@@ -181,6 +203,10 @@
             && self.may_resend(progress.sends + 1);
         progress.sends += 1;
         progress.may_have_run = true;
+        if !answered.status.is_server_error() {
+            let crashes = &self.traffic.shared.crashes;
+            crashes.note_answer(self.fingerprint, self.traffic.now());
+        }
         if !retry {
             let progress = std::mem::take(progress);
             return Next::Done(self.deliver(&progress, *answered));
--- a/crates/entry/src/traffic/log.rs
+++ b/crates/entry/src/traffic/log.rs
@@ -243,7 +243,7 @@
     }
 }
 
-fn hex(hash: u64) -> String {
+pub(super) fn hex(hash: u64) -> String {
     format!("{hash:016x}")
 }
 
--- a/crates/entry/src/traffic/mod.rs
+++ b/crates/entry/src/traffic/mod.rs
@@ -28,6 +28,7 @@
 
 use crate::{
     clock::Clock,
+    crashes::Crashes,
     dialect::Dialect,
     loads::Loads,
     settings::Settings,
@@ -58,6 +59,7 @@
     pub(crate) dialect: Dialect,
     pub(crate) published: Arc<ArcSwap<Snapshot>>,
     pub(crate) loads: Arc<Loads>,
+    pub(crate) crashes: Arc<Crashes>,
     pub(crate) metrics: PrometheusHandle,
     pub(crate) clock: Clock,
     /// Requests without a final answer.
--- a/crates/entry/tests/crashes.rs
+++ b/crates/entry/tests/crashes.rs
@@ -1,4 +1,4 @@
-//! Requests that crash the upstreams that run them, from callers that repeat them at several entries.
+//! Tests of requests that crash upstreams and are repeated at several entries.
 
 mod support;
 
@@ -23,17 +23,17 @@
 const UPSTREAMS: [&str; 12] = [
     "u-1", "u-2", "u-3", "u-4", "u-5", "u-6", "u-7", "u-8", "u-9", "u-10", "u-11", "u-12",
 ];
-/// Crashes that may come of one request, over all entries.
-const CRASHES: usize = 3;
-/// Further upstreams that it may reach after that.
-const SENDS_AFTER: usize = 3;
-/// Attempts of a caller that comes back: more than there are upstreams.
+/// Maximum number of upstreams that one request may crash, over all entries.
+const CRASHES_MAX: usize = 3;
+/// Maximum number of further sends before all entries reject it.
+const EXTRA_SENDS_MAX: usize = 3;
+/// Attempts of a caller that retries; more than there are upstreams.
 const ATTEMPTS: usize = 30;
-/// Pause between two attempts.
+/// Pause before each attempt.
 const PAUSE: Duration = Duration::from_millis(50);
 
-/// Crashes upon a path that ends in `fatal`, breaks the connection upon `broken`, and takes its time for `slow`.
-fn fragile() -> Script {
+/// Crashes on a path that ends in `fatal`, resets the connection on `broken`, and delays the answer on `slow`.
+fn crash_script() -> Script {
     Box::new(|_, sent, connection| {
         let path = sent.head.split(' ').nth(1).unwrap_or_default();
         if path.ends_with("fatal") {
@@ -66,14 +66,14 @@
         let upstreams: Vec<Upstream> = UPSTREAMS
             .iter()
             .map(|name| {
-                let upstream = Upstream::start(fragile());
+                let upstream = Upstream::start(crash_script());
                 store.put_upstream(&listed(*name, upstream.addr));
                 upstream
             })
             .collect();
         let entries = ENTRIES.iter().map(|name| Entry::start(name, &store));
         let entries = entries.collect();
-        // Sessions between all of them stand.
+        // Waits until the entries have sessions to each other.
         thread::sleep(Duration::from_millis(1500));
         Self {
             store,
@@ -82,14 +82,14 @@
         }
     }
 
-    /// Upstreams that a request with this path has reached, each as often as it did.
+    /// Counts how often a request with this path has reached an upstream.
     fn sends(&self, path: &str) -> usize {
         let line = format!(" {path} ");
         let seen = self.upstreams.iter().flat_map(Upstream::seen);
         seen.filter(|sent| sent.head.contains(&line)).count()
     }
 
-    /// One attempt after another, each at the next entry and with an id of its own.
+    /// Sends attempts one after another, each to the next entry and with a new id.
     fn repeat(&self, method: &str, path: &str, body: &str, attempts: usize) -> Vec<Answer> {
         let entries = self.entries.iter().cycle();
         let attempts = entries.take(attempts).enumerate().map(|(number, entry)| {
@@ -108,7 +108,7 @@
     caller.answer().expect("an answer")
 }
 
-/// Guards against a caller that takes down a service by repeating one request.
+/// Guards against a caller taking down a service by repeating one request.
 macro_rules! few_crashes {
     ($($name:ident: $method:expr, $path:expr, $body:expr;)*) => {$(
         #[test]
@@ -116,11 +116,11 @@
             let world = World::start();
             let answers = world.repeat($method, $path, $body, ATTEMPTS);
             let sends = world.sends($path);
-            assert!(sends <= CRASHES + SENDS_AFTER, "sent {sends} times");
+            assert!(sends <= CRASHES_MAX + EXTRA_SENDS_MAX, "sent {sends} times");
             let last = answers.last().expect("attempts were made");
             assert_eq!(last.status, 503, "{}", last.head);
             assert!(last.header("retry-after").is_some(), "{}", last.head);
-            // All others are served.
+            // Other requests are still served.
             let others = world.repeat("GET", "/r/x", "", ENTRIES.len());
             assert!(others.iter().all(|answer| answer.status == 200));
         }
@@ -132,7 +132,7 @@
     repeated_filing_crashes_few_upstreams: "POST", "/f/fatal", "order";
 }
 
-/// A process that starts anew would let a request crash upstreams again that the others already reject.
+/// Guards against a new entry sending a request that the other entries already reject.
 #[test]
 fn new_entry_learns_of_crashes() {
     let mut world = World::start();
@@ -140,12 +140,15 @@
     let before = world.sends("/r/fatal");
     world.entries = vec![Entry::start("entry-4", &world.store)];
     thread::sleep(Duration::from_millis(1500));
-    world.repeat("GET", "/r/fatal", "", CRASHES);
+    world.repeat("GET", "/r/fatal", "", CRASHES_MAX);
     assert_eq!(world.sends("/r/fatal"), before);
-    assert!(before <= CRASHES + SENDS_AFTER, "sent {before} times");
+    assert!(
+        before <= CRASHES_MAX + EXTRA_SENDS_MAX,
+        "sent {before} times"
+    );
 }
 
-/// After a loss of all processes each would let a request crash upstreams again.
+/// Guards against losing all crash reports when all entries restart.
 #[test]
 fn restarted_entries_remember_crashes() {
     let mut world = World::start();
@@ -154,31 +157,34 @@
     for entry in &mut world.entries {
         entry.stop();
     }
-    // Nothing is under way, so they end well within their grace period.
+    // No request is in flight, so the entries stop within this time.
     thread::sleep(Duration::from_secs(5));
     let restarted = ENTRIES.iter().map(|name| Entry::start(name, &world.store));
     world.entries = restarted.collect();
-    world.repeat("GET", "/r/fatal", "", CRASHES);
+    world.repeat("GET", "/r/fatal", "", CRASHES_MAX);
     assert_eq!(world.sends("/r/fatal"), before);
-    assert!(before <= CRASHES + SENDS_AFTER, "sent {before} times");
+    assert!(
+        before <= CRASHES_MAX + EXTRA_SENDS_MAX,
+        "sent {before} times"
+    );
 }
 
-/// A request would be rejected because its connections broke, while its upstreams are well.
+/// Guards against quarantining a request whose connections broke without a crash.
 #[test]
 fn broken_connections_are_no_crashes() {
     let world = World::start();
-    let attempts = 2 * CRASHES;
+    let attempts = 2 * CRASHES_MAX;
     let answers = world.repeat("POST", "/f/broken", "order", attempts);
     assert!(answers.iter().all(|answer| answer.status == 502));
     assert_eq!(world.sends("/f/broken"), attempts);
 }
 
-/// A request that happens to run where others crash would be rejected with them.
+/// Guards against quarantining a request that only ran concurrently with one that crashes upstreams.
 #[test]
-fn answered_request_is_no_suspect() {
+fn answered_request_is_not_quarantined() {
     let world = World::start();
-    for number in 0..CRASHES {
-        // One of these runs where the crash comes, ...
+    for number in 0..CRASHES_MAX {
+        // At least one of these is running at the upstream that crashes.
         thread::scope(|scope| {
             for _ in 0..2 * UPSTREAMS.len() {
                 scope.spawn(|| call(&world.entries[0], "GET", "/r/slow", "a", ""));
@@ -187,7 +193,6 @@
             let path = format!("/f/{number}fatal");
             call(&world.entries[1], "POST", &path, "b", "order");
         });
-        // ... and this one is answered.
         let answer = call(&world.entries[2], "GET", "/r/slow", "c", "");
         assert_eq!(answer.status, 200, "{}", answer.head);
     }
--- a/crates/entry/tests/support/upstream.rs
+++ b/crates/entry/tests/support/upstream.rs
@@ -57,7 +57,7 @@
 /// What an upstream does with a request; gives whether it goes on with the connection.
 pub(crate) type Script = Box<dyn Fn(usize, &Sent, &mut Connection) -> bool + Send + Sync>;
 
-/// The process of an upstream, which a script may end.
+/// Simulated process of an upstream, which a script may crash.
 struct Process {
     addr: SocketAddr,
     ended: AtomicBool,
@@ -66,25 +66,25 @@
 }
 
 impl Process {
-    fn keep(&self, stream: &Arc<TcpStream>) {
+    fn register(&self, stream: &Arc<TcpStream>) {
         let mut connections = self.connections.lock().expect("no script panics with it");
         connections.push(Arc::downgrade(stream));
     }
 
-    /// Ends as a crash does: the port closes and all connections are reset.
+    /// Simulates a crash: closes the port and resets all connections.
     fn crash(&self) {
         if self.ended.swap(true, Ordering::Relaxed) {
             return;
         }
         while !self.port_closed.load(Ordering::Relaxed) {
-            // Wakes the listener, which then closes its port.
+            // Unblocks the listener, which then closes its port.
             let _ = TcpStream::connect(self.addr);
             thread::sleep(Duration::from_millis(1));
         }
         let connections = self.connections.lock().expect("no script panics with it");
         for stream in connections.iter().filter_map(Weak::upgrade) {
             reset(&stream);
-            // It may be closed already.
+            // Fails if the connection is already closed.
             let _ = stream.shutdown(Shutdown::Both);
         }
     }
@@ -119,7 +119,7 @@
         reset(&self.stream);
     }
 
-    /// Ends the upstream's process.
+    /// Crashes the upstream's process.
     pub(crate) fn crash(&mut self) {
         self.process.crash();
     }
@@ -226,7 +226,7 @@
                     break;
                 }
                 let stream = Arc::new(stream);
-                process.keep(&stream);
+                process.register(&stream);
                 let (log, script, process) = (log.clone(), script.clone(), process.clone());
                 thread::spawn(move || {
                     let mut connection = Connection {
--- a/crates/event/src/event.rs
+++ b/crates/event/src/event.rs
@@ -125,6 +125,16 @@
         upstream: UpstreamId,
         service: ServiceId,
     },
+    /// An upstream crashed while it had a request in flight.
+    UpstreamCrashed {
+        id: String,
+        fingerprint: String,
+        upstream: UpstreamId,
+        service: ServiceId,
+    },
+    /// A request was put in quarantine because of the number of upstreams it crashed; `from` is the entry that sent the
+    /// report that reached the limit.
+    RequestQuarantined { fingerprint: String, from: String },
     /// An upstream said that it leaves, or another one has its address.
     UpstreamClosed {
         upstream: UpstreamId,
@@ -195,6 +205,7 @@
             | Self::NoPeersPort { .. }
             | Self::MessageUnwritable { .. } => Severity::Error,
             Self::StoreLost { .. }
+            | Self::RequestQuarantined { .. }
             | Self::OwnRowNotRemoved
             | Self::StrangerRefused { .. }
             | Self::MessageUnreadable { .. }
@@ -214,7 +225,7 @@
         match self {
             Self::Request(ended) => Some(&ended.id),
             Self::SendFailed(failed) => Some(&failed.id),
-            Self::AnswerCut { id, .. } => Some(id),
+            Self::AnswerCut { id, .. } | Self::UpstreamCrashed { id, .. } => Some(id),
             _ => None,
         }
     }
--- a/crates/event/src/request.rs
+++ b/crates/event/src/request.rs
@@ -85,6 +85,8 @@
     SendFailed,
     /// Its body was sent once and is not kept.
     BodySpent,
+    /// It is quarantined because of the number of upstreams it crashed.
+    Quarantined,
 }
 
 impl fmt::Display for Reason {
@@ -96,6 +98,7 @@
             Self::UpstreamRefused => "the upstream refused",
             Self::SendFailed => "the send failed",
             Self::BodySpent => "its body can be sent once only",
+            Self::Quarantined => "it crashes upstreams",
         })
     }
 }
--- a/crates/event/tests/lines.rs
+++ b/crates/event/tests/lines.rs
@@ -181,6 +181,16 @@
         why: "it was closed".into(),
         after_ms: 30,
     }));
+    upstream_crashed: Event::UpstreamCrashed {
+        id: "4f".into(),
+        fingerprint: "0a".into(),
+        upstream: "u-1".into(),
+        service: "menu".into(),
+    };
+    request_quarantined: Event::RequestQuarantined {
+        fingerprint: "0a".into(),
+        from: "dar-1".into(),
+    };
     answer_cut: Event::AnswerCut {
         id: "4f".into(),
         upstream: "u-1".into(),
--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -168,6 +168,7 @@
 ) -> Cause {
     let fault = match (ended.reason, last_failure) {
         (Some(Reason::NoSlotInTime), None) => Fault::Overload,
+        (Some(Reason::Quarantined), _) => Fault::Quarantined,
         (Some(Reason::NoUpstreamListed), _) => Fault::NoUpstreamListed,
         (_, Some((_, failed))) if failed.why.starts_with("status") => Fault::UpstreamRefused,
         (_, Some(_)) => Fault::UpstreamUnreachable,
@@ -198,9 +199,35 @@
             cause = cause.with(format!("{domain} was evacuated"));
         }
     }
+    if fault == Fault::Quarantined {
+        cause = cause.with(crashes_of(logs, ended));
+    }
     cause
 }
 
+/// Lists the upstreams that crashed while they ran any attempt of a request.
+fn crashes_of(logs: &Logs, ended: &RequestEnded) -> String {
+    let crashed = logs
+        .lines()
+        .iter()
+        .filter_map(|placed| match &placed.line.event {
+            Event::UpstreamCrashed {
+                fingerprint,
+                upstream,
+                ..
+            } if Some(fingerprint) == ended.fingerprint.as_ref() => Some(&**upstream),
+            _ => None,
+        });
+    let mut crashed: Vec<&str> = crashed.collect();
+    crashed.sort_unstable();
+    crashed.dedup();
+    let fingerprint = ended.fingerprint.as_deref().unwrap_or("?");
+    format!(
+        "fingerprint {fingerprint}; crashed in these logs: {}",
+        crashed.join(", ")
+    )
+}
+
 fn of_failure(
     logs: &Logs,
     line: &Line,
--- a/crates/explain/src/fault.rs
+++ b/crates/explain/src/fault.rs
@@ -15,6 +15,8 @@
     NoUpstreamOpen,
     /// The service had no upstream in the list.
     NoUpstreamListed,
+    /// The request is quarantined because it crashed upstreams.
+    Quarantined,
     /// Upstreams said that they were full or not the right one.
     UpstreamRefused,
     /// No connection to the upstream came about.
@@ -63,6 +65,7 @@
             Self::Overload => "overload: every upstream that may do it had too much before it",
             Self::NoUpstreamOpen => "no upstream was open",
             Self::NoUpstreamListed => "no upstream was listed",
+            Self::Quarantined => "the request itself: upstreams that ran it crashed",
             Self::UpstreamRefused => "the upstreams refused it",
             Self::UpstreamUnreachable => "the upstream could not be reached",
             Self::UpstreamEnded => "the upstream ended while it had the request",
--- a/crates/explain/tests/causes.rs
+++ b/crates/explain/tests/causes.rs
@@ -90,6 +90,16 @@
     }))
 }
 
+/// A crash of an upstream during another attempt of the request.
+fn crashed(upstream: &'static str, fingerprint: &str) -> Event {
+    Event::UpstreamCrashed {
+        id: "other".into(),
+        fingerprint: fingerprint.to_owned(),
+        upstream: upstream.into(),
+        service: "menu".into(),
+    }
+}
+
 fn request(ended: RequestEnded) -> Event {
     Event::Request(Box::new(ended))
 }
@@ -210,6 +220,15 @@
         }),
         (0, request(refused(Reason::NoUpstreamOpen, Census { cold: 3, ..Census::default() }))),
     ] => NoUpstreamOpen, "0 open, 0 leaving, gone or evacuated, 3 cold";
+    refused_after_crashes: [
+        (-900, crashed("u-1", "0a")),
+        (-600, crashed("u-9", "0b")),
+        (-300, crashed("u-2", "0a")),
+        (0, request(RequestEnded {
+            fingerprint: Some("0a".into()),
+            ..refused(Reason::Quarantined, Census::default())
+        })),
+    ] => Quarantined, "fingerprint 0a; crashed in these logs: u-1, u-2";
     refused_by_full_upstreams: [
         (-10, failed("status 503", true)),
         (0, request(refused(Reason::UpstreamRefused, Census::default()))),
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -169,6 +169,18 @@
         }
     }
 
+    /// Opens a connection and adds it to the idle connections of the upstream.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`Failure::Refused`] if no process listens on the address, or with the error that prevented the
+    /// connection.
+    pub async fn open(&self, target: &Target, deadline: Instant) -> Result<(), Failure> {
+        let stream = connect(target.addr, deadline).await?;
+        self.put(target, stream, None);
+        Ok(())
+    }
+
     /// Closes all idle connections to an upstream.
     pub fn retire(&self, target: &Target) {
         self.idle.borrow_mut().remove(target);
