Store quarantined requests so that they survive a restart of all entries

What callers saw: nothing yet; found by a test. After all entries were restarted, a request that had crashed three upstreams crashed three more.

Cause: crash reports are held only in the memory of the entries. A new entry receives them from the others, but when all entries restart at once, none has them.

Change: when a request is put in quarantine, each entry that has reported a crash of it writes one row, `entries/.crashes/FINGERPRINT`, with the upstreams and the times of their crashes, and retries until the write succeeds or the crashes have expired. The row shares the key prefix of the entries' rows, so the scan that each entry makes at its start, and then every 30 or 60 s, reads it without an additional call. Times are wall-clock times. A row whose crashes are all older than ten minutes no longer counts, and hubs remove it. A row that can't be parsed is logged at each scan and stays.

Ruled out: having only the entry whose own report is the third one write the row.

Why it holds: an entry scans these rows before it opens sessions or registers, and merges them like reports from another entry. Each of the entries that reported one of the crashes writes the same row, so it is missing only if all of them fail before their call; if all entries are lost at that moment, the request is forgotten. An answer after the row was written isn't stored: after a restart, the request is quarantined again until its crashes expire. If the writer's clock is ahead, the quarantine is extended by the difference.

The tests of entry, quarantine, event and platform pass.

--- a/crates/entry/src/control/crashes.rs
+++ b/crates/entry/src/control/crashes.rs
@@ -9,10 +9,7 @@
     metric,
     rows::RowReader, //
 };
-use base::{
-    InstanceId,
-    Now, //
-};
+use base::InstanceId;
 use event::{
     emit,
     Event, //
@@ -63,16 +60,22 @@
     }
 
     /// Merges reports received from another entry and forwards those that are new.
-    pub(super) fn on_crashes(&self, from: &InstanceId, reports: &[Report], now: Now) {
-        let merged = self.crashes.merge(reports, now);
+    pub(super) fn on_crashes(&self, from: &InstanceId, reports: &[Report]) {
+        let new_reports = self.merge_crashes(reports, from);
+        if !new_reports.is_empty() {
+            self.send_crashes(new_reports, Some(from));
+        }
+    }
+
+    /// Merges reports and returns those that are new. `from` is logged for each request that they put in quarantine.
+    pub(super) fn merge_crashes(&self, reports: &[Report], from: &str) -> Vec<Report> {
+        let merged = self.crashes.merge(reports, self.now());
         for request in merged.quarantined {
             emit(&Event::RequestQuarantined {
                 fingerprint: format!("{request:016x}"),
-                from: from.to_string(),
+                from: from.to_owned(),
             });
         }
-        if !merged.new_reports.is_empty() {
-            self.send_crashes(merged.new_reports, Some(from));
-        }
+        merged.new_reports
     }
 }
--- a/crates/entry/src/control/listing.rs
+++ b/crates/entry/src/control/listing.rs
@@ -30,12 +30,14 @@
 use std::time::Duration;
 
 /// Prefix of the rows of entries.
-const ENTRIES: &str = "entries/";
+pub(super) const ENTRIES: &str = "entries/";
 /// Row of the key that entries prove themselves by to each other. Whoever reads the store is one of
 /// them. It stands among their rows, so that one call reads all; no instance has such a name.
 const KEY_ROW: &str = "entries/.key";
 /// Bytes of that key.
 const KEY_BYTES: usize = 32;
+/// First character after [`ENTRIES`] in the keys of rows that don't describe an instance.
+const NON_INSTANCE_PREFIX: char = '.';
 /// Pause after a call that failed.
 pub(super) const PAUSE: Duration = Duration::from_millis(600);
 /// After this time without a session, the row of another entry is removed: an instance that was
@@ -144,8 +146,9 @@
 
     /// Takes the rows of all entries.
     pub(super) fn take_entries(&self, rows: &[Row]) {
+        self.merge_crash_rows(rows);
         let mut registered = Vec::with_capacity(rows.len());
-        for row in rows.iter().filter(|row| row.key != KEY_ROW) {
+        for row in rows.iter().filter(|row| is_instance_row(row)) {
             match serde_json::from_str::<Member>(&row.value) {
                 Ok(member) => registered.push(member),
                 Err(error) => {
@@ -221,6 +224,11 @@
     }
 }
 
+fn is_instance_row(row: &Row) -> bool {
+    let name = row.key.strip_prefix(ENTRIES);
+    name.is_some_and(|name| !name.starts_with(NON_INSTANCE_PREFIX))
+}
+
 /// Waits about so long, not in step with other entries.
 pub(super) async fn pause(about: Duration) {
     let jitter = rand::rng().random_range(0.8..1.2);
--- a/crates/entry/src/control/members.rs
+++ b/crates/entry/src/control/members.rs
@@ -87,6 +87,7 @@
         let mut rows = rows;
         loop {
             self.forget_lost(&rows, self.now()).await;
+            self.remove_expired_crash_rows(&rows).await;
             if self.known.borrow().stopping || self.is_listed(&rows) {
                 self.known.borrow_mut().settled = true;
                 self.update_partners(self.now());
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -10,11 +10,13 @@
 //! - `hubs` exchanges rosters, and forwards what the store said to a hub's leaves.
 //! - `cold` holds leases of cold upstreams.
 //! - `crashes` exchanges reports of requests that crashed upstreams.
+//! - `crash_rows` stores quarantined requests, so that they survive a restart of all entries.
 //! - `loads` exchanges how many requests each entry has in flight at each upstream.
 //! - `relay` takes the messages of other entries, and gives them what they miss.
 
 mod apply;
 mod cold;
+mod crash_rows;
 mod crashes;
 mod feeds;
 mod hubs;
@@ -262,6 +264,8 @@
         let control = self.clone();
         actix_rt::spawn(async move { control.exchange_crashes().await });
         let control = self.clone();
+        actix_rt::spawn(async move { control.write_crash_rows().await });
+        let control = self.clone();
         actix_rt::spawn(async move { control.hold_cold_leases().await });
         let control = self.clone();
         actix_rt::spawn(async move { control.sweep_cold_leases().await });
--- a/crates/entry/src/crashes.rs
+++ b/crates/entry/src/crashes.rs
@@ -1,6 +1,9 @@
 //! Crash reports, shared by the control and traffic threads.
 
-use base::Now;
+use base::{
+    FastSet,
+    Now, //
+};
 use quarantine::{
     Fingerprint,
     IncarnationHash,
@@ -26,6 +29,8 @@
     state: Mutex<State>,
     /// Signals that there are reports to send to the other entries.
     pub(crate) due: Notify,
+    /// Signals that there are newly quarantined requests to write to the store.
+    pub(crate) store_due: Notify,
 }
 
 #[derive(Debug, Default)]
@@ -33,6 +38,10 @@
     quarantine: Quarantine,
     /// Reports by this entry that have not been sent to the others.
     unsent: Vec<Report>,
+    /// Requests for which this entry has reported a crash.
+    reported: FastSet<Fingerprint>,
+    /// Newly quarantined requests for which this entry has reported a crash, to be written to the store.
+    unstored: Vec<Fingerprint>,
 }
 
 impl Crashes {
@@ -53,8 +62,14 @@
             return false;
         };
         state.unsent.push(report);
+        state.reported.insert(request);
         self.due.notify_one();
-        before.is_none() && state.quarantine.remaining(request, now).is_some()
+        let quarantined = before.is_none() && state.quarantine.remaining(request, now).is_some();
+        if quarantined {
+            state.unstored.push(request);
+            self.store_due.notify_one();
+        }
+        quarantined
     }
 
     /// Records that a request was answered, which clears its earlier crashes.
@@ -72,7 +87,7 @@
         self.lock().quarantine.remaining(request, now)
     }
 
-    /// Merges reports received from another entry.
+    /// Merges reports received from another entry or read from the store.
     pub(crate) fn merge(&self, reports: &[Report], now: Now) -> Merged {
         let mut state = self.lock();
         let mut merged = Merged::default();
@@ -84,6 +99,11 @@
             merged.new_reports.push(*report);
             if before.is_none() && state.quarantine.remaining(report.request, now).is_some() {
                 merged.quarantined.push(report.request);
+                // The entry that made this report may not have known the other crashes, so it may not write the row.
+                if state.reported.contains(&report.request) {
+                    state.unstored.push(report.request);
+                    self.store_due.notify_one();
+                }
             }
         }
         merged
@@ -94,6 +114,16 @@
         std::mem::take(&mut self.lock().unsent)
     }
 
+    /// Takes the quarantined requests to write to the store.
+    pub(crate) fn take_unstored(&self) -> Vec<Fingerprint> {
+        std::mem::take(&mut self.lock().unstored)
+    }
+
+    /// Returns reports of all crashes of a request.
+    pub(crate) fn reports_of(&self, request: Fingerprint, now: Now) -> Vec<Report> {
+        self.lock().quarantine.reports_of(request, now)
+    }
+
     /// Returns all reports that are at most `age_max` old.
     pub(crate) fn reports(&self, age_max: Duration, now: Now) -> Vec<Report> {
         self.lock().quarantine.reports(age_max, now)
@@ -103,11 +133,17 @@
     pub(crate) fn sweep(&self, now: Now) -> usize {
         let mut state = self.lock();
         state.quarantine.sweep(now);
+        let State {
+            quarantine,
+            reported,
+            ..
+        } = &mut *state;
+        reported.retain(|request| quarantine.contains(*request));
         state.quarantine.quarantined(now).count()
     }
 }
 
-/// Result of merging another entry's reports.
+/// Result of merging reports.
 #[derive(Debug, Default)]
 pub(crate) struct Merged {
     /// Reports that changed this entry's state.
--- a/crates/entry/tests/crashes.rs
+++ b/crates/entry/tests/crashes.rs
@@ -7,6 +7,7 @@
     time::Duration, //
 };
 use support::{
+    eventually,
     good,
     listed,
     request,
@@ -82,6 +83,17 @@
         }
     }
 
+    /// Stops all entries, then starts them again with the same store.
+    fn restart(&mut self) {
+        for entry in &mut self.entries {
+            entry.stop();
+        }
+        // No request is in flight, so the entries stop within this time.
+        thread::sleep(Duration::from_secs(5));
+        let restarted = ENTRIES.iter().map(|name| Entry::start(name, &self.store));
+        self.entries = restarted.collect();
+    }
+
     /// Counts how often a request with this path has reached an upstream.
     fn sends(&self, path: &str) -> usize {
         let line = format!(" {path} ");
@@ -148,25 +160,58 @@
     );
 }
 
-/// Guards against losing all crash reports when all entries restart.
+macro_rules! restarted_entries_remember {
+    ($($name:ident: $method:expr, $path:expr, $body:expr, $crash:expr;)*) => {$(
+        /// Guards against losing all crash reports when all entries restart.
+        #[test]
+        fn $name() {
+            let mut world = World::start();
+            $crash(&world);
+            let before = world.sends($path);
+            world.restart();
+            world.repeat($method, $path, $body, CRASHES_MAX);
+            assert_eq!(world.sends($path), before);
+            assert!(
+                before <= CRASHES_MAX + EXTRA_SENDS_MAX,
+                "sent {before} times"
+            );
+        }
+    )*};
+}
+
+restarted_entries_remember! {
+    restarted_entries_remember_crashes: "GET", "/r/fatal", "", |world: &World| {
+        world.repeat("GET", "/r/fatal", "", ATTEMPTS);
+    };
+    // Each entry sees one crash, so all of them may reach the limit by another entry's report.
+    restarted_entries_remember_simultaneous_crashes: "POST", "/f/fatal", "order", |world: &World| {
+        thread::scope(|scope| {
+            for (entry, id) in world.entries.iter().zip(["a", "b", "c"]) {
+                scope.spawn(move || call(entry, "POST", "/f/fatal", id, "order"));
+            }
+        });
+        thread::sleep(Duration::from_secs(1));
+    };
+}
+
+/// Guards against expired rows accumulating in the store, and against an unreadable row keeping an entry from serving.
 #[test]
-fn restarted_entries_remember_crashes() {
-    let mut world = World::start();
-    world.repeat("GET", "/r/fatal", "", ATTEMPTS);
-    let before = world.sends("/r/fatal");
-    for entry in &mut world.entries {
-        entry.stop();
-    }
-    // No request is in flight, so the entries stop within this time.
-    thread::sleep(Duration::from_secs(5));
-    let restarted = ENTRIES.iter().map(|name| Entry::start(name, &world.store));
-    world.entries = restarted.collect();
-    world.repeat("GET", "/r/fatal", "", CRASHES_MAX);
-    assert_eq!(world.sends("/r/fatal"), before);
-    assert!(
-        before <= CRASHES_MAX + EXTRA_SENDS_MAX,
-        "sent {before} times"
-    );
+fn expired_crash_rows_are_removed() {
+    let store = MemoryStore::default();
+    store.put_routes(&routes(1));
+    let upstream = Upstream::start(crash_script());
+    store.put_upstream(&listed("u-1", upstream.addr));
+    let expired = "entries/.crashes/00000000000000aa";
+    let unreadable = "entries/.crashes/00000000000000bb";
+    let crash = r#"{"upstream":1,"at_ms":1000,"cleared":false}"#;
+    store.put(expired, format!("{{\"crashes\":[{crash}]}}"));
+    store.put(unreadable, "{");
+    let entry = Entry::start("entry-1", &store);
+    eventually("removal of the expired row", || {
+        (!store.has(expired)).then_some(())
+    });
+    assert!(store.has(unreadable));
+    assert_eq!(call(&entry, "GET", "/r/x", "a1", "").status, 200);
 }
 
 /// Guards against quarantining a request whose connections broke without a crash.
--- a/crates/entry/tests/support/store.rs
+++ b/crates/entry/tests/support/store.rs
@@ -114,6 +114,13 @@
         version
     }
 
+    /// Returns whether a row with this key exists.
+    pub(crate) fn has(&self, key: &str) -> bool {
+        let state = self.lock();
+        let row = state.rows.get(key);
+        row.is_some_and(|(_, value)| value.is_some())
+    }
+
     pub(crate) fn remove(&self, key: &str) {
         let mut state = self.lock();
         state.version += 1;
--- a/crates/event/src/event.rs
+++ b/crates/event/src/event.rs
@@ -133,8 +133,11 @@
         service: ServiceId,
     },
     /// A request was put in quarantine because of the number of upstreams it crashed; `from` is the entry that sent the
-    /// report that reached the limit.
+    /// report that reached the limit, or `store` if the report was read from the store.
     RequestQuarantined { fingerprint: String, from: String },
+    /// This entry tried to remove the row of a quarantined request whose crashes have all expired; `outcome` is the
+    /// result of the store call.
+    CrashRowRemoved { row: String, outcome: String },
     /// An upstream said that it leaves, or another one has its address.
     UpstreamClosed {
         upstream: UpstreamId,
--- a/crates/event/tests/lines.rs
+++ b/crates/event/tests/lines.rs
@@ -191,6 +191,10 @@
         fingerprint: "0a".into(),
         from: "dar-1".into(),
     };
+    crash_row_removed: Event::CrashRowRemoved {
+        row: "entries/.crashes/0a".into(),
+        outcome: "x".into(),
+    };
     answer_cut: Event::AnswerCut {
         id: "4f".into(),
         upstream: "u-1".into(),
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -19,7 +19,8 @@
 };
 pub use quarantine::{
     Quarantine,
-    CRASHES_MAX, //
+    CRASHES_MAX,
+    RETENTION, //
 };
 pub use report::{
     incarnation_hash,
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -17,7 +17,7 @@
 /// concurrently with one that crashes the upstream is resent and may be affected by the next crash as well.
 pub const CRASHES_MAX: usize = 3;
 /// Time for which a crash counts.
-const RETENTION: Duration = Duration::from_secs(600);
+pub const RETENTION: Duration = Duration::from_secs(600);
 /// Maximum number of requests stored. Beyond it, the request with the oldest last crash is evicted.
 const REQUESTS_MAX: usize = 4096;
 /// Maximum number of crashes stored per request.
@@ -55,6 +55,11 @@
         self.requests.is_empty()
     }
 
+    /// Returns whether any crash of a request is known.
+    pub fn contains(&self, request: Fingerprint) -> bool {
+        self.requests.contains_key(&request)
+    }
+
     /// Records that an upstream crashed while it ran a request. Returns a report for the other entries if the crash was
     /// not known.
     pub fn note_crash(
