Log the limits that upstreams state in their answers

An upstream may state how many requests per second it accepts from all entries combined. Entries did not read this limit, so the log could not distinguish an entry that doesn't know a limit from one that knows it and exceeds it.

The limit is read from the head of each answer and stored with the upstream. A 421 is skipped because it comes from another incarnation. An `upstream-limit` line is logged when the limit in an answer, or its absence, differs from the one stored.

Routing is unchanged.

--- a/crates/balance/src/upstream.rs
+++ b/crates/balance/src/upstream.rs
@@ -58,6 +58,8 @@
     pub cold_lease_until: Option<Now>,
     /// What it may get while cold.
     pub cold_gate: ColdGate,
+    /// Maximum requests per second from all entries combined, as stated in its last answer; `None` if it stated none.
+    pub limit_per_s: Option<f64>,
     /// Requests of this entry that it works on.
     pub in_flight: u32,
     /// Requests of others that it works on, by its last report.
@@ -87,6 +89,7 @@
             cold_until: Now::ZERO,
             cold_lease_until: None,
             cold_gate: ColdGate::default(),
+            limit_per_s: None,
             in_flight: 0,
             reported: 0.0,
             reported_at: Now::ZERO,
--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -21,6 +21,9 @@
     pub seal: HeaderName,
     /// In an answer: running requests, waiting requests and slots.
     pub load: HeaderName,
+    /// In an answer: maximum requests per second that the upstream accepts from all entries combined. The first header
+    /// present is used; if none is present, the upstream has no limit.
+    pub limit_per_s: Vec<HeaderName>,
     /// Path of look-ups.
     pub lookup_path: &'static str,
     /// Path of the readiness check.
@@ -42,6 +45,7 @@
             not_run: HeaderName::from_static("upstream-refused"),
             seal: HeaderName::from_static("upstream-id"),
             load: HeaderName::from_static("upstream-load"),
+            limit_per_s: vec![HeaderName::from_static("upstream-limit")],
             lookup_path: "/v1/entries",
             ready_path: "/v1/ready",
             addresses_field: "entries",
--- a/crates/entry/src/traffic/attempt.rs
+++ b/crates/entry/src/traffic/attempt.rs
@@ -1,6 +1,7 @@
 //! One send to one upstream, and what is known of the run afterwards.
 
 use crate::{
+    dialect::Dialect,
     metric,
     traffic::{
         log::hex,
@@ -266,6 +267,19 @@
         let mut fleet = traffic.fleet.borrow_mut();
         fleet.report(at, reported, traffic.now());
     }
+    // A 421 is sent by another incarnation, whose limit doesn't apply to `at`.
+    if response.status != StatusCode::MISDIRECTED_REQUEST {
+        let limit_per_s = parse_limit(&traffic.shared.dialect, &response.headers);
+        traffic.fleet.borrow_mut().note_limit(at, limit_per_s);
+    }
+}
+
+/// Reads the request rate limit of an upstream; returns `None` if it is absent or invalid.
+fn parse_limit(dialect: &Dialect, headers: &HeaderMap) -> Option<f64> {
+    let mut names = dialect.limit_per_s.iter();
+    let value = names.find_map(|name| headers.get(name))?;
+    let limit_per_s: f64 = value.to_str().ok()?.trim().parse().ok()?;
+    (limit_per_s.is_finite() && limit_per_s >= 0.0).then_some(limit_per_s)
 }
 
 /// `running,waiting,slots`.
--- a/crates/entry/src/traffic/fleet/outcome.rs
+++ b/crates/entry/src/traffic/fleet/outcome.rs
@@ -69,6 +69,21 @@
         }
     }
 
+    /// Stores the request rate limit from an answer, and logs it if it has changed.
+    pub(in crate::traffic) fn note_limit(&mut self, at: &Incarnation, limit_per_s: Option<f64>) {
+        let Some(upstream) = self.upstream(at) else {
+            return;
+        };
+        if upstream.limit_per_s != limit_per_s {
+            upstream.limit_per_s = limit_per_s;
+            emit(&Event::UpstreamLimit {
+                upstream: at.id.clone(),
+                service: at.service.clone(),
+                limit_per_s,
+            });
+        }
+    }
+
     /// An answer came whole after `took`.
     pub(in crate::traffic) fn note_answer(
         &mut self,
--- a/crates/event/src/event.rs
+++ b/crates/event/src/event.rs
@@ -138,6 +138,13 @@
     /// This entry tried to remove the row of a quarantined request whose crashes have all expired; `outcome` is the
     /// result of the store call.
     CrashRowRemoved { row: String, outcome: String },
+    /// The limit that an upstream states on requests per second from all entries combined has changed; `None` means no
+    /// limit.
+    UpstreamLimit {
+        upstream: UpstreamId,
+        service: ServiceId,
+        limit_per_s: Option<f64>,
+    },
     /// An upstream said that it leaves, or another one has its address.
     UpstreamClosed {
         upstream: UpstreamId,
--- a/crates/event/tests/lines.rs
+++ b/crates/event/tests/lines.rs
@@ -181,6 +181,11 @@
         why: "it was closed".into(),
         after_ms: 30,
     }));
+    upstream_limit: Event::UpstreamLimit {
+        upstream: "u-1".into(),
+        service: "menu".into(),
+        limit_per_s: Some(6.4),
+    };
     upstream_crashed: Event::UpstreamCrashed {
         id: "4f".into(),
         fingerprint: "0a".into(),
