Failing tests: entries pass the limit that an upstream states

Twelve entries, callers that keep asking, an upstream that states a limit, and a slow one that states none.

--- a/crates/entry/tests/cold.rs
+++ b/crates/entry/tests/cold.rs
@@ -5,30 +5,22 @@
 use route::Routes;
 use std::{
     net::TcpListener,
-    sync::{
-        atomic::{
-            AtomicBool,
-            Ordering, //
-        },
-        Arc, //
-    },
-    thread::{
-        self,
-        JoinHandle, //
-    },
-    time::Duration,
+    thread,
+    time::Duration, //
 };
 use support::{
+    entries,
     good,
     listed,
-    request,
+    most_within,
     routes,
-    Caller,
     Entry,
+    Load,
     MemoryStore,
     Script,
     Sent,
-    Upstream, //
+    Upstream,
+    NAMES, //
 };
 
 /// Requests in a second that a cold upstream of these tests bears: its stated rate of 2, one and a half times, and 5.
@@ -36,12 +28,6 @@
 /// How long an upstream of these tests says that it is cold.
 const COLD: Duration = Duration::from_secs(20);
 
-/// Names of entries; a test takes as many as it needs.
-const NAMES: [&str; 12] = [
-    "entry-1", "entry-2", "entry-3", "entry-4", "entry-5", "entry-6", "entry-7", "entry-8",
-    "entry-9", "entry-10", "entry-11", "entry-12",
-];
-
 fn routes_of_cold() -> Routes {
     let mut routes = routes(1);
     routes.services[0].cold_per_s = 2.0;
@@ -58,66 +44,7 @@
 
 /// Most requests that came within any second.
 fn most_in_a_second(seen: &[Sent]) -> usize {
-    let windows = seen.iter().map(|last| {
-        let within = seen.iter().filter(|one| {
-            one.at <= last.at && last.at.duration_since(one.at) < Duration::from_secs(1)
-        });
-        within.count()
-    });
-    windows.max().unwrap_or(0)
-}
-
-/// Callers that keep asking, one for each entry given, until dropped.
-struct Load {
-    ended: Arc<AtomicBool>,
-    callers: Vec<JoinHandle<()>>,
-}
-
-impl Load {
-    fn on<'a>(entries: impl IntoIterator<Item = &'a Entry>, pause: Duration) -> Self {
-        let ended = Arc::new(AtomicBool::new(false));
-        let callers = entries.into_iter().enumerate().map(|(place, entry)| {
-            let mut caller = Caller::connect(entry);
-            let ended = ended.clone();
-            thread::spawn(move || {
-                for number in 0_u32.. {
-                    if ended.load(Ordering::Relaxed) {
-                        return;
-                    }
-                    caller.send(request("GET", "/r/x", &format!("{place:x}a{number:x}"), ""));
-                    caller.answer().expect("an answer");
-                    thread::sleep(pause);
-                }
-            })
-        });
-        Self {
-            callers: callers.collect(),
-            ended,
-        }
-    }
-}
-
-impl Drop for Load {
-    fn drop(&mut self) {
-        self.ended.store(true, Ordering::Relaxed);
-        for caller in self.callers.drain(..) {
-            let ended = caller.join();
-            assert!(ended.is_ok() || thread::panicking(), "a caller failed");
-        }
-    }
-}
-
-/// Entries that have each read the store's list of entries through a handle of its own.
-fn entries(store: &MemoryStore, shown: impl Fn(usize) -> Vec<&'static str>) -> Vec<Entry> {
-    let start = |place: usize| {
-        let handle = store.handle();
-        handle.show_only(&shown(place));
-        Entry::start(NAMES[place], &handle)
-    };
-    let entries = (0..NAMES.len()).map(start).collect();
-    // Beyond the time in which a process that has just started sends nothing to cold upstreams.
-    thread::sleep(Duration::from_millis(1500));
-    entries
+    most_within(Duration::from_secs(1), seen)
 }
 
 /// Symptom: a cold upstream that bears 13 requests in a second got 18. Sequence: a part of the entries has not read of
--- /dev/null
+++ b/crates/entry/tests/limits.rs
@@ -0,0 +1,191 @@
+//! What all entries together send to an upstream that states a limit, as the upstream counts it.
+
+mod support;
+
+use route::Routes;
+use std::{
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+use support::{
+    entries,
+    good,
+    listed,
+    most_within,
+    routes,
+    Entry,
+    Load,
+    MemoryStore,
+    Sent,
+    Upstream,
+    NAMES, //
+};
+
+/// Span for which the bound is stated.
+const SPAN: Duration = Duration::from_secs(4);
+/// Time from the first statement of a limit until the bound holds.
+const STABLE: Duration = Duration::from_secs(3);
+/// Time for which entries are under load from then on.
+const WATCHED: Duration = Duration::from_secs(6);
+/// Pause of each caller between an answer and its next request.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Most requests that a limit allows in [`SPAN`].
+fn allowed(limit_per_s: f64) -> f64 {
+    1.5 * limit_per_s * SPAN.as_secs_f64() + 5.0
+}
+
+/// An upstream that states what is in `limit_per_s` at the time.
+struct Limited {
+    upstream: Upstream,
+    limit_per_s: Arc<Mutex<Option<f64>>>,
+}
+
+impl Limited {
+    fn start(limit_per_s: f64) -> Self {
+        let limit = Arc::new(Mutex::new(Some(limit_per_s)));
+        let stated = limit.clone();
+        let upstream = Upstream::start(Box::new(move |_, sent, connection| {
+            let stated = *stated.lock().expect("no script panics with it");
+            let mut answer = good(sent, "ok");
+            if let Some(limit_per_s) = stated {
+                let line = format!("upstream-limit: {limit_per_s}\r\ncontent-length");
+                answer = answer.replacen("content-length", &line, 1);
+            }
+            thread::sleep(Duration::from_millis(20));
+            connection.write(answer);
+            true
+        }));
+        Self {
+            upstream,
+            limit_per_s: limit,
+        }
+    }
+
+    fn end_limit(&self) {
+        *self.limit_per_s.lock().expect("no script panics with it") = None;
+    }
+
+    fn seen_since(&self, since: Instant) -> Vec<Sent> {
+        let mut seen = self.upstream.seen();
+        seen.retain(|sent| sent.at >= since);
+        seen
+    }
+}
+
+/// Twelve entries before one upstream that states a limit and one that doesn't.
+struct World {
+    entries: Vec<Entry>,
+    limited: Limited,
+    _other: Upstream,
+}
+
+impl World {
+    fn start(
+        limit_per_s: f64,
+        region: &'static str,
+        routes: &Routes,
+        shown: impl Fn(usize) -> Vec<&'static str>,
+    ) -> Self {
+        let store = MemoryStore::default();
+        store.put_routes(routes);
+        let limited = Limited::start(limit_per_s);
+        let mut row = listed("u-1", limited.upstream.addr);
+        row.region = region.into();
+        row.failure_domain = region.replace("region", "domain").into();
+        store.put_upstream(&row);
+        // Slow and small, so that the other one is wanted.
+        let other = Upstream::start(Box::new(|_, sent, connection| {
+            thread::sleep(Duration::from_millis(100));
+            connection.write(good(sent, "ok"));
+            true
+        }));
+        let mut row = listed("u-2", other.addr);
+        row.slots = 2;
+        store.put_upstream(&row);
+        Self {
+            entries: entries(&store, shown),
+            limited,
+            _other: other,
+        }
+    }
+}
+
+fn all(_: usize) -> Vec<&'static str> {
+    Vec::new()
+}
+
+/// Entries in groups of three that don't know the other groups.
+fn groups(place: usize) -> Vec<&'static str> {
+    NAMES[place / 3 * 3..][..3].to_vec()
+}
+
+fn sticky() -> Routes {
+    let mut routes = routes(1);
+    routes.hosts[0].routes[0].sticky = true;
+    routes
+}
+
+/// Guards against entries that together send more than a limit allows, or nothing.
+macro_rules! limit_holds {
+    ($($name:ident: $limit_per_s:expr, $region:expr, $routes:expr, $headers:expr, $shown:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let world = World::start($limit_per_s, $region, &$routes, $shown);
+            let _load = Load::with_headers(&world.entries, PAUSE, $headers);
+            thread::sleep(STABLE);
+            let since = Instant::now();
+            thread::sleep(WATCHED);
+            let seen = world.limited.seen_since(since);
+            let most = most_within(SPAN, &seen);
+            assert!(most as f64 <= allowed($limit_per_s), "{most} in {SPAN:?}");
+            let wanted = $limit_per_s * WATCHED.as_secs_f64() / 3.0;
+            assert!(seen.len() as f64 >= wanted, "{} in {WATCHED:?}", seen.len());
+        }
+    )*};
+}
+
+limit_holds! {
+    stated_limit_holds: 6.4, "region-a", routes(1), "", all;
+    stated_limit_holds_for_keyed_requests: 6.4, "region-a", sticky(), "cookie: jasmine-affinity=7\r\n", all;
+    low_stated_limit_holds: 0.6, "region-a", routes(1), "", all;
+    stated_limit_holds_where_entries_know_few_others: 6.4, "region-a", routes(1), "", groups;
+    stated_limit_holds_in_a_region_without_entries: 6.4, "region-b", routes(1), "", all;
+}
+
+/// Guards against an upstream left unused, or held to its limit, after the limit has ended.
+macro_rules! limit_ends {
+    ($($name:ident: $limit_per_s:expr, $region:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let world = World::start($limit_per_s, $region, &routes(1), all);
+            let load = Load::on(&world.entries, PAUSE);
+            thread::sleep(STABLE);
+            let since = Instant::now();
+            thread::sleep(SPAN);
+            let limited = world.limited.seen_since(since).len();
+            assert!(limited as f64 <= allowed($limit_per_s), "{limited} in {SPAN:?}");
+            world.limited.end_limit();
+            // The next request that the limit allows finds out.
+            thread::sleep(Duration::from_secs(5));
+            let since = Instant::now();
+            thread::sleep(SPAN);
+            drop(load);
+            let free = world.limited.seen_since(since).len();
+            assert!(free as f64 > 2.0 * allowed($limit_per_s), "{free} in {SPAN:?}");
+        }
+    )*};
+}
+
+limit_ends! {
+    stated_limit_ends: 6.4, "region-a";
+    low_stated_limit_ends: 0.3, "region-a";
+    limit_of_zero_ends: 0.0, "region-a";
+}
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -2,9 +2,16 @@
 
 #![allow(dead_code, unused_imports, reason = "each test program uses a part")]
 
+mod load;
 mod store;
 mod upstream;
 
+pub(crate) use load::{
+    entries,
+    most_within,
+    Load,
+    NAMES, //
+};
 pub(crate) use store::{
     MemoryStore,
     PlainRows, //
