Send to a rate-limited upstream only from the entry that holds its lease

Symptom: none visible to callers so far.

Cause: the limit was not read. Enforcing it in each entry alone would not be enough, because it applies to all entries combined: twelve entries that each stay within it send twelve times as much.

Rejected alternative: dividing the limit equally by the number of entries. Entries that know few others would each take too large a share, and with hundreds of entries each share is less than one request.

Change: while an upstream states a limit, it is treated like a cold one: only the entry that holds its lease in the store sends to it. The other entries see no answers, so entries report changes of a limit to all sessions, and hubs forward the reports (crate `limit`; the newest report is kept, ordered by a number that follows the clock; reports about incarnations that are no longer listed are removed). If an upstream's region has no entries, those of other regions claim its lease. The state that the control and traffic threads share moves into one struct, `Channels`.

Correctness: there is one holder, whatever each entry knows of the others, and a request is checked against the limit again once its connection is established. Until an entry has seen or been told of a limit, it sends as before.

Cost: an upstream with a limit receives nothing while no lease can be obtained, as in an outage of the store, and no more than the callers of one entry request of it.

Tests: the eight cases of entry/tests/limits.rs failed before (some 600 to 1,200 requests in 4 s where 5 to 43 are allowed). New tests: limit/tests, and cases in balance/tests for the gate and the choice. The tests of limit, balance, event, entry and platform pass.

--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -379,7 +379,7 @@
         if upstream.is_closed() || !home || query.tried.contains(&place) {
             continue;
         }
-        if upstream.is_cold(now) && !upstream.bears_cold(query.cold_per_s, now) {
+        if !upstream.accepts(query.cold_per_s, now) {
             continue;
         }
         let crossing = match (local, upstream.failure_domain == here.failure_domain) {
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -18,6 +18,7 @@
 mod choose;
 mod cold;
 mod health;
+mod limit;
 mod part;
 mod rank;
 mod retry;
@@ -37,6 +38,7 @@
 };
 pub use cold::ColdGate;
 pub use health::Health;
+pub use limit::LimitGate;
 pub use part::part;
 pub use rank::{
     affinity,
--- a/crates/balance/src/upstream.rs
+++ b/crates/balance/src/upstream.rs
@@ -3,6 +3,7 @@
 use crate::{
     cold::ColdGate,
     health::Health,
+    limit::LimitGate,
     rank::affinity,
     warm::WarmKeys, //
 };
@@ -54,12 +55,15 @@
     pub gone: bool,
     /// Cold until then.
     pub cold_until: Now,
-    /// Until when this entry alone may send to it while it is cold; `None` if it may not.
-    pub cold_lease_until: Option<Now>,
+    /// End of this entry's lease, during which it alone may send while the upstream is cold or states a limit; `None`
+    /// without a lease.
+    pub lease_until: Option<Now>,
     /// What it may get while cold.
     pub cold_gate: ColdGate,
     /// Maximum requests per second from all entries combined, as stated in its last answer; `None` if it stated none.
     pub limit_per_s: Option<f64>,
+    /// Bounds the requests sent to it while it states a limit.
+    pub limit_gate: LimitGate,
     /// Requests of this entry that it works on.
     pub in_flight: u32,
     /// Requests of others that it works on, by its last report.
@@ -87,9 +91,10 @@
             closed: false,
             gone: false,
             cold_until: Now::ZERO,
-            cold_lease_until: None,
+            lease_until: None,
             cold_gate: ColdGate::default(),
             limit_per_s: None,
+            limit_gate: LimitGate::default(),
             in_flight: 0,
             reported: 0.0,
             reported_at: Now::ZERO,
@@ -135,10 +140,49 @@
         (self.reported_at > Now::ZERO).then(|| now.saturating_sub(self.reported_at))
     }
 
+    /// Returns whether only the entry that holds its lease may send to it.
+    pub fn is_restricted(&self, now: Now) -> bool {
+        self.is_cold(now) || self.limit_per_s.is_some()
+    }
+
+    /// Returns whether this entry may send it one more request. `cold_per_s` is the rate that it bears from all entries
+    /// combined while it is cold.
+    pub fn accepts(&mut self, cold_per_s: f64, now: Now) -> bool {
+        let limit_per_s = self.limit_per_s;
+        if limit_per_s.is_some_and(|limit_per_s| {
+            !self.is_leased(now) || !self.limit_gate.fits(limit_per_s, now)
+        }) {
+            return false;
+        }
+        !self.is_cold(now) || self.bears_cold(cold_per_s, now)
+    }
+
+    /// Counts a request for which it was chosen while restricted.
+    pub fn note_chosen(&mut self) {
+        self.cold_gate.note_chosen();
+        self.limit_gate.note_chosen();
+    }
+
+    /// Counts a request that is sent to it now while it is restricted.
+    pub fn note_sent(&mut self, now: Now) {
+        self.cold_gate.note_sent(now);
+        self.limit_gate.note_sent(now);
+    }
+
+    /// Stops counting a request as waiting, because it is being sent or has been withdrawn.
+    pub fn note_waited(&mut self) {
+        self.cold_gate.note_waited();
+        self.limit_gate.note_waited();
+    }
+
+    /// Returns whether this entry holds its lease.
+    fn is_leased(&self, now: Now) -> bool {
+        self.lease_until.is_some_and(|until| now < until)
+    }
+
     /// Whether it may get one more from this entry while it is cold; `per_s` is what it bears from all of them.
     pub fn bears_cold(&mut self, per_s: f64, now: Now) -> bool {
-        let leased = self.cold_lease_until.is_some_and(|until| now < until);
-        leased && self.cold_gate.fits(per_s, now)
+        self.is_leased(now) && self.cold_gate.fits(per_s, now)
     }
 
     /// Whether it is cold.
--- a/crates/balance/tests/budgets.rs
+++ b/crates/balance/tests/budgets.rs
@@ -3,6 +3,7 @@
 use balance::{
     affinity,
     ColdGate,
+    LimitGate,
     RetryBudget,
     ShiftBound,
     Upstream,
@@ -18,16 +19,20 @@
     Duration::from_millis(ms)
 }
 
-/// Most of these moments within any second.
-fn most_in_a_second(sent: &[Now]) -> usize {
-    let second = Duration::from_secs(1);
+/// Returns the maximum number of these moments within any window of this length.
+fn most_within(window: Duration, sent: &[Now]) -> usize {
     let windows = sent.iter().map(|end| {
-        let within = sent.iter().filter(|at| *at <= end && **at + second > *end);
+        let within = sent.iter().filter(|at| *at <= end && **at + window > *end);
         within.count()
     });
     windows.max().unwrap_or(0)
 }
 
+/// Most of these moments within any second.
+fn most_in_a_second(sent: &[Now]) -> usize {
+    most_within(Duration::from_secs(1), sent)
+}
+
 /// What is counted for a bound on events is never younger than the window; what is counted in its favour
 /// is never older. Both err by a tenth at most.
 #[test]
@@ -201,6 +206,49 @@
         });
 }
 
+/// Guards against sending more than the limit across window boundaries or after waiting for a connection.
+macro_rules! limit_gate_enforces {
+    ($($name:ident: $limit_per_s:expr => $max_per_second:expr, $max_per_four_seconds:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            bolero::check!()
+                .with_type::<Vec<(u8, u8)>>()
+                .for_each(|steps| {
+                    let mut gate = LimitGate::default();
+                    let mut waiting: Vec<Now> = Vec::new();
+                    let mut sent: Vec<Now> = Vec::new();
+                    let mut now = Now::ZERO;
+                    for (wait, connect) in steps {
+                        now += ms(u64::from(*wait) * 2);
+                        waiting.retain(|ready| {
+                            if *ready > now {
+                                return true;
+                            }
+                            gate.note_waited();
+                            if gate.fits($limit_per_s, now) {
+                                gate.note_sent(now);
+                                sent.push(now);
+                            }
+                            false
+                        });
+                        if gate.fits($limit_per_s, now) {
+                            gate.note_chosen();
+                            waiting.push(now + ms(u64::from(*connect) * 6));
+                        }
+                    }
+                    assert!(most_in_a_second(&sent) <= $max_per_second);
+                    assert!(most_within(Duration::from_secs(4), &sent) <= $max_per_four_seconds);
+                });
+        }
+    )*};
+}
+
+limit_gate_enforces! {
+    limit_gate_enforces_a_limit: 6.4 => 6, 20;
+    limit_gate_enforces_a_low_limit: 0.6 => 1, 1;
+    limit_gate_allows_one_request_under_a_limit_of_zero: 0.0 => 1, 1;
+}
+
 /// One that waited and is not sent leaves its place to another.
 #[test]
 fn a_request_that_is_not_sent_counts_no_more() {
@@ -229,7 +277,7 @@
         for entry in 0..count {
             let mut upstream = Upstream::new("u-1".into(), HOME, "a".into(), 9);
             upstream.cold_until = ms(4000);
-            upstream.cold_lease_until = (entry == holder).then_some(ms(4000));
+            upstream.lease_until = (entry == holder).then_some(ms(4000));
             while upstream.bears_cold(BOUND, ms(500)) {
                 upstream.cold_gate.note_sent(ms(500));
                 sent += 1;
--- a/crates/balance/tests/choose.rs
+++ b/crates/balance/tests/choose.rs
@@ -330,7 +330,7 @@
     closed: |upstream| upstream.closed = true;
     cold_beyond_what_it_bears: |upstream| {
         upstream.cold_until = NOW + Duration::from_secs(1);
-        upstream.cold_lease_until = Some(NOW + Duration::from_secs(1));
+        upstream.lease_until = Some(NOW + Duration::from_secs(1));
         for _ in 0..8 {
             upstream.cold_gate.note_sent(NOW);
         }
@@ -342,7 +342,23 @@
     cold_and_another_entrys: |upstream| upstream.cold_until = NOW + Duration::from_secs(1);
     cold_with_a_lease_that_ran_out: |upstream| {
         upstream.cold_until = NOW + Duration::from_secs(1);
-        upstream.cold_lease_until = Some(NOW);
+        upstream.lease_until = Some(NOW);
+    };
+    limited_and_another_entrys: |upstream| upstream.limit_per_s = Some(100.0);
+    limited_beyond_what_it_takes: |upstream| {
+        upstream.limit_per_s = Some(6.4);
+        upstream.lease_until = Some(NOW + Duration::from_secs(1));
+        for _ in 0..6 {
+            upstream.note_sent(NOW);
+        }
+    };
+    limited_and_cold_beyond_what_it_bears: |upstream| {
+        upstream.limit_per_s = Some(100.0);
+        upstream.cold_until = NOW + Duration::from_secs(1);
+        upstream.lease_until = Some(NOW + Duration::from_secs(1));
+        for _ in 0..8 {
+            upstream.note_sent(NOW);
+        }
     };
     not_there: |upstream| {
         upstream.health.note_failure(true, NOW);
--- /dev/null
+++ b/crates/entry/src/channels.rs
@@ -0,0 +1,16 @@
+//! State shared by the control and traffic threads, besides snapshots.
+
+use crate::{
+    crashes::Crashes,
+    limits::SharedLimits,
+    loads::Loads, //
+};
+use std::sync::Arc;
+
+/// Handles to the state shared by both threads. Clones refer to the same state.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Channels {
+    pub(crate) loads: Arc<Loads>,
+    pub(crate) crashes: Arc<Crashes>,
+    pub(crate) limits: Arc<SharedLimits>,
+}
--- a/crates/entry/src/clock.rs
+++ b/crates/entry/src/clock.rs
@@ -5,7 +5,11 @@
     clock_gettime,
     ClockId, //
 };
-use std::time::Duration;
+use std::time::{
+    Duration,
+    SystemTime,
+    UNIX_EPOCH, //
+};
 
 /// Time since the start of the process, suspensions of the machine included.
 ///
@@ -34,3 +38,9 @@
     let time = clock_gettime(ClockId::CLOCK_BOOTTIME).expect("every Linux has this clock");
     time.into()
 }
+
+/// Returns the wall-clock time, in Unix milliseconds.
+pub(crate) fn unix_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.map_or(0, |since_epoch| since_epoch.as_millis() as u64)
+}
--- a/crates/entry/src/control/cold.rs
+++ b/crates/entry/src/control/cold.rs
@@ -1,6 +1,6 @@
-//! Who sends to a cold upstream: the entry that holds its lease.
+//! Leases of upstreams that are cold or state a limit: only the entry that holds the lease sends to them.
 //!
-//! A cold upstream bears few requests in a second from all entries together. One entry of its region holds the
+//! Such an upstream accepts few requests per second from all entries combined. One entry of its region holds the
 //! whole of that, by a row of the store (crate `lease`). Entries that differ on who else there is then claim the
 //! same row, and one of them gets it. The upstream ranks the entries: each next one claims a little later, and the
 //! one that holds the lease tells the others, so that they need not ask the store.
@@ -21,6 +21,7 @@
 use base::{
     InstanceId,
     Now,
+    RegionId,
     UpstreamId, //
 };
 use bytestring::ByteString;
@@ -113,30 +114,48 @@
         known.cold_leases.due(CLAIMS_MAX, now)
     }
 
-    /// The cold upstreams of this region that get work, and how many entries each ranks before this one; none once
-    /// this entry is about to stop, since its callers go elsewhere.
+    /// Returns the upstreams whose leases this entry claims, and how many entries each ranks before this one.
+    ///
+    /// These are the open upstreams of this region that are cold or state a limit, and those that state a limit in
+    /// regions without entries. There are none once this entry is about to stop, since its callers go elsewhere.
     fn wanted_leases(&self, known: &Known, now: Now) -> Vec<Wanted> {
-        if known.stopping || now >= known.cold_until {
+        let limited = self.channels.limits.limited();
+        if known.stopping || (now >= known.cold_until && limited.is_empty()) {
             return Vec::new();
         }
+        let own_region = &self.settings.region;
+        let live = known.overlay.live();
+        let has_entries = |region: &RegionId| {
+            region == own_region || live.values().any(|entry| entry.region == *region)
+        };
         let upstreams = known.picture.upstreams(now);
         let cold = upstreams.filter(|(listed, closed, cold_until)| {
             let short = listed.id.len() <= NAME_BYTES_MAX;
-            !closed && short && now < *cold_until && listed.region == self.settings.region
+            let is_limited = limited.contains(&listed.id);
+            let is_eligible =
+                listed.region == *own_region || (is_limited && !has_entries(&listed.region));
+            !closed && short && (now < *cold_until || is_limited) && is_eligible
         });
-        let mut cold = cold.map(|(listed, ..)| &listed.id).peekable();
+        let mut cold = cold.map(|(listed, ..)| listed).peekable();
         if cold.peek().is_none() {
             return Vec::new();
         }
-        let others = known.overlay.live().iter();
-        let others = others.filter(|(_, live)| live.region == self.settings.region);
-        let others: Vec<u64> = others.map(|(instance, _)| hash(instance)).collect();
+        let others: Vec<(u64, &RegionId)> = live
+            .iter()
+            .map(|(instance, entry)| (hash(instance), &entry.region))
+            .collect();
         let own = hash(&self.settings.instance);
-        cold.map(|subject| {
-            let of = hash(subject);
-            let before = |other: &&u64| rank(of, **other) > rank(of, own);
+        cold.map(|listed| {
+            let of = hash(&listed.id);
+            // An upstream of this region is claimed by entries of this region only; one of a region without entries is
+            // claimed by all entries.
+            let is_claimant =
+                |region: &RegionId| region == own_region || listed.region != *own_region;
+            let before = |(other, region): &&(u64, &RegionId)| {
+                is_claimant(region) && rank(of, *other) > rank(of, own)
+            };
             Wanted {
-                subject: subject.clone(),
+                subject: listed.id.clone(),
                 order: others.iter().filter(before).count() as u32,
             }
         })
--- a/crates/entry/src/control/crash_rows.rs
+++ b/crates/entry/src/control/crash_rows.rs
@@ -4,6 +4,7 @@
 //! entry reads these rows in the same scan as the rows of the entries, at its start and then periodically.
 
 use crate::{
+    clock::unix_ms,
     control::{
         listing::{
             pause,
@@ -39,11 +40,7 @@
     Deserialize,
     Serialize, //
 };
-use std::time::{
-    Duration,
-    SystemTime,
-    UNIX_EPOCH, //
-};
+use std::time::Duration;
 
 /// Prefix of the keys of these rows, after [`ENTRIES`]. It is followed by the fingerprint in hexadecimal.
 const CRASH_ROWS: &str = ".crashes/";
@@ -93,8 +90,8 @@
     /// write succeeds.
     pub(super) async fn write_crash_rows(&self) {
         loop {
-            self.crashes.store_due.notified().await;
-            for request in self.crashes.take_unstored() {
+            self.channels.crashes.store_due.notified().await;
+            for request in self.channels.crashes.take_unstored() {
                 while !self.write_crash_row(request).await {
                     pause(PAUSE).await;
                 }
@@ -104,7 +101,7 @@
 
     /// Writes the row of a request. Returns `false` if the write has to be retried.
     async fn write_crash_row(&self, request: Fingerprint) -> bool {
-        let reports = self.crashes.reports_of(request, self.now());
+        let reports = self.channels.crashes.reports_of(request, self.now());
         if reports.is_empty() {
             return true;
         }
@@ -187,9 +184,3 @@
 fn crash_row_key(request: Fingerprint) -> ByteString {
     format!("{ENTRIES}{CRASH_ROWS}{request:016x}").into()
 }
-
-/// Returns the wall-clock time, in Unix milliseconds.
-fn unix_ms() -> u64 {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-    since_epoch.map_or(0, |since_epoch| since_epoch.as_millis() as u64)
-}
--- a/crates/entry/src/control/crashes.rs
+++ b/crates/entry/src/control/crashes.rs
@@ -31,13 +31,14 @@
     pub(super) async fn exchange_crashes(&self) {
         loop {
             // Wakes up on new reports or when recent reports are due to be repeated.
-            let _ = tokio::time::timeout(REPEAT_INTERVAL, self.crashes.due.notified()).await;
+            let _ =
+                tokio::time::timeout(REPEAT_INTERVAL, self.channels.crashes.due.notified()).await;
             let now = self.now();
-            let quarantined = self.crashes.sweep(now);
+            let quarantined = self.channels.crashes.sweep(now);
             metrics::gauge!(metric::QUARANTINED_REQUESTS).set(quarantined as f64);
-            let mut reports = self.crashes.take_unsent();
+            let mut reports = self.channels.crashes.take_unsent();
             if reports.is_empty() {
-                reports = self.crashes.reports(REPEAT_AGE_MAX, now);
+                reports = self.channels.crashes.reports(REPEAT_AGE_MAX, now);
             }
             if !reports.is_empty() {
                 self.send_crashes(reports, None);
@@ -53,7 +54,7 @@
 
     /// Sends all known crash reports to an entry whose session has just been established.
     pub(super) fn send_all_crashes(&self, to: &InstanceId) {
-        let reports = self.crashes.reports(Duration::MAX, self.now());
+        let reports = self.channels.crashes.reports(Duration::MAX, self.now());
         if !reports.is_empty() {
             self.send(to, &Message::Crashes(reports));
         }
@@ -69,7 +70,7 @@
 
     /// Merges reports and returns those that are new. `from` is logged for each request that they put in quarantine.
     pub(super) fn merge_crashes(&self, reports: &[Report], from: &str) -> Vec<Report> {
-        let merged = self.crashes.merge(reports, self.now());
+        let merged = self.channels.crashes.merge(reports, self.now());
         for request in merged.quarantined {
             emit(&Event::RequestQuarantined {
                 fingerprint: format!("{request:016x}"),
--- a/crates/entry/src/control/loads.rs
+++ b/crates/entry/src/control/loads.rs
@@ -88,8 +88,8 @@
     }
 
     fn tell_as_hub(&self, far: bool, now: Now) {
-        let own = self.loads.own.load();
-        let warmed = self.loads.warmed.take();
+        let own = self.channels.loads.own.load();
+        let warmed = self.channels.loads.warmed.take();
         let mut known = self.known.borrow_mut();
         let known = &mut *known;
         Forwarding::put(&mut known.warmed.for_hubs, &warmed);
@@ -104,7 +104,9 @@
             let of_fleet = Message::FleetLoads(PackedLoads::pack(&of_fleet));
             self.send_to(known.sums.reporting(now), &of_fleet);
         }
-        self.loads.put_others(Some(known.sums.others_of_hub(now)));
+        self.channels
+            .loads
+            .put_others(Some(known.sums.others_of_hub(now)));
         self.forward_warmed(known, now);
     }
 
@@ -124,18 +126,20 @@
     }
 
     fn tell_as_leaf(&self, now: Now) {
-        let own = self.loads.own.load();
+        let own = self.channels.loads.own.load();
         let mut known = self.known.borrow_mut();
         let primary = known.overlay.primary(now).cloned();
         if let Some(primary) = primary {
             known.sums.note_reported(&own);
             self.send(&primary, &Message::Loads(PackedLoads::pack(&own)));
-            let warmed = self.loads.warmed.take();
+            let warmed = self.channels.loads.warmed.take();
             if !warmed.is_empty() {
                 self.send(&primary, &Message::Warmed(warmed));
             }
         }
-        self.loads.put_others(known.sums.others_of_leaf(now));
+        self.channels
+            .loads
+            .put_others(known.sums.others_of_leaf(now));
     }
 
     fn is_near(&self, known: &Known, instance: &InstanceId) -> bool {
@@ -155,13 +159,16 @@
 
     /// An entry that has just started asks for all keys.
     pub(super) fn want_warmth(&self, from: &InstanceId) {
-        self.loads.all_wanted.store(true, Ordering::Relaxed);
+        self.channels
+            .loads
+            .all_wanted
+            .store(true, Ordering::Relaxed);
         self.known.borrow_mut().want_warmth.push(from.clone());
     }
 
     /// Answers those that asked, once traffic has put the keys.
     fn answer_warmth(&self) {
-        let keys = self.loads.all_warm.take();
+        let keys = self.channels.loads.all_warm.take();
         if keys.is_empty() {
             return;
         }
@@ -179,7 +186,7 @@
                 Forwarding::put(&mut known.warmed.for_hubs, &keys);
             }
         }
-        self.loads.heard.put(keys);
+        self.channels.loads.heard.put(keys);
     }
 
     pub(super) fn on_loads(&self, from: &InstanceId, loads: &PackedLoads, now: Now) {
--- a/crates/entry/src/control/members.rs
+++ b/crates/entry/src/control/members.rs
@@ -191,6 +191,7 @@
                     self.send_state(&info.instance);
                     self.send_positions(&info.instance);
                     self.send_all_crashes(&info.instance);
+                    self.send_all_limits(&info.instance);
                     self.ask_for_warmth(&info.instance);
                 }
                 Event::Frame { from, frame, .. } => {
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -8,7 +8,8 @@
 //! - `publish` makes snapshots.
 //! - `listing` registers this entry and finds the others, `members` keeps sessions to them.
 //! - `hubs` exchanges rosters, and forwards what the store said to a hub's leaves.
-//! - `cold` holds leases of cold upstreams.
+//! - `cold` holds leases of upstreams that are cold or state a limit.
+//! - `limits` exchanges the limits that upstreams state.
 //! - `crashes` exchanges reports of requests that crashed upstreams.
 //! - `crash_rows` stores quarantined requests, so that they survive a restart of all entries.
 //! - `loads` exchanges how many requests each entry has in flight at each upstream.
@@ -20,6 +21,7 @@
 mod crashes;
 mod feeds;
 mod hubs;
+mod limits;
 mod listing;
 mod loads;
 mod members;
@@ -27,9 +29,8 @@
 mod relay;
 
 use crate::{
+    channels::Channels,
     clock::Clock,
-    crashes::Crashes,
-    loads::Loads,
     message::{
         Followed,
         State, //
@@ -214,8 +215,7 @@
     known: RefCell<Known>,
     mesh: RefCell<Option<Mesh>>,
     published: Arc<ArcSwap<Snapshot>>,
-    loads: Arc<Loads>,
-    crashes: Arc<Crashes>,
+    channels: Channels,
     /// Something changed on which leases of cold upstreams depend.
     cold_due: Notify,
     /// Something changed on which it depends whether the store is to be called.
@@ -229,8 +229,7 @@
         rows: W,
         clock: Clock,
         published: Arc<ArcSwap<Snapshot>>,
-        loads: Arc<Loads>,
-        crashes: Arc<Crashes>,
+        channels: Channels,
     ) -> Rc<Self> {
         let own = listing::own_member(&settings);
         let known = Known::new(own, settings.bounds.clone());
@@ -243,8 +242,7 @@
             known: RefCell::new(known),
             mesh: RefCell::default(),
             published,
-            loads,
-            crashes,
+            channels,
             cold_due: Notify::new(),
             feed_due: Notify::new(),
         })
@@ -266,6 +264,8 @@
         let control = self.clone();
         actix_rt::spawn(async move { control.write_crash_rows().await });
         let control = self.clone();
+        actix_rt::spawn(async move { control.exchange_limits().await });
+        let control = self.clone();
         actix_rt::spawn(async move { control.hold_cold_leases().await });
         let control = self.clone();
         actix_rt::spawn(async move { control.sweep_cold_leases().await });
--- a/crates/entry/src/control/publish.rs
+++ b/crates/entry/src/control/publish.rs
@@ -139,7 +139,7 @@
         slots: listed.slots,
         closed,
         cold_until,
-        cold_lease_until: known.cold_leases.held_until(&listed.id, now),
+        lease_until: known.cold_leases.held_until(&listed.id, now),
     });
     views.collect()
 }
--- a/crates/entry/src/control/relay.rs
+++ b/crates/entry/src/control/relay.rs
@@ -177,6 +177,7 @@
             Message::FleetLoads(loads) => self.on_fleet_loads(&loads, now),
             Message::ColdHeld(upstreams) => self.on_cold_held(from, upstreams, now),
             Message::Crashes(reports) => self.on_crashes(from, &reports),
+            Message::Limits(reports) => self.on_limits(from, reports),
             Message::Warmed(keys) => self.on_warmed(from, keys),
             Message::WantWarmed => self.want_warmth(from),
             Message::Want(want) => self.answer_want(from, want, now),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,10 +13,12 @@
 //! leaving stays closed for as long as its incarnation is listed. What was learnt last stays in
 //! force while the store is away, and entries tell each other what the store told them.
 
+mod channels;
 mod clock;
 mod control;
 mod crashes;
 mod dialect;
+mod limits;
 mod loads;
 mod message;
 mod metric;
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -71,6 +71,8 @@
     WantWarmed,
     /// Reports of upstreams that crashed while they ran a request.
     Crashes(Vec<Report>),
+    /// Reports of rate limits that upstreams stated.
+    Limits(Vec<limit::Report>),
     /// A leaf's requests in flight at upstreams, for its hub; none at those not named.
     Loads(PackedLoads),
     /// Those of a hub and its leaves, for the other hubs.
@@ -99,6 +101,7 @@
             Self::Warmed(_) => "warmed",
             Self::WantWarmed => "want-warmed",
             Self::Crashes(_) => "crashes",
+            Self::Limits(_) => "limits",
             Self::Loads(_) => "loads",
             Self::DomainLoads(_) => "domain-loads",
             Self::FleetLoads(_) => "fleet-loads",
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -1,11 +1,10 @@
 //! The life of the process: ports, two threads, and the planned stop.
 
 use crate::{
+    channels::Channels,
     clock::Clock,
     control::Control,
-    crashes::Crashes,
     dialect::Dialect,
-    loads::Loads,
     rows::RowReader,
     settings::{
         Reload,
@@ -105,15 +104,13 @@
         ..Snapshot::default()
     };
     let published = Arc::new(ArcSwap::from_pointee(first));
-    let loads = Arc::new(Loads::default());
-    let crashes = Arc::new(Crashes::default());
+    let channels = Channels::default();
     let clock = Clock::start();
     let shared = Arc::new(Shared {
         settings: settings.clone(),
         dialect,
         published: published.clone(),
-        loads: loads.clone(),
-        crashes: crashes.clone(),
+        channels: channels.clone(),
         metrics,
         clock,
         under_way: AtomicUsize::new(0),
@@ -139,15 +136,7 @@
             return Err(eyre!("the traffic thread ended at its start"));
         }
         actix_rt::spawn(keep_up(shared.metrics.clone()));
-        let control = Control::new(
-            settings.clone(),
-            store(),
-            rows,
-            clock,
-            published,
-            loads,
-            crashes,
-        );
+        let control = Control::new(settings.clone(), store(), rows, clock, published, channels);
         control.start();
         let hangups = signal(SignalKind::hangup()).wrap_err("handling SIGHUP")?;
         let following = control.clone();
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -30,8 +30,9 @@
     pub(crate) closed: bool,
     /// Cold until then.
     pub(crate) cold_until: Now,
-    /// Until when this entry may send to it while it is cold; `None` if another one may.
-    pub(crate) cold_lease_until: Option<Now>,
+    /// End of this entry's lease, during which it alone may send while the upstream is cold or states a limit; `None`
+    /// without a lease.
+    pub(crate) lease_until: Option<Now>,
 }
 
 /// An entry as callers may use it.
--- a/crates/entry/src/traffic/attempt.rs
+++ b/crates/entry/src/traffic/attempt.rs
@@ -57,7 +57,7 @@
     target: Target,
     placement: Placement,
     chosen_at: Instant,
-    /// It counts as waiting at a cold upstream, until it is sent.
+    /// Whether it counts as waiting at a restricted upstream; cleared when it is sent.
     waits: Cell<bool>,
 }
 
@@ -68,7 +68,7 @@
             traffic: traffic.clone(),
             target: target.clone(),
             chosen_at: Instant::now(),
-            waits: Cell::new(placement.cold),
+            waits: Cell::new(placement.restricted),
             placement,
         }
     }
@@ -117,7 +117,11 @@
     traffic.fleet.borrow_mut().note_ended(&at, now);
     metrics::counter!(metric::CRASHES).increment(1);
     let upstream = quarantine::incarnation_hash(&at.id, at.started_ms);
-    let quarantined = traffic.shared.crashes.note_crash(request, upstream, now);
+    let quarantined = traffic
+        .shared
+        .channels
+        .crashes
+        .note_crash(request, upstream, now);
     let fingerprint = hex(request);
     if traffic.log.take(true, now) {
         emit(&Event::UpstreamCrashed {
@@ -267,10 +271,14 @@
         let mut fleet = traffic.fleet.borrow_mut();
         fleet.report(at, reported, traffic.now());
     }
-    // A 421 is sent by another incarnation, whose limit doesn't apply to `at`.
+    // A 421 answer comes from another incarnation, whose limit doesn't apply to `at`.
     if response.status != StatusCode::MISDIRECTED_REQUEST {
         let limit_per_s = parse_limit(&traffic.shared.dialect, &response.headers);
-        traffic.fleet.borrow_mut().note_limit(at, limit_per_s);
+        let changed = traffic.fleet.borrow_mut().note_limit(at, limit_per_s);
+        if changed {
+            let limits = &traffic.shared.channels.limits;
+            limits.note(&at.id, at.started_ms, limit_per_s, traffic.now());
+        }
     }
 }
 
--- a/crates/entry/src/traffic/fleet.rs
+++ b/crates/entry/src/traffic/fleet.rs
@@ -7,6 +7,7 @@
 mod told;
 
 use crate::{
+    limits::SharedLimits,
     message::WarmKey,
     settings::{
         Bounds,
@@ -99,6 +100,7 @@
     views: Arc<Vec<UpstreamView>>,
     routes_version: Version,
     loads_seen: u64,
+    limits_seen: u64,
     /// Keys that were sent to upstreams not known to be warm for them, and not told yet.
     warmed: Vec<WarmKey>,
 }
@@ -117,6 +119,7 @@
             views: Arc::default(),
             routes_version: 0,
             loads_seen: 0,
+            limits_seen: 0,
             warmed: Vec::new(),
         }
     }
@@ -156,6 +159,20 @@
         }
     }
 
+    /// Applies the limits known to the entries, if the limits or the upstreams have changed.
+    pub(super) fn follow_limits(&mut self, limits: &SharedLimits, upstreams_changed: bool) {
+        if upstreams_changed {
+            self.limits_seen = 0;
+        }
+        let Some(limits) = limits.changed_since(&mut self.limits_seen) else {
+            return;
+        };
+        let groups = self.groups.values_mut();
+        for upstream in groups.flat_map(|group| &mut group.upstreams) {
+            upstream.limit_per_s = limits.get(&upstream.id, upstream.started_ms);
+        }
+    }
+
     /// Takes over a newer version of the routes; what belongs to routes that are gone is forgotten.
     fn follow_routes(&mut self, table: &Table) {
         if table.version() == self.routes_version {
@@ -255,9 +272,9 @@
                         self.warmed.push(WarmKey(upstream.hash, need.key));
                     }
                 }
-                let cold = upstream.is_cold(now);
-                if cold {
-                    upstream.cold_gate.note_chosen();
+                let restricted = upstream.is_restricted(now);
+                if restricted {
+                    upstream.note_chosen();
                 }
                 self.shift.note(&upstream.region, now);
                 let target = Target {
@@ -275,7 +292,7 @@
                     key: need.keyed.then_some(need.key),
                     warm,
                     idle,
-                    cold,
+                    restricted,
                     load,
                     slots: upstream.slots,
                     report_age,
--- a/crates/entry/src/traffic/fleet/outcome.rs
+++ b/crates/entry/src/traffic/fleet/outcome.rs
@@ -37,17 +37,17 @@
             return false;
         };
         if waited {
-            upstream.cold_gate.note_waited();
+            upstream.note_waited();
         }
         if upstream.is_closed() {
             return false;
         }
-        if !upstream.is_cold(now) {
+        if !upstream.is_restricted(now) {
             return true;
         }
-        let fits = upstream.bears_cold(cold_per_s, now);
+        let fits = upstream.accepts(cold_per_s, now);
         if fits {
-            upstream.cold_gate.note_sent(now);
+            upstream.note_sent(now);
         }
         fits
     }
@@ -57,7 +57,7 @@
         if let Some(upstream) = self.upstream(at) {
             upstream.in_flight = upstream.in_flight.saturating_sub(1);
             if waited {
-                upstream.cold_gate.note_waited();
+                upstream.note_waited();
             }
         }
     }
@@ -69,12 +69,17 @@
         }
     }
 
-    /// Stores the request rate limit from an answer, and logs it if it has changed.
-    pub(in crate::traffic) fn note_limit(&mut self, at: &Incarnation, limit_per_s: Option<f64>) {
+    /// Stores the request rate limit stated in an answer and logs a change. Returns whether it has changed.
+    pub(in crate::traffic) fn note_limit(
+        &mut self,
+        at: &Incarnation,
+        limit_per_s: Option<f64>,
+    ) -> bool {
         let Some(upstream) = self.upstream(at) else {
-            return;
+            return false;
         };
-        if upstream.limit_per_s != limit_per_s {
+        let changed = upstream.limit_per_s != limit_per_s;
+        if changed {
             upstream.limit_per_s = limit_per_s;
             emit(&Event::UpstreamLimit {
                 upstream: at.id.clone(),
@@ -82,6 +87,7 @@
                 limit_per_s,
             });
         }
+        changed
     }
 
     /// An answer came whole after `took`.
--- a/crates/entry/src/traffic/group.rs
+++ b/crates/entry/src/traffic/group.rs
@@ -67,7 +67,7 @@
             upstream.started_ms = view.started_ms;
             upstream.closed = view.closed;
             upstream.cold_until = view.cold_until;
-            upstream.cold_lease_until = view.cold_lease_until;
+            upstream.lease_until = view.lease_until;
             self.upstreams.push(upstream);
             self.addrs.push(view.addr);
         }
--- a/crates/entry/src/traffic/job.rs
+++ b/crates/entry/src/traffic/job.rs
@@ -143,7 +143,7 @@
     pub(super) async fn run(mut self) -> Final {
         let mut progress = Progress::default();
         loop {
-            let crashes = &self.traffic.shared.crashes;
+            let crashes = &self.traffic.shared.channels.crashes;
             if let Some(remaining) = crashes.remaining(self.fingerprint, self.traffic.now()) {
                 return self.give_up(progress, &Refused::new(Reason::Quarantined, remaining));
             }
@@ -204,7 +204,7 @@
         progress.sends += 1;
         progress.may_have_run = true;
         if !answered.status.is_server_error() {
-            let crashes = &self.traffic.shared.crashes;
+            let crashes = &self.traffic.shared.channels.crashes;
             crashes.note_answer(self.fingerprint, self.traffic.now());
         }
         if !retry {
--- a/crates/entry/src/traffic/mod.rs
+++ b/crates/entry/src/traffic/mod.rs
@@ -27,10 +27,9 @@
 };
 
 use crate::{
+    channels::Channels,
     clock::Clock,
-    crashes::Crashes,
     dialect::Dialect,
-    loads::Loads,
     settings::Settings,
     snapshot::Snapshot, //
 };
@@ -58,8 +57,7 @@
     pub(crate) settings: Arc<Settings>,
     pub(crate) dialect: Dialect,
     pub(crate) published: Arc<ArcSwap<Snapshot>>,
-    pub(crate) loads: Arc<Loads>,
-    pub(crate) crashes: Arc<Crashes>,
+    pub(crate) channels: Channels,
     pub(crate) metrics: PrometheusHandle,
     pub(crate) clock: Clock,
     /// Requests without a final answer.
@@ -96,7 +94,7 @@
         let snapshot = self.follow_control();
         // What is said of an upstream counts for those that the snapshot has.
         let mut fleet = self.fleet.borrow_mut();
-        fleet.follow_loads(&self.shared.loads, self.now());
+        fleet.follow_loads(&self.shared.channels.loads, self.now());
         snapshot
     }
 
@@ -104,9 +102,11 @@
     pub(crate) fn follow_control(&self) -> Arc<Snapshot> {
         let snapshot = self.shared.published.load_full();
         let mut fleet = self.fleet.borrow_mut();
-        if fleet.follow(&snapshot) {
+        let is_newer = fleet.follow(&snapshot);
+        if is_newer {
             self.pool.sweep(|id| fleet.knows(id));
         }
+        fleet.follow_limits(&self.shared.channels.limits, is_newer);
         snapshot
     }
 
--- a/crates/entry/src/traffic/placement.rs
+++ b/crates/entry/src/traffic/placement.rs
@@ -63,8 +63,8 @@
     pub(super) warm: bool,
     /// It should find a free slot.
     pub(super) idle: bool,
-    /// The upstream is cold, and the request counts as waiting there until it is sent.
-    pub(super) cold: bool,
+    /// Whether the upstream is cold or states a limit; the request then counts as waiting there until it is sent.
+    pub(super) restricted: bool,
     /// Requests that the upstream had, as far as known.
     pub(super) load: f64,
     /// Requests that it works on at a time.
--- a/crates/entry/src/traffic/ports.rs
+++ b/crates/entry/src/traffic/ports.rs
@@ -61,7 +61,7 @@
     loop {
         tokio::time::sleep(LOADS_INTERVAL).await;
         let own = traffic.fleet.borrow().loads();
-        let shared = &traffic.shared.loads;
+        let shared = &traffic.shared.channels.loads;
         shared.own.store(Arc::new(own));
         let mut fleet = traffic.fleet.borrow_mut();
         shared.warmed.put(fleet.take_warmed());
--- a/crates/entry/tests/limits.rs
+++ b/crates/entry/tests/limits.rs
@@ -1,4 +1,4 @@
-//! What all entries together send to an upstream that states a limit, as the upstream counts it.
+//! Requests that all entries combined send to an upstream that states a rate limit, as received by the upstream.
 
 mod support;
 
@@ -28,32 +28,34 @@
     NAMES, //
 };
 
-/// Span for which the bound is stated.
+/// Window for which the bound is stated.
 const SPAN: Duration = Duration::from_secs(4);
-/// Time from the first statement of a limit until the bound holds.
-const STABLE: Duration = Duration::from_secs(3);
-/// Time for which entries are under load from then on.
-const WATCHED: Duration = Duration::from_secs(6);
+/// Time from the first answer that states the limit until the bound has to hold.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+/// Time for which the upstream is then observed under load.
+const OBSERVATION_TIME: Duration = Duration::from_secs(6);
 /// Pause of each caller between an answer and its next request.
 const PAUSE: Duration = Duration::from_millis(20);
 
-/// Most requests that a limit allows in [`SPAN`].
+/// Returns the maximum number of requests allowed within [`SPAN`].
 fn allowed(limit_per_s: f64) -> f64 {
     1.5 * limit_per_s * SPAN.as_secs_f64() + 5.0
 }
 
-/// An upstream that states what is in `limit_per_s` at the time.
-struct Limited {
+/// An upstream whose answers state the current value of `limit_per_s`.
+struct LimitedUpstream {
     upstream: Upstream,
     limit_per_s: Arc<Mutex<Option<f64>>>,
 }
 
-impl Limited {
+impl LimitedUpstream {
     fn start(limit_per_s: f64) -> Self {
         let limit = Arc::new(Mutex::new(Some(limit_per_s)));
         let stated = limit.clone();
         let upstream = Upstream::start(Box::new(move |_, sent, connection| {
-            let stated = *stated.lock().expect("no script panics with it");
+            let stated = *stated
+                .lock()
+                .expect("the script doesn't panic while it holds the lock");
             let mut answer = good(sent, "ok");
             if let Some(limit_per_s) = stated {
                 let line = format!("upstream-limit: {limit_per_s}\r\ncontent-length");
@@ -70,7 +72,10 @@
     }
 
     fn end_limit(&self) {
-        *self.limit_per_s.lock().expect("no script panics with it") = None;
+        *self
+            .limit_per_s
+            .lock()
+            .expect("the script doesn't panic while it holds the lock") = None;
     }
 
     fn seen_since(&self, since: Instant) -> Vec<Sent> {
@@ -80,14 +85,14 @@
     }
 }
 
-/// Twelve entries before one upstream that states a limit and one that doesn't.
-struct World {
+/// Twelve entries, an upstream that states a limit and one that doesn't.
+struct Setup {
     entries: Vec<Entry>,
-    limited: Limited,
+    limited: LimitedUpstream,
     _other: Upstream,
 }
 
-impl World {
+impl Setup {
     fn start(
         limit_per_s: f64,
         region: &'static str,
@@ -96,12 +101,12 @@
     ) -> Self {
         let store = MemoryStore::default();
         store.put_routes(routes);
-        let limited = Limited::start(limit_per_s);
+        let limited = LimitedUpstream::start(limit_per_s);
         let mut row = listed("u-1", limited.upstream.addr);
         row.region = region.into();
         row.failure_domain = region.replace("region", "domain").into();
         store.put_upstream(&row);
-        // Slow and small, so that the other one is wanted.
+        // Has little capacity, so that the limited upstream is needed as well.
         let other = Upstream::start(Box::new(|_, sent, connection| {
             thread::sleep(Duration::from_millis(100));
             connection.write(good(sent, "ok"));
@@ -118,11 +123,12 @@
     }
 }
 
+/// Returns an empty list, with which an entry sees all others.
 fn all(_: usize) -> Vec<&'static str> {
     Vec::new()
 }
 
-/// Entries in groups of three that don't know the other groups.
+/// Returns the entries listed to an entry that sees only its group of three.
 fn groups(place: usize) -> Vec<&'static str> {
     NAMES[place / 3 * 3..][..3].to_vec()
 }
@@ -133,21 +139,21 @@
     routes
 }
 
-/// Guards against entries that together send more than a limit allows, or nothing.
+/// Guards against entries that combined exceed the limit, or that leave the upstream unused.
 macro_rules! limit_holds {
     ($($name:ident: $limit_per_s:expr, $region:expr, $routes:expr, $headers:expr, $shown:expr;)*) => {$(
         #[test]
         fn $name() {
-            let world = World::start($limit_per_s, $region, &$routes, $shown);
-            let _load = Load::with_headers(&world.entries, PAUSE, $headers);
-            thread::sleep(STABLE);
+            let setup = Setup::start($limit_per_s, $region, &$routes, $shown);
+            let _load = Load::with_headers(&setup.entries, PAUSE, $headers);
+            thread::sleep(SETTLE_TIME);
             let since = Instant::now();
-            thread::sleep(WATCHED);
-            let seen = world.limited.seen_since(since);
+            thread::sleep(OBSERVATION_TIME);
+            let seen = setup.limited.seen_since(since);
             let most = most_within(SPAN, &seen);
             assert!(most as f64 <= allowed($limit_per_s), "{most} in {SPAN:?}");
-            let wanted = $limit_per_s * WATCHED.as_secs_f64() / 3.0;
-            assert!(seen.len() as f64 >= wanted, "{} in {WATCHED:?}", seen.len());
+            let expected = $limit_per_s * OBSERVATION_TIME.as_secs_f64() / 3.0;
+            assert!(seen.len() as f64 >= expected, "{} in {OBSERVATION_TIME:?}", seen.len());
         }
     )*};
 }
@@ -160,26 +166,26 @@
     stated_limit_holds_in_a_region_without_entries: 6.4, "region-b", routes(1), "", all;
 }
 
-/// Guards against an upstream left unused, or held to its limit, after the limit has ended.
+/// Guards against an upstream left unused or restricted after its limit has ended.
 macro_rules! limit_ends {
     ($($name:ident: $limit_per_s:expr, $region:expr;)*) => {$(
         #[test]
         fn $name() {
-            let world = World::start($limit_per_s, $region, &routes(1), all);
-            let load = Load::on(&world.entries, PAUSE);
-            thread::sleep(STABLE);
+            let setup = Setup::start($limit_per_s, $region, &routes(1), all);
+            let load = Load::on(&setup.entries, PAUSE);
+            thread::sleep(SETTLE_TIME);
             let since = Instant::now();
             thread::sleep(SPAN);
-            let limited = world.limited.seen_since(since).len();
+            let limited = setup.limited.seen_since(since).len();
             assert!(limited as f64 <= allowed($limit_per_s), "{limited} in {SPAN:?}");
-            world.limited.end_limit();
-            // The next request that the limit allows finds out.
+            setup.limited.end_limit();
+            // The answer to the next request that the limit allows shows that it has ended.
             thread::sleep(Duration::from_secs(5));
             let since = Instant::now();
             thread::sleep(SPAN);
             drop(load);
-            let free = world.limited.seen_since(since).len();
-            assert!(free as f64 > 2.0 * allowed($limit_per_s), "{free} in {SPAN:?}");
+            let unlimited = setup.limited.seen_since(since).len();
+            assert!(unlimited as f64 > 2.0 * allowed($limit_per_s), "{unlimited} in {SPAN:?}");
         }
     )*};
 }
--- a/crates/entry/tests/support/load.rs
+++ b/crates/entry/tests/support/load.rs
@@ -1,4 +1,4 @@
-//! Entries under callers that keep asking.
+//! Entries under continuous load.
 
 use crate::support::{
     request,
@@ -28,7 +28,7 @@
     "entry-9", "entry-10", "entry-11", "entry-12",
 ];
 
-/// Entries that have each read the store's list of entries through a handle of its own.
+/// Starts entries that each read the store's list of entries through a handle of their own.
 pub(crate) fn entries(
     store: &MemoryStore,
     shown: impl Fn(usize) -> Vec<&'static str>,
@@ -39,35 +39,35 @@
         Entry::start(NAMES[place], &handle)
     };
     let entries = (0..NAMES.len()).map(start).collect();
-    // Beyond the time in which a process that has just started sends nothing to cold upstreams.
+    // A process that has just started sends nothing to cold upstreams; wait until that time has passed.
     thread::sleep(Duration::from_millis(1500));
     entries
 }
 
-/// Most requests that came within any time of this length.
-pub(crate) fn most_within(length: Duration, seen: &[Sent]) -> usize {
+/// Returns the maximum number of requests received within any window of this length.
+pub(crate) fn most_within(window: Duration, seen: &[Sent]) -> usize {
     let windows = seen.iter().map(|last| {
         let within = seen
             .iter()
-            .filter(|one| one.at <= last.at && last.at.duration_since(one.at) < length);
+            .filter(|one| one.at <= last.at && last.at.duration_since(one.at) < window);
         within.count()
     });
     windows.max().unwrap_or(0)
 }
 
-/// Callers that keep asking, one for each entry given, until dropped.
+/// Callers that send requests continuously, one for each entry given, until dropped.
 pub(crate) struct Load {
     ended: Arc<AtomicBool>,
     callers: Vec<JoinHandle<()>>,
 }
 
 impl Load {
-    /// Callers of `/r/x`.
+    /// Starts callers of `/r/x` that pause for `pause` after each answer.
     pub(crate) fn on<'a>(entries: impl IntoIterator<Item = &'a Entry>, pause: Duration) -> Self {
         Self::with_headers(entries, pause, "")
     }
 
-    /// The same with further header lines.
+    /// Like [`Self::on`], with additional header lines.
     pub(crate) fn with_headers<'a>(
         entries: impl IntoIterator<Item = &'a Entry>,
         pause: Duration,
