Use ports below the ephemeral range in the router's tests

served_metrics_are_declared failed once, when the tests of several crates ran alongside other work: its router exited with "port of look-ups: binding 127.0.0.1:33687: Address already in use", and the test waited 30 s for it.

Cause: the tests found five free ports by binding port 0 and released them before the router bound them; meanwhile, a connection of another test was assigned one of them. Ports are now taken from 9000 to 9999, below the ephemeral range, by the method that the tests of entry use for their own range. No check has changed. The router's tests pass.

--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -40,7 +40,13 @@
         Command,
         Stdio, //
     },
-    sync::Arc,
+    sync::{
+        atomic::{
+            AtomicU16,
+            Ordering, //
+        },
+        Arc, //
+    },
     thread,
     time::{
         Duration,
@@ -48,6 +54,14 @@
     },
 };
 
+/// Start of the port range for routers. The range lies below the ephemeral ports, so that no outgoing connection is
+/// assigned a port before the router binds it.
+const FIRST_PORT: u16 = 9_000;
+/// Size of the range, which ends below the ports of the rig.
+const PORTS: u16 = 1_000;
+/// Distance between the first ports tried by processes with consecutive ids.
+const PORTS_APART: u32 = 331;
+
 /// Bound on waits for what takes well under a tenth of it.
 pub(crate) const PATIENCE: Duration = Duration::from_secs(30);
 /// Pause between two looks.
@@ -216,10 +230,18 @@
     started.recv().expect("it starts")
 }
 
+/// Returns loopback addresses with free ports. The process tries each port of the range once before the first repeat.
 pub(crate) fn free_addrs<const N: usize>() -> [SocketAddr; N] {
-    let listeners: [TcpListener; N] =
-        std::array::from_fn(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"));
-    listeners.map(|listener| listener.local_addr().expect("a bound port"))
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let base = std::process::id().wrapping_mul(PORTS_APART) % u32::from(PORTS);
+    std::array::from_fn(|_| loop {
+        let offset = base + u32::from(NEXT.fetch_add(1, Ordering::Relaxed));
+        let within = u16::try_from(offset % u32::from(PORTS)).expect("below the range's length");
+        let addr = SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + within));
+        if TcpListener::bind(addr).is_ok() {
+            return addr;
+        }
+    })
 }
 
 pub(crate) fn exchange(addr: SocketAddr, request: &str) -> Option<String> {
