Follow a store that was restored from an older copy

Cause: the store may come back from a copy some seconds old, give out versions again and answer 410 for one that it doesn't have. The view ignored rows with lower versions, a conditional write could hold by a version given out twice, a lease lost with the copy could be granted a second time, and whatever the copy lacked ended at once.

After a restore nothing ends for 2.5 s because its row is missing, removed upstreams stay closed until they are written again, routes stay. Leases wait until those of the era before have expired; a row records that the wait is over, so that a restart alone costs nothing. Entries write their rows, their key and the quarantined requests again.

--- a/crates/entry/src/control/apply.rs
+++ b/crates/entry/src/control/apply.rs
@@ -74,14 +74,30 @@
         }
     }
 
-    pub(super) fn apply_upstream_table(&self, table: &Rows, after_outage: bool) {
-        let mut listed: Vec<(u64, ListedUpstream)> = Vec::with_capacity(table.rows.len());
+    /// Parses a whole table of upstreams. Rows that can't be parsed are logged and left out.
+    fn listed_upstreams(&self, table: &Rows) -> Vec<(u64, ListedUpstream)> {
+        let mut listed = Vec::with_capacity(table.rows.len());
         for row in &table.rows {
             match self.rows.upstream(row) {
                 Ok(upstream) => listed.push((row.version, upstream)),
                 Err(error) => log_unreadable(&error),
             }
         }
+        listed
+    }
+
+    /// Applies the upstreams of a store that was restored from an older copy.
+    pub(super) fn apply_restored_upstreams(&self, table: &Rows) {
+        let listed = self.listed_upstreams(table);
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        state.view.apply_restored_upstreams(&listed, now);
+        drop(state);
+        self.publish();
+    }
+
+    pub(super) fn apply_upstream_table(&self, table: &Rows, after_outage: bool) {
+        let listed = self.listed_upstreams(table);
         let now = self.now();
         let mut state = self.state.borrow_mut();
         state
--- a/crates/entry/src/control/cold.rs
+++ b/crates/entry/src/control/cold.rs
@@ -65,11 +65,15 @@
     // Timeout of a call to the store.
     retry_delay: Duration::from_millis(1000),
 };
+/// Maximum time after the grant of a lease in which its holder's requests count.
+pub(super) const LEASE_USE_MAX: Duration = TERMS.length.saturating_add(TERMS.gap);
 /// Maximum number of claims in one transaction, which is limited to a hundred checks and writes.
 const CLAIMS_MAX: usize = 40;
 /// Maximum length of the name of an upstream whose lease is claimed. A key that the store rejects would fail the other
 /// claims of its transaction as well.
 const NAME_LEN_MAX: usize = 120;
+/// Interval between checks whether the store's era has to be recorded.
+const ERA_RECORD_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum interval between checks for due claims.
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval between sweeps of unused rows. A lease in use is renewed many times within it.
@@ -107,6 +111,10 @@
 
     fn due_claims(&self, now: Now) -> Vec<Claim> {
         let mut state = self.state.borrow_mut();
+        state.era_wait.observe(self.store.era(), now);
+        if !state.era_wait.is_over(LEASE_USE_MAX, now) {
+            return Vec::new();
+        }
         let wanted = self.wanted_leases(&state, now);
         state.cold_leases.set_wanted(wanted, now);
         let held = state.cold_leases.held(now).count();
@@ -169,9 +177,12 @@
         let outcome = self.store.commit(self.claim_txn(claims)).await;
         let now = self.now();
         let mut state = self.state.borrow_mut();
+        state.era_wait.observe(self.store.era(), now);
+        // A store that was restored meanwhile lacks the lease of another entry that is still in use.
+        let is_valid = state.era_wait.is_over(LEASE_USE_MAX, now);
         let leases = &mut state.cold_leases;
         let (outcome, row_version) = match outcome {
-            Outcome::Done(Commit::Committed { version }) => {
+            Outcome::Done(Commit::Committed { version }) if is_valid => {
                 leases.granted(claims, version, started_at, now);
                 ("granted", version)
             }
@@ -180,7 +191,9 @@
                 ("refused", 0)
             }
             // The claim is retried later; until then it is unknown whether it was committed.
-            Outcome::NotDone(_) | Outcome::Unknown(_) => ("unknown", 0),
+            Outcome::Done(Commit::Committed { .. }) | Outcome::NotDone(_) | Outcome::Unknown(_) => {
+                ("unknown", 0)
+            }
         };
         drop(state);
         metrics::counter!(metric::STORE_CALLS, "call" => "lease", "outcome" => outcome)
@@ -197,6 +210,24 @@
         }
     }
 
+    /// Records in the store that leases may be claimed in its present era, for processes that start later.
+    pub(super) async fn record_eras(&self) {
+        loop {
+            tokio::time::sleep(ERA_RECORD_INTERVAL).await;
+            let era = self
+                .state
+                .borrow()
+                .era_wait
+                .unrecorded(LEASE_USE_MAX, self.now());
+            let Some(era) = era.filter(|_| self.is_sweeper()) else {
+                continue;
+            };
+            if self.write_era_row(era).await {
+                self.state.borrow_mut().era_wait.settle(era);
+            }
+        }
+    }
+
     /// Announces the leases that this entry holds to the entries of this region.
     fn announce_held(&self, now: Now) {
         let held = self.state.borrow().cold_leases.held(now).cloned().collect();
--- a/crates/entry/src/control/feeds.rs
+++ b/crates/entry/src/control/feeds.rs
@@ -49,6 +49,8 @@
 /// Maximum delay after a failed call. Changes that the store has after an outage have to be in force within seconds,
 /// and each call puts load on the store.
 const RETRY_DELAY_MAX: Duration = Duration::from_millis(1000);
+/// Time for operators and upstreams to write again what a store lacks that was restored from an older copy.
+const REWRITE_WAIT: Duration = Duration::from_millis(2500);
 /// Time after a failed call during which missing rows may be rows that expired during an outage.
 const OUTAGE_RETENTION: Duration = Duration::from_secs(5);
 
@@ -61,6 +63,8 @@
     last_failure: Option<Now>,
     /// Start of the last call that returned changes.
     changed_at: Now,
+    /// Whether the store was restored from an older copy since the whole table was last read.
+    restored: bool,
 }
 
 impl FeedCalls {
@@ -72,6 +76,7 @@
             failing_since: None,
             last_failure: None,
             changed_at: Now::ZERO,
+            restored: false,
         }
     }
 
@@ -118,6 +123,12 @@
         }
         loop {
             let rows = self.read_table(&mut calls).await;
+            if std::mem::take(&mut calls.restored) {
+                self.apply_restored_table(table, &rows);
+                let following = self.follow_changes(&mut calls);
+                let _ = tokio::time::timeout(REWRITE_WAIT, following).await;
+                continue;
+            }
             let after_outage = calls.after_outage(self.now());
             self.apply_table(table, &rows, after_outage);
             self.follow_changes(&mut calls).await;
@@ -170,6 +181,18 @@
         }
     }
 
+    /// Applies a whole table of a store that was restored from an older copy. Nothing ends or is removed because its row
+    /// is missing: the row may have been written after the copy and will be written again.
+    fn apply_restored_table(&self, table: FollowedTable, rows: &Rows) {
+        let mut state = self.state.borrow_mut();
+        state.table_mut(table).follower.on_table_read(rows.position);
+        drop(state);
+        match table {
+            FollowedTable::Operator => self.apply_operator_rows(&rows.rows, None),
+            FollowedTable::Upstreams => self.apply_restored_upstreams(rows),
+        }
+    }
+
     /// Applies all changes of a table up to `position`.
     pub(super) fn apply_changes(
         &self,
@@ -288,6 +311,14 @@
                     });
                     return None;
                 }
+                Ok(Changes::Restored) => {
+                    emit(&Event::StoreRestored {
+                        table: calls.table_name.to_owned(),
+                        position,
+                    });
+                    calls.restored = true;
+                    return None;
+                }
                 Err(error) => self.on_read_failed(calls, &error).await,
             }
         }
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -57,7 +57,10 @@
     take_dropped_lines,
     Event, //
 };
-use lease::Leases;
+use lease::{
+    EraWait,
+    Leases, //
+};
 use overlay::{
     LoadSums, //
     Member,
@@ -127,6 +130,8 @@
     view: RoutingView,
     /// Leases of upstreams that are cold or state a limit.
     cold_leases: Leases,
+    /// Delays claims of leases after the store was restored.
+    era_wait: EraWait,
     /// Compiled routes of the routing view.
     routes: Option<Arc<route::Table>>,
     operator: TableState,
@@ -173,6 +178,7 @@
         Self {
             view: RoutingView::default(),
             cold_leases: cold::new_leases(),
+            era_wait: EraWait::default(),
             routes: None,
             operator: TableState::new(),
             upstreams: TableState::new(),
@@ -281,6 +287,8 @@
         let control = self.clone();
         actix_rt::spawn(async move { control.sweep_cold_leases().await });
         let control = self.clone();
+        actix_rt::spawn(async move { control.record_eras().await });
+        let control = self.clone();
         actix_rt::spawn(async move { control.run_periodic_work().await });
     }
 
--- a/crates/entry/src/control/registry.rs
+++ b/crates/entry/src/control/registry.rs
@@ -19,6 +19,7 @@
 use plat::{
     Check,
     Commit,
+    Era,
     Feed,
     Outcome,
     Row,
@@ -34,6 +35,8 @@
 /// Row of the secret key by which entries authenticate each other. Whoever can read the store counts as an entry. The
 /// row has the prefix of the entries' rows, so that one call reads all of them; no instance has such a name.
 const KEY_ROW: &str = "entries/.key";
+/// Row of the newest era of the store in which leases may be claimed. It has the prefix of the entries' rows, too.
+const ERA_ROW: &str = "entries/.era";
 /// Length of the secret key in bytes.
 const KEY_LEN: usize = 32;
 /// First character after [`ENTRIES`] in the keys of rows that don't describe an instance.
@@ -89,6 +92,38 @@
         }
     }
 
+    /// Writes the secret key again if it is missing in the rows, because the store was restored from a copy without it.
+    pub(super) async fn restore_key(&self, rows: &[Row], key: &ByteString) {
+        if rows.iter().any(|row| row.key == KEY_ROW) {
+            return;
+        }
+        let row_key = ByteString::from_static(KEY_ROW);
+        let txn = Txn {
+            checks: vec![Check::Absent {
+                key: row_key.clone(),
+            }],
+            writes: vec![Write::Put {
+                key: row_key,
+                value: key.clone(),
+            }],
+        };
+        // Other entries write it as well, and the next scan repeats a write that failed.
+        let _ = self.store.commit(txn).await;
+    }
+
+    /// Records an era of the store in which leases may be claimed. Returns whether the write is known to have succeeded.
+    pub(super) async fn write_era_row(&self, era: Era) -> bool {
+        let write = Write::Put {
+            key: ByteString::from_static(ERA_ROW),
+            value: era.to_string().into(),
+        };
+        let txn = Txn {
+            checks: Vec::new(),
+            writes: vec![write],
+        };
+        matches!(self.store.commit(txn).await, Outcome::Done(_))
+    }
+
     fn own_row_key(&self) -> ByteString {
         format!("{ENTRIES}{}", self.settings.instance).into()
     }
@@ -147,6 +182,7 @@
     /// Applies the rows of all entries.
     pub(super) fn apply_entry_rows(&self, rows: &[Row]) {
         self.merge_crash_rows(rows);
+        self.apply_era_row(rows);
         let mut registered = Vec::with_capacity(rows.len());
         for row in rows.iter().filter(|row| is_instance_row(row)) {
             match serde_json::from_str::<Member>(&row.value) {
@@ -172,6 +208,15 @@
         self.publish_entries();
     }
 
+    fn apply_era_row(&self, rows: &[Row]) {
+        let mut state = self.state.borrow_mut();
+        state.era_wait.observe(self.store.era(), self.now());
+        let row = rows.iter().find(|row| row.key == ERA_ROW);
+        if let Some(era) = row.and_then(|row| row.value.parse().ok()) {
+            state.era_wait.settle(era);
+        }
+    }
+
     /// Returns whether this entry's row exists and is up to date.
     pub(super) fn is_registered(&self, rows: &[Row]) -> bool {
         let own = rows.iter().find(|row| row.key == self.own_row_key());
--- a/crates/entry/src/control/sessions.rs
+++ b/crates/entry/src/control/sessions.rs
@@ -86,6 +86,7 @@
         actix_rt::spawn(async move { control.handle_events(events).await });
         let mut rows = rows;
         loop {
+            self.restore_key(&rows, &key).await;
             self.remove_lost_entries(&rows, self.now()).await;
             self.remove_expired_crash_rows(&rows).await;
             if self.state.borrow().stopping || self.is_registered(&rows) {
@@ -110,9 +111,15 @@
     /// Waits until the rows of the entries have to be scanned again.
     async fn wait_until_next_scan(&self) {
         let started = self.now();
+        let era = self.store.era();
         let mut failed_checks = 0;
         while failed_checks < HUB_CHECKS_MAX {
             sleep_jittered(HUB_CHECK_INTERVAL).await;
+            if self.store.era() != era {
+                // The copy from which the store was restored may lack this entry's row.
+                self.channels.crashes.store_again(self.now());
+                return;
+            }
             let now = self.now();
             let state = self.state.borrow();
             let is_hub = state.overlay.is_hub(now);
--- a/crates/entry/src/crashes.rs
+++ b/crates/entry/src/crashes.rs
@@ -119,6 +119,17 @@
         std::mem::take(&mut self.lock().unstored)
     }
 
+    /// Marks the quarantined requests of which this entry reported a crash as to be written to the store again.
+    pub(crate) fn store_again(&self, now: Now) {
+        let mut state = self.lock();
+        let requests = state.quarantine.quarantined(now);
+        let reported = requests.filter(|request| state.reported.contains(request));
+        state.unstored = reported.collect();
+        if !state.unstored.is_empty() {
+            self.store_due.notify_one();
+        }
+    }
+
     /// Returns reports of all crashes of a request.
     pub(crate) fn reports_of(&self, request: Fingerprint, now: Now) -> Vec<Report> {
         self.lock().quarantine.reports_of(request, now)
--- a/crates/entry/tests/support/store.rs
+++ b/crates/entry/tests/support/store.rs
@@ -13,6 +13,7 @@
     Changes,
     Check,
     Commit,
+    Era,
     FailureReason,
     Feed,
     FeedRow,
@@ -43,14 +44,27 @@
     },
 };
 
+/// Bits of a version that are counted anew after the store was restored.
+const VERSION_BITS: u32 = 44;
 /// Interval at which a waiting call checks for changes.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Rows by key, with their versions; a removed row has no value.
+type StoredRows = BTreeMap<String, (u64, Option<Bytes>)>;
+
+/// A copy of all rows, from which the store can be restored.
+pub(crate) struct Backup {
+    version: u64,
+    rows: StoredRows,
+}
+
 #[derive(Default)]
 struct State {
     version: u64,
+    /// Number of times that the store was restored.
+    era: u64,
     /// Version and value by key (`table/name`); a removed row has the version of its removal and no value.
-    rows: BTreeMap<String, (u64, Option<Bytes>)>,
+    rows: StoredRows,
     /// Version up to which the history of changes has been discarded.
     compacted_version: u64,
 }
@@ -120,6 +134,30 @@
         version
     }
 
+    /// Returns a copy of all rows.
+    pub(crate) fn back_up(&self) -> Backup {
+        let state = self.lock();
+        Backup {
+            version: state.version,
+            rows: state.rows.clone(),
+        }
+    }
+
+    /// Restores the rows from a copy. Versions are given out again, in a new era.
+    pub(crate) fn restore(&self, backup: &Backup) {
+        let mut state = self.lock();
+        state.era += 1;
+        let era = state.era << VERSION_BITS;
+        let in_era = |version: u64| era | (version & ((1 << VERSION_BITS) - 1));
+        state.version = in_era(backup.version);
+        state.compacted_version = 0;
+        let rows = backup.rows.iter();
+        state.rows = rows
+            .filter(|(_, (_, value))| value.is_some())
+            .map(|(key, (version, value))| (key.clone(), (in_era(*version), value.clone())))
+            .collect();
+    }
+
     /// Returns whether a row with this key exists.
     pub(crate) fn has(&self, key: &str) -> bool {
         let state = self.lock();
@@ -222,6 +260,9 @@
         self.change_calls.fetch_add(1, Ordering::Relaxed);
         loop {
             self.check_available().map_err(ReadError)?;
+            if position >> VERSION_BITS != self.lock().era {
+                return Ok(Changes::Restored);
+            }
             if position < self.lock().compacted_version {
                 return Ok(Changes::HistoryGone);
             }
@@ -292,6 +333,10 @@
         }
         Outcome::Done(Commit::Committed { version })
     }
+
+    fn era(&self) -> Option<Era> {
+        Some(self.lock().era)
+    }
 }
 
 impl MemoryStore {
--- a/crates/event/src/event.rs
+++ b/crates/event/src/event.rs
@@ -65,6 +65,9 @@
     },
     /// The store no longer has the changes after `position`: the complete table is read again.
     HistoryGone { table: String, position: u64 },
+    /// The store was restored from an older copy: the complete table is read again, and what was written since the
+    /// copy is missing until it is written again.
+    StoreRestored { table: String, position: u64 },
     /// A row can't be parsed. For an operators' row, the last known value stays in force; an upstream's row is
     /// treated as listing no upstream.
     RowUnreadable { row: String, findings: Vec<String> },
@@ -213,6 +216,7 @@
             | Self::NoPeersPort { .. }
             | Self::MessageUnwritable { .. } => Severity::Error,
             Self::StoreLost { .. }
+            | Self::StoreRestored { .. }
             | Self::RequestQuarantined { .. }
             | Self::OwnRowNotRemoved
             | Self::StrangerRefused { .. }
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -12,11 +12,18 @@
 //! claims to write. [`Leases::granted`] or [`Leases::refused`] then takes their outcome; if the outcome is unknown,
 //! neither is called.
 //!
+//! A store that was restored from an older copy lacks leases that are still in use; [`EraWait`] delays claims then.
+//!
 //! Invariants: no clock or socket; `now` is an argument. It must include the time for which the machine is suspended,
 //! so that a holder that resumes has lost the leases that expired in the meantime.
 
+mod era_wait;
 mod leases;
 
+pub use era_wait::{
+    Era,
+    EraWait, //
+};
 pub use leases::{
     Claim,
     Guards,
--- a/crates/picture/src/view.rs
+++ b/crates/picture/src/view.rs
@@ -66,6 +66,8 @@
     /// Treat a later start under the same name as another incarnation, which rows of an earlier one
     /// don't affect.
     pub incarnations: bool,
+    /// Treat an upstream that was seen to be gone as gone if an older copy of the store lists it.
+    pub restored_removals: bool,
 }
 
 impl Default for Guards {
@@ -75,6 +77,7 @@
             unconfirmed_removals: true,
             read_position: true,
             incarnations: true,
+            restored_removals: true,
         }
     }
 }
@@ -316,6 +319,23 @@
         }
     }
 
+    /// Applies the rows of a store that was restored from an older copy. An upstream that was seen to be gone stays so
+    /// until its row is written again, and one without a row stays as it is.
+    pub fn apply_restored_upstreams(&mut self, listed: &[(u64, ListedUpstream)], now: Now) {
+        for (version, upstream) in listed {
+            let id = &upstream.id;
+            let known = self.upstreams.get(id);
+            let is_closed = known.is_some_and(|known| known.closes_at.is_some());
+            if self.guards.restored_removals && self.removed.contains_key(id) {
+                self.removed.insert(id.clone(), (*version, now));
+            } else if self.guards.restored_removals && is_closed {
+                self.apply_removal(id, *version, false, now);
+            } else {
+                self.apply_upstream(upstream, *version, now);
+            }
+        }
+    }
+
     /// Records that all upstream rows up to `position` have been read from the store.
     pub fn advance_read_position(&mut self, position: u64) {
         self.upstreams_read_position = self.upstreams_read_position.max(position);
--- a/crates/plat/src/caller.rs
+++ b/crates/plat/src/caller.rs
@@ -15,7 +15,10 @@
         SendRequestError, //
     },
     http::{
-        header::CONTENT_TYPE,
+        header::{
+            HeaderMap,
+            CONTENT_TYPE, //
+        },
         Method,
         StatusCode, //
     },
@@ -74,6 +77,8 @@
 pub struct HttpResponse {
     /// Status code.
     pub status: StatusCode,
+    /// Response headers.
+    pub headers: HeaderMap,
     /// Response body.
     pub body: Bytes,
 }
@@ -144,6 +149,7 @@
                 .map_err(|error| CallError::MaybeSent(FailureReason::Broken(error.to_string())))?;
             Ok(HttpResponse {
                 status: response.status(),
+                headers: response.headers().clone(),
                 body,
             })
         };
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -39,6 +39,7 @@
     Changes,
     Check,
     Commit,
+    Era,
     FeedRow,
     List,
     ListedInstance,
@@ -69,6 +70,12 @@
 
     /// Applies all writes if all checks hold, otherwise none.
     async fn commit(&self, txn: Txn) -> Outcome<Commit>;
+
+    /// Returns the number of times that the table was restored from an older copy, as of the last call; `None` if it
+    /// never states that. Versions of rows are higher after a restore than all before it.
+    fn era(&self) -> Option<Era> {
+        None
+    }
 }
 
 /// A store of immutable objects.
--- a/crates/plat/src/types.rs
+++ b/crates/plat/src/types.rs
@@ -14,6 +14,9 @@
     Serialize, //
 };
 
+/// Number of times that a table was restored from an older copy of it.
+pub type Era = u64;
+
 /// One row of the table.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Row {
@@ -172,4 +175,7 @@
     Rows(Rows),
     /// The requested history was discarded: the whole table must be read again.
     HistoryGone,
+    /// The store was restored from an older copy: the whole table must be read again, and rows that were written since
+    /// that copy are missing until their owners write them again.
+    Restored,
 }
--- a/crates/router/tests/store.rs
+++ b/crates/router/tests/store.rs
@@ -116,7 +116,7 @@
         let changes = self.store.changes(table, position, wait).await;
         match changes.expect("the platform answers") {
             Changes::Rows(rows) => (rows.rows, rows.position),
-            Changes::HistoryGone => panic!("the store keeps no history"),
+            Changes::HistoryGone | Changes::Restored => panic!("the store keeps no history"),
         }
     }
 }
