--- a/crates/entry/tests/cold.rs
+++ b/crates/entry/tests/cold.rs
@@ -145,3 +145,41 @@
         "only {max} requests in a second after the upstream became warm"
     );
 }
+
+/// Guards against a second entry that sends to a cold upstream because the store was restored from a copy that lacks
+/// the lease of the first, which uses it until it expires.
+#[test]
+fn cold_rate_holds_as_the_store_is_restored() {
+    let store = MemoryStore::default();
+    store.put_routes(&cold_routes());
+    let handles = [store.handle(), store.handle()];
+    let start = |index: usize| {
+        handles[index].show_only(&[ENTRY_NAMES[index]]);
+        Entry::start(ENTRY_NAMES[index], &handles[index])
+    };
+    let entries = [start(0), start(1)];
+    // A process that has just started sends nothing to cold upstreams.
+    thread::sleep(Duration::from_millis(1500));
+    let upstream = Upstream::start(respond());
+    let mut row = upstream_row("u-1", upstream.addr);
+    row.cold_left = COLD_TIME;
+    let backup = store.back_up();
+    // The second entry learns of the upstream after the restore, and never sees the row of the first one's lease.
+    handles[1].set_down(true);
+    store.put_upstream(&row);
+    let load = Load::start(&entries, Duration::from_millis(20));
+    thread::sleep(Duration::from_millis(2500));
+    store.restore(&backup);
+    store.put_upstream(&row);
+    handles[1].set_down(false);
+    thread::sleep(Duration::from_secs(9));
+    drop(load);
+    let requests = upstream.requests();
+    let max = max_per_second(&requests);
+    assert!(max <= MAX_PER_SECOND, "{max} requests in a second");
+    let last = requests.last().expect("the upstream was used").at;
+    let used_again = requests
+        .iter()
+        .filter(|request| last.duration_since(request.at) < Duration::from_secs(2));
+    assert!(used_again.count() > 2, "the upstream is hardly used again");
+}
--- a/crates/entry/tests/support/store.rs
+++ b/crates/entry/tests/support/store.rs
@@ -61,8 +61,8 @@
 #[derive(Default)]
 struct State {
     version: u64,
-    /// Number of times that the store was restored.
-    era: u64,
+    /// Number of times that the store was restored; `None` before the first.
+    era: Option<u64>,
     /// Version and value by key (`table/name`); a removed row has the version of its removal and no value.
     rows: StoredRows,
     /// Version up to which the history of changes has been discarded.
@@ -146,8 +146,9 @@
     /// Restores the rows from a copy. Versions are given out again, in a new era.
     pub(crate) fn restore(&self, backup: &Backup) {
         let mut state = self.lock();
-        state.era += 1;
-        let era = state.era << VERSION_BITS;
+        let number = state.era.unwrap_or_default() + 1;
+        state.era = Some(number);
+        let era = number << VERSION_BITS;
         let in_era = |version: u64| era | (version & ((1 << VERSION_BITS) - 1));
         state.version = in_era(backup.version);
         state.compacted_version = 0;
@@ -260,7 +261,7 @@
         self.change_calls.fetch_add(1, Ordering::Relaxed);
         loop {
             self.check_available().map_err(ReadError)?;
-            if position >> VERSION_BITS != self.lock().era {
+            if position >> VERSION_BITS != self.lock().era.unwrap_or_default() {
                 return Ok(Changes::Restored);
             }
             if position < self.lock().compacted_version {
@@ -335,7 +336,7 @@
     }
 
     fn era(&self) -> Option<Era> {
-        Some(self.lock().era)
+        self.lock().era
     }
 }
 
