Show the use of quotas, and print digests of keys

jasminectl organisations adds up what entries show on their metrics port; key-digest reads a key and prints its digest only.

--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -94,6 +94,23 @@
     /// Manage host and path-prefix routes in the platform's table, without a daemon.
     #[command(subcommand)]
     Routes(RoutesCommand),
+    /// Print the digest of an organisation's key, for `key_digests` in routes. The key itself is never printed.
+    KeyDigest {
+        /// File with the key; by default, it is read from standard input.
+        file: Option<PathBuf>,
+    },
+    /// Show the use of the organisations' quotas, added up over entries.
+    Organisations {
+        /// Metrics addresses of entries, HOST:PORT.
+        #[arg(
+            long,
+            required = true,
+            env = "JASMINE_ENTRIES",
+            value_delimiter = ',',
+            value_parser = op::parse_addr
+        )]
+        entries: Vec<String>,
+    },
     /// Explain from logs alone how a request routed by host and path ended, and why.
     Explain(ExplainArgs),
     /// Put a configuration in force.
--- a/crates/ctl/src/command/mod.rs
+++ b/crates/ctl/src/command/mod.rs
@@ -7,6 +7,7 @@
 mod drain;
 mod explain;
 mod history;
+mod organisations;
 mod routes;
 mod shares;
 mod status;
@@ -45,6 +46,11 @@
             routes::run(command, timeout).await
         }
         Command::Explain(args) => explain::run(&args),
+        Command::KeyDigest { file } => organisations::digest(file.as_deref()),
+        Command::Organisations { entries } => {
+            let timeout = Duration::from_secs(global.request_timeout_s);
+            organisations::show(&entries, timeout).await
+        }
         Command::Diff { before, after } => diff::run(global, &before, after.as_deref()).await,
         command => run_with_daemon(&Context::new(global)?, command).await,
     }
@@ -71,6 +77,8 @@
         | Command::Completions { .. }
         | Command::Routes(_)
         | Command::Explain(_)
+        | Command::KeyDigest { .. }
+        | Command::Organisations { .. }
         | Command::Diff { .. } => {
             unreachable!("commands without a daemon are handled by `run`")
         }
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -96,8 +96,8 @@
         auxiliary: vec![
             bind(settings.lookup_addr, "look-ups")?,
             bind(settings.ready_addr, "readiness")?,
-            bind(settings.metrics_addr, "metrics")?,
         ],
+        metrics: bind(settings.metrics_addr, "metrics")?,
     };
     let initial = Snapshot {
         bounds: settings.bounds.clone(),
--- a/crates/entry/src/traffic/lookup.rs
+++ b/crates/entry/src/traffic/lookup.rs
@@ -42,8 +42,15 @@
     idle_timeout: Duration::from_secs(15),
 };
 
+/// Path of the use of organisations' quotas, on the metrics port.
+const ORGANISATIONS_PATH: &str = "/v1/organisations";
+
 /// Handles requests to the look-up, readiness and metrics ports.
-pub(super) struct AuxiliaryHandler(pub(super) Rc<Traffic>);
+pub(super) struct AuxiliaryHandler {
+    pub(super) traffic: Rc<Traffic>,
+    /// Whether it serves the metrics port, which callers can't reach.
+    pub(super) is_metrics_port: bool,
+}
 
 impl Handler for AuxiliaryHandler {
     fn limits(&self) -> CallerLimits {
@@ -59,7 +66,7 @@
     }
 
     async fn handle(self: Rc<Self>, request: Request) -> CallerResponse {
-        let shared = &self.0.shared;
+        let shared = &self.traffic.shared;
         let snapshot = shared.published.load();
         let path = request.uri.path();
         if path == shared.dialect.lookup_path {
@@ -75,6 +82,12 @@
         if path == "/metrics" {
             return CallerResponse::text(StatusCode::OK, shared.metrics.render());
         }
+        if path == ORGANISATIONS_PATH && self.is_metrics_port {
+            self.traffic.refresh_snapshot();
+            let usage = self.traffic.quotas.borrow().usage();
+            let body = serde_json::to_string(&usage).expect("usage is serializable");
+            return json_response(body);
+        }
         CallerResponse::empty(StatusCode::NOT_FOUND)
     }
 
@@ -98,20 +111,24 @@
             return CallerResponse::empty(StatusCode::SERVICE_UNAVAILABLE);
         }
         metrics::counter!(metric::LOOKUPS).increment(1);
-        let shared = &self.0.shared;
+        let shared = &self.traffic.shared;
         let ttl = LOOKUP_TTL.min(snapshot.bounds.lookup_ttl_max);
         let addresses: Vec<String> = addresses.iter().map(ToString::to_string).collect();
         let body = serde_json::json!({
             shared.dialect.addresses_field: addresses,
             shared.dialect.ttl_s_field: ttl.as_secs_f64(),
         });
-        let mut response = CallerResponse::text(StatusCode::OK, body.to_string());
-        let json = HeaderValue::from_static("application/json");
-        response.headers.insert(CONTENT_TYPE, json);
-        response
+        json_response(body.to_string())
     }
 }
 
+fn json_response(body: String) -> CallerResponse {
+    let mut response = CallerResponse::text(StatusCode::OK, body);
+    let json = HeaderValue::from_static("application/json");
+    response.headers.insert(CONTENT_TYPE, json);
+    response
+}
+
 /// Returns the entries for a caller: those of its region, or those of the nearest region if it has none.
 fn entries_for(snapshot: &Snapshot, region: &str) -> Vec<SocketAddr> {
     let addrs = |entries: Vec<&EntryView>| {
--- a/crates/entry/src/traffic/ports.rs
+++ b/crates/entry/src/traffic/ports.rs
@@ -34,15 +34,22 @@
 /// Bound listeners.
 pub(crate) struct Ports {
     pub(crate) callers: TcpListener,
-    /// Listeners for look-ups, readiness checks and metrics.
+    /// Listeners for look-ups and readiness checks.
     pub(crate) auxiliary: Vec<TcpListener>,
+    /// Listener for metrics and the use of quotas.
+    pub(crate) metrics: TcpListener,
 }
 
 /// Spawns the tasks that serve the ports until the process exits. Must be called on the traffic thread.
 pub(crate) fn spawn_servers(ports: Ports, shared: Arc<SharedState>) -> io::Result<()> {
     let traffic = Rc::new(Traffic::new(shared));
-    for listener in ports.auxiliary {
-        let handler = Rc::new(AuxiliaryHandler(traffic.clone()));
+    let auxiliary = ports.auxiliary.into_iter();
+    let auxiliary = auxiliary.map(|listener| (listener, false));
+    for (listener, is_metrics_port) in auxiliary.chain([(ports.metrics, true)]) {
+        let handler = Rc::new(AuxiliaryHandler {
+            traffic: traffic.clone(),
+            is_metrics_port,
+        });
         actix_rt::spawn(accept(
             to_tokio_listener(listener)?,
             handler,
--- a/crates/org/src/limiter.rs
+++ b/crates/org/src/limiter.rs
@@ -25,6 +25,10 @@
     Now,
     OrganisationId, //
 };
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use std::time::Duration;
 
 /// Window over which demand is measured. Shorter ones vary too much for organisations with few requests.
@@ -359,18 +363,25 @@
     }
 
     /// Returns the state of each limited organisation, for operators.
-    pub fn usage(&self) -> impl Iterator<Item = Usage<'_>> {
-        self.accounts.iter().map(|(organisation, account)| {
-            let part = self.parts.by_key.get(&account.key);
-            let part = part.copied().unwrap_or_default();
-            Usage {
-                organisation,
-                quota: account.quota,
-                part,
-                admitted: account.admitted,
-                refused: account.refused,
-            }
-        })
+    pub fn usage(&self) -> Vec<Usage> {
+        let mut usage: Vec<Usage> = self
+            .accounts
+            .iter()
+            .map(|(organisation, account)| {
+                let part = self.parts.by_key.get(&account.key);
+                let part = part.copied().unwrap_or_default();
+                Usage {
+                    organisation: organisation.clone(),
+                    quota: account.quota,
+                    fraction: part.fraction,
+                    fleet_per_s: part.fleet.per_s,
+                    admitted: account.admitted,
+                    refused: account.refused,
+                }
+            })
+            .collect();
+        usage.sort_by(|a, b| a.organisation.cmp(&b.organisation));
+        usage
     }
 }
 
@@ -380,17 +391,19 @@
     hash as f64 / u64::MAX as f64
 }
 
-/// Use of one organisation's quota at this entry.
-#[derive(Clone, Copy, Debug)]
-pub struct Usage<'a> {
+/// Use of one organisation's quota at one entry.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Usage {
     /// Name of the organisation.
-    pub organisation: &'a OrganisationId,
+    pub organisation: OrganisationId,
     /// Its quota.
     pub quota: Quota,
-    /// Part of the quota that this entry may use.
-    pub part: Part,
-    /// Requests that took from the quota here.
+    /// Fraction of the quota that the entry may use by itself.
+    pub fraction: f64,
+    /// Requests per second that the callers of all entries ask for, as far as the entry knows.
+    pub fleet_per_s: f64,
+    /// Requests that the entry has admitted.
     pub admitted: u64,
-    /// Requests that were refused here because it was used up.
+    /// Requests that the entry has refused.
     pub refused: u64,
 }
--- a/crates/plat/src/caller.rs
+++ b/crates/plat/src/caller.rs
@@ -119,6 +119,17 @@
         }
     }
 
+    /// Sends a `GET` request once and waits for the complete response until the deadline.
+    ///
+    /// # Errors
+    ///
+    /// If no complete response arrived.
+    pub async fn get(&self, path: &str, deadline: Duration) -> Result<HttpResponse, CallError> {
+        let body = Bytes::new();
+        self.call(Method::GET, path, "application/json", body, deadline)
+            .await
+    }
+
     /// Sends a request once and waits for the complete response until the deadline.
     ///
     /// # Errors
