Give a new organisation a full bucket; tests of organisations

A new account's bucket had the capacity 0 until its first part was set, which emptied it.

Change: the capacity is unlimited until it is known.

--- a/crates/ctl/tests/input.rs
+++ b/crates/ctl/tests/input.rs
@@ -83,6 +83,9 @@
     unreachable_history: ["--daemon", NO_DAEMON, "history"] => 1, "no daemon answered";
     unreachable_shares: ["--daemon", NO_DAEMON, "shares"] => 1, "no daemon answered";
     unreachable_instances: ["--daemon", NO_DAEMON, "instances"] => 1, "no daemon answered";
+    unreachable_organisations: ["organisations", "--entries", NO_DAEMON] => 1, "127.0.0.1:9: ";
+    organisations_without_an_entry: ["organisations"] => 2, "--entries";
+    digest_of_a_missing_file: ["key-digest", "/nowhere"] => 2, "/nowhere: No such file";
     unreachable_diff: ["--daemon", NO_DAEMON, "diff", "CONFIG"] => 1, "no daemon answered";
 }
 
@@ -338,3 +341,60 @@
     let change = ["--daemon", NO_DAEMON, "drain", "start", "region:arusha"];
     ctl_into(&change, Stdio::piped(), closed_stdio()).expect(1, "");
 }
+
+/// Guards against a key in the output of the command that reads it.
+#[test]
+fn digest_of_a_key_is_printed_and_the_key_is_not() {
+    let key = TempFile::new("organisation.key", b"k-secret\n");
+    let ran = ctl(&["key-digest", key.path()]).expect(0, "");
+    assert_eq!(ran.stdout.trim().len(), 64, "{ran:?}");
+    assert!(
+        !ran.stdout.contains("k-secret") && !ran.stderr.contains("k-secret"),
+        "{ran:?}"
+    );
+    let bad = TempFile::new("two-words.key", b"k-secret two");
+    let ran = ctl(&["key-digest", bad.path()]).expect(2, "one line of printable");
+    assert!(!ran.stderr.contains("k-secret"), "{ran:?}");
+}
+
+/// Use of quotas is added up over entries, and an entry that doesn't answer is named.
+#[test]
+fn use_of_quotas_is_added_up_over_entries() {
+    let page = |fraction: f64, admitted: u64| {
+        let body = format!(
+            "[{{\"organisation\":\"acme\",\"quota\":{{\"rate_per_s\":40.0,\"burst\":20.0}},\
+             \"fraction\":{fraction},\"fleet_per_s\":12.5,\"admitted\":{admitted},\"refused\":3}}]"
+        );
+        serve_once(format!(
+            "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}",
+            body.len()
+        ))
+    };
+    let (first, second) = (page(0.25, 100), page(0.5, 11));
+    let entries = format!("{first},{second},{NO_DAEMON}");
+    let ran = ctl(&["organisations", "--entries", &entries]).expect(0, "acme");
+    for expected in [
+        "40",
+        "20",
+        "12.5",
+        "111",
+        "6",
+        &format!("{second} 50.0%"),
+        NO_DAEMON,
+    ] {
+        assert!(ran.stdout.contains(expected), "{expected}: {ran:?}");
+    }
+}
+
+/// Returns the address of a server that answers one request.
+fn serve_once(response: String) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        // The request fits in one read.
+        let _ = stream.read(&mut [0; 4096]).unwrap();
+        stream.write_all(response.as_bytes()).unwrap();
+    });
+    addr.to_string()
+}
--- a/crates/org/src/limiter.rs
+++ b/crates/org/src/limiter.rs
@@ -119,11 +119,11 @@
             key,
             asked: Window::new(DEMAND_WINDOW),
             used: Window::new(window),
+            // The bucket is full once its capacity is known.
             admission: Admission::Bucket {
                 rate_per_s: 0.0,
-                capacity: 0.0,
+                capacity: f64::MAX,
             },
-            // Reduced to the capacity once that is known.
             tokens: f64::MAX,
             refilled_at: now,
             credit,
--- a/crates/route/tests/routes.rs
+++ b/crates/route/tests/routes.rs
@@ -1,17 +1,25 @@
 //! Tests of route lookups, traffic splits and findings.
 
 use base::FastMap;
+use org::{
+    Credentials,
+    KeyDigest,
+    Quota, //
+};
 use route::{
     verify,
+    CallerId,
     CallerLimits,
     Host,
     Kind,
+    Organisation,
     Route,
     Routes,
     Service,
     ServiceShare,
     Split,
-    Table, //
+    Table,
+    Unauthorized, //
 };
 use std::{
     sync::Arc,
@@ -188,3 +196,131 @@
         "{findings}"
     );
 }
+
+fn organisation(id: &'static str, keys: &[&str]) -> Organisation {
+    Organisation {
+        id: id.into(),
+        keys: keys
+            .iter()
+            .map(|key| KeyDigest::of(key.as_bytes()))
+            .collect(),
+        priority: None,
+        quota: Quota::default(),
+        homes: Vec::new(),
+    }
+}
+
+/// Each case gives whether the route is open, the credentials, and the expected organisation.
+macro_rules! identified {
+    ($($name:ident: $open:expr, $credentials:expr => $expected:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut all = routes(Vec::new());
+            all.organisations = Some(vec![organisation("o", &["k-1", "k-2"]), organisation("p", &["k-3"])]);
+            let table = Table::new(Arc::new(all));
+            let route = Route { open: $open, ..route("r", "/") };
+            let caller = table.identify(&route, $credentials);
+            let found = caller.map(|caller| caller.organisation().map(|one| one.id.to_string()));
+            assert_eq!(found, $expected);
+        }
+    )*};
+}
+
+fn key(key: &str) -> Credentials {
+    Credentials::Key(KeyDigest::of(key.as_bytes()))
+}
+
+identified! {
+    first_key: false, key("k-1") => Ok(Some("o".to_owned()));
+    second_key: false, key("k-2") => Ok(Some("o".to_owned()));
+    key_of_another_organisation: false, key("k-3") => Ok(Some("p".to_owned()));
+    unknown_key: false, key("k-4") => Err(Unauthorized::Unknown);
+    missing_key: false, Credentials::Missing => Err(Unauthorized::Missing);
+    malformed_key: false, Credentials::Malformed => Err(Unauthorized::Malformed);
+    key_on_an_open_route: true, key("k-1") => Ok(Some("o".to_owned()));
+    unknown_key_on_an_open_route: true, key("k-4") => Ok(None);
+    no_key_on_an_open_route: true, Credentials::Missing => Ok(None);
+}
+
+/// Guards against routes that are open to everyone because the last organisation was removed.
+#[test]
+fn routes_with_an_empty_list_of_organisations_require_a_key() {
+    let mut all = routes(Vec::new());
+    all.organisations = Some(Vec::new());
+    let table = Table::new(Arc::new(all.clone()));
+    let required = table.identify(&route("r", "/"), Credentials::Missing);
+    assert_eq!(required, Err(Unauthorized::Missing));
+    all.organisations = None;
+    let table = Table::new(Arc::new(all));
+    let required = table.identify(&route("r", "/"), Credentials::Missing);
+    assert_eq!(required, Ok(CallerId::NotRequired));
+}
+
+/// All findings about organisations are returned at once, and none contains a digest.
+#[test]
+fn findings_about_organisations_are_collected() {
+    let mut all = routes(vec![route("r", "/")]);
+    let mut bad = organisation("two words", &["k-1"]);
+    bad.quota.rate_per_s = -1.0;
+    bad.quota.burst = f64::NAN;
+    all.organisations = Some(vec![
+        organisation("o", &["k-1"]),
+        bad,
+        organisation("o", &["k-2"]),
+    ]);
+    let findings: Vec<String> = verify(&all).iter().map(ToString::to_string).collect();
+    let expected = [
+        "organisation two words: key 1 is a duplicate",
+        "organisation two words: the name must be printable ASCII characters without spaces",
+        "organisation two words: the rate must not be negative",
+        "organisation two words: the burst must not be negative",
+        "organisation o: duplicate organisation",
+    ];
+    assert_eq!(findings, expected);
+}
+
+const ORGANISATIONS: &str = concat!(
+    env!("CARGO_MANIFEST_DIR"),
+    "/../../examples/routes-with-organisations.yaml"
+);
+
+#[test]
+fn example_with_organisations_parses() {
+    let text = std::fs::read_to_string(ORGANISATIONS).expect("the example file");
+    let routes = route::parse("o.yaml", &text).expect("no findings");
+    assert!(routes.hosts[0].routes[1].open);
+    let organisations = routes.organisations.expect("organisations");
+    assert_eq!(organisations[0].keys.len(), 2);
+    assert_eq!(organisations[0].priority, Some(1));
+    assert_eq!(organisations[0].quota.rate_per_s, 40.0);
+    assert_eq!(organisations[0].homes, ["arusha", "moshi"]);
+    assert!(!organisations[1].quota.is_limited());
+}
+
+/// Each finding about an organisation has its place, and a key that was entered in place of a digest isn't repeated.
+#[test]
+fn findings_about_organisations_have_locations() {
+    let text = std::fs::read_to_string(ORGANISATIONS).expect("the example file");
+    let bad = text.replace("rate_per_s: 40", "rate_per_s: -1").replace(
+        "[9c56cc51b374c3ba189210d5b6d4bf57790d351c96c47c02190ecf1e43063503]",
+        "[k-secret]",
+    );
+    let findings = route::parse("o.yaml", &bad)
+        .expect_err("findings")
+        .to_string();
+    assert_eq!(findings.lines().count(), 2, "{findings}");
+    assert!(
+        findings.contains("o.yaml:") && findings.contains("64 hexadecimal digits"),
+        "{findings}"
+    );
+    assert!(!findings.contains("k-secret"), "{findings}");
+    let twice = text.replace("id: meru-huts", "id: kibo-chalets");
+    let findings = route::parse("o.yaml", &twice)
+        .expect_err("findings")
+        .to_string();
+    assert!(
+        findings.contains("organisation kibo-chalets: duplicate organisation"),
+        "{findings}"
+    );
+    assert!(findings.starts_with("o.yaml:"), "{findings}");
+}
