--- a/crates/entry/src/control/quotas.rs
+++ b/crates/entry/src/control/quotas.rs
@@ -5,10 +5,7 @@
         Control,
         ControlState, //
     },
-    message::{
-        DemandReport,
-        Message, //
-    },
+    message::Message,
     rows::RowReader, //
 };
 use base::{
@@ -17,7 +14,9 @@
     Now, //
 };
 use org::{
+    DemandMessage,
     DemandSender,
+    DemandSum,
     Demands,
     Exchange, //
 };
@@ -60,15 +59,9 @@
         }
     }
 
-    /// Returns the report for an entry, if there is anything to send.
-    fn report(&mut self, to: &InstanceId, covered: u32, demands: &Demands) -> Option<DemandReport> {
-        let sender = self.senders.entry(to.clone()).or_default();
-        let (demands, is_full) = sender.next(covered, demands)?;
-        Some(DemandReport {
-            covered,
-            is_full,
-            demands,
-        })
+    /// Returns the message about a sum for an entry, if there is anything to send.
+    fn message(&mut self, to: &InstanceId, sum: &DemandSum) -> Option<DemandMessage> {
+        self.senders.entry(to.clone()).or_default().next(sum)
     }
 }
 
@@ -110,51 +103,47 @@
     }
 
     /// Handles a leaf's demand.
-    pub(super) fn on_demands(&self, from: &InstanceId, report: &DemandReport) {
+    pub(super) fn on_demands(&self, from: &InstanceId, message: &DemandMessage) {
         let mut state = self.state.borrow_mut();
-        let exchange = &mut state.quotas.exchange;
-        exchange.on_leaf(from, report.is_full, &report.demands);
+        state.quotas.exchange.on_leaf(from, message);
     }
 
     /// Handles the demand of another hub and its leaves.
-    pub(super) fn on_domain_demands(&self, from: &InstanceId, report: &DemandReport) {
+    pub(super) fn on_domain_demands(&self, from: &InstanceId, message: &DemandMessage) {
         let mut state = self.state.borrow_mut();
-        let exchange = &mut state.quotas.exchange;
-        exchange.on_hub(from, report.covered, report.is_full, &report.demands);
+        state.quotas.exchange.on_hub(from, message);
     }
 
     /// Handles the demand of all entries, as this leaf's hub sends it.
-    pub(super) fn on_fleet_demands(&self, from: &InstanceId, report: &DemandReport, now: Now) {
+    pub(super) fn on_fleet_demands(&self, from: &InstanceId, message: &DemandMessage, now: Now) {
         let mut state = self.state.borrow_mut();
-        if state.quotas.hub.as_ref() != Some(from) {
-            return;
+        if state.quotas.hub.as_ref() == Some(from) {
+            state.quotas.exchange.on_fleet(message, now);
         }
-        let exchange = &mut state.quotas.exchange;
-        exchange.on_fleet(report.covered, report.is_full, &report.demands, now);
     }
 }
 
-/// Returns the report of a leaf to its hub.
+/// Returns the message of a leaf to its hub.
 fn leaf_message(state: &mut ControlState) -> Option<(InstanceId, Message)> {
     let hub = state.quotas.hub.clone()?;
-    let own = state.quotas.exchange.own().clone();
-    let report = state.quotas.report(&hub, 1, &own)?;
-    Some((hub, Message::Demands(report)))
+    let own = state.quotas.exchange.own_sum();
+    let message = state.quotas.message(&hub, &own)?;
+    Some((hub, Message::Demands(message)))
 }
 
-/// Returns the reports of a hub to the other hubs and to its leaves.
+/// Returns the messages of a hub to the other hubs and to its leaves.
 fn hub_messages(state: &mut ControlState, now: Now) -> Vec<(InstanceId, Message)> {
     let mut messages = Vec::new();
-    let (covered, domain) = state.quotas.exchange.domain();
+    let domain = state.quotas.exchange.domain_sum();
     for hub in state.overlay.other_hubs() {
-        if let Some(report) = state.quotas.report(hub, covered, &domain) {
-            messages.push((hub.clone(), Message::DomainDemands(report)));
+        if let Some(message) = state.quotas.message(hub, &domain) {
+            messages.push((hub.clone(), Message::DomainDemands(message)));
         }
     }
-    let (covered, fleet) = state.quotas.exchange.fleet();
+    let fleet = state.quotas.exchange.fleet_sum();
     for leaf in state.load_sums.reporting_leaves(now) {
-        if let Some(report) = state.quotas.report(leaf, covered, &fleet) {
-            messages.push((leaf.clone(), Message::FleetDemands(report)));
+        if let Some(message) = state.quotas.message(leaf, &fleet) {
+            messages.push((leaf.clone(), Message::FleetDemands(message)));
         }
     }
     messages
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -11,7 +11,7 @@
     Bytes,
     BytesMut, //
 };
-use org::PackedDemands;
+use org::DemandMessage;
 use overlay::{
     Load,
     LoadKey,
@@ -84,11 +84,11 @@
     /// Requests in flight of all entries, for a hub's leaves.
     FleetLoads(PackedLoads),
     /// A leaf's demand by organisation, for its hub.
-    Demands(DemandReport),
+    Demands(DemandMessage),
     /// Demand of a hub and its leaves, for the other hubs.
-    DomainDemands(DemandReport),
+    DomainDemands(DemandMessage),
     /// Demand of all entries, for a hub's leaves.
-    FleetDemands(DemandReport),
+    FleetDemands(DemandMessage),
 }
 
 impl Message {
@@ -170,16 +170,6 @@
     pub(crate) upstreams: Vec<UpstreamUpdate>,
 }
 
-/// Demand by organisation, of one or more entries.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub(crate) struct DemandReport {
-    /// Number of entries that it covers.
-    pub(crate) covered: u32,
-    /// Whether it contains all demands, not only those that have changed.
-    pub(crate) is_full: bool,
-    pub(crate) demands: PackedDemands,
-}
-
 /// Number of bits for the count in a word of [`PackedLoads`]; the other bits are the upstream's key.
 const COUNT_BITS: u32 = 8;
 /// Largest count: several times the slots of any upstream.
--- a/crates/org/src/demand.rs
+++ b/crates/org/src/demand.rs
@@ -42,7 +42,7 @@
 /// fraction.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(transparent)]
-pub struct PackedDemands(Bytes);
+pub(crate) struct PackedDemands(Bytes);
 
 /// Bytes of one demand.
 const PACKED_BYTES: usize = 10;
@@ -60,7 +60,7 @@
     }
 
     /// Returns the demands in the message.
-    pub fn unpack(&self) -> impl Iterator<Item = (DemandKey, Demand)> + '_ {
+    fn unpack(&self) -> impl Iterator<Item = (DemandKey, Demand)> + '_ {
         self.0.chunks_exact(PACKED_BYTES).map(|mut word| {
             let key = word.get_u32();
             let demand = Demand {
@@ -72,9 +72,57 @@
         })
     }
 
-    /// Returns whether the message contains no demand.
-    pub fn is_empty(&self) -> bool {
-        self.0.is_empty()
+    fn len_bytes(&self) -> usize {
+        self.0.len()
+    }
+}
+
+/// A message about the demand of some entries.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct DemandMessage {
+    /// Number of entries that it covers.
+    covered: u32,
+    /// Whether it contains all demands, not only those that have changed.
+    is_full: bool,
+    demands: PackedDemands,
+}
+
+impl DemandMessage {
+    /// Returns the size of the demands in bytes.
+    pub fn len_bytes(&self) -> usize {
+        self.demands.len_bytes()
+    }
+}
+
+/// Demand of some entries, added up.
+#[derive(Clone, Debug, Default)]
+pub struct DemandSum {
+    /// Number of entries that it covers.
+    pub(crate) covered: u32,
+    pub(crate) demands: Demands,
+}
+
+impl DemandSum {
+    /// Applies a message from the entry that made the sum.
+    pub(crate) fn apply(&mut self, message: &DemandMessage) {
+        self.covered = message.covered;
+        if message.is_full {
+            self.demands.clear();
+        }
+        for (key, demand) in message.demands.unpack() {
+            if demand == Demand::default() {
+                self.demands.remove(&key);
+            } else {
+                self.demands.insert(key, demand);
+            }
+        }
+    }
+
+    pub(crate) fn add(&mut self, other: &Self) {
+        self.covered = self.covered.saturating_add(other.covered);
+        for (key, demand) in &other.demands {
+            self.demands.entry(*key).or_default().add(demand);
+        }
     }
 }
 
@@ -108,7 +156,12 @@
 /// Difference of codes up to which a change is not sent, in units of their fraction: a sixteenth.
 const UNSENT_DIFFERENCE: u16 = 8;
 /// Messages after which all demands are sent again, since a session whose send queue is full drops messages.
-const FULL_EVERY: u32 = 16;
+const FULL_EVERY: u32 = 32;
+
+/// Returns whether a change of a code is not negligible. A change from or to zero never is.
+fn differs(code: u16, sent: u16) -> bool {
+    code.abs_diff(sent) > UNSENT_DIFFERENCE || ((code == 0) != (sent == 0))
+}
 
 /// Selects the demands that have changed since they were last sent on a session.
 #[derive(Clone, Debug, Default)]
@@ -120,10 +173,10 @@
 }
 
 impl DemandSender {
-    /// Returns the message for the current demands of `covered` entries, and whether it contains all of them. `None` if
-    /// there is nothing to send.
-    pub fn next(&mut self, covered: u32, demands: &Demands) -> Option<(PackedDemands, bool)> {
-        let is_changed = std::mem::replace(&mut self.covered, covered) != covered;
+    /// Returns the message about a sum; `None` if there is nothing to send.
+    pub fn next(&mut self, sum: &DemandSum) -> Option<DemandMessage> {
+        let DemandSum { covered, demands } = sum;
+        let is_changed = std::mem::replace(&mut self.covered, *covered) != *covered;
         let is_full = self.messages % FULL_EVERY == 0;
         self.messages = self.messages.wrapping_add(1);
         let mut coded: FastMap<DemandKey, Coded> = demands
@@ -134,14 +187,18 @@
         if is_full {
             let packed = PackedDemands::pack(coded.iter());
             self.sent = coded;
-            return Some((packed, true));
+            return Some(DemandMessage {
+                covered: *covered,
+                is_full,
+                demands: packed,
+            });
         }
         for key in self.sent.keys() {
             coded.entry(*key).or_insert(NONE);
         }
-        coded.retain(|key, coded| {
-            let sent = self.sent.get(key).copied().unwrap_or_default();
-            std::iter::zip(*coded, sent).any(|(code, sent)| differs(code, sent))
+        coded.retain(|key, code| {
+            let sent = self.sent.get(key).copied().unwrap_or(NONE);
+            std::iter::zip(*code, sent).any(|(code, sent)| differs(code, sent))
         });
         if coded.is_empty() && !is_changed {
             return None;
@@ -149,11 +206,10 @@
         let packed = PackedDemands::pack(coded.iter());
         self.sent.extend(coded);
         self.sent.retain(|_, coded| *coded != NONE);
-        Some((packed, false))
+        Some(DemandMessage {
+            covered: *covered,
+            is_full,
+            demands: packed,
+        })
     }
 }
-
-/// Returns whether a change has to be sent. A change from or to zero always is.
-fn differs(code: u16, sent: u16) -> bool {
-    code.abs_diff(sent) > UNSENT_DIFFERENCE || (code == 0) != (sent == 0)
-}
--- a/crates/org/src/exchange.rs
+++ b/crates/org/src/exchange.rs
@@ -6,8 +6,9 @@
 use crate::demand::{
     Demand,
     DemandKey,
-    Demands,
-    PackedDemands, //
+    DemandMessage,
+    DemandSum,
+    Demands, //
 };
 use base::{
     FastMap,
@@ -65,45 +66,13 @@
     pub equal: f64,
 }
 
-/// Demand reported by an entry or a hub.
-#[derive(Clone, Debug, Default)]
-struct Report {
-    /// Number of entries that it covers.
-    covered: u32,
-    demands: Demands,
-}
-
-impl Report {
-    /// Applies a message; unless it is full, it contains only the demands that have changed.
-    fn apply(&mut self, covered: u32, is_full: bool, demands: &PackedDemands) {
-        self.covered = covered;
-        if is_full {
-            self.demands.clear();
-        }
-        for (key, demand) in demands.unpack() {
-            if demand == Demand::default() {
-                self.demands.remove(&key);
-            } else {
-                self.demands.insert(key, demand);
-            }
-        }
-    }
-
-    fn add(&mut self, other: &Self) {
-        self.covered = self.covered.saturating_add(other.covered);
-        for (key, demand) in &other.demands {
-            self.demands.entry(*key).or_default().add(demand);
-        }
-    }
-}
-
 /// An entry or hub that can't be reached.
 #[derive(Clone, Debug)]
 struct Lost {
     at: Now,
     was_leaf: bool,
     /// Its parts of the limits, as reserved demands.
-    report: Report,
+    sum: DemandSum,
 }
 
 /// What one entry knows of the demand of all.
@@ -114,11 +83,11 @@
     entries: Option<usize>,
     /// Demand of this entry's callers.
     own: Demands,
-    leaves: BTreeMap<InstanceId, Report>,
-    hubs: BTreeMap<InstanceId, Report>,
+    leaves: BTreeMap<InstanceId, DemandSum>,
+    hubs: BTreeMap<InstanceId, DemandSum>,
     lost: BTreeMap<InstanceId, Lost>,
     /// Demand of all entries, as this leaf's hub sent it.
-    fleet: Option<Report>,
+    fleet: Option<DemandSum>,
     /// Time of the last message of that hub.
     contact_at: Option<Now>,
     /// Parts when the fleet's demand was last known.
@@ -157,30 +126,24 @@
         self.own = own;
     }
 
-    /// Records a leaf's report to this hub.
-    pub fn on_leaf(&mut self, leaf: &InstanceId, is_full: bool, demands: &PackedDemands) {
+    /// Handles a leaf's message to this hub.
+    pub fn on_leaf(&mut self, leaf: &InstanceId, message: &DemandMessage) {
         self.lost.remove(leaf);
-        let report = self.leaves.entry(leaf.clone()).or_default();
-        report.apply(1, is_full, demands);
+        let sum = self.leaves.entry(leaf.clone()).or_default();
+        sum.apply(message);
     }
 
-    /// Records another hub's sum over itself and its leaves.
-    pub fn on_hub(
-        &mut self,
-        hub: &InstanceId,
-        covered: u32,
-        is_full: bool,
-        demands: &PackedDemands,
-    ) {
+    /// Handles another hub's message about itself and its leaves.
+    pub fn on_hub(&mut self, hub: &InstanceId, message: &DemandMessage) {
         self.lost.remove(hub);
-        let report = self.hubs.entry(hub.clone()).or_default();
-        report.apply(covered, is_full, demands);
+        let sum = self.hubs.entry(hub.clone()).or_default();
+        sum.apply(message);
     }
 
-    /// Records the sum over all entries that this leaf's hub sent.
-    pub fn on_fleet(&mut self, covered: u32, is_full: bool, demands: &PackedDemands, now: Now) {
-        let report = self.fleet.get_or_insert_default();
-        report.apply(covered, is_full, demands);
+    /// Handles a message of this leaf's hub about all entries.
+    pub fn on_fleet(&mut self, message: &DemandMessage, now: Now) {
+        let sum = self.fleet.get_or_insert_default();
+        sum.apply(message);
         self.contact_at = Some(now);
     }
 
@@ -211,12 +174,12 @@
             let total = self.fleet_sum();
             let leaves = self.leaves.iter().map(|entry| (entry, true));
             let hubs = self.hubs.iter().map(|entry| (entry, false));
-            for ((instance, report), was_leaf) in leaves.chain(hubs) {
+            for ((instance, sum), was_leaf) in leaves.chain(hubs) {
                 if is_lost(instance) && self.guards.reserve {
                     let lost = Lost {
                         at: now,
                         was_leaf,
-                        report: reserved(report, &total, self.equal()),
+                        sum: reserved(sum, &total, self.equal()),
                     };
                     self.lost.insert(instance.clone(), lost);
                 }
@@ -227,21 +190,12 @@
         self.hubs.retain(|hub, _| is_up(hub) && is_hub(hub));
     }
 
-    /// Returns the demand of this entry's callers.
-    pub fn own(&self) -> &Demands {
-        &self.own
-    }
-
-    /// Returns what this hub sends to other hubs: the demand of itself and its leaves, and how many entries that covers.
-    pub fn domain(&self) -> (u32, Demands) {
-        let sum = self.domain_sum();
-        (sum.covered, sum.demands)
-    }
-
-    /// Returns what this hub sends to its leaves: the demand of all entries, and how many entries that covers.
-    pub fn fleet(&self) -> (u32, Demands) {
-        let sum = self.fleet_sum();
-        (sum.covered, sum.demands)
+    /// Returns the demand of this entry's callers, which a leaf sends to its hub.
+    pub fn own_sum(&self) -> DemandSum {
+        DemandSum {
+            covered: 1,
+            demands: self.own.clone(),
+        }
     }
 
     /// Returns the parts of the limits that this entry may use.
@@ -275,7 +229,7 @@
     }
 
     /// Returns the parts that follow from the demand of all entries.
-    fn parts_of(&self, fleet: &Report) -> Parts {
+    fn parts_of(&self, fleet: &DemandSum) -> Parts {
         let coverage = self.coverage(fleet);
         let parts = fleet.demands.iter().map(|(key, demand)| {
             let own = self.own.get(key).copied().unwrap_or_default();
@@ -296,7 +250,7 @@
     }
 
     /// Returns the fraction of all entries whose demand is known or reserved.
-    fn coverage(&self, fleet: &Report) -> f64 {
+    fn coverage(&self, fleet: &DemandSum) -> f64 {
         if !self.guards.coverage {
             return 1.0;
         }
@@ -309,27 +263,26 @@
             .map_or(0.0, |entries| 1.0 / entries.max(1) as f64)
     }
 
-    fn domain_sum(&self) -> Report {
-        let mut sum = Report {
-            covered: 1,
-            demands: self.own.clone(),
-        };
-        for report in self.leaves.values() {
-            sum.add(report);
+    /// Returns the demand of this hub and its leaves, which it sends to the other hubs.
+    pub fn domain_sum(&self) -> DemandSum {
+        let mut sum = self.own_sum();
+        for leaf in self.leaves.values() {
+            sum.add(leaf);
         }
         for lost in self.lost.values().filter(|lost| lost.was_leaf) {
-            sum.add(&lost.report);
+            sum.add(&lost.sum);
         }
         sum
     }
 
-    fn fleet_sum(&self) -> Report {
+    /// Returns the demand of all entries, which this hub sends to its leaves.
+    pub fn fleet_sum(&self) -> DemandSum {
         let mut sum = self.domain_sum();
-        for report in self.hubs.values() {
-            sum.add(report);
+        for hub in self.hubs.values() {
+            sum.add(hub);
         }
         for lost in self.lost.values().filter(|lost| !lost.was_leaf) {
-            sum.add(&lost.report);
+            sum.add(&lost.sum);
         }
         sum
     }
@@ -345,17 +298,17 @@
 
 /// Returns the parts of the limits that the entries behind a report may use on their own, as reserved demands. Each
 /// entry may use an equal share even if it had no demand before.
-fn reserved(report: &Report, fleet: &Report, equal: f64) -> Report {
+fn reserved(sum: &DemandSum, fleet: &DemandSum, equal: f64) -> DemandSum {
     let demands = fleet.demands.iter().map(|(key, fleet)| {
-        let demand = report.demands.get(key).copied().unwrap_or_default();
+        let demand = sum.demands.get(key).copied().unwrap_or_default();
         let reserved = Demand {
             reserved: fraction(&demand, fleet).max(equal) + demand.reserved,
             ..Demand::default()
         };
         (*key, reserved)
     });
-    Report {
-        covered: report.covered,
+    DemandSum {
+        covered: sum.covered,
         demands: demands.collect(),
     }
 }
--- a/crates/org/src/lib.rs
+++ b/crates/org/src/lib.rs
@@ -30,9 +30,10 @@
 pub use demand::{
     Demand,
     DemandKey,
+    DemandMessage,
     DemandSender,
-    Demands,
-    PackedDemands, //
+    DemandSum,
+    Demands, //
 };
 pub use exchange::{
     Exchange,
--- a/crates/org/tests/support/mod.rs
+++ b/crates/org/tests/support/mod.rs
@@ -8,12 +8,13 @@
     Now, //
 };
 use org::{
+    DemandMessage,
     DemandSender,
+    DemandSum,
     Division,
     Exchange,
     Guards,
     Limiter,
-    PackedDemands,
     Quota,
     QuotaBounds, //
 };
@@ -72,9 +73,7 @@
     starts: u32,
     to: usize,
     kind: Kind,
-    covered: u32,
-    is_full: bool,
-    demands: PackedDemands,
+    demands: DemandMessage,
 }
 
 struct Node {
@@ -323,18 +322,12 @@
             if node.starts != message.starts {
                 continue;
             }
-            let Message {
-                covered,
-                is_full,
-                demands,
-                ..
-            } = &message;
             let from = name(message.from);
             match message.kind {
-                Kind::Leaf => node.exchange.on_leaf(&from, *is_full, demands),
-                Kind::Domain => node.exchange.on_hub(&from, *covered, *is_full, demands),
+                Kind::Leaf => node.exchange.on_leaf(&from, &message.demands),
+                Kind::Domain => node.exchange.on_hub(&from, &message.demands),
                 Kind::Fleet if node.hub == Some(message.from) => {
-                    node.exchange.on_fleet(*covered, *is_full, demands, now);
+                    node.exchange.on_fleet(&message.demands, now);
                 }
                 Kind::Fleet => {}
             }
@@ -369,18 +362,12 @@
         let mut reports = Vec::new();
         if is_hub {
             node.hub = None;
-            let (covered, domain) = node.exchange.domain();
-            reports.extend(
-                all_hubs
-                    .iter()
-                    .map(|hub| (*hub, Kind::Domain, covered, domain.clone())),
-            );
-            let (covered, fleet) = node.exchange.fleet();
-            reports.extend(
-                leaves
-                    .iter()
-                    .map(|leaf| (*leaf, Kind::Fleet, covered, fleet.clone())),
-            );
+            let domain = node.exchange.domain_sum();
+            let hubs = all_hubs.iter();
+            reports.extend(hubs.map(|hub| (*hub, Kind::Domain, domain.clone())));
+            let fleet = node.exchange.fleet_sum();
+            let leaves = leaves.iter();
+            reports.extend(leaves.map(|leaf| (*leaf, Kind::Fleet, fleet.clone())));
         } else {
             let hub = own_hubs[0];
             if node.hub != Some(hub) {
@@ -388,10 +375,10 @@
                 node.exchange.forget_fleet();
                 node.senders.remove(&hub);
             }
-            reports.push((hub, Kind::Leaf, 1, node.exchange.own().clone()));
+            reports.push((hub, Kind::Leaf, node.exchange.own_sum()));
         }
-        for (to, kind, covered, demands) in reports {
-            self.send(entry, to, kind, covered, &demands);
+        for (to, kind, sum) in reports {
+            self.send(entry, to, kind, &sum);
         }
         let node = &mut self.nodes[entry];
         if let Some(hub) = node.hub {
@@ -405,25 +392,24 @@
         node.limiter.set_parts(parts, now);
     }
 
-    fn send(&mut self, from: usize, to: usize, kind: Kind, covered: u32, demands: &org::Demands) {
+    fn send(&mut self, from: usize, to: usize, kind: Kind, sum: &DemandSum) {
         let same_region = self.domain(from) / 2 == self.domain(to) / 2;
         let delay = if same_region {
             DELAY_STEPS
         } else {
             REGION_DELAY_STEPS
         };
-        let sender = self.nodes[from].senders.entry(to).or_default();
-        let Some((demands, is_full)) = sender.next(covered, demands) else {
+        let starts = self.nodes[to].starts;
+        let node = &mut self.nodes[from];
+        let Some(demands) = node.senders.entry(to).or_default().next(sum) else {
             return;
         };
         self.messages.push(Message {
             at_step: self.step + delay,
             from,
-            starts: self.nodes[to].starts,
+            starts,
             to,
             kind,
-            covered,
-            is_full,
             demands,
         });
     }
