Choose upstreams without exploring the own failure domain

Cause: one request in twelve was sent to the first upstream of its own failure domain to warm it, which gave each key a copy in each domain of its region.

Change: the exploring is gone.

--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -9,8 +9,7 @@
 //! therefore kept on few upstreams in the region of its callers. All entries use the one that the key ranks highest
 //! there, even entries without any observations, such as after a restart. Other upstreams are used if they are known to
 //! be warm, from this entry's requests or from what the other entries of the region stated, or if the first one is
-//! full. Some requests explore: they use the highest-ranked upstream of the entry's own failure domain instead of a
-//! warm one outside it, which warms that upstream gradually.
+//! full.
 //!
 //! A request that would wait for a slot and miss its target is refused at once, because its wait would only delay the
 //! requests after it.
@@ -32,7 +31,8 @@
 };
 
 /// Number of upstreams of this entry's region that a key's requests may have to warm: the one that the key ranks
-/// highest, and another for when that is full.
+/// highest, and another for when that is full. Upstreams that get more keys than they remember have forgotten each
+/// by the time that it returns.
 const KEY_UPSTREAMS_OWN_REGION: usize = 2;
 /// Number of upstreams of each other region that a key's requests may have to warm.
 const KEY_UPSTREAMS_OTHER_REGION: usize = 1;
@@ -92,8 +92,6 @@
     pub key: u64,
     /// Whether it has an affinity key and its route is sticky, so that a warm upstream is faster.
     pub has_affinity_key: bool,
-    /// Whether to use the highest-ranked upstream of this failure domain instead of a warm one outside it.
-    pub explores: bool,
     /// Time left until the latency target is missed.
     pub target_left: Duration,
     /// Time left until the caller's deadline.
@@ -167,8 +165,6 @@
     known_warm: bool,
     /// Number of candidates of the same region that the key ranks higher.
     rank_in_region: usize,
-    /// Whether the key ranks it highest of the candidates in this entry's failure domain.
-    is_first_in_domain: bool,
 }
 
 /// A candidate with its estimated times.
@@ -178,7 +174,6 @@
     crossing: Crossing,
     known_warm: bool,
     rank_in_region: usize,
-    is_first_in_domain: bool,
     /// Fraction of its region's slots that are busy.
     region_load: f64,
     expectation: Expectation,
@@ -231,16 +226,12 @@
 fn rank_candidates(candidates: &mut [Candidate], upstreams: &[Upstream]) {
     candidates.sort_unstable_by_key(|candidate| Reverse(candidate.score));
     let mut counts: FastMap<&RegionId, usize> = FastMap::default();
-    let mut domain_found = false;
     for candidate in candidates {
         let count = counts
             .entry(&upstreams[candidate.index].region)
             .or_default();
         candidate.rank_in_region = *count;
         *count += 1;
-        if candidate.crossing == Crossing::None {
-            candidate.is_first_in_domain = !std::mem::replace(&mut domain_found, true);
-        }
     }
 }
 
@@ -251,10 +242,7 @@
         Crossing::None | Crossing::Domain => KEY_UPSTREAMS_OWN_REGION,
         Crossing::Region => KEY_UPSTREAMS_OTHER_REGION,
     };
-    !query.has_affinity_key
-        || candidate.known_warm
-        || candidate.is_first_in_domain
-        || candidate.rank_in_region < limit
+    !query.has_affinity_key || candidate.known_warm || candidate.rank_in_region < limit
 }
 
 /// Returns the fraction of busy slots among each region's open upstreams.
@@ -317,13 +305,6 @@
                 .min_by_key(|one| one.expectation.response_time)
         });
     };
-    if query.explores && best.crossing > Crossing::None {
-        // The key's first upstream in this failure domain, if it is not known to be warm.
-        let first = estimates
-            .iter()
-            .find(|one| one.is_first_in_domain && one.expectation.wait.is_zero());
-        return Some(first.filter(|one| !one.known_warm).unwrap_or(best));
-    }
     Some(best)
 }
 
@@ -353,7 +334,6 @@
         crossing: candidate.crossing,
         known_warm: candidate.known_warm,
         rank_in_region: candidate.rank_in_region,
-        is_first_in_domain: candidate.is_first_in_domain,
         region_load: region_loads
             .get(&upstream.region)
             .copied()
@@ -413,7 +393,6 @@
             crossing,
             known_warm: query.has_affinity_key && upstream.warm_keys.is_warm(query.key, now),
             rank_in_region: 0,
-            is_first_in_domain: false,
         };
         // One request at a time probes whether a failing upstream has recovered.
         let probe_pending = upstream.health.is_probing(now) && upstream.in_flight > 0;
--- a/crates/entry/src/traffic/dispatch.rs
+++ b/crates/entry/src/traffic/dispatch.rs
@@ -261,7 +261,6 @@
             organisation_homes: self.organisation.as_ref().map_or(&[], |one| &one.homes),
             key: self.key,
             has_affinity_key: self.has_affinity_key,
-            nonce: balance::affinity_hash(self.id.as_bytes()),
             target_left: target_at.saturating_duration_since(now),
             deadline_left: self.deadline.saturating_duration_since(now),
             tried,
--- a/crates/entry/src/traffic/fleet.rs
+++ b/crates/entry/src/traffic/fleet.rs
@@ -72,9 +72,6 @@
 const SHIFT_LIMIT_FRACTION: f64 = 0.5;
 /// `Retry-After` if the service has no upstream at all: the time until an upstream that starts is listed.
 const NOT_LISTED_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// One in this many requests is sent to the upstream of this failure domain that its key ranks highest, even if an
-/// upstream outside the domain is warm. This warms it within seconds without delaying many requests at once.
-const EXPLORE_EVERY: u64 = 12;
 
 /// Cold-start parameters of a service's upstreams.
 #[derive(Clone, Copy, Debug, Default)]
@@ -251,7 +248,6 @@
         let query = Query {
             key: request.key,
             has_affinity_key: request.has_affinity_key,
-            explores: request.nonce % EXPLORE_EVERY == 0,
             target_left: request.target_left,
             deadline_left: request.deadline_left,
             home_regions: [&request.route.homes, request.organisation_homes],
--- a/crates/entry/src/traffic/placement.rs
+++ b/crates/entry/src/traffic/placement.rs
@@ -29,8 +29,6 @@
     pub(super) organisation_homes: &'a [RegionId],
     pub(super) key: u64,
     pub(super) has_affinity_key: bool,
-    /// A value that differs between requests.
-    pub(super) nonce: u64,
     pub(super) target_left: Duration,
     pub(super) deadline_left: Duration,
     pub(super) tried: &'a [UpstreamId],
