org: admit by a fraction alone, and without a margin; smaller error of plan

A refused caller's time to return follows from the fraction that is admitted: by the ratio of demand to limit it was 50 ms where the window's use, not the demand, had passed the limit. A deployment that allows no margin divided by zero (test quota_without_a_margin_is_enforced). Clippy found the error of plan too large; it is boxed.

Measured: tests of org pass; clippy and rustdoc clean.

--- a/crates/entry/src/traffic/plan.rs
+++ b/crates/entry/src/traffic/plan.rs
@@ -66,13 +66,13 @@
     pub(super) organisation: Option<OrganisationId>,
 }
 
-impl From<FinalResponse> for Rejected {
+impl From<FinalResponse> for Box<Rejected> {
     fn from((response, outcome): FinalResponse) -> Self {
-        Self {
+        Self::new(Rejected {
             response,
             outcome,
             organisation: None,
-        }
+        })
     }
 }
 
@@ -81,7 +81,7 @@
     traffic: &Rc<Traffic>,
     snapshot: &Snapshot,
     request: Request,
-) -> Result<Dispatch, Rejected> {
+) -> Result<Dispatch, Box<Rejected>> {
     if traffic.shared.closing.load(Ordering::Relaxed) {
         let (mut response, outcome) = retry_later(CLOSING_RETRY_AFTER, Outcome::Closing);
         response.close = true;
@@ -166,16 +166,16 @@
 }
 
 /// Takes a request from the quota of its organisation.
-fn take_quota(traffic: &Traffic, organisation: &Organisation) -> Result<(), Rejected> {
+fn take_quota(traffic: &Traffic, organisation: &Organisation) -> Result<(), Box<Rejected>> {
     let mut quotas = traffic.quotas.borrow_mut();
     let taken = quotas.try_take(&organisation.id, traffic.now());
     taken.map_err(|retry_after| {
         let (response, outcome) = over_quota(retry_after);
-        Rejected {
+        Box::new(Rejected {
             response,
             outcome,
             organisation: Some(organisation.id.clone()),
-        }
+        })
     })
 }
 
--- a/crates/entry/src/traffic/request.rs
+++ b/crates/entry/src/traffic/request.rs
@@ -66,7 +66,7 @@
                 self.log_rejected(id.as_ref(), &rejected, received);
                 let Rejected {
                     response, outcome, ..
-                } = rejected;
+                } = *rejected;
                 (response, outcome)
             }
         };
--- a/crates/org/src/lib.rs
+++ b/crates/org/src/lib.rs
@@ -2,20 +2,16 @@
 //!
 //! A key is kept as a [`KeyDigest`] only. [`credentials()`] extracts the key from a request's header.
 //!
-//! A [`Quota`] limits the requests of an organisation that all entries combined pass to upstreams. Entries divide it by
-//! demand. Each measures what its callers ask for ([`Limiter::demands`]) and exchanges it through the hubs
-//! ([`Exchange`]), which yields the [`Part`] of each limit that the entry may use. The [`Limiter`] enforces the parts with
-//! one token bucket for each organisation.
+//! A [`Quota`] limits the requests of an organisation that all entries combined pass to upstreams. Each entry measures what
+//! its callers ask for and what it has admitted ([`Limiter::demands`]), and the entries add this up through their hubs
+//! ([`Exchange`]). From the sums follows how the [`Limiter`] of each entry admits requests:
 //!
-//! The parts of all entries add up to the limit:
-//!
-//! - A part is this entry's demand over the demand of all. An entry uses the lowest demand that it has announced
-//!   recently, so the others count a rise before the entry uses it.
-//! - An entry that can't be reached keeps the part that it had, and the others reserve that part.
-//! - Entries that never announced anything are counted: each of them has one entry's share of the limit.
-//!
-//! What the parts don't cover is the time that an announcement takes. The [`Limiter`] sizes its buckets by the margin
-//! that [`QuotaBounds`] leaves for that.
+//! - Far below the limit, from a bucket that is larger than what the entry's callers usually ask for.
+//! - Near the limit and above, the same fraction of all requests at each entry. The fraction falls to zero as the requests
+//!   admitted in a window use up the margin that [`QuotaBounds`] allows, so that a rise which was admitted before all
+//!   entries knew of it is made up for within the window.
+//! - Without contact to the other entries, from a bucket for the [`Part`] of the limit that the entry used before, or for an
+//!   equal share. The other entries reserve as much for it.
 //!
 //! Invariants: no clock, socket or randomness; `now` is an argument.
 
--- a/crates/org/src/limiter.rs
+++ b/crates/org/src/limiter.rs
@@ -52,7 +52,7 @@
 const ISOLATED_BURST: f64 = 1.0;
 /// Fraction of the margin that entries share by demand in addition to these.
 const BURST_MARGIN: f64 = 0.3;
-/// Time for which a caller stays away for each time that the demand exceeds the limit.
+/// Mean time for which a caller stays away if the demand is twice the limit or more.
 const EXCESS_DELAY: Duration = Duration::from_secs(1);
 /// Step between the positions of refused callers in the time in which they return. Its multiples are spread evenly.
 const GOLDEN_RATIO: f64 = 0.618_033_988_75;
@@ -64,7 +64,7 @@
 /// How limits are divided among entries.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Division {
-    /// In proportion to demand.
+    /// By the demand and the use of all entries.
     #[default]
     ByDemand,
     /// Equally.
@@ -84,12 +84,7 @@
     /// A fraction of all requests, while the organisation asks for more than its limit. Its requests are usually spread
     /// over so many entries that a bucket at each of them would often be empty when a request arrives, and full when
     /// none does.
-    Fraction {
-        /// Fraction of the requests.
-        fraction: f64,
-        /// Ratio of the demand to the limit.
-        excess: f64,
-    },
+    Fraction(f64),
 }
 
 /// State of one organisation.
@@ -151,7 +146,7 @@
         self.refill(now);
         let balance = match self.admission {
             Admission::Bucket { .. } => &mut self.tokens,
-            Admission::Fraction { fraction, .. } => {
+            Admission::Fraction(fraction) => {
                 self.credit += fraction;
                 &mut self.credit
             }
@@ -181,10 +176,10 @@
                 let wait_s = (1.0 - self.tokens) / rate_per_s;
                 Duration::try_from_secs_f64(wait_s).unwrap_or(RETRY_AFTER_MAX)
             }
-            Admission::Fraction { excess, .. } => {
+            Admission::Fraction(fraction) => {
                 self.return_position = (self.return_position + GOLDEN_RATIO).fract();
-                let delay = EXCESS_DELAY.mul_f64((excess - 1.0).clamp(0.0, 1.0));
-                delay.mul_f64(0.5 + self.return_position)
+                let excess = (1.0 / fraction - 1.0).min(1.0);
+                EXCESS_DELAY.mul_f64(excess * (0.5 + self.return_position))
             }
         };
         delay.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX)
@@ -200,7 +195,8 @@
     bounds: &QuotaBounds,
 ) -> Admission {
     let fleet = part.fleet;
-    let margin = bounds.margin(quota);
+    // Without any margin, only whole requests could be compared.
+    let margin = bounds.margin(quota).max(1.0);
     let base = quota.rate_per_s * bounds.window.as_secs_f64();
     let usable_margin = margin * USABLE_MARGIN;
     let burst = part.fraction * margin * BURST_MARGIN;
@@ -226,10 +222,7 @@
     }
     let room = room(used, base, usable_margin);
     let available_per_s = quota.rate_per_s * (1.0 - fleet.reserved).max(0.0) * room;
-    Admission::Fraction {
-        fraction: (available_per_s / fleet.per_s).min(1.0),
-        excess: fleet.per_s / quota.rate_per_s,
-    }
+    Admission::Fraction((available_per_s / fleet.per_s).min(1.0))
 }
 
 /// Returns the fraction of the rate that may be admitted after a window with `used` requests. It falls from one, if they
@@ -340,7 +333,7 @@
                 Admission::Bucket { capacity, .. } => {
                     account.tokens = (account.tokens + 1.0).min(capacity);
                 }
-                Admission::Fraction { .. } => account.credit = (account.credit + 1.0).min(1.0),
+                Admission::Fraction(_) => account.credit = (account.credit + 1.0).min(1.0),
             }
         }
     }
--- a/crates/org/tests/limiter.rs
+++ b/crates/org/tests/limiter.rs
@@ -130,3 +130,24 @@
     limiter.set_parts(parts, secs(1.0));
     assert!((0..100).all(|_| limiter.try_take("acme", secs(1.0)).is_err()));
 }
+
+/// Guards against a rate that is not a number if a deployment allows no margin at all.
+#[test]
+fn quota_without_a_margin_is_enforced() {
+    let bounds = QuotaBounds {
+        overrun: 0.0,
+        slack: 0.0,
+        ..QuotaBounds::default()
+    };
+    let quota = Quota {
+        rate_per_s: 10.0,
+        burst: 0.0,
+    };
+    let mut limiter = Limiter::new(bounds, 7);
+    limiter.set_quotas([(&acme(), quota)].into_iter(), secs(1.0));
+    for per_s in [5.0, 40.0] {
+        limiter.set_parts(parts(per_s), secs(1.0));
+        let admitted = (0..100).filter(|_| limiter.try_take("acme", secs(1.0)).is_ok());
+        assert!((1..=26).contains(&admitted.count()), "{per_s} per second");
+    }
+}
