Reopen no upstream by a copy of the store, and none closes for good

Cause: the search of model/tests/picture.rs with the restore as an event. An entry that had just started sent others the listing of a removed upstream that it had read from the copy. An upstream whose row was written again before the first reading after the restore stayed closed, and was told to others as gone.

Change: updates between entries say whether the row was read in a whole table; such a listing doesn't reopen an upstream that was seen to be gone. The second reading comes after 6 s, when rows of upstreams that have ended have expired; a row that is still there then counts. Until then nothing is told of it.

--- a/crates/entry/src/control/feeds.rs
+++ b/crates/entry/src/control/feeds.rs
@@ -49,8 +49,9 @@
 /// Maximum delay after a failed call. Changes that the store has after an outage have to be in force within seconds,
 /// and each call puts load on the store.
 const RETRY_DELAY_MAX: Duration = Duration::from_millis(1000);
-/// Time for operators and upstreams to write again what a store lacks that was restored from an older copy.
-const REWRITE_WAIT: Duration = Duration::from_millis(2500);
+/// Time for operators and upstreams to write again what a store lacks that was restored from an older copy, and for the
+/// rows of upstreams that have ended to expire, which takes three of their heartbeats.
+const REWRITE_WAIT: Duration = Duration::from_millis(6000);
 /// Time after a failed call during which missing rows may be rows that expired during an outage.
 const OUTAGE_RETENTION: Duration = Duration::from_secs(5);
 
--- a/crates/entry/tests/restored_store.rs
+++ b/crates/entry/tests/restored_store.rs
@@ -17,8 +17,10 @@
     Upstream, //
 };
 
+/// Time after which the row of an upstream that has ended expires.
+const ROW_EXPIRY: Duration = Duration::from_millis(4500);
 /// Longer than an entry waits for rows to be written again.
-const AFTER_REWRITE: Duration = Duration::from_millis(4500);
+const AFTER_REWRITE: Duration = Duration::from_millis(8500);
 
 fn status(entry: &Entry, id: &str) -> u16 {
     let mut caller = Caller::connect(entry);
@@ -103,7 +105,9 @@
     wait_for_read(&store, reads);
     let before = upstream.requests().len();
     assert_eq!(status(&entry, "c"), 503);
-    thread::sleep(AFTER_REWRITE);
+    thread::sleep(ROW_EXPIRY);
+    store.remove("upstreams/u-1");
+    thread::sleep(AFTER_REWRITE - ROW_EXPIRY);
     assert_eq!(status(&entry, "d"), 503);
     assert_eq!(upstream.requests().len(), before);
     store.put_upstream(&upstream_row("u-1", upstream.addr));
@@ -112,6 +116,22 @@
     });
 }
 
+/// Guards against an upstream that stays closed for good because its row was written again before it was read.
+#[test]
+fn upstream_whose_row_does_not_expire_is_used_again() {
+    let (store, entry, upstream) = start();
+    store.remove("upstreams/u-1");
+    eventually("the removal", || (status(&entry, "b") == 503).then_some(()));
+    let backup = store.back_up();
+    let reads = store.table_reads();
+    store.restore(&backup);
+    store.put_upstream(&upstream_row("u-1", upstream.addr));
+    wait_for_read(&store, reads);
+    eventually("the upstream whose row is still there", || {
+        (status(&entry, "c") == 200).then_some(())
+    });
+}
+
 /// Guards against refusals because the copy is older than an upstream, and against requests to an upstream that ended
 /// while the store was away.
 #[test]
--- a/crates/model/src/picture.rs
+++ b/crates/model/src/picture.rs
@@ -4,7 +4,9 @@
 //! owner can't reach the store, may be marked as leaving, and is removed for good once it has left.
 //! Entries read these rows one by one, or the whole table if the history of changes was lost; after a
 //! store outage, an entry treats a removal as unconfirmed for a while. Entries send each other updates
-//! from their views, which may arrive with any delay. A process may restart with an empty view.
+//! from their views, which may arrive with any delay. A process may restart with an empty view. The store may be
+//! restored from an older copy, in a new era whose versions are higher; its last rows are lost then, and entries read
+//! the whole table twice, the second time after the owner has had the time to write again.
 //!
 //! Invariant: once an entry is certain that the upstream is leaving or removed, it sends nothing there
 //! until a row of a higher version lists it. Once all entries have read all rows and no removal is
@@ -56,6 +58,8 @@
     pub restarts: u8,
     /// Number of clock steps.
     pub ticks: u8,
+    /// Number of restores of the store from an older copy.
+    pub restores: u8,
 }
 
 /// Transition of the model.
@@ -74,6 +78,10 @@
     view: RoutingView,
     /// Number of rows that it has read.
     rows_read: usize,
+    /// Era of the store in which it last read.
+    era: u64,
+    /// Whether it has yet to read the whole table again after a restore.
+    reads_again: bool,
     /// Version of the last row from which it was certain that the upstream is leaving or removed.
     closed_at: Option<u64>,
 }
@@ -89,10 +97,17 @@
 #[derive(Clone, Debug)]
 pub struct RoutingViewState {
     rows: Vec<Row>,
+    /// Number of times that the store was restored.
+    era: u64,
+    /// Number of rows in the copy from which it was last restored.
+    copied_rows: usize,
+    /// Last row that the owner wrote before the restore, if it is lost: what it writes again.
+    lost: Option<Row>,
     entries: Vec<Entry>,
     messages: Vec<Message>,
     messages_left: u8,
     restarts_left: u8,
+    restores_left: u8,
     ticks: u8,
 }
 
@@ -126,9 +141,12 @@
     }
 }
 
+/// Versions of an era are higher than all of the eras before.
+const VERSIONS_PER_ERA: u64 = 100;
+
 /// Version of the row with this index.
-fn version(index: usize) -> u64 {
-    index as u64 + 1
+fn version(era: u64, index: usize) -> u64 {
+    era * VERSIONS_PER_ERA + index as u64 + 1
 }
 
 impl Entry {
@@ -136,6 +154,8 @@
         Self {
             view: RoutingView::with_guards(guards),
             rows_read: 0,
+            era: 0,
+            reads_again: false,
             closed_at: None,
         }
     }
@@ -148,7 +168,7 @@
 
     /// Applies the next row of the table's changes.
     fn apply_next_row(&mut self, row: Row, after_outage: bool, now: Now) {
-        let version = version(self.rows_read);
+        let version = version(self.era, self.rows_read);
         self.rows_read += 1;
         self.view.advance_read_position(version);
         match row {
@@ -168,17 +188,34 @@
     }
 
     /// Applies the whole table, as at the start or after the history of changes was lost.
-    fn apply_table(&mut self, rows: &[Row], after_outage: bool, now: Now) {
+    fn apply_table(&mut self, rows: &[Row], era: u64, after_outage: bool, now: Now) {
         self.rows_read = rows.len();
-        let position = rows.len() as u64;
-        let current = rows
-            .last()
-            .filter(|row| matches!(row, Row::Listed | Row::Leaving));
-        let row = current.map(|row| (position, listed(*row == Row::Leaving)));
-        let table: Vec<_> = row.into_iter().collect();
+        self.era = era;
+        self.reads_again = false;
+        let position = version(era, rows.len()) - 1;
+        let table = table(rows, position);
         self.view
             .apply_upstream_table(&table, position, after_outage, now);
     }
+
+    /// Applies the whole table of a restored store for the first time.
+    fn apply_restored_table(&mut self, rows: &[Row], era: u64, now: Now) {
+        self.rows_read = rows.len();
+        self.era = era;
+        self.reads_again = true;
+        let position = version(era, rows.len()) - 1;
+        self.view
+            .apply_restored_upstreams(&table(rows, position), now);
+    }
+}
+
+/// Returns the upstream's row in a whole table.
+fn table(rows: &[Row], position: u64) -> Vec<(u64, ListedUpstream)> {
+    let current = rows
+        .last()
+        .filter(|row| matches!(row, Row::Listed | Row::Leaving));
+    let row = current.map(|row| (position, listed(*row == Row::Leaving)));
+    row.into_iter().collect()
 }
 
 impl RoutingViewModel {
@@ -198,18 +235,61 @@
         TICK * u32::from(self.ticks)
     }
 
-    /// Whether all entries have read all rows and no message is in flight.
+    /// Whether all entries have read all rows, the owner has written again, and no message is in flight.
     fn is_settled(&self) -> bool {
-        let is_read = |entry: &Entry| entry.rows_read == self.rows.len();
+        let is_read = |entry: &Entry| {
+            entry.era == self.era && !entry.reads_again && entry.rows_read == self.rows.len()
+        };
+        if self.is_copy() {
+            return false;
+        }
         self.messages.is_empty() && self.entries.iter().all(is_read)
     }
 
+    /// Whether the store has nothing but the rows of the copy from which it was restored.
+    fn is_copy(&self) -> bool {
+        self.era > 0 && self.rows.len() == self.copied_rows
+    }
+
     fn write_row(&self, row: Row) -> Self {
         let mut next = self.clone();
         next.rows.push(row);
+        next.lost = None;
         next
     }
 
+    /// Whether the upstream was listed after a version, other than by the copy from which the store was restored.
+    fn is_listed_after(&self, closed_at: u64) -> bool {
+        let rows = self.rows.iter().enumerate().skip(self.copied_rows);
+        rows.filter(|(_, row)| **row == Row::Listed)
+            .any(|(index, _)| version(self.era, index) > closed_at)
+    }
+
+    /// Restores the store from a copy with the first `copied_rows` rows.
+    fn restore(&self, copied_rows: usize) -> Self {
+        let mut next = self.clone();
+        next.lost = self.lost.or(self.rows.last().copied());
+        for entry in &mut next.entries {
+            // An upstream that was listed again may be used, although the row is lost.
+            entry.closed_at = entry.closed_at.filter(|at| !self.is_listed_after(*at));
+        }
+        next.rows.truncate(copied_rows);
+        next.era += 1;
+        next.copied_rows = copied_rows;
+        next.restores_left -= 1;
+        next
+    }
+
+    /// Possible next rows: what is lost is written again first.
+    fn next_rows(&self) -> Vec<Row> {
+        match self.lost {
+            // The row of an upstream that has left expires.
+            Some(Row::Expired | Row::Removed) => vec![Row::Removed],
+            Some(row) => vec![row],
+            None => RoutingViewModel::next_rows(&self.rows).to_vec(),
+        }
+    }
+
     fn with_entry(&self, index: usize, change: impl FnOnce(&mut Entry, Now)) -> Self {
         let mut next = self.clone();
         let now = self.now();
@@ -225,10 +305,14 @@
     fn start(&self) -> RoutingViewState {
         RoutingViewState {
             rows: vec![Row::Listed],
+            era: 0,
+            copied_rows: 0,
+            lost: None,
             entries: vec![Entry::new(self.guards), Entry::new(self.guards)],
             messages: Vec::new(),
             messages_left: self.messages,
             restarts_left: self.restarts,
+            restores_left: self.restores,
             ticks: 0,
         }
     }
@@ -238,12 +322,38 @@
         let mut step =
             |name: String, next: RoutingViewState| steps.push((RoutingViewStep(name), next));
         if state.rows.len() < self.rows {
-            for row in Self::next_rows(&state.rows) {
-                step(format!("the store writes {row:?}"), state.write_row(*row));
+            for row in state.next_rows() {
+                step(format!("the store writes {row:?}"), state.write_row(row));
+            }
+        }
+        if state.restores_left > 0 {
+            for copied_rows in 1..state.rows.len() {
+                let name = format!("the store is restored with {copied_rows} rows");
+                step(name, state.restore(copied_rows));
             }
         }
         for (index, entry) in state.entries.iter().enumerate() {
-            if entry.rows_read < state.rows.len() {
+            let is_new = entry.rows_read == 0;
+            if entry.era < state.era && !is_new {
+                let next = state.with_entry(index, |entry, now| {
+                    entry.apply_restored_table(&state.rows, state.era, now);
+                });
+                step(format!("entry {index} reads the restored table"), next);
+            }
+            let was_rewritten = entry.era == state.era && !state.is_copy();
+            if entry.reads_again && was_rewritten {
+                let next = state.with_entry(index, |entry, now| {
+                    entry.apply_table(&state.rows, state.era, true, now);
+                });
+                step(format!("entry {index} reads the table again"), next);
+            }
+            if is_new && entry.era < state.era {
+                let next = state.with_entry(index, |entry, now| {
+                    entry.apply_table(&state.rows, state.era, true, now);
+                });
+                step(format!("entry {index} reads its first table"), next);
+            }
+            if entry.era == state.era && entry.rows_read < state.rows.len() {
                 let row = state.rows[entry.rows_read];
                 for after_outage in [false, true] {
                     // Both cases apply to every row: one that expired did so during an outage, at least
@@ -255,7 +365,7 @@
                     step(format!("entry {index} reads {row:?}{how}"), next);
                 }
                 let next = state.with_entry(index, |entry, now| {
-                    entry.apply_table(&state.rows, true, now);
+                    entry.apply_table(&state.rows, state.era, true, now);
                 });
                 step(
                     format!("entry {index} reads the whole table after an outage"),
@@ -303,11 +413,7 @@
             let Some(closed_at) = entry.closed_at else {
                 continue;
             };
-            let rows = state.rows.iter().enumerate();
-            let listed_since = rows
-                .filter(|(_, row)| **row == Row::Listed)
-                .any(|(row_index, _)| version(row_index) > closed_at);
-            if entry.is_open(now) && !listed_since {
+            if entry.is_open(now) && !state.is_listed_after(closed_at) {
                 return Err(format!(
                     "entry {index} closed the upstream at version {closed_at}, and sends to it"
                 ));
--- a/crates/model/tests/picture.rs
+++ b/crates/model/tests/picture.rs
@@ -18,10 +18,21 @@
         messages: 2,
         restarts: 0,
         ticks: 1,
+        restores: 0,
     }
 }
 
-/// The same with one message and a restart of an entry.
+/// Two entries, one message, and a store that is restored once.
+fn restored(guards: Guards) -> RoutingViewModel {
+    RoutingViewModel {
+        rows: 3,
+        messages: 1,
+        restores: 1,
+        ..two_entries(guards)
+    }
+}
+
+/// Two entries with one message and a restart of one of them.
 fn restarted(guards: Guards) -> RoutingViewModel {
     RoutingViewModel {
         messages: 1,
@@ -34,6 +45,7 @@
 holds! {
     closed_upstream_stays_closed_until_listed_again: two_entries;
     closed_upstream_stays_closed_after_a_restart: restarted;
+    closed_upstream_stays_closed_after_a_restore: restored;
 }
 
 breaks! {
@@ -46,4 +58,8 @@
     /// As above, at a process that has just started: it reads the table, in which the row is missing,
     /// and then receives the row from an entry whose view is stale.
     an_unknown_upstream_taken_from_a_stale_entry: restarted, read_position, "has it open";
+    /// An upstream that has left gets work: the store was restored from a copy that lists it.
+    a_copy_that_lists_a_removed_upstream: restored, restored_removals, "sends to it";
+    /// As above, at an entry that has not read the copy: another one that has just started sends it what it has read.
+    a_copy_sent_by_an_entry_that_has_just_started: restored, copied_listings, "sends to it";
 }
--- a/crates/picture/src/update.rs
+++ b/crates/picture/src/update.rs
@@ -61,6 +61,10 @@
     pub gone: bool,
     /// Remaining time for which it stays cold, according to the sender.
     pub cold_left: Duration,
+    /// Whether the sender has read the row in a whole table, which may be an older copy from which the store was
+    /// restored.
+    #[serde(default)]
+    pub from_table: bool,
 }
 
 /// Newest version of each kind of row in a view.
--- a/crates/picture/src/view.rs
+++ b/crates/picture/src/view.rs
@@ -44,13 +44,8 @@
     evacuation_end_version: u64,
     /// Time at which it closes because its row is gone; in the future while the removal is unconfirmed.
     closes_at: Option<Now>,
-}
-
-impl KnownUpstream {
-    /// Whether it has no unconfirmed removal.
-    fn is_confirmed(&self, now: Now) -> bool {
-        self.closes_at.is_none_or(|at| now >= at)
-    }
+    /// Whether the row was read in a whole table.
+    from_table: bool,
 }
 
 /// Safety checks of a view; all are enabled except in model searches that show what each prevents.
@@ -68,6 +63,9 @@
     pub incarnations: bool,
     /// Treat an upstream that was seen to be gone as gone if an older copy of the store lists it.
     pub restored_removals: bool,
+    /// Ignore an upstream that another entry has read in a whole table if it was seen to be gone here: the table may be
+    /// an older copy.
+    pub copied_listings: bool,
 }
 
 impl Default for Guards {
@@ -78,6 +76,7 @@
             read_position: true,
             incarnations: true,
             restored_removals: true,
+            copied_listings: true,
         }
     }
 }
@@ -89,6 +88,9 @@
     routes: Option<Arc<Routes>>,
     evacuations: BTreeMap<DomainId, Evacuation>,
     upstreams: BTreeMap<UpstreamId, KnownUpstream>,
+    /// Versions of rows that a restored store lists of upstreams that were seen to be gone. If the next whole table
+    /// still has them, their owners run.
+    unconfirmed_listings: BTreeMap<UpstreamId, u64>,
     /// Versions of removed rows, and when each was recorded here.
     removed: BTreeMap<UpstreamId, (u64, Now)>,
     /// All upstream rows up to this version have been read from the store.
@@ -178,6 +180,7 @@
                 cold_until,
                 evacuation_end_version: 0,
                 closes_at: None,
+                from_table: false,
             };
             self.upstreams.insert(listed.id.clone(), known);
             return Applied::Changed;
@@ -211,6 +214,7 @@
             cold_until
         };
         known.closes_at = None;
+        known.from_table = false;
         Applied::Changed
     }
 
@@ -303,8 +307,13 @@
         after_outage: bool,
         now: Now,
     ) {
+        let unconfirmed = std::mem::take(&mut self.unconfirmed_listings);
         for (version, upstream) in listed {
-            self.apply_upstream(upstream, *version, now);
+            if unconfirmed.get(&upstream.id) == Some(version) {
+                self.upstreams.remove(&upstream.id);
+                self.removed.remove(&upstream.id);
+            }
+            self.apply_upstream_of_table(upstream, *version, now);
         }
         self.advance_read_position(position);
         let with_row: FastSet<&UpstreamId> = listed.iter().map(|(_, row)| &row.id).collect();
@@ -320,22 +329,40 @@
     }
 
     /// Applies the rows of a store that was restored from an older copy. An upstream that was seen to be gone stays so
-    /// until its row is written again, and one without a row stays as it is.
+    /// until its row is written again or the next whole table has it, and one without a row stays as it is.
     pub fn apply_restored_upstreams(&mut self, listed: &[(u64, ListedUpstream)], now: Now) {
         for (version, upstream) in listed {
             let id = &upstream.id;
-            let known = self.upstreams.get(id);
-            let is_closed = known.is_some_and(|known| known.closes_at.is_some());
-            if self.guards.restored_removals && self.removed.contains_key(id) {
-                self.removed.insert(id.clone(), (*version, now));
-            } else if self.guards.restored_removals && is_closed {
+            if self.guards.restored_removals && self.is_gone(id, now) {
                 self.apply_removal(id, *version, false, now);
+                self.unconfirmed_listings.insert(id.clone(), *version);
             } else {
-                self.apply_upstream(upstream, *version, now);
+                self.apply_upstream_of_table(upstream, *version, now);
             }
         }
     }
 
+    /// Applies a row of an upstream in a whole table.
+    fn apply_upstream_of_table(&mut self, upstream: &ListedUpstream, version: u64, now: Now) {
+        let applied = self.apply_upstream(upstream, version, now);
+        if let Some(known) = self.upstreams.get_mut(&upstream.id) {
+            known.from_table |= applied == Applied::Changed;
+        }
+    }
+
+    /// Returns whether neither a removal nor a listing of an upstream is unconfirmed.
+    fn is_confirmed(&self, known: &KnownUpstream, now: Now) -> bool {
+        let is_removal_confirmed = known.closes_at.is_none_or(|at| now >= at);
+        is_removal_confirmed && !self.unconfirmed_listings.contains_key(&known.listed.id)
+    }
+
+    /// Returns whether an upstream was seen to be gone.
+    fn is_gone(&self, id: &UpstreamId, now: Now) -> bool {
+        let known = self.upstreams.get(id);
+        let closes_at = known.and_then(|known| known.closes_at);
+        closes_at.is_some_and(|at| now >= at) || (known.is_none() && self.removed.contains_key(id))
+    }
+
     /// Records that all upstream rows up to `position` have been read from the store.
     pub fn advance_read_position(&mut self, position: u64) {
         self.upstreams_read_position = self.upstreams_read_position.max(position);
@@ -388,7 +415,7 @@
         let listed = self
             .upstreams
             .values()
-            .filter(|known| known.is_confirmed(now));
+            .filter(|known| self.is_confirmed(known, now));
         let listed = listed.map(|known| known.version);
         let removed = self.removed.values().map(|(version, _)| *version);
         ViewVersions {
@@ -417,13 +444,14 @@
         let all = !self.guards.unconfirmed_removals;
         let changed = self.upstreams.values();
         let changed =
-            changed.filter(|known| known.version > after && (all || known.is_confirmed(now)));
+            changed.filter(|known| known.version > after && (all || self.is_confirmed(known, now)));
         changed
             .map(|known| UpstreamUpdate {
                 listed: known.listed.clone(),
                 version: known.version,
                 gone: known.closes_at.is_some_and(|at| now >= at),
                 cold_left: known.cold_until.saturating_sub(now),
+                from_table: known.from_table,
             })
             .collect()
     }
@@ -438,6 +466,10 @@
                 // The row was already gone at that position; the sender has not seen its removal yet.
                 continue;
             }
+            let is_copy = self.guards.copied_listings && update.from_table && !update.gone;
+            if is_copy && self.is_gone(&update.listed.id, now) {
+                continue;
+            }
             let listed = ListedUpstream {
                 cold_left: update.cold_left,
                 ..update.listed.clone()
@@ -447,6 +479,9 @@
             } else {
                 self.apply_upstream(&listed, update.version, now)
             };
+            if let Some(known) = self.upstreams.get_mut(&listed.id) {
+                known.from_table |= update.from_table && result == Applied::Changed;
+            }
             if result == Applied::Changed {
                 applied = Applied::Changed;
             }
