--- a/crates/entry/tests/crashes.rs
+++ b/crates/entry/tests/crashes.rs
@@ -2,6 +2,14 @@
 
 mod support;
 
+use org::{
+    KeyDigest,
+    Quota, //
+};
+use route::{
+    Organisation,
+    Routes, //
+};
 use std::{
     thread,
     time::Duration, //
@@ -62,8 +70,12 @@
 
 impl Setup {
     fn start() -> Self {
+        Self::start_with(&routes(1))
+    }
+
+    fn start_with(routes: &Routes) -> Self {
         let store = MemoryStore::default();
-        store.put_routes(&routes(1));
+        store.put_routes(routes);
         let upstreams: Vec<Upstream> = UPSTREAMS
             .iter()
             .map(|name| {
@@ -105,19 +117,44 @@
 
     /// Sends attempts one after another, each to the next entry and with a new id.
     fn repeat(&self, method: &str, path: &str, body: &str, attempts: usize) -> Vec<Response> {
+        self.repeat_with(method, path, body, attempts, |_| String::new())
+    }
+
+    /// Does the same with further header lines, given the number of the attempt.
+    fn repeat_with(
+        &self,
+        method: &str,
+        path: &str,
+        body: &str,
+        attempts: usize,
+        headers: impl Fn(usize) -> String,
+    ) -> Vec<Response> {
         let entries = self.entries.iter().cycle();
         let attempts = entries.take(attempts).enumerate().map(|(number, entry)| {
             thread::sleep(PAUSE);
-            call(entry, method, path, &format!("{number:x}"), body)
+            let id = format!("{number:x}");
+            call_with(entry, method, path, &id, &headers(number), body)
         });
         attempts.collect()
     }
 }
 
 fn call(entry: &Entry, method: &str, path: &str, id: &str, body: &str) -> Response {
+    call_with(entry, method, path, id, "", body)
+}
+
+fn call_with(
+    entry: &Entry,
+    method: &str,
+    path: &str,
+    id: &str,
+    headers: &str,
+    body: &str,
+) -> Response {
     let mut caller = Caller::connect(entry);
     let length = format!("content-length: {}\r\n", body.len());
-    let head = request_head(method, path, id, if body.is_empty() { "" } else { &length });
+    let length = if body.is_empty() { "" } else { &length };
+    let head = request_head(method, path, id, &format!("{length}{headers}"));
     caller.send(head + body);
     caller.read_response().expect("the entry responds")
 }
@@ -246,3 +283,29 @@
     let responses = setup.repeat("GET", "/r/slow", "", ENTRIES.len());
     assert!(responses.iter().all(|response| response.status == 200));
 }
+
+/// Guards against three crashed upstreams for each key and each organisation that a request is repeated with.
+#[test]
+fn request_is_the_same_with_another_key() {
+    let organisation = |id: &'static str, keys: [&str; 2]| Organisation {
+        id: id.into(),
+        keys: keys.map(|key| KeyDigest::of(key.as_bytes())).to_vec(),
+        priority: None,
+        quota: Quota::default(),
+        homes: Vec::new(),
+    };
+    let mut routes = routes(1);
+    routes.organisations = Some(vec![
+        organisation("a", ["k-0", "k-1"]),
+        organisation("b", ["k-2", "k-3"]),
+    ]);
+    let setup = Setup::start_with(&routes);
+    let key = |number: usize| format!("authorization: Bearer k-{}\r\n", number % 4);
+    let responses = setup.repeat_with("GET", "/r/fatal", "", ATTEMPTS, key);
+    let sends = setup.sends("/r/fatal");
+    assert!(sends <= CRASHES_MAX + EXTRA_SENDS_MAX, "sent {sends} times");
+    let last = responses.last().expect("attempts were made");
+    assert_eq!(last.status, 503, "{}", last.head);
+    let others = setup.repeat_with("GET", "/r/x", "", 4, key);
+    assert!(others.iter().all(|response| response.status == 200));
+}
