--- a/crates/entry/tests/organisations.rs
+++ b/crates/entry/tests/organisations.rs
@@ -1,4 +1,4 @@
-//! Organisations: which requests run for whom, and what upstreams are told.
+//! Organisations: whose key a request has, and what upstreams receive.
 
 mod support;
 
--- a/crates/org/tests/fleet.rs
+++ b/crates/org/tests/fleet.rs
@@ -159,7 +159,7 @@
 refused_at_most! {
     /// Guards against parts that are smaller than what an entry's callers ask for on average.
     steady_load_is_admitted: 0.02, |fleet| fleet.run(secs(20.0));
-    /// Guards against callers of a zone that is evacuated waiting for another zone's part.
+    /// Guards against an evacuated failure domain's callers waiting for the share of another one.
     callers_that_move_are_admitted: 0.1, |fleet| {
         for _ in 0..3 {
             fleet.shift_callers(1);
--- a/crates/route/src/config.rs
+++ b/crates/route/src/config.rs
@@ -116,7 +116,7 @@
 /// An organisation whose callers are identified by its keys.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Organisation {
-    /// Unique name, which upstreams are told.
+    /// Unique name, sent to upstreams.
     pub id: OrganisationId,
     /// Digests of its keys.
     pub keys: Vec<KeyDigest>,
