Log what upstreams state in responses, and how calls to the store ended

The logs of the incidents could not tell the hypotheses apart: no line shows that a response states that its upstream leaves or wants no requests for a time, store-regained says nothing of the calls before it, and routes-in-force names the store also for rows that another entry forwarded.

Adds the event upstream-leaving, retry_after_ms of send-failed, three fields of store-regained, and the source of forwarded rows. What heads state is parsed in one place, traffic/signals.rs. No decision changes. Five places that converted a duration to milliseconds by a cast use one function.

--- a/crates/balance/src/upstream.rs
+++ b/crates/balance/src/upstream.rs
@@ -54,6 +54,8 @@
     /// Whether its address has shown that it has ended, even if it is still listed. This is permanent, since an
     /// incarnation does not return.
     pub gone: bool,
+    /// Whether it has stated in a response that it is leaving.
+    pub states_leaving: bool,
     /// End of the time for which it is cold.
     pub cold_until: Now,
     /// End of this entry's lease, during which it alone may send while the upstream is cold or states a limit; `None`
@@ -91,6 +93,7 @@
             slots: slots.max(1),
             closed: false,
             gone: false,
+            states_leaving: false,
             cold_until: Now::ZERO,
             lease_until: None,
             cold_start_limiter: ColdStartLimiter::default(),
--- a/crates/entry/src/clock.rs
+++ b/crates/entry/src/clock.rs
@@ -43,5 +43,10 @@
 /// Returns the wall-clock time, in Unix milliseconds.
 pub(crate) fn unix_ms() -> u64 {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-    since_epoch.map_or(0, |since_epoch| since_epoch.as_millis() as u64)
+    since_epoch.map_or(0, millis)
+}
+
+/// Returns a duration in whole milliseconds.
+pub(crate) fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/entry/src/control/apply.rs
+++ b/crates/entry/src/control/apply.rs
@@ -1,6 +1,7 @@
 //! Application of rows of the store's tables to the routing view.
 
 use crate::{
+    clock::millis,
     control::Control,
     rows::{
         OperatorRow,
@@ -8,6 +9,7 @@
         UnreadableRow, //
     },
 };
+use base::InstanceId;
 use event::{
     emit,
     Event, //
@@ -22,10 +24,32 @@
     Rows,
     Table as StoreTable, //
 };
+use std::fmt;
+
+/// Where rows were received from.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Source<'a> {
+    Store,
+    Entry(&'a InstanceId),
+}
+
+impl fmt::Display for Source<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Store => f.write_str("store"),
+            Self::Entry(entry) => f.write_str(entry),
+        }
+    }
+}
 
 impl<S: Feed + StoreTable + 'static, W: RowReader> Control<S, W> {
     /// Applies rows of the operators' table. If `table_position` is set, they are the whole table at that position.
-    pub(super) fn apply_operator_rows(&self, rows: &[FeedRow], table_position: Option<u64>) {
+    pub(super) fn apply_operator_rows(
+        &self,
+        rows: &[FeedRow],
+        table_position: Option<u64>,
+        source: Source<'_>,
+    ) {
         let now = self.now();
         let mut changed = table_position.is_some();
         let mut evacuated = Vec::new();
@@ -38,7 +62,7 @@
                     if applied == Applied::Changed {
                         emit(&Event::RoutesInForce {
                             version: routes.version,
-                            from: "store".to_owned(),
+                            from: source.to_string(),
                         });
                     }
                     applied
@@ -128,7 +152,7 @@
                             upstream: listed.id.clone(),
                             service: listed.service.clone(),
                             leaving: listed.leaving,
-                            cold_left_ms: listed.cold_left.as_millis() as u64,
+                            cold_left_ms: millis(listed.cold_left),
                             row_version: row.version,
                         });
                         state.view.apply_upstream(&listed, row.version, now)
--- a/crates/entry/src/control/cold.rs
+++ b/crates/entry/src/control/cold.rs
@@ -6,6 +6,7 @@
 //! claims a little later, and the holder announces its leases to the others, so that they need not call the store.
 
 use crate::{
+    clock::millis,
     control::{
         Control,
         ControlState, //
@@ -202,7 +203,7 @@
             outcome: outcome.to_owned(),
             upstreams: claims.iter().map(|claim| claim.subject.clone()).collect(),
             row_version,
-            took_ms: (now - started_at).as_millis() as u64,
+            took_ms: millis(now - started_at),
         });
         if outcome == "granted" {
             self.publish();
--- a/crates/entry/src/control/crash_rows.rs
+++ b/crates/entry/src/control/crash_rows.rs
@@ -4,7 +4,10 @@
 //! entry reads these rows in the same scan as the rows of the entries, at its start and then periodically.
 
 use crate::{
-    clock::unix_ms,
+    clock::{
+        millis,
+        unix_ms, //
+    },
     control::{
         registry::{
             sleep_jittered,
@@ -67,7 +70,7 @@
     fn new(reports: &[Report], now_ms: u64) -> Self {
         let crashes = reports.iter().map(|report| StoredCrash {
             upstream: report.upstream,
-            at_ms: now_ms.saturating_sub(report.age.as_millis() as u64),
+            at_ms: now_ms.saturating_sub(millis(report.age)),
             cleared: report.cleared,
         });
         Self {
--- a/crates/entry/src/control/feeds.rs
+++ b/crates/entry/src/control/feeds.rs
@@ -1,6 +1,15 @@
 //! Following the store's tables, by calls to the store or through other entries that forward the rows.
 
-use crate::{control::Control, message::FollowedTable, metric, rows::RowReader};
+use crate::{
+    clock::millis,
+    control::{
+        apply::Source,
+        Control, //
+    },
+    message::FollowedTable,
+    metric,
+    rows::RowReader, //
+};
 use base::Now;
 use event::{
     emit,
@@ -55,13 +64,35 @@
 /// Time after a failed call during which missing rows may be rows that expired during an outage.
 const OUTAGE_RETENTION: Duration = Duration::from_secs(5);
 
+/// Time in which the calls for a table fail.
+#[derive(Clone, Copy, Debug)]
+struct Outage {
+    /// End of the first call that failed.
+    since: Now,
+    failed_calls: u32,
+    /// Duration of the last call.
+    last_call: Duration,
+}
+
+impl Outage {
+    fn begin(now: Now) -> Self {
+        Self {
+            since: now,
+            failed_calls: 0,
+            last_call: Duration::ZERO,
+        }
+    }
+}
+
 /// State of the calls that follow one table.
 struct FeedCalls {
     table_name: &'static str,
     table: FollowedTable,
     retry_delay: Duration,
-    failing_since: Option<Now>,
+    outage: Option<Outage>,
     last_failure: Option<Now>,
+    /// Start of the current or last call.
+    called_at: Now,
     /// Start of the last call that returned changes.
     changed_at: Now,
     /// Whether the store was restored from an older copy since the whole table was last read.
@@ -74,8 +105,9 @@
             table_name,
             table,
             retry_delay: RETRY_DELAY_MIN,
-            failing_since: None,
+            outage: None,
             last_failure: None,
+            called_at: Now::ZERO,
             changed_at: Now::ZERO,
             restored: false,
         }
@@ -86,13 +118,15 @@
         metrics::counter!(metric::STORE_CALLS, "call" => "read", "outcome" => "failed")
             .increment(1);
         self.last_failure = Some(now);
-        if self.failing_since.is_none() {
-            self.failing_since = Some(now);
+        let outage = self.outage.get_or_insert_with(|| {
             emit(&Event::StoreLost {
                 table: self.table_name.to_owned(),
                 error: error.to_string(),
             });
-        }
+            Outage::begin(now)
+        });
+        outage.failed_calls += 1;
+        outage.last_call = now.saturating_sub(self.called_at);
         let jitter = rand::rng().random_range(0.5..1.0);
         tokio::time::sleep(self.retry_delay.mul_f64(jitter)).await;
         self.retry_delay = (self.retry_delay * 2).min(RETRY_DELAY_MAX);
@@ -100,10 +134,16 @@
 
     fn on_success(&mut self, now: Now) {
         metrics::counter!(metric::STORE_CALLS, "call" => "read", "outcome" => "done").increment(1);
-        if let Some(since) = self.failing_since.take() {
+        if let Some(outage) = self.outage.take() {
+            let retried_after = self
+                .called_at
+                .saturating_sub(self.last_failure.unwrap_or(now));
             emit(&Event::StoreRegained {
                 table: self.table_name.to_owned(),
-                outage_ms: (now - since).as_millis() as u64,
+                outage_ms: millis(now.saturating_sub(outage.since)),
+                failed_calls: outage.failed_calls,
+                last_call_ms: millis(outage.last_call),
+                retry_ms: millis(retried_after),
             });
         }
         self.retry_delay = RETRY_DELAY_MIN;
@@ -141,7 +181,13 @@
         while let Some((after, rows)) = self.next_changes(calls).await {
             let after_outage = calls.after_outage(self.now());
             self.forward_rows(calls.table, after, &rows, after_outage);
-            self.apply_changes(calls.table, &rows.rows, rows.position, after_outage);
+            self.apply_changes(
+                calls.table,
+                &rows.rows,
+                rows.position,
+                after_outage,
+                Source::Store,
+            );
         }
     }
 
@@ -177,7 +223,10 @@
         state.table_mut(table).follower.on_table_read(rows.position);
         drop(state);
         match table {
-            FollowedTable::Operator => self.apply_operator_rows(&rows.rows, Some(rows.position)),
+            FollowedTable::Operator => {
+                let position = Some(rows.position);
+                self.apply_operator_rows(&rows.rows, position, Source::Store);
+            }
             FollowedTable::Upstreams => self.apply_upstream_table(rows, after_outage),
         }
     }
@@ -189,7 +238,9 @@
         state.table_mut(table).follower.on_table_read(rows.position);
         drop(state);
         match table {
-            FollowedTable::Operator => self.apply_operator_rows(&rows.rows, None),
+            FollowedTable::Operator => {
+                self.apply_operator_rows(&rows.rows, None, Source::Store);
+            }
             FollowedTable::Upstreams => self.apply_restored_upstreams(rows),
         }
     }
@@ -201,6 +252,7 @@
         rows: &[FeedRow],
         position: u64,
         after_outage: bool,
+        source: Source<'_>,
     ) {
         if table == FollowedTable::Upstreams {
             self.state.borrow_mut().view.advance_read_position(position);
@@ -209,7 +261,7 @@
             return;
         }
         match table {
-            FollowedTable::Operator => self.apply_operator_rows(rows, None),
+            FollowedTable::Operator => self.apply_operator_rows(rows, None, source),
             FollowedTable::Upstreams => self.apply_upstream_rows(rows, after_outage),
         }
     }
@@ -217,6 +269,7 @@
     /// Reads the whole table, and retries until a read succeeds.
     async fn read_table(&self, calls: &mut FeedCalls) -> Rows {
         loop {
+            calls.called_at = self.now();
             match self.store.read_all(calls.table_name).await {
                 Ok(rows) => {
                     self.on_read_done(calls);
@@ -291,6 +344,7 @@
             let elapsed = self.now().saturating_sub(calls.changed_at);
             tokio::time::sleep(self.batch_interval().saturating_sub(elapsed)).await;
             let started = self.now();
+            calls.called_at = started;
             let (position, wait) = self.next_call(calls.table)?;
             match self.store.changes(calls.table_name, position, wait).await {
                 // A position that has gone back: the store has another history than the one that was followed.
--- a/crates/entry/src/control/hubs.rs
+++ b/crates/entry/src/control/hubs.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     control::{
+        apply::Source,
         Control,
         ControlState, //
     },
@@ -214,7 +215,13 @@
         metrics::counter!(metric::FORWARDED_ROWS, "step" => label).increment(1);
         match continuity {
             Continuity::Next => {
-                self.apply_changes(table, &forwarded.rows, position, forwarded.after_outage);
+                self.apply_changes(
+                    table,
+                    &forwarded.rows,
+                    position,
+                    forwarded.after_outage,
+                    Source::Entry(from),
+                );
                 self.send_to_leaves(&Message::Rows(forwarded), Some(from));
                 self.state.borrow_mut().table_mut(table).last_sent_at = now;
             }
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -2,7 +2,10 @@
 
 use crate::{
     channels::Channels,
-    clock::Clock,
+    clock::{
+        millis,
+        Clock, //
+    },
     control::Control,
     dialect::Dialect,
     rows::RowReader,
@@ -181,7 +184,7 @@
     control.close_sessions().await;
     emit(&Event::Stopped {
         under_way: under_way(),
-        took_ms: started.elapsed().as_millis() as u64,
+        took_ms: millis(started.elapsed()),
     });
 }
 
--- a/crates/entry/src/traffic/attempt.rs
+++ b/crates/entry/src/traffic/attempt.rs
@@ -1,7 +1,6 @@
 //! Sends a request once to one upstream and reports whether it may have run.
 
 use crate::{
-    dialect::Dialect,
     metric,
     traffic::{
         placement::{
@@ -9,6 +8,7 @@
             Placement, //
         },
         request_log::hex,
+        signals::Signals,
         Traffic, //
     },
 };
@@ -16,7 +16,6 @@
     header::HeaderMap,
     StatusCode, //
 };
-use balance::LoadReport;
 use base::UpstreamId;
 use bytes::{
     Bytes,
@@ -165,6 +164,8 @@
     NotRun {
         /// Status of its response.
         status: u16,
+        /// Time for which it accepts no further requests from this entry, if stated.
+        retry_after: Option<Duration>,
     },
     /// There was no complete response.
     Failed(Failure),
@@ -194,9 +195,10 @@
             return SendOutcome::Failed(failure);
         }
     };
-    note_head(traffic, &incarnation, &response);
     let dialect = &traffic.shared.dialect;
     let status = response.status;
+    let signals = Signals::parse(dialect, status, &response.headers);
+    note_signals(traffic, &incarnation, status, &signals);
     let not_run = response.headers.contains_key(&dialect.not_run);
     if not_run || status == StatusCode::MISDIRECTED_REQUEST {
         let mut fleet = traffic.fleet.borrow_mut();
@@ -208,6 +210,7 @@
         }
         return SendOutcome::NotRun {
             status: status.as_u16(),
+            retry_after: signals.retry_after,
         };
     }
     if status.is_success() && !response.headers.contains_key(&dialect.seal) {
@@ -271,48 +274,36 @@
     }))
 }
 
-/// Records the load and the rate limit that the head of a response states.
-fn note_head(traffic: &Traffic, incarnation: &Incarnation, response: &UpstreamResponse) {
-    let load = response.headers.get(&traffic.shared.dialect.load);
-    if let Some(reported) = load.and_then(|value| parse_load(value.to_str().ok()?)) {
-        let mut fleet = traffic.fleet.borrow_mut();
-        fleet.note_load(incarnation, reported, traffic.now());
+/// Records what the head of a response states.
+fn note_signals(
+    traffic: &Traffic,
+    incarnation: &Incarnation,
+    status: StatusCode,
+    signals: &Signals,
+) {
+    let now = traffic.now();
+    let mut fleet = traffic.fleet.borrow_mut();
+    if let Some(reported) = signals.load {
+        fleet.note_load(incarnation, reported, now);
     }
     // A 421 response comes from another incarnation, whose limit doesn't apply to `incarnation`.
-    if response.status != StatusCode::MISDIRECTED_REQUEST {
-        let limit_per_s = parse_limit(&traffic.shared.dialect, &response.headers);
-        let changed = traffic
-            .fleet
-            .borrow_mut()
-            .note_limit(incarnation, limit_per_s);
-        if changed {
-            let limits = &traffic.shared.channels.limits;
-            limits.note(
-                &incarnation.id,
-                incarnation.started_ms,
-                limit_per_s,
-                traffic.now(),
-            );
-        }
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return;
+    }
+    if signals.is_leaving {
+        fleet.note_leaving(incarnation);
+    }
+    let limit_changed = fleet.note_limit(incarnation, signals.limit_per_s);
+    drop(fleet);
+    if limit_changed {
+        let limits = &traffic.shared.channels.limits;
+        limits.note(
+            &incarnation.id,
+            incarnation.started_ms,
+            signals.limit_per_s,
+            now,
+        );
     }
-}
-
-/// Reads the request rate limit of an upstream; returns `None` if it is absent or invalid.
-fn parse_limit(dialect: &Dialect, headers: &HeaderMap) -> Option<f64> {
-    let mut names = dialect.limit_per_s.iter();
-    let value = names.find_map(|name| headers.get(name))?;
-    let limit_per_s: f64 = value.to_str().ok()?.trim().parse().ok()?;
-    (limit_per_s.is_finite() && limit_per_s >= 0.0).then_some(limit_per_s)
-}
-
-/// Parses a load report of the form `running,waiting,slots`.
-fn parse_load(text: &str) -> Option<LoadReport> {
-    let mut numbers = text.split(',').map(|part| part.trim().parse().ok());
-    Some(LoadReport {
-        running: numbers.next()??,
-        waiting: numbers.next()??,
-        slots: numbers.next()??,
-    })
 }
 
 fn note_failure(traffic: &Traffic, incarnation: &Incarnation, failure: &Failure) {
--- a/crates/entry/src/traffic/dispatch.rs
+++ b/crates/entry/src/traffic/dispatch.rs
@@ -6,6 +6,7 @@
 //! response states that the request did not run and when to retry; otherwise it states neither.
 
 use crate::{
+    clock::millis,
     metric,
     traffic::{
         attempt::{
@@ -20,7 +21,10 @@
             PlacementRequest,
             Rejection, //
         },
-        request_log::text,
+        request_log::{
+            text,
+            SendFailure, //
+        },
         response::{
             FinalResponse,
             LastSend, //
@@ -169,14 +173,25 @@
             metrics::counter!(metric::SENDS, "outcome" => outcome_label(&outcome)).increment(1);
             let next = match outcome {
                 SendOutcome::Answered(response) => self.after_response(&mut progress, response),
-                SendOutcome::NotRun { status } => {
-                    let why = format!("status {status}");
-                    self.log_failed_send(&target, &placement, true, why);
+                SendOutcome::NotRun {
+                    status,
+                    retry_after,
+                } => {
+                    let failure = SendFailure {
+                        not_run: true,
+                        why: format!("status {status}"),
+                        retry_after,
+                    };
+                    self.log_failed_send(&target, &placement, failure);
                     self.after_refusal(&mut progress)
                 }
                 SendOutcome::Failed(failure) => {
-                    let why = failure.to_string();
-                    self.log_failed_send(&target, &placement, failure.not_run(), why);
+                    let logged = SendFailure {
+                        not_run: failure.not_run(),
+                        why: failure.to_string(),
+                        retry_after: None,
+                    };
+                    self.log_failed_send(&target, &placement, logged);
                     if matches!(failure, Failure::Broken(_)) {
                         self.check_crash(&target, &placement).await;
                     }
@@ -295,7 +310,7 @@
         let body = self.body.next_body()?;
         let dialect = &self.traffic.shared.dialect;
         let left = self.deadline.saturating_duration_since(Instant::now());
-        let left_ms = HeaderValue::from(left.as_millis() as u64);
+        let left_ms = HeaderValue::from(millis(left));
         self.headers.insert(dialect.deadline_ms.clone(), left_ms);
         let id = HeaderValue::from_maybe_shared(target.id.as_bytes().clone()).ok()?;
         self.headers.insert(dialect.target.clone(), id);
--- a/crates/entry/src/traffic/fleet/outcome.rs
+++ b/crates/entry/src/traffic/fleet/outcome.rs
@@ -1,12 +1,14 @@
 //! Updates the state of upstreams with the results of requests.
 
-use crate::traffic::{
-    fleet::Fleet,
-    placement::{
-        Incarnation,
-        Placement, //
+use crate::{
+    clock::millis,
+    traffic::{
+        fleet::Fleet,
+        placement::{
+            Incarnation,
+            Placement, //
+        },
     },
-    request_log::millis,
 };
 use balance::LoadReport;
 use base::Now;
@@ -99,6 +101,19 @@
         changed
     }
 
+    /// Records that an upstream states that it is leaving, and logs it once.
+    pub(in crate::traffic) fn note_leaving(&mut self, incarnation: &Incarnation) {
+        let Some(upstream) = self.upstream(incarnation) else {
+            return;
+        };
+        if !std::mem::replace(&mut upstream.states_leaving, true) {
+            emit(&Event::UpstreamLeaving {
+                upstream: incarnation.id.clone(),
+                service: incarnation.service.clone(),
+            });
+        }
+    }
+
     /// Records that a complete response arrived after `took`.
     pub(in crate::traffic) fn note_response(
         &mut self,
--- a/crates/entry/src/traffic/mod.rs
+++ b/crates/entry/src/traffic/mod.rs
@@ -4,7 +4,7 @@
 //!   and affinity key.
 //! - `dispatch` sends the request to upstreams, with retries; `attempt` makes one send and reports whether the request
 //!   may have run; `response` builds the final response; `stream` forwards a long response body; `request_log` writes
-//!   log lines.
+//!   log lines; `signals` reads what an upstream states about itself.
 //! - `fleet` holds this thread's state of the upstreams, in one `group` per service, and selects the upstream of a
 //!   request; `placement` has the types for this.
 //! - `lookup` serves entry look-ups, readiness checks and metrics.
@@ -21,6 +21,7 @@
 mod request;
 mod request_log;
 mod response;
+mod signals;
 mod stream;
 
 pub(crate) use ports::{
--- a/crates/entry/src/traffic/placement.rs
+++ b/crates/entry/src/traffic/placement.rs
@@ -1,6 +1,6 @@
 //! Input and result of selecting an upstream for a request.
 
-use crate::traffic::request_log::millis;
+use crate::clock::millis;
 use balance::{
     Expectation,
     Upstream, //
--- a/crates/entry/src/traffic/request_log.rs
+++ b/crates/entry/src/traffic/request_log.rs
@@ -5,6 +5,7 @@
 //! lines are dropped sooner. Dropped lines are counted, and the count is logged.
 
 use crate::{
+    clock::millis,
     metric,
     traffic::{
         dispatch::{
@@ -148,8 +149,7 @@
         &self,
         target: &Target,
         placement: &Placement,
-        not_run: bool,
-        why: String,
+        failure: SendFailure,
     ) {
         if !self.traffic.log_limiter.try_take(true, self.traffic.now()) {
             return;
@@ -159,8 +159,9 @@
             fingerprint: Some(hex(self.fingerprint)),
             service: self.service.clone(),
             sent: sent(&target.id, placement),
-            not_run,
-            why,
+            not_run: failure.not_run,
+            why: failure.why,
+            retry_after_ms: failure.retry_after.map(millis),
             after_ms: millis(self.received.elapsed()),
         })));
     }
@@ -231,6 +232,14 @@
     }
 }
 
+/// Why a send yielded no response for the caller.
+pub(super) struct SendFailure {
+    pub(super) not_run: bool,
+    pub(super) why: String,
+    /// Time for which the upstream accepts no further requests from this entry, if stated.
+    pub(super) retry_after: Option<Duration>,
+}
+
 /// Result of a request.
 #[derive(Clone, Copy)]
 pub(super) struct EndSummary<'a> {
@@ -262,7 +271,3 @@
 pub(super) fn text(value: &HeaderValue) -> String {
     value.to_str().unwrap_or("?").to_owned()
 }
-
-pub(super) fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/entry/src/traffic/stream.rs
+++ b/crates/entry/src/traffic/stream.rs
@@ -1,10 +1,10 @@
 //! Streams long response bodies to the caller.
 
-use crate::traffic::{
-    attempt::InFlight,
-    request_log::{
-        millis,
-        text, //
+use crate::{
+    clock::millis,
+    traffic::{
+        attempt::InFlight,
+        request_log::text, //
     },
 };
 use actix_http::header::HeaderValue;
--- a/crates/event/src/event.rs
+++ b/crates/event/src/event.rs
@@ -55,8 +55,18 @@
 
     /// Store calls for a table have started to fail.
     StoreLost { table: String, error: String },
-    /// Store calls for a table succeed again.
-    StoreRegained { table: String, outage_ms: u64 },
+    /// Store calls for a table succeed again, after `failed_calls` calls. The last of them failed after `last_call_ms`,
+    /// `retry_ms` before the call that succeeded.
+    StoreRegained {
+        table: String,
+        outage_ms: u64,
+        #[serde(default)]
+        failed_calls: u32,
+        #[serde(default)]
+        last_call_ms: u64,
+        #[serde(default)]
+        retry_ms: u64,
+    },
     /// A complete table was read.
     TableRead {
         table: String,
@@ -76,7 +86,7 @@
     /// This entry tried to remove the row of another entry that has been lost for a long time.
     LostEntryRow { row: String, outcome: String },
 
-    /// A version of the routes is in force.
+    /// A version of the routes is in force; `from` is `store`, or the entry that sent it.
     RoutesInForce { version: Version, from: String },
     /// An operator started or ended the evacuation of a failure domain.
     Evacuation {
@@ -146,6 +156,11 @@
         service: ServiceId,
         limit_per_s: Option<f64>,
     },
+    /// An upstream stated in a response that it is leaving.
+    UpstreamLeaving {
+        upstream: UpstreamId,
+        service: ServiceId,
+    },
     /// An upstream announced that it is leaving, or its address belongs to another upstream.
     UpstreamClosed {
         upstream: UpstreamId,
--- a/crates/event/src/request.rs
+++ b/crates/event/src/request.rs
@@ -227,6 +227,9 @@
     pub not_run: bool,
     /// Cause of the failure.
     pub why: String,
+    /// Time for which the upstream asked for no further requests, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub retry_after_ms: Option<u64>,
     /// Time since the request head was received, in milliseconds.
     pub after_ms: u64,
 }
--- a/crates/event/tests/lines.rs
+++ b/crates/event/tests/lines.rs
@@ -109,7 +109,13 @@
     stopping: Event::Stopping { under_way: 3 };
     stopped: Event::Stopped { under_way: 0, took_ms: 3_500 };
     store_lost: Event::StoreLost { table: "operator".into(), error: "no answer".into() };
-    store_regained: Event::StoreRegained { table: "operator".into(), outage_ms: 40 };
+    store_regained: Event::StoreRegained {
+        table: "operator".into(),
+        outage_ms: 40,
+        failed_calls: 2,
+        last_call_ms: 10,
+        retry_ms: 20,
+    };
     table_read: Event::TableRead { table: "operator".into(), rows: 2, position: 9 };
     history_gone: Event::HistoryGone { table: "operator".into(), position: 9 };
     row_unreadable: Event::RowUnreadable { row: "routes".into(), findings: vec!["x".into()] };
@@ -180,8 +186,20 @@
         sent: sent(),
         not_run: false,
         why: "it was closed".into(),
+        retry_after_ms: None,
+        after_ms: 30,
+    }));
+    send_rejected: Event::SendFailed(Box::new(SendFailed {
+        id: "4f".into(),
+        fingerprint: Some("0a".into()),
+        service: "menu".into(),
+        sent: sent(),
+        not_run: true,
+        why: "status 503".into(),
+        retry_after_ms: Some(3_000),
         after_ms: 30,
     }));
+    upstream_leaving: Event::UpstreamLeaving { upstream: "u-1".into(), service: "menu".into() };
     upstream_limit: Event::UpstreamLimit {
         upstream: "u-1".into(),
         service: "menu".into(),
--- a/crates/explain/src/text.rs
+++ b/crates/explain/src/text.rs
@@ -22,9 +22,16 @@
         }
         Event::Started { .. } => "started".to_owned(),
         Event::StoreLost { table, error } => format!("store lost, table {table}: {error}"),
-        Event::StoreRegained { table, outage_ms } => {
-            format!("store regained, table {table}, after {outage_ms} ms")
-        }
+        Event::StoreRegained {
+            table,
+            outage_ms,
+            failed_calls,
+            last_call_ms,
+            retry_ms,
+        } => format!(
+            "store regained, table {table}, after {outage_ms} ms and {failed_calls} failed calls, the last one after \
+             {last_call_ms} ms and {retry_ms} ms before"
+        ),
         Event::Evacuation {
             failure_domain,
             on: true,
@@ -56,6 +63,7 @@
             format!("lease of cold {upstreams} claimed: {outcome}")
         }
         Event::UpstreamBack { upstream, .. } => format!("{upstream} answers again"),
+        Event::UpstreamLeaving { upstream, .. } => format!("{upstream} answers that it leaves"),
         Event::UpstreamClosed { upstream, why, .. } => format!("{upstream} closed: {why}"),
         Event::RetriesSpent { service } => format!("budget of further sends to {service} spent"),
         Event::RoutesInForce { version, from } => format!("routes {version} in force, from {from}"),
@@ -108,8 +116,11 @@
         "may have run"
     };
     let sent = describe_target(&failed.sent);
+    let pause = failed.retry_after_ms.map_or_else(String::new, |ms| {
+        format!(", it asks for a pause of {ms} ms")
+    });
     format!(
-        "send failed after {} ms, {execution}: {}; {sent}",
+        "send failed after {} ms, {execution}: {}{pause}; {sent}",
         failed.after_ms, failed.why
     )
 }
--- a/crates/explain/tests/causes.rs
+++ b/crates/explain/tests/causes.rs
@@ -87,6 +87,7 @@
         sent: send_target(),
         not_run,
         why: why.to_owned(),
+        retry_after_ms: None,
         after_ms: 60,
     }))
 }
