--- a/crates/entry/tests/support/store.rs
+++ b/crates/entry/tests/support/store.rs
@@ -1,5 +1,6 @@
 //! An in-memory store that can be made to refuse calls.
 
+use crate::support::eventually;
 use bytes::Bytes;
 use bytestring::ByteString;
 use entry::{
@@ -46,6 +47,8 @@
 
 /// Bits of a version that are counted anew after the store was restored.
 const VERSION_BITS: u32 = 44;
+/// Time after which a call without an answer ends, in addition to the wait that it asks for.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Interval at which a waiting call checks for changes.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -75,6 +78,10 @@
     state: Arc<Mutex<State>>,
     /// Whether all calls of this handle are refused.
     pub(crate) down: Arc<AtomicBool>,
+    /// Whether calls of this handle get no answer. One that begins in this time gets none afterwards either.
+    silent: Arc<AtomicBool>,
+    /// Start of the last call for changes of each table by this handle.
+    called_at: Arc<Mutex<BTreeMap<String, Instant>>>,
     /// Whether scans are refused, for all handles.
     pub(crate) scans_refused: Arc<AtomicBool>,
     /// Entries whose rows are returned by scans of this handle; all if empty.
@@ -95,6 +102,8 @@
         Self {
             state: self.state.clone(),
             down: Arc::default(),
+            silent: Arc::default(),
+            called_at: Arc::default(),
             scans_refused: self.scans_refused.clone(),
             visible_entries: Arc::default(),
             scans: Arc::default(),
@@ -108,6 +117,24 @@
         self.down.store(down, Ordering::Relaxed);
     }
 
+    /// Lets calls of this handle go unanswered, or answers the next ones again.
+    pub(crate) fn set_silent(&self, silent: bool) {
+        self.silent.store(silent, Ordering::Relaxed);
+    }
+
+    /// Waits until a call of this handle for changes of a table begins.
+    pub(crate) fn wait_for_call(&self, table: &str) {
+        let called_at = || {
+            let called_at = self.called_at.lock();
+            let called_at = called_at.expect("no test panics while it holds the lock");
+            called_at.get(table).copied()
+        };
+        let before = called_at();
+        eventually("a call of the store", || {
+            (called_at() != before).then_some(())
+        });
+    }
+
     /// Restricts scans of this handle to the rows of these entries; all if empty.
     pub(crate) fn show_only(&self, entries: &[&'static str]) {
         *self
@@ -216,6 +243,19 @@
             .expect("no test panics while it holds the lock")
     }
 
+    /// Answers a call that waits up to `wait` for changes, unless the store falls silent before the answer.
+    async fn answer<T>(&self, wait: Duration, mut poll: impl FnMut() -> Option<T>) -> Option<T> {
+        let deadline = Instant::now() + wait + CALL_TIMEOUT;
+        while !self.silent.load(Ordering::Relaxed) {
+            if let Some(answer) = poll() {
+                return Some(answer);
+            }
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+        tokio::time::sleep_until(deadline.into()).await;
+        None
+    }
+
     fn check_available(&self) -> Result<(), FailureReason> {
         if self.down.load(Ordering::Relaxed) {
             return Err(FailureReason::Refused);
@@ -247,8 +287,12 @@
 impl Feed for MemoryStore {
     async fn read_all(&self, table: &str) -> Result<Rows, ReadError> {
         self.check_available().map_err(ReadError)?;
-        self.table_reads.fetch_add(1, Ordering::Relaxed);
-        Ok(self.rows_after(table, 0, false))
+        let answer = || {
+            self.table_reads.fetch_add(1, Ordering::Relaxed);
+            Some(self.rows_after(table, 0, false))
+        };
+        let answered = self.answer(Duration::ZERO, answer).await;
+        answered.ok_or(ReadError(FailureReason::Timeout))
     }
 
     async fn changes(
@@ -259,22 +303,27 @@
     ) -> Result<Changes, ReadError> {
         let started = Instant::now();
         self.change_calls.fetch_add(1, Ordering::Relaxed);
-        loop {
-            self.check_available().map_err(ReadError)?;
+        self.called_at
+            .lock()
+            .expect("no test panics while it holds the lock")
+            .insert(table.to_owned(), started);
+        let answer = || {
+            if let Err(reason) = self.check_available() {
+                return Some(Err(ReadError(reason)));
+            }
             if position >> VERSION_BITS != self.lock().era.unwrap_or_default() {
-                return Ok(Changes::Restored);
+                return Some(Ok(Changes::Restored));
             }
             if position < self.lock().compacted_version {
-                return Ok(Changes::HistoryGone);
+                return Some(Ok(Changes::HistoryGone));
             }
             let rows = self.rows_after(table, position, true);
             let batches = usize::from(!rows.rows.is_empty());
             self.change_batches.fetch_add(batches, Ordering::Relaxed);
-            if batches > 0 || started.elapsed() >= wait {
-                return Ok(Changes::Rows(rows));
-            }
-            tokio::time::sleep(POLL_INTERVAL).await;
-        }
+            (batches > 0 || started.elapsed() >= wait).then_some(Ok(Changes::Rows(rows)))
+        };
+        let answered = self.answer(wait, answer).await;
+        answered.unwrap_or(Err(ReadError(FailureReason::Timeout)))
     }
 }
 
