Close an upstream whose responses state that it leaves

Callers' requests reached an upstream 2.5 s and more after an entry had passed on a response of it with Server-Leaving.

The entry that receives such a response closes the incarnation at once, also for requests that wait for a connection, and tells the others: a departure has no version, is merged by name and start, survives rows, whole and restored tables, and is sent to each new session, so that an entry that starts meanwhile knows it. A later incarnation is another one. A name without a start can't be told from its next incarnation, so its departure ends with the listing.

--- a/crates/balance/src/upstream.rs
+++ b/crates/balance/src/upstream.rs
@@ -54,7 +54,7 @@
     /// Whether its address has shown that it has ended, even if it is still listed. This is permanent, since an
     /// incarnation does not return.
     pub gone: bool,
-    /// Whether it has stated in a response that it is leaving.
+    /// Whether it has stated in a response to this entry that it is leaving. This is permanent.
     pub states_leaving: bool,
     /// End of the time for which it is cold.
     pub cold_until: Now,
@@ -136,7 +136,7 @@
 
     /// Returns whether it gets no new requests.
     pub fn is_closed(&self) -> bool {
-        self.closed || self.gone
+        self.closed || self.gone || self.states_leaving
     }
 
     /// Returns the age of its last report, or `None` before the first.
--- a/crates/entry/src/channels.rs
+++ b/crates/entry/src/channels.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     crashes::Crashes,
+    departures::SharedDepartures,
     limits::SharedLimits,
     loads::Loads,
     quotas::SharedQuotas, //
@@ -13,6 +14,7 @@
 pub(crate) struct Channels {
     pub(crate) loads: Arc<Loads>,
     pub(crate) crashes: Arc<Crashes>,
+    pub(crate) departures: Arc<SharedDepartures>,
     pub(crate) limits: Arc<SharedLimits>,
     pub(crate) quotas: Arc<SharedQuotas>,
 }
--- a/crates/entry/src/control/messages.rs
+++ b/crates/entry/src/control/messages.rs
@@ -186,6 +186,7 @@
             Message::FleetDemands(report) => self.on_fleet_demands(from, &report, now),
             Message::ColdHeld(upstreams) => self.on_cold_held(from, upstreams, now),
             Message::Crashes(reports) => self.on_crashes(from, &reports),
+            Message::Departures(departures) => self.on_departures(from, departures),
             Message::Limits(reports) => self.on_limits(from, reports),
             Message::Warmed(keys) => self.on_warmed(from, keys),
             Message::WantWarmed => self.on_want_warmed(from),
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -8,6 +8,7 @@
 //! - `registry` registers this entry and reads the rows of the others, and `sessions` keeps sessions to them.
 //! - `hubs` exchanges rosters and forwards the store's rows to a hub's leaves.
 //! - `cold` holds leases of upstreams that are cold or state a limit.
+//! - `departures` exchanges which upstreams have stated that they are leaving.
 //! - `limits` exchanges the limits that upstreams state.
 //! - `crashes` exchanges reports of requests that crashed upstreams.
 //! - `crash_rows` stores quarantined requests, so that they survive a restart of all entries.
@@ -19,6 +20,7 @@
 mod cold;
 mod crash_rows;
 mod crashes;
+mod departures;
 mod feeds;
 mod hubs;
 mod limits;
@@ -281,6 +283,8 @@
         let control = self.clone();
         actix_rt::spawn(async move { control.write_crash_rows().await });
         let control = self.clone();
+        actix_rt::spawn(async move { control.exchange_departures().await });
+        let control = self.clone();
         actix_rt::spawn(async move { control.exchange_limits().await });
         let control = self.clone();
         actix_rt::spawn(async move { control.hold_cold_leases().await });
--- a/crates/entry/src/control/sessions.rs
+++ b/crates/entry/src/control/sessions.rs
@@ -203,6 +203,7 @@
                     self.send_state(&info.instance);
                     self.send_positions(&info.instance);
                     self.send_all_crashes(&info.instance);
+                    self.send_all_departures(&info.instance);
                     self.send_all_limits(&info.instance);
                     self.request_warm_keys(&info.instance);
                 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -17,6 +17,7 @@
 mod clock;
 mod control;
 mod crashes;
+mod departures;
 mod dialect;
 mod limits;
 mod loads;
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -19,6 +19,7 @@
     Roster, //
 };
 use picture::{
+    Departure,
     Evacuation,
     UpstreamUpdate, //
     ViewVersions,
@@ -75,6 +76,8 @@
     WantWarmed,
     /// Reports of upstreams that crashed while they ran a request.
     Crashes(Vec<Report>),
+    /// Upstreams that have stated in a response that they are leaving.
+    Departures(Vec<Departure>),
     /// Reports of rate limits that upstreams stated.
     Limits(Vec<limit::Report>),
     /// A leaf's requests in flight by upstream, for its hub. Upstreams without requests are omitted.
@@ -111,6 +114,7 @@
             Self::Warmed(_) => "warmed",
             Self::WantWarmed => "want-warmed",
             Self::Crashes(_) => "crashes",
+            Self::Departures(_) => "departures",
             Self::Limits(_) => "limits",
             Self::Loads(_) => "loads",
             Self::DomainLoads(_) => "domain-loads",
--- a/crates/entry/src/traffic/attempt.rs
+++ b/crates/entry/src/traffic/attempt.rs
@@ -25,6 +25,7 @@
     emit,
     Event, //
 };
+use picture::Departure;
 use quarantine::Fingerprint;
 use relay::{
     BodyReader,
@@ -290,8 +291,11 @@
     if status == StatusCode::MISDIRECTED_REQUEST {
         return;
     }
-    if signals.is_leaving {
-        fleet.note_leaving(incarnation);
+    if signals.is_leaving && fleet.note_leaving(incarnation) {
+        traffic.shared.channels.departures.push(Departure {
+            upstream: incarnation.id.clone(),
+            started_ms: incarnation.started_ms,
+        });
     }
     let limit_changed = fleet.note_limit(incarnation, signals.limit_per_s);
     drop(fleet);
--- a/crates/entry/src/traffic/fleet/outcome.rs
+++ b/crates/entry/src/traffic/fleet/outcome.rs
@@ -101,17 +101,10 @@
         changed
     }
 
-    /// Records that an upstream states that it is leaving, and logs it once.
-    pub(in crate::traffic) fn note_leaving(&mut self, incarnation: &Incarnation) {
-        let Some(upstream) = self.upstream(incarnation) else {
-            return;
-        };
-        if !std::mem::replace(&mut upstream.states_leaving, true) {
-            emit(&Event::UpstreamLeaving {
-                upstream: incarnation.id.clone(),
-                service: incarnation.service.clone(),
-            });
-        }
+    /// Records that an upstream states that it is leaving. Returns whether it did so for the first time.
+    pub(in crate::traffic) fn note_leaving(&mut self, incarnation: &Incarnation) -> bool {
+        let upstream = self.upstream(incarnation);
+        upstream.is_some_and(|upstream| !std::mem::replace(&mut upstream.states_leaving, true))
     }
 
     /// Records that a complete response arrived after `took`.
--- a/crates/event/src/event.rs
+++ b/crates/event/src/event.rs
@@ -156,11 +156,9 @@
         service: ServiceId,
         limit_per_s: Option<f64>,
     },
-    /// An upstream stated in a response that it is leaving.
-    UpstreamLeaving {
-        upstream: UpstreamId,
-        service: ServiceId,
-    },
+    /// An upstream stated in a response that it is leaving; `from` is `response` if this entry received it, or the entry
+    /// that reported it.
+    UpstreamLeaving { upstream: UpstreamId, from: String },
     /// An upstream announced that it is leaving, or its address belongs to another upstream.
     UpstreamClosed {
         upstream: UpstreamId,
--- a/crates/event/tests/lines.rs
+++ b/crates/event/tests/lines.rs
@@ -199,7 +199,7 @@
         retry_after_ms: Some(3_000),
         after_ms: 30,
     }));
-    upstream_leaving: Event::UpstreamLeaving { upstream: "u-1".into(), service: "menu".into() };
+    upstream_leaving: Event::UpstreamLeaving { upstream: "u-1".into(), from: "dar-1".into() };
     upstream_limit: Event::UpstreamLimit {
         upstream: "u-1".into(),
         service: "menu".into(),
--- a/crates/explain/src/text.rs
+++ b/crates/explain/src/text.rs
@@ -63,7 +63,9 @@
             format!("lease of cold {upstreams} claimed: {outcome}")
         }
         Event::UpstreamBack { upstream, .. } => format!("{upstream} answers again"),
-        Event::UpstreamLeaving { upstream, .. } => format!("{upstream} answers that it leaves"),
+        Event::UpstreamLeaving { upstream, from } => {
+            format!("{upstream} answers that it leaves, known from {from}")
+        },
         Event::UpstreamClosed { upstream, why, .. } => format!("{upstream} closed: {why}"),
         Event::RetriesSpent { service } => format!("budget of further sends to {service} spent"),
         Event::RoutesInForce { version, from } => format!("routes {version} in force, from {from}"),
--- a/crates/picture/src/update.rs
+++ b/crates/picture/src/update.rs
@@ -67,6 +67,15 @@
     pub from_table: bool,
 }
 
+/// Incarnation of an upstream that has stated in a response that it is leaving.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Departure {
+    /// Name of the upstream.
+    pub upstream: UpstreamId,
+    /// Start of the incarnation, in Unix milliseconds.
+    pub started_ms: u64,
+}
+
 /// Newest version of each kind of row in a view.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ViewVersions {
--- a/crates/picture/src/view.rs
+++ b/crates/picture/src/view.rs
@@ -4,11 +4,15 @@
 //! still read it. Each update carries the version of the row that it is based on. Older updates change
 //! nothing, so the order of arrival doesn't matter.
 
-use crate::update::{
-    Evacuation,
-    ListedUpstream,
-    UpstreamUpdate, //
-    ViewVersions,
+use crate::{
+    departures::Departures,
+    update::{
+        Departure,
+        Evacuation,
+        ListedUpstream,
+        UpstreamUpdate, //
+        ViewVersions,
+    },
 };
 use base::{
     DomainId,
@@ -88,6 +92,7 @@
     routes: Option<Arc<Routes>>,
     evacuations: BTreeMap<DomainId, Evacuation>,
     upstreams: BTreeMap<UpstreamId, KnownUpstream>,
+    departures: Departures,
     /// Versions of rows that a restored store lists of upstreams that were seen to be gone. If the next whole table
     /// still has them, their owners run.
     unconfirmed_listings: BTreeMap<UpstreamId, u64>,
@@ -250,6 +255,23 @@
         Applied::Changed
     }
 
+    /// Applies the departure of an upstream, which closes its incarnation for good.
+    pub fn apply_departure(&mut self, departure: &Departure, now: Now) -> Applied {
+        let known = self.upstreams.get(&departure.upstream);
+        let is_known = known.is_some_and(|known| {
+            known.listed.leaving && known.listed.started_ms >= departure.started_ms
+        });
+        if is_known || !self.departures.note(departure, now) {
+            return Applied::Unchanged;
+        }
+        Applied::Changed
+    }
+
+    /// Returns the departures that were recorded here at most `age_max` ago.
+    pub fn departures(&self, age_max: Duration, now: Now) -> Vec<Departure> {
+        self.departures.recent(age_max, now)
+    }
+
     /// Applies the evacuations that another entry knows.
     ///
     /// An evacuation that is unknown here and older than what was read from the store has ended: its row
@@ -371,16 +393,21 @@
     /// Drops upstreams and versions of removed rows whose retention is over.
     pub fn sweep(&mut self, now: Now) {
         let removed = &mut self.removed;
+        let departures = &mut self.departures;
         self.upstreams.retain(|id, known| {
             let gone = known
                 .closes_at
                 .is_some_and(|at| now > at + Duration::from_secs(10));
             if gone {
                 removed.insert(id.clone(), (known.version, now));
+                departures.forget_unstarted(id);
             }
             !gone
         });
         removed.retain(|_, (_, at)| now.saturating_sub(*at) < REMOVED_RETENTION);
+        let upstreams = &self.upstreams;
+        let is_listed = |id: &UpstreamId| upstreams.contains_key(id);
+        self.departures.sweep(REMOVED_RETENTION, is_listed, now);
     }
 
     /// Next time at which an upstream closes without an update.
@@ -397,6 +424,7 @@
     /// Whether an upstream gets no new work.
     fn is_closed(&self, known: &KnownUpstream, now: Now) -> bool {
         known.listed.leaving
+            || self.departures.contains(&known.listed)
             || known.closes_at.is_some_and(|at| now >= at)
             || self.is_evacuated(&known.listed.failure_domain)
     }
--- a/crates/picture/tests/view.rs
+++ b/crates/picture/tests/view.rs
@@ -3,6 +3,7 @@
 use base::Now;
 use picture::{
     Applied,
+    Departure,
     Guards,
     ListedUpstream,
     RoutingView, //
@@ -376,3 +377,106 @@
     view.apply_upstream(&upstream, 1, s(1));
     assert_eq!(state(&view, "u", s(1)), "open");
 }
+
+fn departure(started_ms: u64) -> Departure {
+    Departure {
+        upstream: "u".into(),
+        started_ms,
+    }
+}
+
+/// Step of a view in [`departures`].
+enum Step {
+    Departure(u64),
+    Row(u64, ListedUpstream),
+    Removal(u64),
+    RestoredTable(u64, ListedUpstream),
+    Sweep(u64),
+}
+
+/// Guards against work for an upstream that said itself that it leaves, and against a later incarnation left unused.
+macro_rules! departures {
+    ($($name:ident: $steps:expr => $state:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            use Step::{Departure, Removal, RestoredTable, Row, Sweep};
+            let mut view = RoutingView::default();
+            let mut now = s(1);
+            for step in $steps {
+                match step {
+                    Departure(started_ms) => {
+                        view.apply_departure(&departure(started_ms), now);
+                    }
+                    Row(version, row) => {
+                        view.apply_upstream(&row, version, now);
+                    }
+                    Removal(version) => {
+                        view.apply_removal(&"u".into(), version, false, now);
+                    }
+                    RestoredTable(version, row) => view.apply_restored_upstreams(&[(version, row)], now),
+                    Sweep(after_s) => {
+                        now += s(after_s);
+                        view.sweep(now);
+                    }
+                }
+            }
+            assert_eq!(state(&view, "u", now), $state);
+        }
+    )*};
+}
+
+departures! {
+    departed_upstream_is_closed: [Row(1, incarnation(10, false)), Departure(10)] => "closed";
+    departure_known_before_its_row: [Departure(10), Row(1, incarnation(10, false))] => "closed";
+    departed_upstream_with_a_later_row: [
+        Row(1, incarnation(10, false)), Departure(10), Row(2, incarnation(10, false))
+    ] => "closed";
+    departed_upstream_in_a_restored_table: [
+        Row(3, incarnation(10, false)), Departure(10), RestoredTable(4, incarnation(10, false))
+    ] => "closed";
+    departed_upstream_that_is_listed_for_long: [
+        Row(1, incarnation(10, false)), Departure(10), Sweep(300)
+    ] => "closed";
+    departed_upstream_whose_row_comes_back: [
+        Row(1, incarnation(10, false)), Departure(10), Removal(2), Sweep(11), Row(3, incarnation(10, false))
+    ] => "closed";
+    incarnation_after_a_departed_one: [
+        Row(1, incarnation(10, false)), Departure(10), Row(2, incarnation(20, false))
+    ] => "open";
+    departure_of_an_earlier_incarnation: [
+        Row(1, incarnation(20, false)), Departure(10)
+    ] => "open";
+    earlier_departure_after_a_later_one: [
+        Row(1, incarnation(20, false)), Departure(20), Departure(10)
+    ] => "closed";
+    name_without_a_start_used_again: [
+        Row(1, incarnation(0, false)), Departure(0), Removal(2), Sweep(11), Row(3, incarnation(0, false))
+    ] => "open";
+}
+
+/// Guards against departures that are sent to and fro between entries for ever, and kept for ever.
+#[test]
+fn departure_is_new_once_and_dropped_with_its_upstream() {
+    let mut view = RoutingView::default();
+    assert_eq!(view.apply_departure(&departure(10), s(1)), Applied::Changed);
+    assert_eq!(
+        view.apply_departure(&departure(10), s(2)),
+        Applied::Unchanged
+    );
+    assert_eq!(view.departures(s(5), s(2)), [departure(10)]);
+    assert_eq!(view.departures(s(5), s(7)), []);
+    assert_eq!(view.departures(Duration::MAX, s(7)), [departure(10)]);
+    view.sweep(s(62));
+    assert_eq!(view.departures(Duration::MAX, s(62)), []);
+}
+
+/// Guards against messages about upstreams whose rows already say that they leave.
+#[test]
+fn departure_of_a_listed_leaving_upstream_is_known() {
+    let mut view = RoutingView::default();
+    view.apply_upstream(&incarnation(10, true), 1, s(1));
+    assert_eq!(
+        view.apply_departure(&departure(10), s(1)),
+        Applied::Unchanged
+    );
+}
