Honour Retry-After of upstreams that reject requests

An upstream that answered 503 with Retry-After: 3 got three and four further requests from the same entry in that time. Retry-After was not read: a rejection counted as one failure of eight, so that an upstream was ejected after the third, for 400 ms at first, and the fallback for the case that most upstreams are ejected passed the ejection by.

It is this entry's alone, since the upstream says so of the sender. A caller whose request finds all upstreams paused is told the end of the first pause. Logs and explain count paused upstreams apart from failing ones.

--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -199,8 +199,9 @@
         .map(|candidate| estimate(upstreams, candidate, &region_loads, query, here, now))
         .collect();
     let Some(best) = best(&estimates, query) else {
+        let pause_left = pause_left(upstreams, query.home_regions, now);
         return Choice::NoUpstream {
-            retry_after: RETRY_AFTER_NO_UPSTREAM,
+            retry_after: pause_left.max(RETRY_AFTER_NO_UPSTREAM),
         };
     };
     let is_in_deadline = best.expectation.response_time <= query.deadline_left.mul_f64(TIME_USED);
@@ -222,6 +223,21 @@
     }
 }
 
+/// Returns the time until the first upstream of these regions ends its pause; zero if one of them is not paused.
+pub fn pause_left(upstreams: &[Upstream], home_regions: [&[RegionId]; 2], now: Now) -> Duration {
+    let usable = upstreams
+        .iter()
+        .filter(|upstream| !upstream.is_closed() && is_home(upstream, home_regions));
+    let ends = usable.map(|upstream| upstream.paused_until.saturating_sub(now));
+    ends.min().unwrap_or_default()
+}
+
+/// Returns whether an upstream's region may serve requests with these home regions.
+fn is_home(upstream: &Upstream, home_regions: [&[RegionId]; 2]) -> bool {
+    let allows = |homes: &[RegionId]| homes.is_empty() || homes.contains(&upstream.region);
+    home_regions.into_iter().all(allows)
+}
+
 /// Sorts the candidates by their score for the key, and sets their ranks.
 fn rank_candidates(candidates: &mut [Candidate], upstreams: &[Upstream]) {
     candidates.sort_unstable_by_key(|candidate| Reverse(candidate.score));
@@ -248,7 +264,7 @@
 /// Returns the fraction of busy slots among each region's open upstreams.
 fn region_loads(upstreams: &[Upstream], now: Now) -> FastMap<&RegionId, f64> {
     let mut sums: FastMap<&RegionId, (f64, f64)> = FastMap::default();
-    for upstream in upstreams.iter().filter(|upstream| !upstream.is_closed()) {
+    for upstream in upstreams.iter().filter(|upstream| upstream.is_open(now)) {
         let (load, slots) = sums.entry(&upstream.region).or_default();
         let own_slots = f64::from(upstream.slots);
         *load += upstream.load(now).min(own_slots);
@@ -374,9 +390,8 @@
     let mut failing = Vec::new();
     for (index, upstream) in upstreams.iter_mut().enumerate() {
         let is_local = upstream.region == here.region;
-        let allows = |homes: &&[RegionId]| homes.is_empty() || homes.contains(&upstream.region);
-        let is_home = query.home_regions.iter().all(allows);
-        if upstream.is_closed() || !is_home || query.tried.contains(&index) {
+        let is_home = is_home(upstream, query.home_regions);
+        if !upstream.is_open(now) || !is_home || query.tried.contains(&index) {
             continue;
         }
         if !upstream.accepts(query.cold_per_s, now) {
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -30,6 +30,7 @@
 
 pub use choose::{
     choose,
+    pause_left,
     Choice,
     Expectation,
     Location,
--- a/crates/balance/src/upstream.rs
+++ b/crates/balance/src/upstream.rs
@@ -56,6 +56,8 @@
     pub gone: bool,
     /// Whether it has stated in a response to this entry that it is leaving. This is permanent.
     pub states_leaving: bool,
+    /// End of the pause that it last asked this entry for.
+    pub paused_until: Now,
     /// End of the time for which it is cold.
     pub cold_until: Now,
     /// End of this entry's lease, during which it alone may send while the upstream is cold or states a limit; `None`
@@ -94,6 +96,7 @@
             closed: false,
             gone: false,
             states_leaving: false,
+            paused_until: Now::ZERO,
             cold_until: Now::ZERO,
             lease_until: None,
             cold_start_limiter: ColdStartLimiter::default(),
@@ -139,6 +142,21 @@
         self.closed || self.gone || self.states_leaving
     }
 
+    /// Records that it accepts no requests from this entry for `pause`. A shorter pause doesn't end an earlier one.
+    pub fn note_pause(&mut self, pause: Duration, now: Now) {
+        self.paused_until = self.paused_until.max(now.saturating_add(pause));
+    }
+
+    /// Returns whether it accepts no requests from this entry because it asked for a pause.
+    pub fn is_paused(&self, now: Now) -> bool {
+        now < self.paused_until
+    }
+
+    /// Returns whether this entry may send it requests, apart from what limits their rate.
+    pub fn is_open(&self, now: Now) -> bool {
+        !self.is_closed() && !self.is_paused(now)
+    }
+
     /// Returns the age of its last report, or `None` before the first.
     pub fn report_age(&self, now: Now) -> Option<Duration> {
         (self.reported_at > Now::ZERO).then(|| now.saturating_sub(self.reported_at))
--- a/crates/balance/src/upstream_counts.rs
+++ b/crates/balance/src/upstream_counts.rs
@@ -18,6 +18,9 @@
     pub cold: u32,
     /// Ejected because of recent failures.
     pub failing: u32,
+    /// Accept no requests from this entry for a time that they stated.
+    #[serde(default)]
+    pub paused: u32,
 }
 
 impl UpstreamCounts {
@@ -27,6 +30,8 @@
         for upstream in upstreams {
             let count = if upstream.is_closed() {
                 &mut counts.closed
+            } else if upstream.is_paused(now) {
+                &mut counts.paused
             } else if upstream.is_cold(now) {
                 &mut counts.cold
             } else if upstream.health.is_ejected(now) {
--- a/crates/balance/tests/choose.rs
+++ b/crates/balance/tests/choose.rs
@@ -353,6 +353,12 @@
             upstream.note_sent(NOW);
         }
     };
+    paused: |upstream| upstream.note_pause(ms(1), NOW);
+    paused_for_less_than_before: |upstream| {
+        upstream.note_pause(ms(3000), Duration::from_secs(98));
+        upstream.note_pause(ms(100), Duration::from_secs(99));
+    };
+    paused_without_end: |upstream| upstream.note_pause(Duration::MAX, NOW);
     unreachable: |upstream| {
         upstream.health.note_failure(true, NOW);
     };
@@ -362,6 +368,38 @@
     };
 }
 
+/// Guards against an upstream that is left unused after the pause it asked for.
+#[test]
+fn paused_upstream_is_used_again() {
+    let mut all = vec![upstream("a", "home")];
+    all[0].note_pause(ms(3000), NOW);
+    let choice = choose(&mut all, &query(7), &here(), NOW + ms(3000));
+    assert_eq!(sent_to(choice), 0);
+}
+
+/// Guards against callers who are told to come back while all upstreams still want no requests.
+macro_rules! told_when_a_pause_ends {
+    ($($name:ident: $pauses_ms:expr => $retry_after_ms:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let pauses_ms: &[u64] = &$pauses_ms;
+            let mut all = vec![upstream("a", "home"), upstream("b", "home")];
+            for (upstream, pause_ms) in all.iter_mut().zip(pauses_ms) {
+                upstream.note_pause(ms(*pause_ms), NOW);
+            }
+            let query = Query { tried: &[0, 1], ..query(7) };
+            let choice = choose(&mut all, &query, &here(), NOW);
+            assert_eq!(choice, Choice::NoUpstream { retry_after: ms($retry_after_ms) });
+        }
+    )*};
+}
+
+told_when_a_pause_ends! {
+    told_when_the_first_of_two_pauses_ends: [5000, 3000] => 3000;
+    told_the_usual_time_if_one_is_not_paused: [5000] => 300;
+    told_the_usual_time_if_a_pause_ends_sooner: [5000, 200] => 300;
+}
+
 /// An upstream that has become slow is avoided.
 #[test]
 fn slow_upstream_is_avoided() {
--- a/crates/entry/src/traffic/attempt.rs
+++ b/crates/entry/src/traffic/attempt.rs
@@ -297,6 +297,9 @@
             started_ms: incarnation.started_ms,
         });
     }
+    if let Some(pause) = signals.retry_after {
+        fleet.note_pause(incarnation, pause, now);
+    }
     let limit_changed = fleet.note_limit(incarnation, signals.limit_per_s);
     drop(fleet);
     if limit_changed {
--- a/crates/entry/src/traffic/dispatch.rs
+++ b/crates/entry/src/traffic/dispatch.rs
@@ -40,6 +40,7 @@
     Method, //
 };
 use base::{
+    RegionId,
     ServiceId,
     UpstreamId, //
 };
@@ -72,7 +73,7 @@
 };
 use tokio::time::timeout_at;
 
-/// `Retry-After` for a request that failed without having run.
+/// Minimum `Retry-After` for a request that failed without having run.
 const FAILURE_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Minimum time before the deadline for another send: one round trip and the shortest service time.
 const RESEND_TIME_MIN: Duration = Duration::from_millis(40);
@@ -167,7 +168,7 @@
             self.last_placed.replace(Some(placed));
             progress.placement = Some(placement.clone());
             let Some(upstream_request) = self.build_request(&target) else {
-                return self.give_up(progress, &rejection_after_send(Reason::BodySpent));
+                return self.give_up(progress, &self.rejection_after_send(Reason::BodySpent));
             };
             let outcome = attempt::send(&self.traffic, in_flight, upstream_request).await;
             metrics::counter!(metric::SENDS, "outcome" => outcome_label(&outcome)).increment(1);
@@ -244,7 +245,10 @@
             return NextStep::Retry;
         }
         let progress = std::mem::take(progress);
-        NextStep::Done(self.give_up(progress, &rejection_after_send(Reason::UpstreamRefused)))
+        NextStep::Done(self.give_up(
+            progress,
+            &self.rejection_after_send(Reason::UpstreamRefused),
+        ))
     }
 
     /// Retries after a send without a response, if possible.
@@ -263,7 +267,7 @@
             return NextStep::Retry;
         }
         let progress = std::mem::take(progress);
-        NextStep::Done(self.give_up(progress, &rejection_after_send(Reason::SendFailed)))
+        NextStep::Done(self.give_up(progress, &self.rejection_after_send(Reason::SendFailed)))
     }
 
     fn place(&self, tried: &[UpstreamId]) -> PlacementDecision {
@@ -273,7 +277,7 @@
         let request = PlacementRequest {
             service: &self.service,
             route: &self.route,
-            organisation_homes: self.organisation.as_ref().map_or(&[], |one| &one.homes),
+            organisation_homes: self.organisation_homes(),
             key: self.key,
             has_affinity_key: self.has_affinity_key,
             target_left: target_at.saturating_duration_since(now),
@@ -292,6 +296,19 @@
         }
     }
 
+    /// Returns the rejection of a request that can't be sent again.
+    fn rejection_after_send(&self, reason: Reason) -> Rejection {
+        let fleet = self.traffic.fleet.borrow();
+        let homes = [&self.route.homes[..], self.organisation_homes()];
+        let pause_left = fleet.pause_left(&self.service, homes, self.traffic.now());
+        Rejection::new(reason, pause_left.max(FAILURE_RETRY_AFTER))
+    }
+
+    /// Returns the regions that may serve the requests of its organisation; empty means all.
+    fn organisation_homes(&self) -> &[RegionId] {
+        self.organisation.as_ref().map_or(&[], |one| &one.homes)
+    }
+
     fn has_time_left(&self) -> bool {
         self.deadline.saturating_duration_since(Instant::now()) > RESEND_TIME_MIN
     }
@@ -339,11 +356,6 @@
     }
 }
 
-/// Rejection of a request that can't be sent again.
-fn rejection_after_send(reason: Reason) -> Rejection {
-    Rejection::new(reason, FAILURE_RETRY_AFTER)
-}
-
 /// Returns the metric label of an outcome.
 fn outcome_label(outcome: &SendOutcome) -> &'static str {
     match outcome {
--- a/crates/entry/src/traffic/fleet.rs
+++ b/crates/entry/src/traffic/fleet.rs
@@ -33,6 +33,7 @@
     affinity_hash,
     choose,
     entry_share,
+    pause_left,
     Choice,
     Query,
     ShiftLimiter,
@@ -323,6 +324,20 @@
         }
     }
 
+    /// Returns the time until the first upstream of a service in these regions ends its pause; zero if one of them is
+    /// not paused.
+    pub(super) fn pause_left(
+        &self,
+        service: &ServiceId,
+        home_regions: [&[RegionId]; 2],
+        now: Now,
+    ) -> Duration {
+        let group = self.groups.get(service);
+        group.map_or(Duration::ZERO, |group| {
+            pause_left(&group.upstreams, home_regions, now)
+        })
+    }
+
     /// Returns the regions of the service's upstreams that may get no more requests for now, by the limit on shifts
     /// between regions.
     fn shift_limited_regions(&mut self, service: &ServiceId, now: Now) -> Vec<RegionId> {
--- a/crates/entry/src/traffic/fleet/outcome.rs
+++ b/crates/entry/src/traffic/fleet/outcome.rs
@@ -26,8 +26,8 @@
     /// Returns whether a request may still be sent to its chosen upstream, now that a connection is open. If so, it is
     /// counted as sent. `is_waiting` states whether it counts as waiting there.
     ///
-    /// Without this check, the request could go to an upstream that has meanwhile announced that it is leaving, or that
-    /// has restarted under the same name and is cold.
+    /// Without this check, the request could go to an upstream that has meanwhile announced that it is leaving or asked
+    /// for a pause, or that has restarted under the same name and is cold.
     pub(in crate::traffic) fn may_send(
         &mut self,
         incarnation: &Incarnation,
@@ -41,7 +41,7 @@
         if is_waiting {
             upstream.note_wait_ended();
         }
-        if upstream.is_closed() {
+        if !upstream.is_open(now) {
             return false;
         }
         if !upstream.is_restricted(now) {
@@ -107,6 +107,27 @@
         upstream.is_some_and(|upstream| !std::mem::replace(&mut upstream.states_leaving, true))
     }
 
+    /// Records that an upstream accepts no requests from this entry for `pause`, and logs the start of a pause.
+    pub(in crate::traffic) fn note_pause(
+        &mut self,
+        incarnation: &Incarnation,
+        pause: Duration,
+        now: Now,
+    ) {
+        let Some(upstream) = self.upstream(incarnation) else {
+            return;
+        };
+        let begins = !upstream.is_paused(now);
+        upstream.note_pause(pause, now);
+        if begins {
+            emit(&Event::UpstreamPaused {
+                upstream: incarnation.id.clone(),
+                service: incarnation.service.clone(),
+                pause_ms: millis(pause),
+            });
+        }
+    }
+
     /// Records that a complete response arrived after `took`.
     pub(in crate::traffic) fn note_response(
         &mut self,
--- a/crates/entry/tests/signals.rs
+++ b/crates/entry/tests/signals.rs
@@ -271,13 +271,13 @@
     store.put_upstream(&upstream_row("u-1", upstream.upstream.addr));
     let entry = Entry::start("entry-1", &store);
     upstream.set(true);
-    assert_eq!(get(&entry, "a").status, 503);
-    let response = get(&entry, "b");
-    assert_eq!(response.status, 503);
-    let seconds = response
-        .header("retry-after")
-        .and_then(|value| value.parse().ok());
-    let seconds: f64 = seconds.expect("the rejection states when to retry");
-    assert!((2.0..=3.0).contains(&seconds), "{seconds} s");
+    for id in ["a", "b"] {
+        let response = get(&entry, id);
+        assert_eq!(response.status, 503);
+        let stated = response.header("retry-after");
+        let seconds = stated.and_then(|value| value.parse().ok());
+        let seconds: f64 = seconds.expect("the rejection states when to retry");
+        assert!((2.0..=3.0).contains(&seconds), "{seconds} s");
+    }
     assert_eq!(upstream.upstream.requests().len(), 1);
 }
--- a/crates/event/src/event.rs
+++ b/crates/event/src/event.rs
@@ -131,6 +131,12 @@
         away_ms: u64,
         not_there: bool,
     },
+    /// An upstream rejected a request and accepts no further ones from this entry for `pause_ms`.
+    UpstreamPaused {
+        upstream: UpstreamId,
+        service: ServiceId,
+        pause_ms: u64,
+    },
     /// An upstream that was excluded after a failure has responded.
     UpstreamBack {
         upstream: UpstreamId,
--- a/crates/event/tests/lines.rs
+++ b/crates/event/tests/lines.rs
@@ -48,6 +48,7 @@
             open: 3,
             closed: 1,
             cold: 0,
+            paused: 5,
             failing: 2,
         }),
         expected: Some(ResponseEstimate {
@@ -199,6 +200,11 @@
         retry_after_ms: Some(3_000),
         after_ms: 30,
     }));
+    upstream_paused: Event::UpstreamPaused {
+        upstream: "u-1".into(),
+        service: "menu".into(),
+        pause_ms: 3_000,
+    };
     upstream_leaving: Event::UpstreamLeaving { upstream: "u-1".into(), from: "dar-1".into() };
     upstream_limit: Event::UpstreamLimit {
         upstream: "u-1".into(),
--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -203,8 +203,9 @@
     }
     if let Some(census) = ended.census {
         cause = cause.with_evidence(format!(
-            "upstreams of the service: {} open, {} leaving, gone or evacuated, {} cold, {} failing",
-            census.open, census.closed, census.cold, census.failing
+            "upstreams of the service: {} open, {} leaving, gone or evacuated, {} cold, {} failing, {} that asked for a \
+             pause",
+            census.open, census.closed, census.cold, census.failing, census.paused
         ));
     }
     if let (Some(expected), Some(target_ms)) = (ended.expected, ended.target_ms) {
--- a/crates/explain/src/text.rs
+++ b/crates/explain/src/text.rs
@@ -63,6 +63,11 @@
             format!("lease of cold {upstreams} claimed: {outcome}")
         }
         Event::UpstreamBack { upstream, .. } => format!("{upstream} answers again"),
+        Event::UpstreamPaused {
+            upstream, pause_ms, ..
+        } => {
+            format!("{upstream} asks for a pause of {pause_ms} ms")
+        }
         Event::UpstreamLeaving { upstream, from } => {
             format!("{upstream} answers that it leaves, known from {from}")
         },
@@ -97,8 +102,8 @@
     }
     if let Some(census) = ended.census {
         text += &format!(
-            "; {} open, {} closed, {} cold, {} failing",
-            census.open, census.closed, census.cold, census.failing
+            "; {} open, {} closed, {} cold, {} failing, {} paused",
+            census.open, census.closed, census.cold, census.failing, census.paused
         );
     }
     if let Some(retry_after_ms) = ended.retry_after_ms {
--- a/crates/explain/src/trace.rs
+++ b/crates/explain/src/trace.rs
@@ -224,6 +224,7 @@
         Event::UpstreamRemoved { upstream, .. }
         | Event::UpstreamPassedOver { upstream, .. }
         | Event::UpstreamBack { upstream, .. }
+        | Event::UpstreamPaused { upstream, .. }
         | Event::UpstreamLeaving { upstream, .. }
         | Event::UpstreamClosed { upstream, .. } => upstreams.contains(&upstream),
         Event::ColdLeases {
