Deny no unknown route or key while the routes may be outdated

Callers got a final 404, which is not tried again, for a route that had been added while the entry could not learn of it. An entry answered 404 however old its routes were.

Each entry now keeps the time of the last read of the store that showed its routes to be the newest: its own, one that a hub forwarded, or that of another entry with the same routes, less the round trip. The time on the way counts, so that entries that hear only each other grow stale as well.

--- a/crates/entry/src/channels.rs
+++ b/crates/entry/src/channels.rs
@@ -3,6 +3,7 @@
 use crate::{
     crashes::Crashes,
     departures::SharedDepartures,
+    freshness::RoutesFreshness,
     limits::SharedLimits,
     loads::Loads,
     quotas::SharedQuotas, //
@@ -15,6 +16,7 @@
     pub(crate) loads: Arc<Loads>,
     pub(crate) crashes: Arc<Crashes>,
     pub(crate) departures: Arc<SharedDepartures>,
+    pub(crate) routes_freshness: Arc<RoutesFreshness>,
     pub(crate) limits: Arc<SharedLimits>,
     pub(crate) quotas: Arc<SharedQuotas>,
 }
--- a/crates/entry/src/control/feeds.rs
+++ b/crates/entry/src/control/feeds.rs
@@ -229,6 +229,15 @@
             }
             FollowedTable::Upstreams => self.apply_upstream_table(rows, after_outage),
         }
+        self.note_current(table);
+    }
+
+    /// Records that all rows of a table that the store has are applied.
+    pub(super) fn note_current(&self, table: FollowedTable) {
+        if table == FollowedTable::Operator {
+            let freshness = &self.channels.routes_freshness;
+            freshness.note_read(Duration::ZERO, self.now());
+        }
     }
 
     /// Applies a whole table of a store that was restored from an older copy. Nothing ends or is removed because its row
@@ -257,13 +266,12 @@
         if table == FollowedTable::Upstreams {
             self.state.borrow_mut().view.advance_read_position(position);
         }
-        if rows.is_empty() {
-            return;
-        }
         match table {
+            _ if rows.is_empty() => {}
             FollowedTable::Operator => self.apply_operator_rows(rows, None, source),
             FollowedTable::Upstreams => self.apply_upstream_rows(rows, after_outage),
         }
+        self.note_current(table);
     }
 
     /// Reads the whole table, and retries until a read succeeds.
--- a/crates/entry/src/control/hubs.rs
+++ b/crates/entry/src/control/hubs.rs
@@ -225,7 +225,10 @@
                 self.send_to_leaves(&Message::Rows(forwarded), Some(from));
                 self.state.borrow_mut().table_mut(table).last_sent_at = now;
             }
-            Continuity::Known => self.send_keep_alive(table, now),
+            Continuity::Known => {
+                self.note_current(table);
+                self.send_keep_alive(table, now);
+            }
             Continuity::Gap => {}
         }
         self.feed_due.notify_waiters();
@@ -255,7 +258,10 @@
     ) {
         let mut state = self.state.borrow_mut();
         let follower = &mut state.table_mut(table).follower;
-        follower.on_hub_position(from, position, now);
+        if follower.on_hub_position(from, position, now) {
+            drop(state);
+            self.note_current(table);
+        }
     }
 
     pub(super) fn on_not_reading(&self, from: &InstanceId, table: FollowedTable) {
@@ -343,6 +349,7 @@
             position: received.upstreams_position,
         });
         drop(guard);
+        self.note_current(FollowedTable::Operator);
         self.feed_due.notify_waiters();
         self.publish();
     }
--- a/crates/entry/src/control/messages.rs
+++ b/crates/entry/src/control/messages.rs
@@ -62,6 +62,7 @@
             ready: state.routes.is_some() && !state.stopping,
             is_hub: state.overlay.is_hub(self.now()),
             versions: state.view.versions(self.now()),
+            routes_age: self.channels.routes_freshness.age(self.now()),
             round_trips: state.overlay.round_trips().into_iter().collect(),
         }
     }
@@ -232,6 +233,12 @@
         if entry_state.member.instance != *from || !state.overlay.is_connected(from) {
             return;
         }
+        if own.routes >= received.routes {
+            // Without the time on the way, entries that can't read the store would keep each other's routes fresh.
+            let delay = state.overlay.round_trip_to(from).unwrap_or_default();
+            let age = entry_state.routes_age.saturating_add(delay);
+            self.channels.routes_freshness.note_read(age, self.now());
+        }
         let changed = state.overlay.update_state(
             entry_state.member.clone(),
             entry_state.callers_addr,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -19,6 +19,7 @@
 mod crashes;
 mod departures;
 mod dialect;
+mod freshness;
 mod limits;
 mod loads;
 mod message;
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -232,6 +232,8 @@
     /// Versions of its routing view.
     #[serde(rename = "reach")]
     pub(crate) versions: ViewVersions,
+    /// Time since a read of the store showed these routes to be the newest.
+    pub(crate) routes_age: Duration,
     /// Round-trip times to other regions. Leaves have no sessions with these and use the times of their hubs.
     pub(crate) round_trips: Vec<(RegionId, Duration)>,
 }
--- a/crates/entry/src/traffic/plan.rs
+++ b/crates/entry/src/traffic/plan.rs
@@ -55,6 +55,8 @@
 
 /// `Retry-After` of an entry that has no routes yet. Reading them takes a few milliseconds once the store responds.
 const NO_ROUTES_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// `Retry-After` of an entry whose routes may be outdated; the caller should use another entry.
+const STALE_ROUTES_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// `Retry-After` of an entry that is about to exit; the caller should use another entry.
 const CLOSING_RETRY_AFTER: Duration = Duration::from_millis(20);
 
@@ -94,13 +96,12 @@
     let host = text(&request.headers, &HOST);
     let path = request.uri.path();
     let Some(route) = host.and_then(|host| table.find(host, path)) else {
-        let response = CallerResponse::empty(StatusCode::NOT_FOUND);
-        return Err((response, Outcome::NoSuchRoute).into());
+        return Err(unknown(traffic, no_such_route()).into());
     };
     let credentials = org::credentials(authorizations(&request.headers), dialect.key_scheme);
     let caller = table
         .identify(route, credentials)
-        .map_err(|_| unauthorized(dialect))?;
+        .map_err(|_| unknown(traffic, unauthorized(dialect)))?;
     let Some(id) = request.headers.get(&dialect.request_id).cloned() else {
         let response = CallerResponse::empty(StatusCode::BAD_REQUEST);
         return Err((response, Outcome::NoRequestId).into());
@@ -160,6 +161,21 @@
     })
 }
 
+fn no_such_route() -> FinalResponse {
+    let response = CallerResponse::empty(StatusCode::NOT_FOUND);
+    (response, Outcome::NoSuchRoute)
+}
+
+/// Returns the response to a request whose route or key this entry doesn't know: `response`, unless the routes may be
+/// outdated. The caller would not try another entry after that one.
+fn unknown(traffic: &Traffic, response: FinalResponse) -> FinalResponse {
+    let freshness = &traffic.shared.channels.routes_freshness;
+    if freshness.is_stale(traffic.now()) {
+        return retry_later(STALE_ROUTES_RETRY_AFTER, Outcome::StaleRoutes);
+    }
+    response
+}
+
 /// Returns the values of a request's `Authorization` headers.
 fn authorizations(headers: &HeaderMap) -> impl Iterator<Item = &[u8]> {
     headers.get_all(AUTHORIZATION).map(HeaderValue::as_bytes)
--- a/crates/event/src/request.rs
+++ b/crates/event/src/request.rs
@@ -36,6 +36,8 @@
     Closing,
     /// The entry has no routes yet.
     NoRoutes,
+    /// The entry doesn't know its route or key, and its routes may be outdated.
+    StaleRoutes,
     /// No route matches its host and path.
     NoSuchRoute,
     /// It had no request id.
@@ -60,6 +62,7 @@
             Self::Cancelled => "cancelled",
             Self::Closing => "closing",
             Self::NoRoutes => "no-routes",
+            Self::StaleRoutes => "stale-routes",
             Self::NoSuchRoute => "no-such-route",
             Self::NoRequestId => "no-request-id",
             Self::Unauthorized => "unauthorized",
--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -88,6 +88,10 @@
         Outcome::Closing => Cause::new(Fault::PlannedStop)
             .with_evidence("the caller was told to use another entry; nothing ran"),
         Outcome::NoRoutes => cause_of_no_routes(logs, line),
+        Outcome::StaleRoutes => Cause::new(Fault::StaleRoutes).with_evidence(format!(
+            "it had version {} of the routes",
+            ended.picture.routes
+        )),
         Outcome::NoSuchRoute | Outcome::NoRequestId => {
             Cause::new(Fault::BadRequest).with_evidence(format!(
                 "{} under version {} of the routes",
--- a/crates/explain/src/fault.rs
+++ b/crates/explain/src/fault.rs
@@ -47,6 +47,8 @@
     PlannedStop,
     /// The entry knew no routes yet.
     NoRoutes,
+    /// The entry's routes may have been outdated.
+    StaleRoutes,
     /// No route matched the request, or it had no id.
     BadRequest,
     /// The request had no key of an organisation, or none that is valid.
@@ -84,6 +86,7 @@
             Self::Unfinished => "not known: its end is not in these logs",
             Self::CallerLeft => "the caller left early",
             Self::PlannedStop => "the entry was in a planned stop",
+            Self::StaleRoutes => "the entry did not know whether its routes were the newest",
             Self::NoRoutes => "the entry knew no routes yet",
             Self::BadRequest => "the request itself",
             Self::Unauthorized => "its key: missing, or of no organisation",
--- a/crates/explain/src/summary.rs
+++ b/crates/explain/src/summary.rs
@@ -46,9 +46,11 @@
         let counter = match ended.outcome {
             Outcome::Answered if late => &mut self.late,
             Outcome::Answered => &mut self.in_target,
-            Outcome::Refused | Outcome::OverQuota | Outcome::Closing | Outcome::NoRoutes => {
-                &mut self.refused
-            }
+            Outcome::Refused
+            | Outcome::OverQuota
+            | Outcome::Closing
+            | Outcome::NoRoutes
+            | Outcome::StaleRoutes => &mut self.refused,
             Outcome::UpstreamError | Outcome::Failed | Outcome::TimedOut => &mut self.failed,
             Outcome::Cancelled
             | Outcome::NoSuchRoute
--- a/crates/explain/tests/causes.rs
+++ b/crates/explain/tests/causes.rs
@@ -287,6 +287,9 @@
         (-500, Event::StoreLost { table: "operator".into(), error: "no answer".into() }),
         (0, request(RequestEnded { sent: None, ..ended(Outcome::NoRoutes) })),
     ] => NoRoutes, "its calls to the store failed";
+    route_that_may_be_newer_than_known: [
+        (0, request(RequestEnded { sent: None, ..ended(Outcome::StaleRoutes) })),
+    ] => StaleRoutes, "version 0 of the routes";
     unknown_route: [
         (0, request(RequestEnded { sent: None, ..ended(Outcome::NoSuchRoute) })),
     ] => BadRequest, "version 0 of the routes";
--- a/crates/overlay/src/follower.rs
+++ b/crates/overlay/src/follower.rs
@@ -84,11 +84,13 @@
     }
 
     /// Records how far a hub has read; from then on it forwards what it reads. A hub that is ahead of this entry does
-    /// not count as forwarding, since it won't send what is missing here.
-    pub fn on_hub_position(&mut self, hub: &InstanceId, position: u64, now: Now) {
-        if self.position.is_some_and(|known| position <= known) {
+    /// not count as forwarding, since it won't send what is missing here. Returns whether it counts.
+    pub fn on_hub_position(&mut self, hub: &InstanceId, position: u64, now: Now) -> bool {
+        let forwards = self.position.is_some_and(|known| position <= known);
+        if forwards {
             self.hubs.insert(hub.clone(), now);
         }
+        forwards
     }
 
     /// Handles the changes after `after` up to `position`, forwarded by a hub.
--- a/crates/overlay/src/live.rs
+++ b/crates/overlay/src/live.rs
@@ -171,6 +171,13 @@
         shortest
     }
 
+    /// Returns the measured round trip to an entry with a session.
+    pub fn round_trip_to(&self, instance: &InstanceId) -> Option<Duration> {
+        self.sessions
+            .get(instance)
+            .map(|session| session.round_trip)
+    }
+
     /// Returns the region of an entry with a session.
     pub fn region_of(&self, instance: &InstanceId) -> Option<&RegionId> {
         self.sessions.get(instance).map(|session| &session.region)
