entry: one way to send and repeat reports; the product's own header of a leaving upstream

Crash reports, limits and departures are sent to all sessions but one and repeated by the same code; the loop and its two constants stood three times. On the product's own interface a leaving upstream says so with Upstream-State: leaving (design/interfaces.md), which jasmined reads already, so jasmine-router reads the same header. What a 421 response states is left out where heads are parsed. No other behaviour changes; tests of signals, limits, crashes and the silent store pass.

--- a/crates/entry/src/control/crashes.rs
+++ b/crates/entry/src/control/crashes.rs
@@ -4,7 +4,13 @@
 //! that arrives more than once is forwarded only the first time.
 
 use crate::{
-    control::Control,
+    control::{
+        messages::{
+            REPEAT_AGE_MAX,
+            REPEAT_INTERVAL, //
+        },
+        Control, //
+    },
     message::Message,
     metric,
     rows::RowReader, //
@@ -21,11 +27,6 @@
 use quarantine::Report;
 use std::time::Duration;
 
-/// Interval between repeats of recent reports. A session whose send queue is full drops messages.
-const REPEAT_INTERVAL: Duration = Duration::from_millis(1000);
-/// Maximum age of a report that is repeated.
-const REPEAT_AGE_MAX: Duration = Duration::from_secs(5);
-
 impl<S: Feed + StoreTable + 'static, W: RowReader> Control<S, W> {
     /// Sends this entry's new crash reports to the other entries and repeats recent reports.
     pub(super) async fn exchange_crashes(&self) {
@@ -41,17 +42,11 @@
                 reports = self.channels.crashes.reports(REPEAT_AGE_MAX, now);
             }
             if !reports.is_empty() {
-                self.send_crashes(reports, None);
+                self.send_to_all(&Message::Crashes(reports), None);
             }
         }
     }
 
-    fn send_crashes(&self, reports: Vec<Report>, from: Option<&InstanceId>) {
-        let state = self.state.borrow();
-        let to = state.overlay.connected().filter(|to| Some(*to) != from);
-        self.send_to(to, &Message::Crashes(reports));
-    }
-
     /// Sends all known crash reports to an entry whose session has just been established.
     pub(super) fn send_all_crashes(&self, to: &InstanceId) {
         let reports = self.channels.crashes.reports(Duration::MAX, self.now());
@@ -64,7 +59,7 @@
     pub(super) fn on_crashes(&self, from: &InstanceId, reports: &[Report]) {
         let new_reports = self.merge_crashes(reports, from);
         if !new_reports.is_empty() {
-            self.send_crashes(new_reports, Some(from));
+            self.send_to_all(&Message::Crashes(new_reports), Some(from));
         }
     }
 
--- a/crates/entry/src/control/departures.rs
+++ b/crates/entry/src/control/departures.rs
@@ -4,7 +4,13 @@
 //! the departures that are new to it to all of its sessions except the one they arrived on.
 
 use crate::{
-    control::Control,
+    control::{
+        messages::{
+            REPEAT_AGE_MAX,
+            REPEAT_INTERVAL, //
+        },
+        Control, //
+    },
     message::Message,
     rows::RowReader, //
 };
@@ -23,11 +29,6 @@
 };
 use std::time::Duration;
 
-/// Interval between repeats of recent departures. A session whose send queue is full drops messages.
-const REPEAT_INTERVAL: Duration = Duration::from_millis(1000);
-/// Maximum age of a departure that is repeated.
-const REPEAT_AGE_MAX: Duration = Duration::from_secs(5);
-
 impl<S: Feed + StoreTable + 'static, W: RowReader> Control<S, W> {
     /// Applies the departures that traffic learns of, sends them to the other entries, and repeats recent ones.
     pub(super) async fn exchange_departures(&self) {
@@ -36,42 +37,41 @@
             let due = self.channels.departures.due.notified();
             let _ = tokio::time::timeout(REPEAT_INTERVAL, due).await;
             let learnt = self.channels.departures.take();
-            if learnt.is_empty() {
-                self.send_departures(REPEAT_AGE_MAX, None);
-            } else {
+            if !learnt.is_empty() {
                 self.apply_departures(learnt, None);
+                continue;
+            }
+            let recent = self.departures(REPEAT_AGE_MAX);
+            if !recent.is_empty() {
+                self.send_to_all(&Message::Departures(recent), None);
             }
         }
     }
 
-    /// Applies departures received from another entry.
-    pub(super) fn on_departures(&self, from: &InstanceId, departures: Vec<Departure>) {
-        self.apply_departures(departures, Some(from));
+    /// Returns the departures that this entry recorded at most `age_max` ago.
+    fn departures(&self, age_max: Duration) -> Vec<Departure> {
+        self.state.borrow().view.departures(age_max, self.now())
     }
 
     /// Sends all known departures to an entry whose session has just been established.
     pub(super) fn send_all_departures(&self, to: &InstanceId) {
-        self.send_departures(Duration::MAX, Some(to));
+        let departures = self.departures(Duration::MAX);
+        if !departures.is_empty() {
+            self.send(to, &Message::Departures(departures));
+        }
     }
 
-    /// Sends the departures of this age to one entry, or to all.
-    fn send_departures(&self, age_max: Duration, only: Option<&InstanceId>) {
-        let state = self.state.borrow();
-        let departures = state.view.departures(age_max, self.now());
-        if departures.is_empty() {
-            return;
-        }
-        let to = state.overlay.connected();
-        let to = to.filter(|to| only.is_none_or(|only| *to == only));
-        self.send_to(to, &Message::Departures(departures));
+    /// Applies departures received from another entry.
+    pub(super) fn on_departures(&self, from: &InstanceId, departures: Vec<Departure>) {
+        self.apply_departures(departures, Some(from));
     }
 
     /// Applies departures, and sends those that are new to the other entries, except to `from`.
     fn apply_departures(&self, mut departures: Vec<Departure>, from: Option<&InstanceId>) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        departures
-            .retain(|departure| state.view.apply_departure(departure, now) == Applied::Changed);
+        let view = &mut state.view;
+        departures.retain(|departure| view.apply_departure(departure, now) == Applied::Changed);
         drop(state);
         if departures.is_empty() {
             return;
@@ -79,13 +79,10 @@
         for departure in &departures {
             emit(&Event::UpstreamLeaving {
                 upstream: departure.upstream.clone(),
-                from: from.map_or_else(|| "response".to_owned(), |from| from.to_string()),
+                from: from.map_or_else(|| "response".to_owned(), InstanceId::to_string),
             });
         }
-        let state = self.state.borrow();
-        let to = state.overlay.connected().filter(|to| Some(*to) != from);
-        self.send_to(to, &Message::Departures(departures));
-        drop(state);
+        self.send_to_all(&Message::Departures(departures), from);
         self.publish();
     }
 }
--- a/crates/entry/src/control/limits.rs
+++ b/crates/entry/src/control/limits.rs
@@ -4,7 +4,13 @@
 //! entries learn from that entry's reports that the limit has changed or ended.
 
 use crate::{
-    control::Control,
+    control::{
+        messages::{
+            REPEAT_AGE_MAX,
+            REPEAT_INTERVAL, //
+        },
+        Control, //
+    },
     message::Message,
     rows::RowReader, //
 };
@@ -20,11 +26,6 @@
 };
 use std::time::Duration;
 
-/// Interval at which recent reports are repeated, since a session whose send queue is full drops messages.
-const REPEAT_INTERVAL: Duration = Duration::from_millis(1000);
-/// Maximum age of a report that is repeated, since this entry recorded it.
-const REPEAT_AGE_MAX: Duration = Duration::from_secs(5);
-
 impl<S: Feed + StoreTable + 'static, W: RowReader> Control<S, W> {
     /// Sends limit changes that this entry observes to the other entries, and repeats recent reports.
     pub(super) async fn exchange_limits(&self) {
@@ -41,7 +42,7 @@
                 self.cold_due.notify_one();
             }
             if !reports.is_empty() {
-                self.send_limits(reports, None);
+                self.send_to_all(&Message::Limits(reports), None);
             }
         }
     }
@@ -66,12 +67,6 @@
         });
     }
 
-    fn send_limits(&self, reports: Vec<Report>, from: Option<&InstanceId>) {
-        let state = self.state.borrow();
-        let to = state.overlay.connected().filter(|to| Some(*to) != from);
-        self.send_to(to, &Message::Limits(reports));
-    }
-
     /// Sends all known limits to an entry whose session has just been established.
     pub(super) fn send_all_limits(&self, to: &InstanceId) {
         let reports = self.channels.limits.reports(Duration::MAX, self.now());
@@ -85,7 +80,7 @@
         let new = self.channels.limits.merge(reports, self.now());
         if !new.is_empty() {
             self.cold_due.notify_one();
-            self.send_limits(new, Some(from));
+            self.send_to_all(&Message::Limits(new), Some(from));
         }
     }
 }
--- a/crates/entry/src/control/messages.rs
+++ b/crates/entry/src/control/messages.rs
@@ -41,6 +41,11 @@
 };
 use std::time::Duration;
 
+/// Interval at which recent reports about upstreams are repeated, since a session whose send queue is full drops
+/// messages.
+pub(super) const REPEAT_INTERVAL: Duration = Duration::from_millis(1000);
+/// Maximum age of a report that is repeated, since this entry recorded it.
+pub(super) const REPEAT_AGE_MAX: Duration = Duration::from_secs(5);
 /// Interval between messages with an unchanged state.
 const STATE_INTERVAL: Duration = Duration::from_secs(2);
 /// Minimum time between messages about changed view versions. Each changed row changes a version, and each entry sends
@@ -155,6 +160,13 @@
         }
     }
 
+    /// Sends a message on all sessions, except to `except`.
+    pub(super) fn send_to_all(&self, message: &Message, except: Option<&InstanceId>) {
+        let state = self.state.borrow();
+        let to = state.overlay.connected().filter(|to| Some(*to) != except);
+        self.send_to(to, message);
+    }
+
     /// Handles the payload of a message of another entry.
     pub(super) fn on_payload(&self, from: &InstanceId, payload: &[u8]) {
         match from_payload::<Message>(payload) {
--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -28,8 +28,8 @@
     /// In a response: maximum requests per second that the upstream accepts from all entries combined. The first header
     /// present is used; if none is present, the upstream has no limit.
     pub limit_per_s: Vec<HeaderName>,
-    /// In a response: the upstream is leaving if the value is `1`.
-    pub leaving: HeaderName,
+    /// In a response: the upstream is leaving if this header has this value.
+    pub leaving: (HeaderName, &'static str),
     /// Path of look-ups.
     pub lookup_path: &'static str,
     /// Path of the readiness check.
@@ -54,7 +54,7 @@
             seal: HeaderName::from_static("upstream-id"),
             load: HeaderName::from_static("upstream-load"),
             limit_per_s: vec![HeaderName::from_static("upstream-limit")],
-            leaving: HeaderName::from_static("upstream-leaving"),
+            leaving: (HeaderName::from_static("upstream-state"), "leaving"),
             lookup_path: "/v1/entries",
             ready_path: "/v1/ready",
             addresses_field: "entries",
--- a/crates/entry/src/traffic/attempt.rs
+++ b/crates/entry/src/traffic/attempt.rs
@@ -199,7 +199,9 @@
     let dialect = &traffic.shared.dialect;
     let status = response.status;
     let signals = Signals::parse(dialect, status, &response.headers);
-    note_signals(traffic, &incarnation, status, &signals);
+    if let Some(signals) = &signals {
+        note_signals(traffic, &incarnation, signals);
+    }
     let not_run = response.headers.contains_key(&dialect.not_run);
     if not_run || status == StatusCode::MISDIRECTED_REQUEST {
         let mut fleet = traffic.fleet.borrow_mut();
@@ -211,7 +213,7 @@
         }
         return SendOutcome::NotRun {
             status: status.as_u16(),
-            retry_after: signals.retry_after,
+            retry_after: signals.and_then(|signals| signals.retry_after),
         };
     }
     if status.is_success() && !response.headers.contains_key(&dialect.seal) {
@@ -276,21 +278,12 @@
 }
 
 /// Records what the head of a response states.
-fn note_signals(
-    traffic: &Traffic,
-    incarnation: &Incarnation,
-    status: StatusCode,
-    signals: &Signals,
-) {
+fn note_signals(traffic: &Traffic, incarnation: &Incarnation, signals: &Signals) {
     let now = traffic.now();
     let mut fleet = traffic.fleet.borrow_mut();
     if let Some(reported) = signals.load {
         fleet.note_load(incarnation, reported, now);
     }
-    // A 421 response comes from another incarnation, whose limit doesn't apply to `incarnation`.
-    if status == StatusCode::MISDIRECTED_REQUEST {
-        return;
-    }
     if signals.is_leaving && fleet.note_leaving(incarnation) {
         traffic.shared.channels.departures.push(Departure {
             upstream: incarnation.id.clone(),
--- a/crates/entry/src/traffic/signals.rs
+++ b/crates/entry/src/traffic/signals.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 /// Statements of an upstream about itself.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug)]
 pub(super) struct Signals {
     /// Its load, if stated.
     pub(super) load: Option<LoadReport>,
@@ -26,34 +26,32 @@
 }
 
 impl Signals {
-    /// Reads the head of a response. Invalid values count as absent.
-    pub(super) fn parse(dialect: &Dialect, status: StatusCode, headers: &HeaderMap) -> Self {
-        // A 421 response comes from another incarnation: only the load is about the process at this address.
-        let is_other = status == StatusCode::MISDIRECTED_REQUEST;
-        let load = text(headers, &dialect.load).and_then(parse_load);
-        if is_other {
-            return Self {
-                load,
-                ..Self::default()
-            };
+    /// Reads the head of a response of the incarnation that the request was sent to; returns `None` for a response of
+    /// another one. Invalid values count as absent.
+    pub(super) fn parse(
+        dialect: &Dialect,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) -> Option<Self> {
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            return None;
         }
+        let (leaving, leaving_value) = &dialect.leaving;
+        let load = text(headers, &dialect.load);
         let mut limits = dialect.limit_per_s.iter();
         let limit = limits.find_map(|name| text(headers, name));
         let retry_after = text(headers, &RETRY_AFTER);
-        Self {
-            load,
+        Some(Self {
+            load: load.and_then(parse_load),
             limit_per_s: limit.and_then(parse_non_negative),
-            is_leaving: text(headers, &dialect.leaving) == Some(LEAVING),
+            is_leaving: text(headers, leaving) == Some(*leaving_value),
             retry_after: retry_after
                 .filter(|_| status == StatusCode::SERVICE_UNAVAILABLE)
                 .and_then(parse_seconds),
-        }
+        })
     }
 }
 
-/// Value of the header that states that an upstream is leaving.
-const LEAVING: &str = "1";
-
 fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     Some(headers.get(name)?.to_str().ok()?.trim())
 }
--- a/crates/entry/tests/signals.rs
+++ b/crates/entry/tests/signals.rs
@@ -129,7 +129,7 @@
         fn $name() {
             let store = MemoryStore::default();
             store.put_routes(&routes(1));
-            let leaving = Signalling::start("upstream-leaving: 1", $respond);
+            let leaving = Signalling::start("upstream-state: leaving", $respond);
             let other = Signalling::start("", ok);
             store.put_upstream(&upstream_row("u-1", leaving.upstream.addr));
             store.put_upstream(&upstream_row("u-2", other.upstream.addr));
@@ -164,7 +164,7 @@
 fn all_entries_learn_that_an_upstream_leaves() {
     let store = MemoryStore::default();
     store.put_routes(&routes(1));
-    let leaving = Signalling::start("upstream-leaving: 1", ok);
+    let leaving = Signalling::start("upstream-state: leaving", ok);
     store.put_upstream(&upstream_row("u-1", leaving.upstream.addr));
     let entry_1 = Entry::start("entry-1", &store);
     let entry_2 = Entry::start("entry-2", &store);
@@ -181,7 +181,7 @@
 fn started_entry_learns_that_an_upstream_leaves() {
     let store = MemoryStore::default();
     store.put_routes(&routes(1));
-    let leaving = Signalling::start("upstream-leaving: 1", ok);
+    let leaving = Signalling::start("upstream-state: leaving", ok);
     store.put_upstream(&upstream_row("u-1", leaving.upstream.addr));
     let entry_1 = Entry::start("entry-1", &store);
     leaving.set(true);
@@ -197,7 +197,7 @@
 fn later_incarnation_of_a_leaving_upstream_is_used() {
     let store = MemoryStore::default();
     store.put_routes(&routes(1));
-    let leaving = Signalling::start("upstream-leaving: 1", ok);
+    let leaving = Signalling::start("upstream-state: leaving", ok);
     store.put_upstream(&upstream_row("u-1", leaving.upstream.addr));
     let entry = Entry::start("entry-1", &store);
     leaving.set(true);
