model: search departures of upstreams

The search of routing views gets responses which state that the upstream leaves, also together with a store that is restored.

--- a/crates/model/tests/picture.rs
+++ b/crates/model/tests/picture.rs
@@ -19,6 +19,26 @@
         restarts: 0,
         ticks: 1,
         restores: 0,
+        departures: 0,
+    }
+}
+
+/// Two entries, three rows, one message and one response of the leaving upstream.
+fn departed(guards: Guards) -> RoutingViewModel {
+    RoutingViewModel {
+        rows: 3,
+        messages: 1,
+        departures: 1,
+        ..two_entries(guards)
+    }
+}
+
+/// The same with a store that is restored once.
+fn departed_and_restored(guards: Guards) -> RoutingViewModel {
+    RoutingViewModel {
+        rows: 2,
+        restores: 1,
+        ..departed(guards)
     }
 }
 
@@ -46,6 +66,8 @@
     closed_upstream_stays_closed_until_listed_again: two_entries;
     closed_upstream_stays_closed_after_a_restart: restarted;
     closed_upstream_stays_closed_after_a_restore: restored;
+    departed_upstream_stays_closed: departed;
+    departed_upstream_stays_closed_after_a_restore: departed_and_restored;
 }
 
 breaks! {
@@ -58,6 +80,8 @@
     /// As above, at a process that has just started: it reads the table, in which the row is missing,
     /// and then receives the row from an entry whose view is stale.
     an_unknown_upstream_taken_from_a_stale_entry: restarted, read_position, "has it open";
+    /// An upstream that said itself that it leaves gets work, because its row doesn't say so.
+    a_departure_that_rows_override: departed, departures, "sends to it";
     /// An upstream that has left gets work: the store was restored from a copy that lists it.
     a_copy_that_lists_a_removed_upstream: restored, restored_removals, "sends to it";
     /// As above, at an entry that has not read the copy: another one that has just started sends it what it has read.
--- a/crates/picture/src/view.rs
+++ b/crates/picture/src/view.rs
@@ -70,6 +70,8 @@
     /// Ignore an upstream that another entry has read in a whole table if it was seen to be gone here: the table may be
     /// an older copy.
     pub copied_listings: bool,
+    /// Keep an incarnation closed that has stated in a response that it is leaving, whatever its rows say.
+    pub departures: bool,
 }
 
 impl Default for Guards {
@@ -81,6 +83,7 @@
             incarnations: true,
             restored_removals: true,
             copied_listings: true,
+            departures: true,
         }
     }
 }
@@ -424,7 +427,7 @@
     /// Whether an upstream gets no new work.
     fn is_closed(&self, known: &KnownUpstream, now: Now) -> bool {
         known.listed.leaving
-            || self.departures.contains(&known.listed)
+            || (self.guards.departures && self.departures.contains(&known.listed))
             || known.closes_at.is_some_and(|at| now >= at)
             || self.is_evacuated(&known.listed.failure_domain)
     }
