Notice within 1.5 s that readers get no answers of the store

A request was handled by version 2 with version 4 acknowledged more than 2 s before. The other entries reach the store, but take themselves as supplied: a reader's call hangs for up to 3 s before it says so, and a hub asked the store itself only after 3.5 s without a message.

A call for changes now waits 1 s at the store, not 2 s, and an entry asks the store itself once no reader has forwarded the result of a call for the batch interval, that wait and 250 ms (1.5 s on small deployments); it checks this every 200 ms, not 500 ms. Three readers make twice as many calls on an idle table.

routes_in_force_where_the_reader_has_just_lost_the_store failed before (3.01 s for 2 s) and passes.

--- a/crates/entry/src/control/feeds.rs
+++ b/crates/entry/src/control/feeds.rs
@@ -15,6 +15,7 @@
     emit,
     Event, //
 };
+use overlay::Overlay;
 use plat::{
     Changes,
     Feed,
@@ -26,9 +27,9 @@
 use rand::RngExt;
 use std::time::Duration;
 
-/// Maximum time that one call waits for changes. Each call puts load on the store. A connection that hangs is closed by
-/// its keep-alive probes within some six seconds, and the other entries announce newer versions before that.
-const CHANGES_WAIT: Duration = Duration::from_millis(2000);
+/// Maximum time that one call waits for changes. Each call puts load on the store, but a reader whose calls get no answer
+/// goes unnoticed for this long.
+pub(super) const CHANGES_WAIT: Duration = Duration::from_millis(1000);
 /// Maximum time that a new entry waits for the routing view of its hub. Sessions are up within a second of the start,
 /// and if an entire domain starts at once, its hub sends the view to one entry after the other. No caller uses a new
 /// entry yet.
@@ -38,7 +39,7 @@
 /// Interval between checks whether the scan or the view has arrived.
 const START_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum interval between checks whether a call to the store is due.
-const DUE_POLL_INTERVAL: Duration = Duration::from_millis(500);
+const DUE_POLL_INTERVAL: Duration = Duration::from_millis(200);
 /// Minimum time between two calls for changes of one table, per entry of the deployment. Changes within this time are
 /// batched into one answer; a first change is read at once, since a call is waiting for it.
 ///
@@ -303,15 +304,6 @@
         calls.on_success(self.now());
     }
 
-    /// Returns the minimum time between two calls for changes. It depends on the number of all entries, since all of
-    /// them call the store if their hubs are lost.
-    fn batch_interval(&self) -> Duration {
-        let entries = self.state.borrow().overlay.sender_count().unwrap_or(1);
-        let entries = u32::try_from(entries).unwrap_or(u32::MAX);
-        let interval = BATCH_INTERVAL_PER_ENTRY.saturating_mul(entries);
-        interval.clamp(BATCH_INTERVAL_MIN, BATCH_INTERVAL_MAX)
-    }
-
     /// Waits until a call to the store is due: always for a reader, and for other entries while the table is not
     /// forwarded to them or forwarded changes are missing.
     async fn wait_until_due(&self, table: FollowedTable) {
@@ -353,7 +345,8 @@
         loop {
             self.wait_until_due(calls.table).await;
             let elapsed = self.now().saturating_sub(calls.changed_at);
-            tokio::time::sleep(self.batch_interval().saturating_sub(elapsed)).await;
+            let batch_interval = batch_interval(&self.state.borrow().overlay);
+            tokio::time::sleep(batch_interval.saturating_sub(elapsed)).await;
             let started = self.now();
             calls.called_at = started;
             let (position, wait) = self.next_call(calls)?;
@@ -390,3 +383,12 @@
         }
     }
 }
+
+/// Returns the minimum time between two calls for changes. It depends on the number of all entries, since all of them
+/// call the store if their hubs are lost.
+pub(super) fn batch_interval(overlay: &Overlay) -> Duration {
+    let entries = overlay.sender_count().unwrap_or(1);
+    let entries = u32::try_from(entries).unwrap_or(u32::MAX);
+    let interval = BATCH_INTERVAL_PER_ENTRY.saturating_mul(entries);
+    interval.clamp(BATCH_INTERVAL_MIN, BATCH_INTERVAL_MAX)
+}
--- a/crates/entry/src/control/hubs.rs
+++ b/crates/entry/src/control/hubs.rs
@@ -7,6 +7,7 @@
 use crate::{
     control::{
         apply::Source,
+        feeds,
         Control,
         ControlState, //
     },
@@ -30,6 +31,7 @@
 };
 use overlay::{
     Continuity, //
+    Overlay,
     Roster,
 };
 use peer::SendResult;
@@ -40,12 +42,11 @@
 };
 use std::time::Duration;
 
-/// Time without a message of any reader after which a hub reads the store itself: the longest call, a failed call and a
-/// margin.
-const READER_TIMEOUT: Duration = Duration::from_millis(3500);
-/// Time without a message of any hub after which a leaf reads the store itself: the time after which its hub does, and
-/// the hub's read.
-const HUB_TIMEOUT: Duration = Duration::from_millis(5000);
+/// Time for the answer of a reader's call and its way to the other hubs.
+const FORWARD_TIME: Duration = Duration::from_millis(250);
+/// Time for which a leaf waits longer than its hub for a message, so that it doesn't call the store whenever its hub does:
+/// a keep-alive and the hub's read.
+const LEAF_EXTRA_WAIT: Duration = Duration::from_millis(1500);
 /// Minimum time between keep-alives of a hub to its leaves for an unchanged table.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(1000);
 /// Version of a roster that has not been advertised.
@@ -133,11 +134,7 @@
         table: FollowedTable,
         now: Now,
     ) -> bool {
-        let timeout = if state.overlay.is_hub(now) {
-            READER_TIMEOUT
-        } else {
-            HUB_TIMEOUT
-        };
+        let timeout = forward_timeout(&state.overlay, now);
         let is_reader = state.overlay.is_reader(now);
         !is_reader && state.table_mut(table).follower.is_forwarded(timeout, now)
     }
@@ -363,6 +360,17 @@
     }
 }
 
+/// Returns the time without a message about a table after which an entry calls the store itself. Readers forward what
+/// each call returns, and begin the next one within the batch interval.
+fn forward_timeout(overlay: &Overlay, now: Now) -> Duration {
+    let hub_timeout = feeds::batch_interval(overlay) + feeds::CHANGES_WAIT + FORWARD_TIME;
+    if overlay.is_hub(now) {
+        hub_timeout
+    } else {
+        hub_timeout + LEAF_EXTRA_WAIT
+    }
+}
+
 /// Returns the rosters that are new to sessions, and removals of those that are no longer advertised.
 fn due_rosters(state: &mut ControlState, now: Now) -> Vec<DueRoster> {
     let own = state.overlay.own_roster();
--- a/crates/entry/tests/silent_store.rs
+++ b/crates/entry/tests/silent_store.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use std::{
+    ops::RangeInclusive,
     thread,
     time::{
         Duration,
@@ -81,9 +82,13 @@
 /// Time after its acknowledgement within which a change has to be in force at every entry.
 const CHANGE_IN_FORCE_WITHIN: Duration = Duration::from_secs(2);
 
-/// Returns how long after the store has a change it is in force at all entries, if only the one at `reading` gets
-/// answers of the store.
-fn time_to_new_routes_through(reading: usize) -> Duration {
+/// Returns how long after the store has a change it is in force at all of the `observed` entries, if for `silence` only
+/// the one at `reading` has got answers of the store.
+fn time_to_new_routes_through(
+    reading: usize,
+    observed: RangeInclusive<usize>,
+    silence: Duration,
+) -> Duration {
     let store = MemoryStore::default();
     store.put_routes(&routes(1));
     let upstream = Upstream::responding("ok");
@@ -91,15 +96,16 @@
     let handles: Vec<MemoryStore> = (0..4).map(|_| store.handle()).collect();
     let start = |(index, handle)| Entry::start(ENTRY_NAMES[index], handle);
     let entries: Vec<Entry> = handles.iter().enumerate().map(start).collect();
+    handles[0].wait_for_call("operator");
     for (index, handle) in handles.iter().enumerate() {
         handle.set_silent(index != reading);
     }
-    thread::sleep(Duration::from_secs(9));
+    thread::sleep(silence);
     let mut next = routes(2);
     next.hosts[0].routes.remove(0);
     store.put_routes(&next);
     let written = Instant::now();
-    for entry in &entries {
+    for entry in &entries[observed] {
         eventually("the new routes", || {
             (status(entry, "a") == 404).then_some(())
         });
@@ -109,19 +115,20 @@
 
 /// Guards against entries that answer by old routes for seconds because the store answers only one other entry.
 macro_rules! routes_in_force_through_one_entry {
-    ($($name:ident: $reading:expr;)*) => {$(
+    ($($name:ident: $reading:expr, $observed:expr, $silence_s:expr;)*) => {$(
         #[test]
         fn $name() {
-            let took = time_to_new_routes_through($reading);
+            let took = time_to_new_routes_through($reading, $observed, Duration::from_secs($silence_s));
             assert!(took <= CHANGE_IN_FORCE_WITHIN, "in force after {took:?}");
         }
     )*};
 }
 
 routes_in_force_through_one_entry! {
-    routes_in_force_through_the_first_entry: 0;
-    routes_in_force_through_another_hub: 1;
-    routes_in_force_through_a_leaf: 3;
+    routes_in_force_through_the_first_entry: 0, 0..=3, 9;
+    routes_in_force_through_another_hub: 1, 0..=3, 9;
+    routes_in_force_through_a_leaf: 3, 0..=3, 9;
+    routes_in_force_where_the_reader_has_just_lost_the_store: 1, 1..=3, 0;
 }
 
 /// Guards against a final 404 for a route that was added while no entry could learn of it.
