--- a/crates/entry/src/control/departures.rs
+++ b/crates/entry/src/control/departures.rs
@@ -12,6 +12,7 @@
         Control, //
     },
     message::Message,
+    metric,
     rows::RowReader, //
 };
 use base::InstanceId;
@@ -76,6 +77,7 @@
         if departures.is_empty() {
             return;
         }
+        metrics::counter!(metric::DEPARTURES).increment(departures.len() as u64);
         for departure in &departures {
             emit(&Event::UpstreamLeaving {
                 upstream: departure.upstream.clone(),
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -38,6 +38,7 @@
         EntryState,
         FollowedTable, //
     },
+    metric,
     rows::RowReader,
     settings::{
         Bounds,
@@ -361,6 +362,8 @@
             self.broadcast_periodically(now);
             self.send_rosters(now);
             self.request_view(now);
+            let routes_age = self.channels.routes_freshness.age(now);
+            metrics::gauge!(metric::ROUTES_AGE_SECONDS).set(routes_age.as_secs_f64());
             dropped_since_start += self.report_dropped_lines(dropped_since_start);
         }
     }
@@ -369,7 +372,7 @@
     fn report_dropped_lines(&self, dropped_before: u64) -> u64 {
         let lines = take_dropped_lines();
         if lines > 0 {
-            metrics::counter!(crate::metric::LOG_LINES_LEFT_OUT, "reason" => "queue full")
+            metrics::counter!(metric::LOG_LINES_LEFT_OUT, "reason" => "queue full")
                 .increment(lines);
             emit(&Event::LinesDropped {
                 lines,
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -233,11 +233,17 @@
     #[serde(rename = "reach")]
     pub(crate) versions: ViewVersions,
     /// Time since a read of the store showed these routes to be the newest.
+    #[serde(default = "unknown_age")]
     pub(crate) routes_age: Duration,
     /// Round-trip times to other regions. Leaves have no sessions with these and use the times of their hubs.
     pub(crate) round_trips: Vec<(RegionId, Duration)>,
 }
 
+/// Returns the age of the routes of an entry that doesn't state it.
+fn unknown_age() -> Duration {
+    Duration::MAX
+}
+
 impl EntryState {
     /// Returns whether the difference has to be sent to the other entries.
     pub(crate) fn differs(&self, other: &Self) -> bool {
--- a/crates/entry/src/metric.rs
+++ b/crates/entry/src/metric.rs
@@ -25,6 +25,12 @@
         "Log lines that were not written: beyond the bound of a second, or the queue was full.";
     ROUTES_VERSION = "jasmine_entry_routes_version", Gauge, "version", "",
         "Version of the routes in force; 0 is none.";
+    ROUTES_AGE_SECONDS = "jasmine_entry_routes_age_seconds", Gauge, "seconds", "",
+        "Time since the routes were last known to be the newest.";
+    DEPARTURES = "jasmine_entry_departures_total", Counter, "upstreams", "",
+        "Upstreams known to be leaving from a response, to this entry or another one, before their rows said so.";
+    PAUSES = "jasmine_entry_pauses_total", Counter, "pauses", "",
+        "Times that an upstream rejected a request and asked for no further ones for a while.";
     PEERS = "jasmine_entry_peers", Gauge, "sessions", "",
         "Sessions with other entries.";
     ENTRIES = "jasmine_entry_entries", Gauge, "entries", "",
--- a/crates/entry/src/traffic/fleet/outcome.rs
+++ b/crates/entry/src/traffic/fleet/outcome.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     clock::millis,
+    metric,
     traffic::{
         fleet::Fleet,
         placement::{
@@ -120,6 +121,7 @@
         let begins = !upstream.is_paused(now);
         upstream.note_pause(pause, now);
         if begins {
+            metrics::counter!(metric::PAUSES).increment(1);
             emit(&Event::UpstreamPaused {
                 upstream: incarnation.id.clone(),
                 service: incarnation.service.clone(),
