--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -359,7 +359,12 @@
 
     /// Connects to the entry; `None` if its port is closed.
     pub(crate) fn try_connect(entry: &Entry) -> Option<Self> {
-        let stream = TcpStream::connect(entry.callers).ok()?;
+        Self::try_connect_to(entry.callers)
+    }
+
+    /// Connects to this address; `None` if its port is closed.
+    pub(crate) fn try_connect_to(addr: SocketAddr) -> Option<Self> {
+        let stream = TcpStream::connect(addr).ok()?;
         stream
             .set_read_timeout(Some(TIMEOUT))
             .expect("the timeout is valid");
@@ -370,9 +375,12 @@
     }
 
     pub(crate) fn send(&mut self, bytes: impl AsRef<[u8]>) {
-        self.stream
-            .write_all(bytes.as_ref())
-            .expect("the connection is open");
+        assert!(self.try_send(bytes), "the connection is open");
+    }
+
+    /// Sends bytes; returns false if the connection has ended.
+    pub(crate) fn try_send(&mut self, bytes: impl AsRef<[u8]>) -> bool {
+        self.stream.write_all(bytes.as_ref()).is_ok()
     }
 
     /// Reads the next response; `None` if the connection ends before it is complete.
