--- a/crates/entry/src/traffic/plan.rs
+++ b/crates/entry/src/traffic/plan.rs
@@ -96,12 +96,12 @@
     let host = text(&request.headers, &HOST);
     let path = request.uri.path();
     let Some(route) = host.and_then(|host| table.find(host, path)) else {
-        return Err(unknown(traffic, no_such_route()).into());
+        return Err(deny(traffic, no_such_route()).into());
     };
     let credentials = org::credentials(authorizations(&request.headers), dialect.key_scheme);
     let caller = table
         .identify(route, credentials)
-        .map_err(|_| unknown(traffic, unauthorized(dialect)))?;
+        .map_err(|_| deny(traffic, unauthorized(dialect)))?;
     let Some(id) = request.headers.get(&dialect.request_id).cloned() else {
         let response = CallerResponse::empty(StatusCode::BAD_REQUEST);
         return Err((response, Outcome::NoRequestId).into());
@@ -166,14 +166,14 @@
     (response, Outcome::NoSuchRoute)
 }
 
-/// Returns the response to a request whose route or key this entry doesn't know: `response`, unless the routes may be
-/// outdated. The caller would not try another entry after that one.
-fn unknown(traffic: &Traffic, response: FinalResponse) -> FinalResponse {
+/// Returns the response to a request whose route or key this entry doesn't know. This is `denial`, which callers don't retry
+/// at another entry, unless the routes may be outdated.
+fn deny(traffic: &Traffic, denial: FinalResponse) -> FinalResponse {
     let freshness = &traffic.shared.channels.routes_freshness;
     if freshness.is_stale(traffic.now()) {
         return retry_later(STALE_ROUTES_RETRY_AFTER, Outcome::StaleRoutes);
     }
-    response
+    denial
 }
 
 /// Returns the values of a request's `Authorization` headers.
