Only the first reader asks the store every second

Detection needs one reader that often. Readers are ordered by name; one that hears an earlier one forward a table waits 2 s for it, as before. If the earlier one falls silent, the others ask by themselves after 1.5 s as they did, and the next reader goes over to short waits.

--- a/crates/entry/src/control/feeds.rs
+++ b/crates/entry/src/control/feeds.rs
@@ -4,6 +4,7 @@
     clock::millis,
     control::{
         apply::Source,
+        hubs::forward_timeout,
         Control, //
     },
     message::FollowedTable,
@@ -27,9 +28,11 @@
 use rand::RngExt;
 use std::time::Duration;
 
-/// Maximum time that one call waits for changes. Each call puts load on the store, but a reader whose calls get no answer
-/// goes unnoticed for this long.
+/// Maximum time that a call of the first reader waits for changes. Each call puts load on the store, but readers whose
+/// calls get no answer go unnoticed for this long.
 pub(super) const CHANGES_WAIT: Duration = Duration::from_millis(1000);
+/// Maximum time that a call of a reader waits for changes while a reader before it forwards them.
+const BACKUP_CHANGES_WAIT: Duration = Duration::from_millis(2000);
 /// Maximum time that a new entry waits for the routing view of its hub. Sessions are up within a second of the start,
 /// and if an entire domain starts at once, its hub sends the view to one entry after the other. No caller uses a new
 /// entry yet.
@@ -329,10 +332,15 @@
     /// A call whose answer is lost ends only after its wait. During an outage the calls don't wait, so that the first one
     /// after it begins soon.
     fn next_call(&self, calls: &FeedCalls) -> Option<(u64, Duration)> {
+        let now = self.now();
         let mut state = self.state.borrow_mut();
+        let silence = forward_timeout(&state.overlay, now);
         let follower = &state.table_mut(calls.table).follower;
+        let mut forwarders = follower.forwarders(silence, now);
         let wait = if follower.has_gap() || calls.outage.is_some() {
             Duration::ZERO
+        } else if forwarders.any(|reader| *reader < self.settings.instance) {
+            BACKUP_CHANGES_WAIT
         } else {
             CHANGES_WAIT
         };
--- a/crates/entry/src/control/hubs.rs
+++ b/crates/entry/src/control/hubs.rs
@@ -361,8 +361,8 @@
 }
 
 /// Returns the time without a message about a table after which an entry calls the store itself. Readers forward what
-/// each call returns, and begin the next one within the batch interval.
-fn forward_timeout(overlay: &Overlay, now: Now) -> Duration {
+/// each call returns, and the first of them begins the next one within the batch interval.
+pub(super) fn forward_timeout(overlay: &Overlay, now: Now) -> Duration {
     let hub_timeout = feeds::batch_interval(overlay) + feeds::CHANGES_WAIT + FORWARD_TIME;
     if overlay.is_hub(now) {
         hub_timeout
--- a/crates/entry/tests/hubs.rs
+++ b/crates/entry/tests/hubs.rs
@@ -164,3 +164,30 @@
         domain.wait_for_routes(index, 2);
     }
 }
+
+/// Guards against readers of several regions that each ask the store as often as the first of them, which multiplies the
+/// calls on tables that don't change.
+#[test]
+fn readers_after_the_first_call_half_as_often() {
+    let store = MemoryStore::default();
+    store.put_routes(&routes(1));
+    let regions = ["region-a", "region-b"];
+    let handles: Vec<MemoryStore> = regions.iter().map(|_| store.handle()).collect();
+    let start = |index: usize| {
+        let grace = Duration::from_secs(6);
+        Entry::start_unready(ENTRY_NAMES[index], regions[index], &handles[index], grace)
+    };
+    let entries: Vec<Entry> = (0..regions.len()).map(start).collect();
+    for entry in &entries {
+        entry.wait_ready(true);
+    }
+    thread::sleep(CALL_TIME * 2);
+    let change_calls = || handles.iter().map(MemoryStore::change_calls);
+    let before: Vec<usize> = change_calls().collect();
+    thread::sleep(QUIET_TIME);
+    let calls: Vec<usize> = change_calls()
+        .zip(before)
+        .map(|(now, before)| now - before)
+        .collect();
+    assert!(calls[1] * 3 <= calls[0] * 2, "{calls:?}");
+}
--- a/crates/overlay/src/follower.rs
+++ b/crates/overlay/src/follower.rs
@@ -124,8 +124,17 @@
     /// Returns whether some hub forwards what it reads and nothing is missing, so that no call of the store is due.
     /// Hubs forward each read, even one without rows, so a hub counts as lost after `silence`.
     pub fn is_forwarded(&self, silence: Duration, now: Now) -> bool {
-        let fresh = |at: &Now| now.saturating_sub(*at) < silence || !self.guards.silence;
-        self.position.is_some() && !self.gap && self.hubs.values().any(fresh)
+        let forwards = self.forwarders(silence, now).next().is_some();
+        self.position.is_some() && !self.gap && forwards
+    }
+
+    /// Returns the hubs that forward what they read, as of messages within `silence`.
+    pub fn forwarders(&self, silence: Duration, now: Now) -> impl Iterator<Item = &InstanceId> {
+        let hubs = self
+            .hubs
+            .iter()
+            .filter(move |(_, at)| now.saturating_sub(**at) < silence || !self.guards.silence);
+        hubs.map(|(hub, _)| hub)
     }
 
     /// Returns whether rows are known to be missing.
