--- a/crates/entry/src/traffic/plan.rs
+++ b/crates/entry/src/traffic/plan.rs
@@ -166,8 +166,8 @@
     (response, Outcome::NoSuchRoute)
 }
 
-/// Returns the response to a request whose route or key this entry doesn't know. This is `denial`, which callers don't retry
-/// at another entry, unless the routes may be outdated.
+/// Returns the response to a request whose route or key this entry doesn't know: `denial`, or a rejection while the routes
+/// may be outdated, since callers don't try another entry after a denial.
 fn deny(traffic: &Traffic, denial: FinalResponse) -> FinalResponse {
     let freshness = &traffic.shared.channels.routes_freshness;
     if freshness.is_stale(traffic.now()) {
