--- a/crates/balance/tests/choose.rs
+++ b/crates/balance/tests/choose.rs
@@ -377,7 +377,7 @@
     assert_eq!(sent_to(choice), 0);
 }
 
-/// Guards against callers who are told to come back while all upstreams still want no requests.
+/// Guards against a `Retry-After` that is over while all upstreams are still paused.
 macro_rules! told_when_a_pause_ends {
     ($($name:ident: $pauses_ms:expr => $retry_after_ms:expr;)*) => {$(
         #[test]
--- a/crates/entry/tests/signals.rs
+++ b/crates/entry/tests/signals.rs
@@ -262,7 +262,7 @@
     pause_stated_without_a_proof_that_nothing_ran_holds: unmarked, 1, 2, LONG_PAUSE, "";
 }
 
-/// Guards against callers who are told to come back before any upstream takes requests again.
+/// Guards against a `Retry-After` that is over before the first pause ends.
 #[test]
 fn caller_is_told_when_the_first_pause_ends() {
     let store = MemoryStore::default();
--- a/crates/model/src/picture.rs
+++ b/crates/model/src/picture.rs
@@ -11,8 +11,8 @@
 //! The upstream may state in a response to one entry that it is leaving, while its rows say nothing of it.
 //!
 //! Invariant: once an entry is certain that the upstream is leaving or removed, it sends nothing there
-//! until a row of a higher version lists it. An entry that had such a response, or heard of it, sends nothing there at
-//! all. Once all entries have read all rows and no removal is
+//! until a row of a higher version lists it. An entry that has applied a departure of the upstream never sends there
+//! again. Once all entries have read all rows and no removal is
 //! unconfirmed, all views agree with the store.
 
 use crate::Model;
--- a/crates/picture/src/departures.rs
+++ b/crates/picture/src/departures.rs
@@ -64,7 +64,7 @@
         departures.collect()
     }
 
-    /// Drops the departure of an upstream that doesn't report its start: nothing tells it from the next incarnation.
+    /// Drops the departure of an upstream without a start time, whose incarnations can't be told apart.
     pub(crate) fn forget_unstarted(&mut self, upstream: &UpstreamId) {
         let recorded = self.recorded.get(upstream);
         if recorded.is_some_and(|recorded| recorded.started_ms == 0) {
