entry: a request counts as active until its response is written

Cause: the count that the planned stop waits for ended when the response began, so the process exited while a slow caller still read. The guard of the count now goes with the response and is dropped once the writer is done with it or the connection has ended.

planned_stop_waits_until_responses_are_written fails without the change (3,932,261 of 33,554,432 bytes arrive) and passes with it.

--- a/crates/entry/src/traffic/request.rs
+++ b/crates/entry/src/traffic/request.rs
@@ -81,7 +81,7 @@
 impl Traffic {
     /// Serves a request of a caller or of another entry.
     pub(super) async fn serve(self: &Rc<Self>, request: Request, origin: Origin) -> FinalResponse {
-        let _active = ActiveRequest::new(self);
+        let active = ActiveRequest::new(self);
         let received = request.received;
         let id = request
             .headers
@@ -104,6 +104,7 @@
                 response.headers.insert(name.clone(), id);
             }
         }
+        response.guard = Some(Box::new(active));
         metrics::counter!(metric::REQUESTS, "outcome" => outcome.as_str()).increment(1);
         metrics::histogram!(metric::REQUEST_SECONDS, "outcome" => outcome.as_str())
             .record(received.elapsed().as_secs_f64());
@@ -111,7 +112,7 @@
     }
 }
 
-/// Guard that counts a request as active until it is dropped.
+/// Guard that counts a request as active until it is dropped, which is when its response has been written.
 struct ActiveRequest(Rc<Traffic>);
 
 impl ActiveRequest {
--- a/crates/entry/src/traffic/response.rs
+++ b/crates/entry/src/traffic/response.rs
@@ -116,6 +116,7 @@
             headers,
             body,
             close: false,
+            guard: None,
         };
         (response, outcome)
     }
--- a/crates/entry/tests/system.rs
+++ b/crates/entry/tests/system.rs
@@ -544,6 +544,47 @@
     assert_eq!(last, 503, "the last request must be refused as not run");
 }
 
+/// Guards against a planned stop that ends the process while a response is still being written to a slow caller.
+#[test]
+fn planned_stop_waits_until_responses_are_written() {
+    let store = MemoryStore::default();
+    let mut slow_routes = routes(1);
+    for route in &mut slow_routes.hosts[0].routes {
+        route.timeout = Duration::from_secs(10);
+    }
+    store.put_routes(&slow_routes);
+    // Longer than the buffers of both sockets hold.
+    let body = "x".repeat(32 << 20);
+    let length = body.len();
+    let upstream = Upstream::start(Box::new(move |_, request, connection| {
+        connection.write(ok_response(request, &body));
+        true
+    }));
+    store.put_upstream(&upstream_row("u-1", upstream.addr));
+    let grace = Duration::from_secs(6);
+    let mut entry = Entry::start_unready("entry-1", "region-a", &store, grace);
+    entry.wait_ready(true);
+    let mut caller = Caller::connect(&entry);
+    caller.send(
+        "GET /d/x HTTP/1.1\r\nhost: app.example\r\njasmine-request: a1\r\n\
+         jasmine-deadline-ms: 10000\r\n\r\n",
+    );
+    eventually("the request at the upstream", || {
+        (!upstream.requests().is_empty()).then_some(())
+    });
+    entry.stop();
+    // An entry without a response in progress has ended by now; the grace period has not.
+    thread::sleep(Duration::from_millis(4200));
+    let mut received = Vec::new();
+    let ended = caller.stream.read_to_end(&mut received);
+    assert!(received.starts_with(b"HTTP/1.1 200"));
+    assert!(
+        received.len() > length,
+        "{} bytes, {ended:?}",
+        received.len()
+    );
+}
+
 /// Guards against a grace period of zero until something has been published: an entry that had read nothing, because
 /// the store was down from the start, ended half a second after the signal to stop.
 #[test]
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -7,7 +7,10 @@
     Uri, //
 };
 use bytes::Bytes;
-use std::time::Instant;
+use std::{
+    any::Any,
+    time::Instant, //
+};
 use tokio::sync::mpsc::Receiver;
 
 /// A part of a streamed body.
@@ -80,6 +83,8 @@
     pub body: ResponseBody,
     /// Whether to close the connection after the response.
     pub close: bool,
+    /// Dropped once the response has been written completely, or its connection has ended.
+    pub guard: Option<Box<dyn Any>>,
 }
 
 impl CallerResponse {
@@ -90,6 +95,7 @@
             headers: HeaderMap::new(),
             body: ResponseBody::Whole(Bytes::new()),
             close: false,
+            guard: None,
         }
     }
 
--- a/crates/relay/src/response_writer.rs
+++ b/crates/relay/src/response_writer.rs
@@ -79,7 +79,7 @@
     state: Rc<ConnectionState>,
 ) -> OwnedWriteHalf {
     while let Some(queued) = queue.recv().await {
-        let response = match queued.task {
+        let mut response = match queued.task {
             ResponseTask::Ready(response) => *response,
             ResponseTask::Running(mut running) => match (&mut running.0).await {
                 Ok(response) => response,
@@ -91,7 +91,9 @@
         let stopping = handler.is_stopping() && queue.is_empty();
         // The unread rest of a request's body would be parsed as the next request.
         let close = queued.close || response.close || stopping || !queued.body_read.get();
+        let guard = response.guard.take();
         let written = write_response(&mut write_half, response, queued.head_only, close).await;
+        drop(guard);
         state.in_flight.set(state.in_flight.get() - 1);
         state.response_written.notify_one();
         match written {
