look-ups: offer entries to callers by their capacity

Entries of 0.1 cores and 10 Mbit/s were offered to callers as often as those of 0.5 cores and 200 Mbit/s. An upload held up what came behind it on a small link, and 77 entries each saw a small part of an upstream's load. An entry now states its processor and link in its state and in rosters; a look-up offers the largest always and the others with a probability that is their capacity relative to theirs. Entries of equal capacity, or that state none, are all offered as before.

--- a/crates/entry/src/control/messages.rs
+++ b/crates/entry/src/control/messages.rs
@@ -67,6 +67,7 @@
             ready: state.routes.is_some() && !state.stopping,
             relay_addr: self.settings.relay_addr,
             is_partitioned: self.channels.partition.is_partitioned(),
+            capacity: self.settings.capacity(),
             is_hub: state.overlay.is_hub(self.now()),
             versions: state.view.versions(self.now()),
             routes_age: self.channels.routes_freshness.age(self.now()),
--- a/crates/entry/src/control/publish.rs
+++ b/crates/entry/src/control/publish.rs
@@ -105,6 +105,7 @@
                 region: self.settings.region.clone(),
                 callers_addr: self.settings.callers_addr,
                 is_partitioned: self.channels.partition.is_partitioned(),
+                capacity: self.settings.capacity(),
             });
         }
         for entry in live.values() {
@@ -113,6 +114,7 @@
                     region: entry.region.clone(),
                     callers_addr: service.callers_addr,
                     is_partitioned: service.is_partitioned,
+                    capacity: service.capacity,
                 });
             }
         }
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -14,6 +14,7 @@
 use org::DemandMessage;
 use overlay::{
     CallerService,
+    Capacity,
     Load,
     LoadKey,
     Member,
@@ -235,6 +236,9 @@
     /// Whether it reaches no upstreams itself.
     #[serde(default)]
     pub(crate) is_partitioned: bool,
+    /// Its capacity, if its settings state it.
+    #[serde(default)]
+    pub(crate) capacity: Option<Capacity>,
     pub(crate) is_hub: bool,
     /// Versions of its routing view.
     #[serde(rename = "reach")]
@@ -259,6 +263,7 @@
             ready: self.ready,
             relay_addr: self.relay_addr,
             is_partitioned: self.is_partitioned,
+            capacity: self.capacity,
         }
     }
 
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -7,6 +7,7 @@
     RegionId, //
 };
 use org::QuotaBounds;
+use overlay::Capacity;
 use std::{
     fs,
     net::SocketAddr,
@@ -88,6 +89,9 @@
     pub max_sockets: usize,
     /// CPU allotment, in thousandths of a core.
     pub cpu_milli: u32,
+    /// Bandwidth of the instance's link, in Mbit/s; `None` if it isn't stated. Look-ups then offer this entry as often as
+    /// those with the most capacity.
+    pub link_mbit_per_s: Option<u32>,
 }
 
 impl Settings {
@@ -97,6 +101,14 @@
         self.max_sockets.saturating_sub(RESERVED_SOCKETS) * 2 / 3
     }
 
+    /// Returns what the instance has, if it is stated.
+    pub(crate) fn capacity(&self) -> Option<Capacity> {
+        self.link_mbit_per_s.map(|link_mbit_per_s| Capacity {
+            cpu_milli: self.cpu_milli,
+            link_mbit_per_s,
+        })
+    }
+
     /// Returns the names of settings that differ in `next` and only change with a restart.
     pub(crate) fn fixed_differences(&self, next: &Self) -> Vec<&'static str> {
         let differs = [
@@ -112,6 +124,10 @@
             ("relay_addr", self.relay_addr != next.relay_addr),
             ("max_sockets", self.max_sockets != next.max_sockets),
             ("cpu_milli", self.cpu_milli != next.cpu_milli),
+            (
+                "link_mbit_per_s",
+                self.link_mbit_per_s != next.link_mbit_per_s,
+            ),
         ];
         let differing = differs.into_iter().filter(|(_, differs)| *differs);
         differing.map(|(name, _)| name).collect()
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -10,6 +10,7 @@
     ServiceId,
     UpstreamId, //
 };
+use overlay::Capacity;
 use route::Table;
 use std::{
     net::SocketAddr,
@@ -43,6 +44,8 @@
     pub(crate) callers_addr: SocketAddr,
     /// Whether it reaches no upstreams itself, and relays its callers' requests.
     pub(crate) is_partitioned: bool,
+    /// Its capacity, if it states it.
+    pub(crate) capacity: Option<Capacity>,
 }
 
 /// Another entry that reaches upstreams and takes requests from entries that don't.
--- a/crates/entry/src/traffic/lookup.rs
+++ b/crates/entry/src/traffic/lookup.rs
@@ -16,6 +16,10 @@
     Request as Head,
     StatusCode, //
 };
+use balance::{
+    affinity_hash,
+    rendezvous_score, //
+};
 use relay::{
     CallerResponse,
     Handler,
@@ -24,6 +28,7 @@
 };
 use route::CallerLimits;
 use std::{
+    cell::Cell,
     net::SocketAddr,
     rc::Rc,
     time::Duration, //
@@ -50,6 +55,8 @@
     pub(super) traffic: Rc<Traffic>,
     /// Whether it serves the metrics port, which callers can't reach.
     pub(super) is_metrics_port: bool,
+    /// Number of look-ups served.
+    pub(super) lookups: Cell<u64>,
 }
 
 impl Handler for AuxiliaryHandler {
@@ -106,7 +113,10 @@
                 .next()
                 .unwrap_or("")
         };
-        let addresses = entries_for(snapshot, field("region"));
+        let number = self.lookups.replace(self.lookups.get().wrapping_add(1));
+        let instance = affinity_hash(self.traffic.shared.settings.instance.as_bytes());
+        let seed = rendezvous_score(instance, number);
+        let addresses = entries_for(snapshot, field("region"), seed);
         if addresses.is_empty() {
             return CallerResponse::empty(StatusCode::SERVICE_UNAVAILABLE);
         }
@@ -129,12 +139,16 @@
     response
 }
 
-/// Returns the entries for a caller: those of its region, or those of the nearest region if it has none. Entries that are
-/// partitioned from the upstreams are left out, unless all of the region are.
-fn entries_for(snapshot: &Snapshot, region: &str) -> Vec<SocketAddr> {
+/// Returns the entries for a caller: of those of its region, or of the nearest region if it has none, the ones to offer by
+/// their capacity. Entries that are partitioned from the upstreams are left out, unless all of the region are. `seed`
+/// differs between look-ups.
+fn entries_for(snapshot: &Snapshot, region: &str, seed: u64) -> Vec<SocketAddr> {
     let addrs = |entries: Vec<&EntryView>| {
-        let entries = entries.into_iter().take(ADDRESSES_MAX);
-        entries.map(|entry| entry.callers_addr).collect::<Vec<_>>()
+        let capacities: Vec<_> = entries.iter().map(|entry| entry.capacity).collect();
+        let random = |index| rendezvous_score(seed, index as u64) as f64 / u64::MAX as f64;
+        let offered = overlay::offered(&capacities, random).into_iter();
+        let offered = offered.take(ADDRESSES_MAX);
+        offered.map(|index| entries[index].callers_addr).collect()
     };
     let of_region = |region: &str| {
         let entries = snapshot.entries.iter();
--- a/crates/entry/src/traffic/ports.rs
+++ b/crates/entry/src/traffic/ports.rs
@@ -16,6 +16,7 @@
     Handler, //
 };
 use std::{
+    cell::Cell,
     io,
     net::TcpListener,
     rc::Rc,
@@ -53,6 +54,7 @@
         let handler = Rc::new(AuxiliaryHandler {
             traffic: traffic.clone(),
             is_metrics_port,
+            lookups: Cell::default(),
         });
         actix_rt::spawn(accept(
             to_tokio_listener(listener)?,
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -215,6 +215,7 @@
             },
             max_sockets: 1050,
             cpu_milli: 1000,
+            link_mbit_per_s: None,
         };
         let store = store.clone();
         let initial_settings = settings.clone();
--- /dev/null
+++ b/crates/overlay/src/capacity.rs
@@ -0,0 +1,63 @@
+//! Capacity of entries, and which entries a caller is offered by it.
+//!
+//! Callers pick one of the offered entries at random for each connection, so an entry's share of them follows from how
+//! often it is offered. Each look-up offers the entries with the most capacity, and every other one with a probability
+//! that is its capacity relative to theirs. In the mean each entry is loaded in proportion to its capacity, and a caller
+//! still knows several.
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// Minimum number of entries that a caller is offered, if there are as many: it turns to another one if one fails.
+const OFFERED_MIN: usize = 3;
+
+/// What an instance has for the entry that runs on it.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Capacity {
+    /// CPU, in thousandths of a core.
+    pub cpu_milli: u32,
+    /// Bandwidth of its link, in Mbit/s.
+    pub link_mbit_per_s: u32,
+}
+
+impl Capacity {
+    /// Returns the larger one of each resource.
+    fn max(self, other: Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.max(other.cpu_milli),
+            link_mbit_per_s: self.link_mbit_per_s.max(other.link_mbit_per_s),
+        }
+    }
+
+    /// Returns the fraction of another capacity, by the resource that is scarcer here.
+    fn fraction_of(self, other: Self) -> f64 {
+        let fraction = |own: u32, other: u32| f64::from(own) / f64::from(other.max(1));
+        let cpu = fraction(self.cpu_milli, other.cpu_milli);
+        cpu.min(fraction(self.link_mbit_per_s, other.link_mbit_per_s))
+    }
+}
+
+/// Returns the indices of the entries to offer to a caller, in order. `random` returns a number from 0 to 1 for an index;
+/// the numbers of different look-ups are independent. An entry of unknown capacity counts as one with the most.
+pub fn offered(capacities: &[Option<Capacity>], random: impl Fn(usize) -> f64) -> Vec<usize> {
+    let known = capacities.iter().copied().flatten();
+    let Some(most) = known.reduce(Capacity::max) else {
+        return (0..capacities.len()).collect();
+    };
+    let fraction = |index: usize| {
+        let capacity: Option<Capacity> = capacities[index];
+        capacity.map_or(1.0, |capacity| capacity.fraction_of(most))
+    };
+    // No instance may have the most of each resource.
+    let highest = (0..capacities.len()).map(fraction).fold(0.0, f64::max);
+    let is_offered = |index: &usize| random(*index) * highest <= fraction(*index);
+    let (mut offered, mut others): (Vec<usize>, Vec<usize>) =
+        (0..capacities.len()).partition(is_offered);
+    let missing = OFFERED_MIN.saturating_sub(offered.len());
+    others.sort_by(|a, b| fraction(*b).total_cmp(&fraction(*a)));
+    offered.extend(others.into_iter().take(missing));
+    offered.sort_unstable();
+    offered
+}
--- a/crates/overlay/src/lib.rs
+++ b/crates/overlay/src/lib.rs
@@ -10,6 +10,7 @@
 //!   sessions to as a [`Roster`], and hubs forward each other's rosters to their leaves.
 //! - [`LoadSums`] adds up requests in flight at upstreams: leaves report to one hub, and hubs exchange the sums of their
 //!   leaves.
+//! - [`offered()`] selects the entries that a caller is offered, by their [`Capacity`].
 //! - [`TableFollower`] tracks how far an entry has read a table of the store, by its own calls or through others: one hub of
 //!   each region is a *reader* and forwards what it reads to all hubs, which forward it to their leaves.
 //!
@@ -20,6 +21,7 @@
 //! members derive the same order. An entry is up by its own session or by a roster that is newer than the loss of that
 //! session. Through a hub, a table is never read past a gap.
 
+mod capacity;
 mod follower;
 mod live;
 mod member;
@@ -28,6 +30,10 @@
 mod roster;
 mod sums;
 
+pub use capacity::{
+    offered,
+    Capacity, //
+};
 pub use follower::{
     Continuity, //
     Guards,
--- a/crates/overlay/src/roster.rs
+++ b/crates/overlay/src/roster.rs
@@ -1,5 +1,6 @@
 //! Rosters: the entries that a hub has sessions to.
 
+use crate::capacity::Capacity;
 use base::{
     DomainId,
     InstanceId,
@@ -27,6 +28,9 @@
     /// Whether it reaches no upstreams itself.
     #[serde(default)]
     pub is_partitioned: bool,
+    /// Its capacity; `None` if it states none.
+    #[serde(default)]
+    pub capacity: Option<Capacity>,
 }
 
 impl RosterEntry {
@@ -38,6 +42,7 @@
             ready: service.ready,
             relay_addr: service.relay_addr,
             is_partitioned: service.is_partitioned,
+            capacity: service.capacity,
         }
     }
 
@@ -48,6 +53,7 @@
             ready: self.ready,
             relay_addr: self.relay_addr,
             is_partitioned: self.is_partitioned,
+            capacity: self.capacity,
         }
     }
 }
@@ -63,6 +69,8 @@
     pub relay_addr: Option<SocketAddr>,
     /// Whether it reaches no upstreams itself.
     pub is_partitioned: bool,
+    /// Its capacity; `None` if it states none.
+    pub capacity: Option<Capacity>,
 }
 
 /// Entries of one failure domain that have a session to one of its hubs, the hub included.
--- a/crates/overlay/tests/fleet.rs
+++ b/crates/overlay/tests/fleet.rs
@@ -70,6 +70,7 @@
         ready: true,
         relay_addr: None,
         is_partitioned: false,
+        capacity: None,
     }
 }
 
