control: prefer entries with callers as holders of leases of cold upstreams

With look-ups by capacity a small entry has a hundredth of its region's requests. As holder of a cold upstream's lease it left the upstream idle for as long as it was cold.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -42,7 +42,8 @@
 pub use rate_limiter::RateLimiter;
 pub use rendezvous::{
     affinity_hash,
-    rendezvous_score, //
+    rendezvous_score,
+    weighted_rendezvous_score, //
 };
 pub use retry_budget::RetryBudget;
 pub use service_times::ServiceTimes;
--- a/crates/balance/src/rendezvous.rs
+++ b/crates/balance/src/rendezvous.rs
@@ -23,3 +23,11 @@
     hasher.write_u64(upstream);
     hasher.finish()
 }
+
+/// Returns the score of a member with this weight, such that each is preferred in proportion to its weight over all keys.
+/// Members of equal weight are in the order of their [`rendezvous_score`].
+pub fn weighted_rendezvous_score(key: u64, member: u64, weight: f64) -> f64 {
+    let uniform = (rendezvous_score(key, member) as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+    // The uniform number may be rounded up to 1.
+    -weight / uniform.ln().min(-f64::MIN_POSITIVE)
+}
--- a/crates/entry/src/control/cold.rs
+++ b/crates/entry/src/control/cold.rs
@@ -17,7 +17,7 @@
 };
 use balance::{
     affinity_hash,
-    rendezvous_score, //
+    weighted_rendezvous_score, //
 };
 use base::{
     InstanceId,
@@ -37,6 +37,10 @@
     Terms,
     Wanted, //
 };
+use overlay::{
+    relative_capacities,
+    LiveEntry, //
+};
 use plat::{
     Check,
     Commit,
@@ -142,11 +146,20 @@
             let service = entry.service;
             service.is_none_or(|service| !service.is_partitioned)
         });
-        let others: Vec<(u64, &RegionId)> = claimants
-            .map(|(instance, entry)| (hash(instance), &entry.region))
+        let claimants: Vec<(&InstanceId, &LiveEntry)> = claimants.collect();
+        // A small entry has too few requests to use an upstream's allowance.
+        let capacities = claimants
+            .iter()
+            .map(|(_, entry)| entry.service.and_then(|service| service.capacity));
+        let capacities: Vec<_> = std::iter::once(self.settings.capacity())
+            .chain(capacities)
+            .collect();
+        let weights = relative_capacities(&capacities);
+        let others: Vec<(u64, &RegionId, f64)> = std::iter::zip(&claimants, &weights[1..])
+            .map(|((instance, entry), weight)| (hash(instance), &entry.region, *weight))
             .collect();
         let has_entries = |region: &RegionId| {
-            region == own_region || others.iter().any(|(_, other)| *other == region)
+            region == own_region || others.iter().any(|(_, other, _)| *other == region)
         };
         let upstreams = state.view.upstreams(now);
         let eligible = upstreams.filter(|(listed, closed, cold_until)| {
@@ -168,10 +181,10 @@
                 // entries is claimed by all entries.
                 let is_claimant =
                     |region: &RegionId| region == own_region || listed.region != *own_region;
-                let before = |(other, region): &&(u64, &RegionId)| {
+                let own_score = weighted_rendezvous_score(subject_hash, own, weights[0]);
+                let before = |(other, region, weight): &&(u64, &RegionId, f64)| {
                     is_claimant(region)
-                        && rendezvous_score(subject_hash, *other)
-                            > rendezvous_score(subject_hash, own)
+                        && weighted_rendezvous_score(subject_hash, *other, *weight) > own_score
                 };
                 Wanted {
                     subject: listed.id.clone(),
--- a/crates/overlay/src/capacity.rs
+++ b/crates/overlay/src/capacity.rs
@@ -39,24 +39,32 @@
     }
 }
 
-/// Returns the indices of the entries to offer to a caller, in order. `random` returns a number from 0 to 1 for an index;
-/// the numbers of different look-ups are independent. An entry of unknown capacity counts as one with the most.
-pub fn offered(capacities: &[Option<Capacity>], random: impl Fn(usize) -> f64) -> Vec<usize> {
+/// Returns the capacity of each entry relative to the largest, from 0 to 1. An unknown capacity counts as the largest.
+pub fn relative_capacities(capacities: &[Option<Capacity>]) -> Vec<f64> {
     let known = capacities.iter().copied().flatten();
     let Some(most) = known.reduce(Capacity::max) else {
-        return (0..capacities.len()).collect();
-    };
-    let fraction = |index: usize| {
-        let capacity: Option<Capacity> = capacities[index];
-        capacity.map_or(1.0, |capacity| capacity.fraction_of(most))
+        return vec![1.0; capacities.len()];
     };
+    let fraction =
+        |capacity: &Option<Capacity>| capacity.map_or(1.0, |known| known.fraction_of(most));
+    let fractions: Vec<f64> = capacities.iter().map(fraction).collect();
     // No instance may have the most of each resource.
-    let highest = (0..capacities.len()).map(fraction).fold(0.0, f64::max);
-    let is_offered = |index: &usize| random(*index) * highest <= fraction(*index);
+    let highest = fractions.iter().copied().fold(f64::MIN_POSITIVE, f64::max);
+    fractions
+        .iter()
+        .map(|fraction| fraction / highest)
+        .collect()
+}
+
+/// Returns the indices of the entries to offer to a caller, in order. `random` returns a number from 0 to 1 for an index;
+/// the numbers of different look-ups are independent.
+pub fn offered(capacities: &[Option<Capacity>], random: impl Fn(usize) -> f64) -> Vec<usize> {
+    let relative = relative_capacities(capacities);
+    let is_offered = |index: &usize| random(*index) <= relative[*index];
     let (mut offered, mut others): (Vec<usize>, Vec<usize>) =
         (0..capacities.len()).partition(is_offered);
     let missing = OFFERED_MIN.saturating_sub(offered.len());
-    others.sort_by(|a, b| fraction(*b).total_cmp(&fraction(*a)));
+    others.sort_by(|a, b| relative[*b].total_cmp(&relative[*a]));
     offered.extend(others.into_iter().take(missing));
     offered.sort_unstable();
     offered
--- a/crates/overlay/src/lib.rs
+++ b/crates/overlay/src/lib.rs
@@ -32,6 +32,7 @@
 
 pub use capacity::{
     offered,
+    relative_capacities,
     Capacity, //
 };
 pub use follower::{
