Hedged requests: a second send where response times have a heavy tail

Cause: a send waits until its deadline. Where 3 in 100 runs take seven times as long as usual, these requests miss their target or get no response, while another upstream would respond in time.

Change: balance::Hedger keeps the recent response times of each service and route and decides when a second send is worth it; entry/traffic/hedge awaits the pair. Routes without a tail are never hedged.

--- a/crates/balance/src/health.rs
+++ b/crates/balance/src/health.rs
@@ -69,6 +69,15 @@
         was_failing && self.failure_rate < EJECTION_THRESHOLD
     }
 
+    /// Records that a request was given up after `elapsed` although it had not failed. Only a latency below that is
+    /// corrected.
+    pub fn note_unfinished(&mut self, elapsed: Duration) {
+        let longer_s = elapsed.as_secs_f64() - self.latency_s;
+        if self.latency_s > 0.0 && longer_s > 0.0 {
+            self.latency_s += LATENCY_WEIGHT * longer_s;
+        }
+    }
+
     /// Records a failure. `unreachable` marks one that shows that the upstream does not run, such as a refused
     /// connection, and ejects it at once. Returns the duration of the ejection if one begins.
     pub fn note_failure(&mut self, unreachable: bool, now: Now) -> Option<Duration> {
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -6,6 +6,9 @@
 //! [`Upstream`] each: this entry's requests in flight, the load from other entries as last reported, and the
 //! [`Health`] that this entry observed.
 //!
+//! A request that may run more than once is sent to a second upstream if the first one takes unusually long, on routes
+//! whose response times have a heavy tail ([`Hedger`]).
+//!
 //! Limits that apply to all entries combined are divided into shares that each entry enforces on its own:
 //! [`RetryBudget`] limits the sends after a request's first, and [`ShiftLimiter`] limits how fast the share of requests
 //! that leave their region may change. The rate that a cold upstream accepts is too low to divide: the entry that holds
@@ -18,8 +21,10 @@
 mod cold_start_limiter;
 mod entry_share;
 mod health;
+mod hedge;
 mod rate_limiter;
 mod rendezvous;
+mod response_times;
 mod retry_budget;
 mod service_times;
 mod shift;
@@ -39,6 +44,10 @@
 pub use cold_start_limiter::ColdStartLimiter;
 pub use entry_share::entry_share;
 pub use health::Health;
+pub use hedge::{
+    Hedger,
+    PendingSend, //
+};
 pub use rate_limiter::RateLimiter;
 pub use rendezvous::{
     affinity_hash,
--- a/crates/entry/src/metric.rs
+++ b/crates/entry/src/metric.rs
@@ -11,6 +11,8 @@
         "Requests sent to upstreams, by what became of them.";
     SEND_WAIT_SECONDS = "jasmine_entry_send_wait_seconds", Histogram, "seconds", "",
         "Time from the choice of an upstream to a connection on which the request may be sent.";
+    HEDGES = "jasmine_entry_hedges_total", Counter, "requests", "outcome",
+        "Requests sent to a second upstream because the first took unusually long, by which of them responded.";
     COLD_LEASES = "jasmine_entry_cold_leases", Gauge, "leases", "",
         "Cold upstreams that only this entry sends to.";
     CRASHES = "jasmine_entry_crashes_total", Counter, "crashes", "",
--- a/crates/entry/src/traffic/attempt.rs
+++ b/crates/entry/src/traffic/attempt.rs
@@ -57,6 +57,26 @@
 /// region, including jitter.
 const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// How far a send has come.
+#[derive(Default)]
+pub(super) struct SendState {
+    is_sent: Cell<bool>,
+    /// Whether the head of the response has arrived, or the send has ended without it.
+    has_ended_wait: Cell<bool>,
+}
+
+impl SendState {
+    /// Returns whether the request has been sent.
+    pub(super) fn is_sent(&self) -> bool {
+        self.is_sent.get()
+    }
+
+    /// Returns whether the request has been sent and the head of the response hasn't arrived.
+    pub(super) fn awaits_response(&self) -> bool {
+        self.is_sent.get() && !self.has_ended_wait.get()
+    }
+}
+
 /// Guard that counts a request as in flight at an upstream until it is dropped.
 pub(super) struct InFlight {
     traffic: Rc<Traffic>,
@@ -65,10 +85,7 @@
     chosen_at: Instant,
     /// Whether the request counts as waiting at a restricted upstream; cleared when it is sent.
     is_waiting: Cell<bool>,
-    /// Whether the request has been sent.
-    is_sent: Rc<Cell<bool>>,
-    /// Whether the request counts as waiting for a response.
-    awaits_response: Cell<bool>,
+    state: Rc<SendState>,
     permit: SendPermit,
 }
 
@@ -87,15 +104,14 @@
             chosen_at: Instant::now(),
             is_waiting: Cell::new(placement.restricted),
             placement,
-            is_sent: Rc::default(),
-            awaits_response: Cell::new(true),
+            state: Rc::default(),
             permit,
         }
     }
 
-    /// Returns a flag that is set when the request is sent.
-    pub(super) fn sent_flag(&self) -> Rc<Cell<bool>> {
-        self.is_sent.clone()
+    /// Returns the state of the send.
+    pub(super) fn state(&self) -> Rc<SendState> {
+        self.state.clone()
     }
 
     /// Records the head of the response.
@@ -105,7 +121,7 @@
     }
 
     fn end_wait(&self) {
-        if self.awaits_response.replace(false) {
+        if !self.state.has_ended_wait.replace(true) {
             self.traffic.reach.borrow_mut().note_ended();
         }
     }
@@ -120,7 +136,7 @@
         let is_waiting = self.is_waiting.replace(false);
         let now = self.traffic.now();
         let may_send = fleet.may_send(&self.placement.incarnation, is_waiting, now);
-        self.is_sent.set(may_send);
+        self.state.is_sent.set(may_send);
         may_send
     }
 }
@@ -244,6 +260,10 @@
                 in_flight.permit.note_failed();
                 traffic.reach.borrow_mut().note_failed(traffic.now());
             }
+            if failure == Failure::Timeout && in_flight.state.awaits_response() {
+                let mut fleet = traffic.fleet.borrow_mut();
+                fleet.note_timeout(&in_flight.placement, sent.elapsed());
+            }
             note_failure(traffic, &incarnation, &failure);
             return SendOutcome::Failed(failure);
         }
@@ -274,6 +294,10 @@
         note_failure(traffic, &incarnation, &failure);
         return SendOutcome::Failed(failure);
     }
+    if !status.is_server_error() {
+        let mut fleet = traffic.fleet.borrow_mut();
+        fleet.note_response_head(&in_flight.placement, sent.elapsed(), traffic.now());
+    }
     let UpstreamResponse {
         headers,
         length_bytes,
--- a/crates/entry/src/traffic/dispatch.rs
+++ b/crates/entry/src/traffic/dispatch.rs
@@ -15,8 +15,14 @@
             self,
             InFlight,
             ReceivedResponse,
-            SendOutcome, //
+            SendOutcome,
+            SendState, //
         },
+        hedge::{
+            EndedSend,
+            PreparedSend, //
+        },
+        path::SendPermit,
         placement::{
             Placement,
             PlacementDecision,
@@ -24,10 +30,7 @@
             Rejection, //
         },
         plan::Origin,
-        request_log::{
-            text,
-            SendFailure, //
-        },
+        request_log::text,
         response::{
             FinalResponse,
             LastSend, //
@@ -42,6 +45,7 @@
     },
     Method, //
 };
+use actix_rt::task::JoinHandle;
 use base::{
     InstanceId,
     RegionId,
@@ -49,7 +53,10 @@
     UpstreamId, //
 };
 use bytes::Bytes;
-use event::Reason;
+use event::{
+    HedgeOutcome,
+    Reason, //
+};
 use quarantine::Fingerprint;
 use relay::{
     request_head,
@@ -132,12 +139,17 @@
     pub(super) fn is_consumed(&self) -> bool {
         matches!(self, Self::Streamed(None))
     }
+
+    pub(super) fn is_buffered(&self) -> bool {
+        matches!(self, Self::Buffered(_))
+    }
 }
 
 /// Results of the sends made so far.
 #[derive(Default)]
 pub(super) struct Progress {
-    tried: Vec<UpstreamId>,
+    /// Upstreams chosen; the last is the one that decided how to go on.
+    pub(super) tried: Vec<UpstreamId>,
     /// Number of sends that reached an upstream.
     pub(super) sends: u32,
     pub(super) may_have_run: bool,
@@ -146,9 +158,28 @@
     pub(super) placement: Option<Placement>,
     /// The entry that the request was last relayed to.
     pub(super) via: Option<InstanceId>,
+    /// How the last pair of sends ended, if the request was hedged.
+    pub(super) hedge: Option<HedgeOutcome>,
 }
 
 impl Progress {
+    /// Counts a send that the upstream stated not to have run.
+    pub(super) fn note_not_run(&mut self) {
+        self.sends += 1;
+        self.last.get_or_insert(LastSend::NotRun);
+    }
+
+    /// Counts a send without a response, if it reached the upstream.
+    pub(super) fn note_failure(&mut self, failure: &Failure) {
+        if failure.not_run() {
+            return;
+        }
+        self.sends += 1;
+        self.may_have_run = true;
+        let timeout = *failure == Failure::Timeout;
+        self.last = Some(LastSend::Failed { timeout });
+    }
+
     /// Returns the last upstream chosen.
     pub(super) fn upstream(&self) -> Option<&UpstreamId> {
         self.tried.last()
@@ -178,7 +209,7 @@
                 return self.relay(progress, rejection).await;
             };
             self.count_in_budget();
-            let (target, placement) = match self.place(&progress.tried) {
+            let (target, placement) = match self.place(&progress.tried, None) {
                 PlacementDecision::Send { target, placement } => (target, *placement),
                 PlacementDecision::Reject(rejection) => {
                     drop(permit);
@@ -189,39 +220,20 @@
                     return self.give_up(progress, &rejection);
                 }
             };
-            let in_flight = InFlight::new(&self.traffic, &target, placement.clone(), permit);
-            let is_sent = in_flight.sent_flag();
-            progress.tried.push(target.id.clone());
-            let placed = (target.id.clone(), placement.clone());
-            self.last_placed.replace(Some(placed));
-            progress.placement = Some(placement.clone());
-            let Some(upstream_request) = self.build_request(&target) else {
+            let Some(send) = self.start_send(&mut progress, target, placement, permit) else {
                 return self.give_up(progress, &self.rejection_after_send(Reason::BodySpent));
             };
-            let send = attempt::send(&self.traffic, in_flight, upstream_request);
-            let outcome = self.until_partitioned(send, &is_sent).await;
+            let EndedSend {
+                target,
+                placement,
+                outcome,
+            } = self.send_hedged(&mut progress, send).await;
+            self.log_failed_outcome(&target, &placement, &outcome);
             metrics::counter!(metric::SENDS, "outcome" => outcome_label(&outcome)).increment(1);
             let next = match outcome {
                 SendOutcome::Answered(response) => self.after_response(&mut progress, response),
-                SendOutcome::NotRun {
-                    status,
-                    retry_after,
-                } => {
-                    let failure = SendFailure {
-                        not_run: true,
-                        why: format!("status {status}"),
-                        retry_after,
-                    };
-                    self.log_failed_send(&target, &placement, failure);
-                    self.after_refusal(&mut progress)
-                }
+                SendOutcome::NotRun { .. } => self.after_refusal(&mut progress),
                 SendOutcome::Failed(failure) => {
-                    let logged = SendFailure {
-                        not_run: failure.not_run(),
-                        why: failure.to_string(),
-                        retry_after: None,
-                    };
-                    self.log_failed_send(&target, &placement, logged);
                     if matches!(failure, Failure::Broken(_)) {
                         self.check_crash(&target, &placement).await;
                     }
@@ -236,24 +248,24 @@
 
     /// Awaits a send, but gives it up once this entry loses all upstreams if the request may then be sent another way: it
     /// has not been sent yet, or it may run twice.
-    async fn until_partitioned(
+    pub(super) async fn until_partitioned<T>(
         &self,
-        send: impl Future<Output = SendOutcome>,
-        is_sent: &Cell<bool>,
-    ) -> SendOutcome {
+        send: impl Future<Output = T>,
+        state: &SendState,
+    ) -> Result<T, Failure> {
         tokio::pin!(send);
         loop {
             tokio::select! {
                 biased;
-                outcome = &mut send => return outcome,
+                outcome = &mut send => return Ok(outcome),
                 () = self.traffic.path_cut.notified() => {}
             }
-            if !is_sent.get() {
-                return SendOutcome::Failed(Failure::Withdrawn);
+            if !state.is_sent() {
+                return Err(Failure::Withdrawn);
             }
             let is_silent = self.traffic.reach.borrow().is_silent(self.traffic.now());
             if is_silent && self.route.kind.is_idempotent() && !self.body.is_consumed() {
-                return SendOutcome::Failed(Failure::Abandoned);
+                return Err(Failure::Abandoned);
             }
         }
     }
@@ -289,6 +301,17 @@
 
     /// Checks whether the upstream crashed while it ran this request.
     async fn check_crash(&self, target: &Target, placement: &Placement) {
+        let check = self.spawn_crash_check(target, placement);
+        let _ = timeout_at(self.deadline.into(), check).await;
+    }
+
+    /// Spawns that check, which continues after the deadline, or if the caller disconnects, so that the crash is
+    /// recorded.
+    pub(super) fn spawn_crash_check(
+        &self,
+        target: &Target,
+        placement: &Placement,
+    ) -> JoinHandle<()> {
         let check = attempt::check_crash(
             self.traffic.clone(),
             target.clone(),
@@ -296,8 +319,7 @@
             text(&self.id),
             self.fingerprint,
         );
-        // The spawned check continues after the deadline, or if the caller disconnects, so that the crash is recorded.
-        let _ = timeout_at(self.deadline.into(), actix_rt::spawn(check)).await;
+        actix_rt::spawn(check)
     }
 
     /// Forwards a response to the caller, or retries if it is a server error and the request may be sent again.
@@ -321,8 +343,7 @@
 
     /// Retries after an upstream refused to run the request, if possible.
     fn after_refusal(&self, progress: &mut Progress) -> NextStep {
-        progress.sends += 1;
-        progress.last.get_or_insert(LastSend::NotRun);
+        progress.note_not_run();
         if self.may_resend(progress.sends) {
             return NextStep::Retry;
         }
@@ -335,13 +356,10 @@
 
     /// Retries after a send without a response, if possible.
     fn after_failure(&self, progress: &mut Progress, failure: &Failure) -> NextStep {
+        progress.note_failure(failure);
         let retry = if failure.not_run() {
             self.has_time_left() && !self.body.is_consumed()
         } else {
-            progress.sends += 1;
-            progress.may_have_run = true;
-            let timeout = *failure == Failure::Timeout;
-            progress.last = Some(LastSend::Failed { timeout });
             let whole = *failure != Failure::BodyTruncated;
             whole && self.route.kind.is_idempotent() && self.may_resend(progress.sends)
         };
@@ -352,21 +370,31 @@
         NextStep::Done(self.give_up(progress, &self.rejection_after_send(Reason::SendFailed)))
     }
 
-    fn place(&self, tried: &[UpstreamId]) -> PlacementDecision {
+    /// Selects the upstream for a send. `pending` is the send that is to be hedged, if any, and its age.
+    pub(super) fn place(
+        &self,
+        tried: &[UpstreamId],
+        pending: Option<(&Placement, Duration)>,
+    ) -> PlacementDecision {
         self.traffic.refresh();
         let now = Instant::now();
         let target_at = self.received + self.route.latency_target;
+        let target_left = target_at.saturating_duration_since(now);
+        let deadline_left = self.deadline.saturating_duration_since(now);
+        let mut fleet = self.traffic.fleet.borrow_mut();
         let request = PlacementRequest {
             service: &self.service,
             route: &self.route,
             organisation_homes: self.organisation_homes(),
             key: self.key,
             has_affinity_key: self.has_affinity_key,
-            target_left: target_at.saturating_duration_since(now),
-            deadline_left: self.deadline.saturating_duration_since(now),
+            target_left,
+            deadline_left,
             tried,
+            pending: pending.map(|(placement, elapsed)| {
+                fleet.pending_send(placement, elapsed, target_left, deadline_left)
+            }),
         };
-        let mut fleet = self.traffic.fleet.borrow_mut();
         fleet.place(&request, self.traffic.now())
     }
 
@@ -398,12 +426,40 @@
     /// Returns whether another send is allowed after `sends` sends that reached an upstream. If so, it is charged to the
     /// retry budget.
     pub(super) fn may_resend(&self, sends: u32) -> bool {
-        sends < self.route.max_attempts && self.has_time_left() && !self.body.is_consumed() && {
+        self.may_send_after(sends) && {
             let mut fleet = self.traffic.fleet.borrow_mut();
             fleet.try_take_retry(&self.service, self.traffic.now())
         }
     }
 
+    /// Returns whether another send is possible after `sends` sends that reached an upstream, apart from the retry budget.
+    pub(super) fn may_send_after(&self, sends: u32) -> bool {
+        sends < self.route.max_attempts && self.has_time_left() && !self.body.is_consumed()
+    }
+
+    /// Takes ownership of the counts that [`Self::place`] added, and builds the request. Returns `None` if the body
+    /// can't be sent again.
+    pub(super) fn start_send(
+        &mut self,
+        progress: &mut Progress,
+        target: Target,
+        placement: Placement,
+        permit: SendPermit,
+    ) -> Option<PreparedSend> {
+        let in_flight = InFlight::new(&self.traffic, &target, placement.clone(), permit);
+        progress.tried.push(target.id.clone());
+        let placed = (target.id.clone(), placement.clone());
+        self.last_placed.replace(Some(placed));
+        progress.placement = Some(placement.clone());
+        let upstream_request = self.build_request(&target)?;
+        Some(PreparedSend {
+            target,
+            placement,
+            in_flight,
+            upstream_request,
+        })
+    }
+
     /// Builds the request for one upstream. Returns `None` if the body can't be sent again.
     fn build_request(&mut self, target: &Target) -> Option<UpstreamRequest> {
         let body = self.body.next_body()?;
@@ -449,7 +505,7 @@
 }
 
 /// Returns the metric label of an outcome.
-fn outcome_label(outcome: &SendOutcome) -> &'static str {
+pub(super) fn outcome_label(outcome: &SendOutcome) -> &'static str {
     match outcome {
         SendOutcome::Answered(_) => "answered",
         SendOutcome::NotRun { .. } => "not run",
--- a/crates/entry/src/traffic/fleet.rs
+++ b/crates/entry/src/traffic/fleet.rs
@@ -1,8 +1,10 @@
 //! The traffic thread's state of the upstreams, and the selection of an upstream for each request.
 //!
+//! - `hedge` decides whether a request is hedged.
 //! - `outcome` updates the state with the results of requests.
 //! - `peer_reports` exchanges requests in flight and warm keys with other entries.
 
+mod hedge;
 mod outcome;
 mod peer_reports;
 
@@ -51,11 +53,7 @@
     Version, //
 };
 use bytestring::ByteString;
-use event::{
-    emit,
-    Event,
-    Reason, //
-};
+use event::Reason;
 use reach::Evidence;
 use relay::Target;
 use route::{
@@ -196,6 +194,7 @@
         self.splits.retain(|id, _| ids.contains(id));
         for group in self.groups.values_mut() {
             group.service_times.retain(|id, _| ids.contains(id));
+            group.hedgers.retain(|id, _| ids.contains(id));
         }
     }
 
@@ -253,13 +252,7 @@
         let Some(group) = self.groups.get_mut(service) else {
             return false;
         };
-        let taken = group.budget.try_take(slack, now);
-        if !taken && group.exhaustion_logged_s.replace(now.as_secs()) != Some(now.as_secs()) {
-            emit(&Event::RetriesSpent {
-                service: service.clone(),
-            });
-        }
-        taken
+        group.try_take_retry(service, slack, now)
     }
 
     /// Selects the upstream for a request and counts the request as in flight there.
@@ -285,7 +278,14 @@
             cold_per_s,
             service_times: group.service_times(&request.route.id),
         };
-        match choose(&mut group.upstreams, &query, &self.location, now) {
+        let choice = choose(&mut group.upstreams, &query, &self.location, now);
+        if let Some(pending) = &request.pending {
+            let slack = entry_share(self.bounds.retry_slack, self.entries_known);
+            if !group.try_take_hedge(request, pending, &choice, slack, now) {
+                return PlacementDecision::Reject(Rejection::default());
+            }
+        }
+        match choice {
             Choice::Send {
                 index,
                 warm,
--- a/crates/entry/src/traffic/group.rs
+++ b/crates/entry/src/traffic/group.rs
@@ -5,12 +5,21 @@
     snapshot::UpstreamView, //
 };
 use balance::{
+    Hedger,
     RetryBudget,
     ServiceTimes,
     Upstream, //
 };
-use base::FastMap;
+use base::{
+    FastMap,
+    Now,
+    ServiceId, //
+};
 use bytestring::ByteString;
+use event::{
+    emit,
+    Event, //
+};
 use std::net::SocketAddr;
 
 /// Upstreams of one service.
@@ -24,6 +33,8 @@
     pub(super) exhaustion_logged_s: Option<u64>,
     /// Service times by route id, as those of the routes of one service may differ widely.
     pub(super) service_times: FastMap<ByteString, ServiceTimes>,
+    /// Response times and limits of hedged requests, by route id.
+    pub(super) hedgers: FastMap<ByteString, Hedger>,
 }
 
 impl UpstreamGroup {
@@ -35,6 +46,7 @@
             budget: RetryBudget::new(bounds.retry_ratio, bounds.retry_window),
             exhaustion_logged_s: None,
             service_times: FastMap::default(),
+            hedgers: FastMap::default(),
         }
     }
 
@@ -43,6 +55,18 @@
         self.service_times.get(route).copied().unwrap_or_default()
     }
 
+    /// Charges one retry to the budget, to which this entry's share of its constant part is added. Returns whether the
+    /// budget allowed it, and logs once a second that it did not.
+    pub(super) fn try_take_retry(&mut self, service: &ServiceId, slack: f64, now: Now) -> bool {
+        let taken = self.budget.try_take(slack, now);
+        if !taken && self.exhaustion_logged_s.replace(now.as_secs()) != Some(now.as_secs()) {
+            emit(&Event::RetriesSpent {
+                service: service.clone(),
+            });
+        }
+        taken
+    }
+
     /// Returns the index of an upstream.
     pub(super) fn index_of(&self, id: &str) -> Option<usize> {
         let index = self
--- a/crates/entry/src/traffic/mod.rs
+++ b/crates/entry/src/traffic/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! - `request` handles one request from its head to its final response; `plan` resolves its route, service, deadline
 //!   and affinity key.
-//! - `dispatch` sends the request to upstreams, with retries; `attempt` makes one send and reports whether the request
-//!   may have run; `response` builds the final response; `stream` forwards a long response body; `request_log` writes
+//! - `dispatch` sends the request to upstreams, with retries; `hedge` sends a slow one to a second upstream as well;
+//!   `attempt` makes one send and reports whether the request may have run; `response` builds the final response; `stream` forwards a long response body; `request_log` writes
 //!   log lines; `signals` reads what an upstream states about itself.
 //! - `fleet` holds this thread's state of the upstreams, in one `group` per service, and selects the upstream of a
 //!   request; `placement` has the types for this.
@@ -16,6 +16,7 @@
 mod dispatch;
 mod fleet;
 mod group;
+mod hedge;
 mod lookup;
 mod path;
 mod placement;
--- a/crates/entry/src/traffic/placement.rs
+++ b/crates/entry/src/traffic/placement.rs
@@ -3,6 +3,7 @@
 use crate::clock::millis;
 use balance::{
     Expectation,
+    PendingSend,
     Upstream, //
 };
 use base::{
@@ -32,6 +33,8 @@
     pub(super) target_left: Duration,
     pub(super) deadline_left: Duration,
     pub(super) tried: &'a [UpstreamId],
+    /// The send that is to be hedged, if any; the request is then placed only if that is worth it.
+    pub(super) pending: Option<PendingSend>,
 }
 
 /// One incarnation of an upstream. The result of a request applies only to the incarnation that it was sent to.
--- a/crates/entry/src/traffic/request_log.rs
+++ b/crates/entry/src/traffic/request_log.rs
@@ -8,6 +8,7 @@
     clock::millis,
     metric,
     traffic::{
+        attempt::SendOutcome,
         dispatch::{
             Dispatch,
             Progress, //
@@ -129,6 +130,7 @@
             fingerprint: None,
             sent: None,
             via: None,
+            hedge: None,
             relayed_by: None,
             census: None,
             expected: None,
@@ -146,13 +148,34 @@
 }
 
 impl Dispatch {
-    /// Logs a send without a response for the caller.
-    pub(super) fn log_failed_send(
+    /// Logs a send if it yielded no response.
+    pub(super) fn log_failed_outcome(
         &self,
         target: &Target,
         placement: &Placement,
-        failure: SendFailure,
+        outcome: &SendOutcome,
     ) {
+        let failure = match outcome {
+            SendOutcome::Answered(_) => return,
+            SendOutcome::NotRun {
+                status,
+                retry_after,
+            } => SendFailure {
+                not_run: true,
+                why: format!("status {status}"),
+                retry_after: *retry_after,
+            },
+            SendOutcome::Failed(failure) => SendFailure {
+                not_run: failure.not_run(),
+                why: failure.to_string(),
+                retry_after: None,
+            },
+        };
+        self.log_failed_send(target, placement, failure);
+    }
+
+    /// Logs a send without a response for the caller.
+    fn log_failed_send(&self, target: &Target, placement: &Placement, failure: SendFailure) {
         if !self.traffic.log_limiter.try_take(true, self.traffic.now()) {
             return;
         }
@@ -191,6 +214,7 @@
             fingerprint: failure.then(|| hex(self.fingerprint)),
             sent: self.last_sent(progress),
             via: progress.via.clone(),
+            hedge: progress.hedge,
             census: unplaced.map(|rejection| rejection.upstream_counts),
             expected: unplaced.map(|rejection| rejection.expected),
             retry_after_ms: retryable.map(|rejection| millis(rejection.retry_after)),
@@ -237,11 +261,11 @@
 }
 
 /// Why a send yielded no response for the caller.
-pub(super) struct SendFailure {
-    pub(super) not_run: bool,
-    pub(super) why: String,
+struct SendFailure {
+    not_run: bool,
+    why: String,
     /// Time for which the upstream accepts no further requests from this entry, if stated.
-    pub(super) retry_after: Option<Duration>,
+    retry_after: Option<Duration>,
 }
 
 /// Result of a request.
--- a/crates/event/src/lib.rs
+++ b/crates/event/src/lib.rs
@@ -23,6 +23,7 @@
 };
 pub use line::Line;
 pub use request::{
+    HedgeOutcome,
     Outcome,
     Reason,
     RequestEnded,
--- a/crates/event/src/request.rs
+++ b/crates/event/src/request.rs
@@ -125,6 +125,38 @@
     }
 }
 
+/// How the two sends of a hedged request ended; also the `outcome` label of the metric.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum HedgeOutcome {
+    /// The response of the first send was used.
+    FirstWon,
+    /// The response of the second send was used.
+    SecondWon,
+    /// Neither had a response other than a server error.
+    BothFailed,
+}
+
+impl HedgeOutcome {
+    /// Returns the outcome for the send whose response was used.
+    pub fn won_by(second: bool) -> Self {
+        if second {
+            Self::SecondWon
+        } else {
+            Self::FirstWon
+        }
+    }
+
+    /// Serialised name of the outcome.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::FirstWon => "first-won",
+            Self::SecondWon => "second-won",
+            Self::BothFailed => "both-failed",
+        }
+    }
+}
+
 /// Estimates for an upstream at the time of a routing decision.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ResponseEstimate {
@@ -204,6 +236,9 @@
     /// Upstream that the request was last sent to.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub sent: Option<SendTarget>,
+    /// How its last pair of sends ended, if it was hedged.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub hedge: Option<HedgeOutcome>,
     /// Entry that it was last relayed to.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub via: Option<InstanceId>,
--- a/crates/event/tests/lines.rs
+++ b/crates/event/tests/lines.rs
@@ -2,6 +2,7 @@
 
 use event::{
     Event,
+    HedgeOutcome,
     Line,
     Outcome,
     Reason,
@@ -45,6 +46,7 @@
         fingerprint: Some("0a".into()),
         sent: None,
         via: Some("dar-1".into()),
+        hedge: None,
         relayed_by: Some("dar-2".into()),
         census: Some(UpstreamCounts {
             open: 3,
@@ -182,6 +184,13 @@
         census: None,
         ..ended()
     }));
+    request_hedged: Event::Request(Box::new(RequestEnded {
+        outcome: Outcome::Answered,
+        sends: 2,
+        sent: Some(sent()),
+        hedge: Some(HedgeOutcome::SecondWon),
+        ..ended()
+    }));
     send_failed: Event::SendFailed(Box::new(SendFailed {
         id: "4f".into(),
         fingerprint: Some("0a".into()),
--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -158,7 +158,10 @@
     let expected = sent.expected;
     let entry_region = logs.region(&line.instance);
     let other_region = entry_region.is_some_and(|entry_region| *entry_region != sent.region);
-    let fault = if ended.sends > 1 {
+    let fault = if ended.hedge.is_some() {
+        // Only a request whose upstream takes unusually long is hedged.
+        Fault::UpstreamSlow
+    } else if ended.sends > 1 {
         // The earlier sends took the time.
         Fault::UpstreamBrokeOff
     } else if expected.wait_ms > 0 {
@@ -182,9 +185,13 @@
         "{} in {} had {:.0} requests for {} slots; an answer was expected after {} ms, {} of them waiting",
         sent.upstream, sent.region, sent.load, sent.slots, expected.answer_ms, expected.wait_ms
     );
-    Cause::new(fault)
+    let cause = Cause::new(fault)
         .with_evidence(evidence)
-        .with_evidence(load)
+        .with_evidence(load);
+    match ended.hedge {
+        Some(_) => cause.with_evidence("it was sent to a second upstream as well"),
+        None => cause,
+    }
 }
 
 fn cause_of_upstream_error(ended: &RequestEnded) -> Cause {
--- a/crates/explain/src/text.rs
+++ b/crates/explain/src/text.rs
@@ -2,6 +2,7 @@
 
 use event::{
     Event,
+    HedgeOutcome,
     RequestEnded,
     SendFailed,
     SendTarget, //
@@ -115,6 +116,9 @@
     if let Some(sent) = &ended.sent {
         text += &format!("; {}", describe_target(sent));
     }
+    if let Some(hedge) = ended.hedge {
+        text += &format!("; hedged, {}", describe_hedge(hedge));
+    }
     if let Some(via) = &ended.via {
         text += &format!("; relayed through {via}");
     }
@@ -137,6 +141,14 @@
     )
 }
 
+fn describe_hedge(hedge: HedgeOutcome) -> &'static str {
+    match hedge {
+        HedgeOutcome::FirstWon => "the first upstream responded",
+        HedgeOutcome::SecondWon => "the second upstream responded",
+        HedgeOutcome::BothFailed => "both upstreams failed",
+    }
+}
+
 fn describe_failed_send(failed: &SendFailed) -> String {
     let execution = if failed.not_run {
         "not run"
--- a/crates/explain/tests/causes.rs
+++ b/crates/explain/tests/causes.rs
@@ -2,6 +2,7 @@
 
 use event::{
     Event,
+    HedgeOutcome,
     Line,
     Outcome,
     Reason,
@@ -52,6 +53,7 @@
         fingerprint: None,
         sent: Some(send_target()),
         via: None,
+        hedge: None,
         relayed_by: None,
         census: None,
         expected: None,
@@ -186,6 +188,12 @@
         took_ms: 900,
         ..ended(Outcome::Answered)
     }))] => UpstreamSlow, "900 ms for a target of 400 ms";
+    late_although_hedged: [(0, request(RequestEnded {
+        took_ms: 480,
+        sends: 2,
+        hedge: Some(HedgeOutcome::SecondWon),
+        ..ended(Outcome::Answered)
+    }))] => UpstreamSlow, "it was sent to a second upstream as well";
     late_on_a_cold_upstream: [(0, request(RequestEnded {
         took_ms: 480,
         sent: Some(SendTarget { warm: false, ..send_target() }),
