--- a/crates/entry/src/metric.rs
+++ b/crates/entry/src/metric.rs
@@ -11,6 +11,12 @@
         "Requests sent to upstreams, by what became of them.";
     SEND_WAIT_SECONDS = "jasmine_entry_send_wait_seconds", Histogram, "seconds", "",
         "Time from the choice of an upstream to a connection on which the request may be sent.";
+    WAIT_SECONDS = "jasmine_entry_wait_seconds", Histogram, "seconds", "rank",
+        "Time that requests waited at the entry because their service had no free slot, by priorities of organisation and route.";
+    WAITS = "jasmine_entry_waits_total", Counter, "requests", "rank,outcome",
+        "Requests that waited at the entry, by priorities of organisation and route and by what became of them.";
+    WAITING = "jasmine_entry_waiting", Gauge, "requests", "service",
+        "Requests that wait at the entry.";
     COLD_LEASES = "jasmine_entry_cold_leases", Gauge, "leases", "",
         "Cold upstreams that only this entry sends to.";
     CRASHES = "jasmine_entry_crashes_total", Counter, "crashes", "",
--- a/crates/entry/src/traffic/attempt.rs
+++ b/crates/entry/src/traffic/attempt.rs
@@ -141,6 +141,7 @@
         fleet.note_finished(&self.placement.incarnation, self.is_waiting.get());
         drop(fleet);
         self.end_wait();
+        self.traffic.note_room(&self.placement.incarnation.service);
     }
 }
 
--- a/crates/entry/src/traffic/dispatch.rs
+++ b/crates/entry/src/traffic/dispatch.rs
@@ -19,8 +19,6 @@
         },
         placement::{
             Placement,
-            PlacementDecision,
-            PlacementRequest,
             Rejection, //
         },
         plan::Origin,
@@ -32,6 +30,7 @@
             FinalResponse,
             LastSend, //
         },
+        waiting::Turn,
         Traffic, //
     },
 };
@@ -49,7 +48,10 @@
     UpstreamId, //
 };
 use bytes::Bytes;
-use event::Reason;
+use event::{
+    QueueWait,
+    Reason, //
+};
 use quarantine::Fingerprint;
 use relay::{
     request_head,
@@ -111,6 +113,8 @@
     pub(super) has_final_response: Cell<bool>,
     /// The last upstream chosen, and the placement there.
     pub(super) last_placed: RefCell<Option<(UpstreamId, Placement)>>,
+    /// How long it waited at this entry.
+    pub(super) waited: Cell<Option<QueueWait>>,
 }
 
 /// Source of the request body for each send.
@@ -137,7 +141,7 @@
 /// Results of the sends made so far.
 #[derive(Default)]
 pub(super) struct Progress {
-    tried: Vec<UpstreamId>,
+    pub(super) tried: Vec<UpstreamId>,
     /// Number of sends that reached an upstream.
     pub(super) sends: u32,
     pub(super) may_have_run: bool,
@@ -178,9 +182,11 @@
                 return self.relay(progress, rejection).await;
             };
             self.count_in_budget();
-            let (target, placement) = match self.place(&progress.tried) {
-                PlacementDecision::Send { target, placement } => (target, *placement),
-                PlacementDecision::Reject(rejection) => {
+            let (target, placement) = match self.place_in_turn(&progress).await {
+                Turn::Send { target, placement } => (target, *placement),
+                // The next pass relays the request.
+                Turn::PathCut => continue,
+                Turn::Reject(rejection) => {
                     drop(permit);
                     // Right after a partition, this entry may still pass over upstreams that others reach.
                     if self.traffic.is_mostly_unreachable() {
@@ -352,24 +358,6 @@
         NextStep::Done(self.give_up(progress, &self.rejection_after_send(Reason::SendFailed)))
     }
 
-    fn place(&self, tried: &[UpstreamId]) -> PlacementDecision {
-        self.traffic.refresh();
-        let now = Instant::now();
-        let target_at = self.received + self.route.latency_target;
-        let request = PlacementRequest {
-            service: &self.service,
-            route: &self.route,
-            organisation_homes: self.organisation_homes(),
-            key: self.key,
-            has_affinity_key: self.has_affinity_key,
-            target_left: target_at.saturating_duration_since(now),
-            deadline_left: self.deadline.saturating_duration_since(now),
-            tried,
-        };
-        let mut fleet = self.traffic.fleet.borrow_mut();
-        fleet.place(&request, self.traffic.now())
-    }
-
     /// Gives back to the quota of the organisation what a request has taken that did not run.
     pub(super) fn refund_quota(&self) {
         if let Some(organisation) = &self.organisation {
--- a/crates/entry/src/traffic/fleet.rs
+++ b/crates/entry/src/traffic/fleet.rs
@@ -30,6 +30,10 @@
         },
     },
 };
+use admit::{
+    contended_ranks,
+    Rank, //
+};
 use balance::{
     affinity_hash,
     choose,
@@ -73,6 +77,9 @@
 /// Fraction of the configured limit on that change that one entry uses. The windows of different entries overlap, so a
 /// window over all entries may include the changes of two windows of an entry.
 const SHIFT_LIMIT_FRACTION: f64 = 0.5;
+/// Maximum wait at an upstream of requests of the lowest rank, as a multiple of the warm service time. It keeps the slots
+/// busy between two requests of an entry.
+const WAIT_MAX_LOWEST: f64 = 0.34;
 /// `Retry-After` if the service has no upstream at all: the time until an upstream that starts is listed.
 const NOT_LISTED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -100,6 +107,9 @@
     routes_version: Version,
     loads_seen: u64,
     limits_seen: u64,
+    /// Ranks of the requests for each service, the highest first. Services whose requests all have the same rank are left
+    /// out.
+    ranks: FastMap<ServiceId, Vec<Rank>>,
     /// Keys sent to upstreams that were not known to be warm for them, not yet reported to other entries.
     unreported_warm_keys: Vec<WarmKey>,
 }
@@ -122,6 +132,7 @@
             routes_version: 0,
             loads_seen: 0,
             limits_seen: 0,
+            ranks: FastMap::default(),
             unreported_warm_keys: Vec::new(),
         }
     }
@@ -190,6 +201,7 @@
             (service.id.clone(), cold_start)
         });
         self.cold_starts = cold_starts.collect();
+        self.ranks = contended_ranks(table.routes());
         let hosts = &table.routes().hosts;
         let routes = hosts.iter().flat_map(|host| &host.routes);
         let ids: FastSet<&ByteString> = routes.map(|route| &route.id).collect();
@@ -233,6 +245,21 @@
             .collect()
     }
 
+    /// Returns whether requests of several ranks reach a service.
+    pub(super) fn is_contended(&self, service: &ServiceId) -> bool {
+        self.ranks.contains_key(service)
+    }
+
+    /// Returns how long requests of a rank may wait at an upstream, as a multiple of the warm service time. The time of the
+    /// highest rank is limited by its target alone; each lower rank leaves a part of the room at the upstreams to those
+    /// above it.
+    pub(super) fn wait_max(&self, service: &ServiceId, rank: Rank) -> Option<f64> {
+        let ranks = self.ranks.get(service)?;
+        let higher = ranks.iter().filter(|other| **other < rank).count();
+        let lower_or_same = ranks.len().saturating_sub(higher).max(1);
+        (higher > 0).then(|| WAIT_MAX_LOWEST * lower_or_same as f64)
+    }
+
     /// Returns the service for the next request of a route, by its traffic split.
     pub(super) fn next_service(&mut self, route: &Route) -> Option<ServiceId> {
         let split = self.splits.entry(route.id.clone()).or_default();
@@ -284,6 +311,7 @@
             shift_limited_regions: &shift_limited_regions,
             cold_per_s,
             service_times: group.service_times(&request.route.id),
+            wait_max: request.wait_max,
         };
         match choose(&mut group.upstreams, &query, &self.location, now) {
             Choice::Send {
@@ -352,6 +380,16 @@
         }
     }
 
+    /// Returns the rejection of a request for a service that other requests go before.
+    pub(super) fn no_slot(&self, service: &ServiceId, now: Now) -> Rejection {
+        let group = self.groups.get(service);
+        let upstreams = group.map_or(&[][..], |group| &group.upstreams);
+        Rejection {
+            upstream_counts: UpstreamCounts::of(upstreams, now),
+            ..Rejection::default()
+        }
+    }
+
     /// Returns the time until the first upstream of a service in these regions ends its pause; zero if one of them is
     /// not paused.
     pub(super) fn pause_left(
--- a/crates/entry/src/traffic/mod.rs
+++ b/crates/entry/src/traffic/mod.rs
@@ -5,6 +5,7 @@
 //! - `dispatch` sends the request to upstreams, with retries; `attempt` makes one send and reports whether the request
 //!   may have run; `response` builds the final response; `stream` forwards a long response body; `request_log` writes
 //!   log lines; `signals` reads what an upstream states about itself.
+//! - `waiting` holds the requests that wait at this entry because their service has too few free slots.
 //! - `fleet` holds this thread's state of the upstreams, in one `group` per service, and selects the upstream of a
 //!   request; `placement` has the types for this.
 //! - `path` watches whether this entry reaches its upstreams. While it doesn't, `relay` sends requests through other
@@ -29,6 +30,7 @@
 mod response;
 mod signals;
 mod stream;
+mod waiting;
 
 pub(crate) use ports::{
     spawn_servers,
@@ -106,6 +108,8 @@
     quota_parts_seen: Cell<u64>,
     /// Number of open connections from callers.
     pub(crate) caller_connections: Cell<usize>,
+    /// Requests that wait at this entry.
+    waiting: RefCell<waiting::Queues>,
     /// Rate limit for log lines about requests.
     pub(crate) log_limiter: request_log::LogLimiter,
 }
@@ -129,6 +133,7 @@
             quota_routes_version: Cell::new(0),
             quota_parts_seen: Cell::new(0),
             caller_connections: Cell::new(0),
+            waiting: RefCell::default(),
             log_limiter: request_log::LogLimiter::default(),
         }
     }
--- a/crates/entry/src/traffic/placement.rs
+++ b/crates/entry/src/traffic/placement.rs
@@ -32,6 +32,8 @@
     pub(super) target_left: Duration,
     pub(super) deadline_left: Duration,
     pub(super) tried: &'a [UpstreamId],
+    /// Maximum wait at an upstream, as a multiple of the warm service time; `None` leaves it to the target.
+    pub(super) wait_max: Option<f64>,
 }
 
 /// One incarnation of an upstream. The result of a request applies only to the incarnation that it was sent to.
--- a/crates/entry/src/traffic/plan.rs
+++ b/crates/entry/src/traffic/plan.rs
@@ -178,6 +178,7 @@
         origin,
         has_final_response: Cell::new(false),
         last_placed: RefCell::default(),
+        waited: Cell::default(),
     })
 }
 
--- a/crates/entry/src/traffic/request_log.rs
+++ b/crates/entry/src/traffic/request_log.rs
@@ -133,6 +133,7 @@
             census: None,
             expected: None,
             retry_after_ms: None,
+            wait: None,
             took_ms: millis(received.elapsed()),
             target_ms: None,
             deadline_ms: None,
@@ -210,6 +211,7 @@
             organisation: self.organisation.as_ref().map(|one| one.id.clone()),
             relayed_by: self.relayed_by().cloned(),
             service: Some(self.service.clone()),
+            wait: self.waited.get(),
             target_ms: Some(millis(self.route.latency_target)),
             deadline_ms: Some(millis(self.deadline - self.received)),
             ..self
--- a/crates/event/src/lib.rs
+++ b/crates/event/src/lib.rs
@@ -24,6 +24,7 @@
 pub use line::Line;
 pub use request::{
     Outcome,
+    QueueWait,
     Reason,
     RequestEnded,
     ResponseEstimate,
--- a/crates/event/src/request.rs
+++ b/crates/event/src/request.rs
@@ -159,6 +159,15 @@
     pub expected: ResponseEstimate,
 }
 
+/// Wait of a request at the entry for a free slot.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct QueueWait {
+    /// Time that it waited, in milliseconds.
+    pub ms: u64,
+    /// Priorities of its organisation and of its route, which make its rank.
+    pub rank: [u32; 2],
+}
+
 /// Snapshot of the state that a routing decision was based on.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct SnapshotInfo {
@@ -219,6 +228,9 @@
     /// Delay after which the caller was told to retry, in milliseconds.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub retry_after_ms: Option<u64>,
+    /// How long it waited at the entry, if it did.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub wait: Option<QueueWait>,
     /// Time since the request head was received, in milliseconds.
     pub took_ms: u64,
     /// Latency target, in milliseconds.
--- a/crates/event/tests/lines.rs
+++ b/crates/event/tests/lines.rs
@@ -4,6 +4,7 @@
     Event,
     Line,
     Outcome,
+    QueueWait,
     Reason,
     RequestEnded,
     ResponseEstimate,
@@ -58,6 +59,10 @@
             answer_ms: 520,
         }),
         retry_after_ms: Some(400),
+        wait: Some(QueueWait {
+            ms: 90,
+            rank: [1, 2],
+        }),
         took_ms: 1,
         target_ms: Some(300),
         deadline_ms: Some(2000),
--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -7,6 +7,7 @@
         LocatedLine, //
         Logs,
     },
+    text::describe_wait,
 };
 use base::UpstreamId;
 use event::{
@@ -234,6 +235,9 @@
             ));
         }
     }
+    if let Some(wait) = ended.wait {
+        cause = cause.with_evidence(describe_wait(wait));
+    }
     if ended.census.is_some_and(|census| census.closed > 0) {
         for domain in evacuated_domains(logs, line) {
             cause = cause.with_evidence(format!("{domain} was evacuated"));
--- a/crates/explain/src/text.rs
+++ b/crates/explain/src/text.rs
@@ -2,6 +2,7 @@
 
 use event::{
     Event,
+    QueueWait,
     RequestEnded,
     SendFailed,
     SendTarget, //
@@ -115,6 +116,9 @@
     if let Some(sent) = &ended.sent {
         text += &format!("; {}", describe_target(sent));
     }
+    if let Some(wait) = ended.wait {
+        text += &format!("; {}", describe_wait(wait));
+    }
     if let Some(via) = &ended.via {
         text += &format!("; relayed through {via}");
     }
@@ -137,6 +141,15 @@
     )
 }
 
+/// Describes a wait at an entry.
+pub(crate) fn describe_wait(wait: QueueWait) -> String {
+    let [organisation, route] = wait.rank;
+    format!(
+        "it waited {} ms at the entry for a slot, with priority {organisation} of its organisation and {route} of its route",
+        wait.ms
+    )
+}
+
 fn describe_failed_send(failed: &SendFailed) -> String {
     let execution = if failed.not_run {
         "not run"
--- a/crates/explain/tests/causes.rs
+++ b/crates/explain/tests/causes.rs
@@ -56,6 +56,7 @@
         census: None,
         expected: None,
         retry_after_ms: None,
+        wait: None,
         took_ms: 100,
         target_ms: Some(400),
         deadline_ms: Some(2000),
