--- a/crates/explain/tests/causes.rs
+++ b/crates/explain/tests/causes.rs
@@ -4,6 +4,7 @@
     Event,
     Line,
     Outcome,
+    QueueWait,
     Reason,
     RequestEnded,
     ResponseEstimate,
@@ -317,6 +318,12 @@
             ..ended(Outcome::OverQuota)
         })),
     ] => OverQuota, "organisation acme under version 0 of the routes";
+    rejected_after_a_wait: [
+        (0, request(RequestEnded {
+            wait: Some(QueueWait { ms: 90, rank: [1, 2] }),
+            ..refused(Reason::NoSlotInTime, UpstreamCounts { open: 3, ..UpstreamCounts::default() })
+        })),
+    ] => Overload, "waited 90 ms at the entry for a slot, with priority 1 of its organisation and 2 of its route";
     end_missing_from_the_logs: [(-5, send_failed("it was closed", false))] => Unfinished, "or its process ended";
     error_status_of_an_upstream: [
         (0, request(RequestEnded { status: Some(500), ..ended(Outcome::UpstreamError) })),
