--- a/crates/entry/src/traffic/dispatch.rs
+++ b/crates/entry/src/traffic/dispatch.rs
@@ -35,6 +35,7 @@
             FinalResponse,
             LastSend, //
         },
+        waiting::Turn,
         Traffic, //
     },
 };
@@ -55,6 +56,7 @@
 use bytes::Bytes;
 use event::{
     HedgeOutcome,
+    QueueWait,
     Reason, //
 };
 use quarantine::Fingerprint;
@@ -118,6 +120,8 @@
     pub(super) has_final_response: Cell<bool>,
     /// The last upstream chosen, and the placement there.
     pub(super) last_placed: RefCell<Option<(UpstreamId, Placement)>>,
+    /// How long it waited at this entry.
+    pub(super) waited: Cell<Option<QueueWait>>,
 }
 
 /// Source of the request body for each send.
@@ -209,9 +213,11 @@
                 return self.relay(progress, rejection).await;
             };
             self.count_in_budget();
-            let (target, placement) = match self.place(&progress.tried, None) {
-                PlacementDecision::Send { target, placement } => (target, *placement),
-                PlacementDecision::Reject(rejection) => {
+            let (target, placement) = match self.place_in_turn(&progress).await {
+                Turn::Send { target, placement } => (target, *placement),
+                // The next pass relays the request.
+                Turn::PathCut => continue,
+                Turn::Reject(rejection) => {
                     drop(permit);
                     // Right after a partition, this entry may still pass over upstreams that others reach.
                     if self.traffic.is_mostly_unreachable() {
@@ -370,11 +376,12 @@
         NextStep::Done(self.give_up(progress, &self.rejection_after_send(Reason::SendFailed)))
     }
 
-    /// Selects the upstream for a send. `pending` is the send that is to be hedged, if any, and its age.
-    pub(super) fn place(
+    /// Selects the upstream for a second send, beside one that was placed at `pending` and has had no response for `elapsed`.
+    pub(super) fn place_hedge(
         &self,
         tried: &[UpstreamId],
-        pending: Option<(&Placement, Duration)>,
+        pending: &Placement,
+        elapsed: Duration,
     ) -> PlacementDecision {
         self.traffic.refresh();
         let now = Instant::now();
@@ -382,6 +389,7 @@
         let target_left = target_at.saturating_duration_since(now);
         let deadline_left = self.deadline.saturating_duration_since(now);
         let mut fleet = self.traffic.fleet.borrow_mut();
+        let pending = fleet.pending_send(pending, elapsed, target_left, deadline_left);
         let request = PlacementRequest {
             service: &self.service,
             route: &self.route,
@@ -391,9 +399,8 @@
             target_left,
             deadline_left,
             tried,
-            pending: pending.map(|(placement, elapsed)| {
-                fleet.pending_send(placement, elapsed, target_left, deadline_left)
-            }),
+            pending: Some(pending),
+            wait_max: None,
         };
         fleet.place(&request, self.traffic.now())
     }
--- a/crates/entry/src/traffic/hedge.rs
+++ b/crates/entry/src/traffic/hedge.rs
@@ -150,8 +150,8 @@
             return None;
         }
         let permit = self.traffic.admit(self.route.kind.is_idempotent())?;
-        let pending = (&first.placement, first.started.elapsed());
-        let decision = self.place(&progress.tried, Some(pending));
+        let elapsed = first.started.elapsed();
+        let decision = self.place_hedge(&progress.tried, &first.placement, elapsed);
         let PlacementDecision::Send { target, placement } = decision else {
             return None;
         };
--- a/crates/entry/src/traffic/placement.rs
+++ b/crates/entry/src/traffic/placement.rs
@@ -35,6 +35,8 @@
     pub(super) tried: &'a [UpstreamId],
     /// The send that is to be hedged, if any; the request is then placed only if that is worth it.
     pub(super) pending: Option<PendingSend>,
+    /// Maximum wait at an upstream, as a multiple of the warm service time; `None` leaves it to the target.
+    pub(super) wait_max: Option<f64>,
 }
 
 /// One incarnation of an upstream. The result of a request applies only to the incarnation that it was sent to.
--- a/crates/event/src/lib.rs
+++ b/crates/event/src/lib.rs
@@ -25,6 +25,7 @@
 pub use request::{
     HedgeOutcome,
     Outcome,
+    QueueWait,
     Reason,
     RequestEnded,
     ResponseEstimate,
--- a/crates/explain/src/text.rs
+++ b/crates/explain/src/text.rs
@@ -3,6 +3,7 @@
 use event::{
     Event,
     HedgeOutcome,
+    QueueWait,
     RequestEnded,
     SendFailed,
     SendTarget, //
@@ -119,6 +120,9 @@
     if let Some(hedge) = ended.hedge {
         text += &format!("; hedged, {}", describe_hedge(hedge));
     }
+    if let Some(wait) = ended.wait {
+        text += &format!("; {}", describe_wait(wait));
+    }
     if let Some(via) = &ended.via {
         text += &format!("; relayed through {via}");
     }
@@ -149,6 +153,15 @@
     }
 }
 
+/// Describes a wait at an entry.
+pub(crate) fn describe_wait(wait: QueueWait) -> String {
+    let [organisation, route] = wait.rank;
+    format!(
+        "it waited {} ms at the entry for a slot, with priority {organisation} of its organisation and {route} of its route",
+        wait.ms
+    )
+}
+
 fn describe_failed_send(failed: &SendFailed) -> String {
     let execution = if failed.not_run {
         "not run"
