Routes of kind upload; rows of upstreams by other writers

Cause: routes of kind upload fell under unknown kinds. A row that can't be parsed closed its upstream when it came as a change, but had the grace time of a missing row when the whole table was read after an outage. Each write of such a row was logged again, at any length.

Change: kind upload, non-idempotent. What an unreadable row described is closed at once in both ways of reading.

--- a/crates/entry/src/control/apply.rs
+++ b/crates/entry/src/control/apply.rs
@@ -9,7 +9,11 @@
         UnreadableRow, //
     },
 };
-use base::InstanceId;
+use base::{
+    FastMap,
+    InstanceId, //
+};
+use bytestring::ByteString;
 use event::{
     emit,
     Event, //
@@ -79,8 +83,9 @@
                     applied
                 }
                 Ok(OperatorRow::Other) => Applied::Unchanged,
+                // The last valid state of the operators' rows stays in force.
                 Err(error) => {
-                    log_unreadable(&error);
+                    log_unreadable(error);
                     Applied::Unchanged
                 }
             };
@@ -98,13 +103,22 @@
         }
     }
 
-    /// Parses a whole table of upstreams. Rows that can't be parsed are logged and left out.
+    /// Parses a whole table of upstreams. Rows that can't be parsed are logged and left out, and what they described
+    /// before is closed: unlike a missing row, such a row has not expired.
     fn listed_upstreams(&self, table: &Rows) -> Vec<(u64, ListedUpstream)> {
+        let now = self.now();
         let mut listed = Vec::with_capacity(table.rows.len());
+        let mut state = self.state.borrow_mut();
         for row in &table.rows {
             match self.rows.upstream(row) {
-                Ok(upstream) => listed.push((row.version, upstream)),
-                Err(error) => log_unreadable(&error),
+                Ok(upstream) => {
+                    state.unreadable_rows.forget(&row.key);
+                    listed.push((row.version, upstream));
+                }
+                Err(error) => {
+                    state.unreadable_rows.log(&row.key, error);
+                    state.view.apply_removal(&row.key, row.version, false, now);
+                }
             }
         }
         listed
@@ -137,6 +151,7 @@
         let mut state = self.state.borrow_mut();
         for row in rows {
             let applied = if row.value.is_none() {
+                state.unreadable_rows.forget(&row.key);
                 emit(&Event::UpstreamRemoved {
                     upstream: row.key.clone(),
                     row_version: row.version,
@@ -148,6 +163,7 @@
             } else {
                 match self.rows.upstream(row) {
                     Ok(listed) => {
+                        state.unreadable_rows.forget(&row.key);
                         emit(&Event::UpstreamListed {
                             upstream: listed.id.clone(),
                             service: listed.service.clone(),
@@ -159,7 +175,7 @@
                     }
                     // Treated like a removal, as in a whole table: the upstream that the row described may be gone.
                     Err(error) => {
-                        log_unreadable(&error);
+                        state.unreadable_rows.log(&row.key, error);
                         state.view.apply_removal(&row.key, row.version, false, now)
                     }
                 }
@@ -173,10 +189,39 @@
     }
 }
 
-/// Logs that a row can't be parsed. The last valid state of the operators' rows stays in force.
-fn log_unreadable(error: &UnreadableRow) {
+/// Number of upstreams' rows that can't be parsed of which the findings are kept.
+const UNREADABLE_ROWS_MAX: usize = 256;
+
+/// Findings in upstreams' rows that can't be parsed. A row is logged when its findings change, not each time that it is
+/// written or read again.
+#[derive(Debug, Default)]
+pub(super) struct UnreadableRows {
+    findings: FastMap<ByteString, Vec<String>>,
+}
+
+impl UnreadableRows {
+    /// Logs a row whose findings are new.
+    fn log(&mut self, key: &ByteString, error: UnreadableRow) {
+        if self.findings.get(key) == Some(&error.findings) {
+            return;
+        }
+        if self.findings.len() >= UNREADABLE_ROWS_MAX {
+            self.findings.clear();
+        }
+        self.findings.insert(key.clone(), error.findings.clone());
+        log_unreadable(error);
+    }
+
+    /// Drops the findings in a row that can be parsed, or that was removed.
+    fn forget(&mut self, key: &ByteString) {
+        self.findings.remove(key);
+    }
+}
+
+/// Logs that a row can't be parsed.
+fn log_unreadable(error: UnreadableRow) {
     emit(&Event::RowUnreadable {
-        row: error.row.clone(),
-        findings: error.findings.clone(),
+        row: error.row,
+        findings: error.findings,
     });
 }
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -139,6 +139,7 @@
     routes: Option<Arc<route::Table>>,
     operator: TableState,
     upstreams: TableState,
+    unreadable_rows: apply::UnreadableRows,
     overlay: Overlay,
     /// Version of the overlay in the last snapshot.
     published_overlay_version: u64,
@@ -185,6 +186,7 @@
             routes: None,
             operator: TableState::new(),
             upstreams: TableState::new(),
+            unreadable_rows: apply::UnreadableRows::default(),
             overlay: Overlay::new(own),
             published_overlay_version: 0,
             entry_states: BTreeMap::new(),
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -302,7 +302,8 @@
     Response::parse(&response).map(|response| response.status)
 }
 
-/// Routes of `app.example`, all to service `svc`: `/r/` is idempotent, `/f/` is not, `/d/` is for downloads.
+/// Routes of `app.example`, all to service `svc`: `/r/` is idempotent, `/f/` is not, `/d/` is for downloads and `/u/` for
+/// uploads.
 pub(crate) fn routes(version: u64) -> Routes {
     let route = |id: &'static str, prefix: &'static str, kind| Route {
         id: id.into(),
@@ -341,6 +342,7 @@
                 route("reads", "/r/", Kind::Idempotent),
                 route("filings", "/f/", Kind::NonIdempotent),
                 route("downloads", "/d/", Kind::Download),
+                route("uploads", "/u/", Kind::Upload),
             ],
         }],
         organisations: None,
--- a/crates/route/src/config.rs
+++ b/crates/route/src/config.rs
@@ -27,12 +27,14 @@
     NonIdempotent,
     /// Idempotent, with large responses.
     Download,
+    /// Non-idempotent, with large request bodies.
+    Upload,
 }
 
 impl Kind {
     /// Returns whether a request may run more than once.
     pub fn is_idempotent(self) -> bool {
-        self != Self::NonIdempotent
+        matches!(self, Self::Idempotent | Self::Download)
     }
 }
 
--- a/crates/route/src/parse.rs
+++ b/crates/route/src/parse.rs
@@ -146,6 +146,7 @@
         ("idempotent", Kind::Idempotent),
         ("non-idempotent", Kind::NonIdempotent),
         ("download", Kind::Download),
+        ("upload", Kind::Upload),
     ]);
     let timeout = duration(map.required("timeout_ms"));
     let latency_target = duration(map.required("latency_ms"));
