Upstreams that start again under their name: connections and reports of the former process end

Cause: idle connections to the ended process stayed in the pool if its address was the same; a request that may run once and was sent on one got 502. Loads and warm keys were reported by the hash of the name, so those of the former process counted for the next. An upstream of a service that the routes don't list was probed and counted in the reach of an entry.

Change: a new incarnation closes the idle connections to the former one. Reports go by the hash of name and start time; without a start time the hash is that of the name, as before.

--- a/crates/balance/src/upstream.rs
+++ b/crates/balance/src/upstream.rs
@@ -4,7 +4,10 @@
     cold_start_limiter::ColdStartLimiter,
     health::Health,
     rate_limiter::RateLimiter,
-    rendezvous::affinity_hash,
+    rendezvous::{
+        affinity_hash,
+        rendezvous_score, //
+    },
     warm_keys::WarmKeys, //
 };
 use base::{
@@ -111,6 +114,15 @@
         }
     }
 
+    /// Returns the hash by which entries report to each other about this incarnation. One that started again under the
+    /// same name holds and knows nothing of before; without start times, incarnations can't be told apart.
+    pub fn incarnation_hash(&self) -> u64 {
+        if self.started_ms == 0 {
+            return self.hash;
+        }
+        rendezvous_score(self.started_ms, self.hash)
+    }
+
     /// Stores the load stated in a response. Must be called while the answered request still counts in
     /// [`Self::in_flight`].
     ///
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -206,7 +206,7 @@
     }
 }
 
-/// Returns the key of an upstream in [`PackedLoads`], from the hash of its name. Two upstreams may share a key, which
+/// Returns the key of an upstream in [`PackedLoads`], from the hash of its incarnation. Two upstreams may share a key, which
 /// makes the choice of upstreams less efficient but never incorrect.
 pub(crate) fn load_key(hash: u64) -> LoadKey {
     (hash >> (u64::BITS - (u32::BITS - COUNT_BITS))) as u32
@@ -215,7 +215,7 @@
 /// An affinity key that an upstream is warm for.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub(crate) struct WarmKey(
-    /// Hash of the upstream's name, computed by [`balance::affinity_hash`].
+    /// Hash of the upstream's incarnation, computed by [`balance::Upstream::incarnation_hash`].
     pub(crate) u64,
     /// Hash of the key, computed by the same function.
     pub(crate) u64,
--- a/crates/entry/src/traffic/fleet.rs
+++ b/crates/entry/src/traffic/fleet.rs
@@ -100,6 +100,8 @@
     routes_version: Version,
     loads_seen: u64,
     limits_seen: u64,
+    /// Earlier incarnations of upstreams that have started again under their names, until their connections are closed.
+    ended_targets: Vec<Target>,
     /// Keys sent to upstreams that were not known to be warm for them, not yet reported to other entries.
     unreported_warm_keys: Vec<WarmKey>,
 }
@@ -122,6 +124,7 @@
             routes_version: 0,
             loads_seen: 0,
             limits_seen: 0,
+            ended_targets: Vec::new(),
             unreported_warm_keys: Vec::new(),
         }
     }
@@ -157,10 +160,16 @@
                 .groups
                 .entry(service.clone())
                 .or_insert_with(|| UpstreamGroup::new(bounds));
-            group.update(&mut views);
+            group.update(&mut views, |ended| self.ended_targets.push(ended));
         }
     }
 
+    /// Takes the earlier incarnations of upstreams that have started again since the last call. Nothing may be sent on
+    /// connections to them: requests on a connection whose process is gone may have run, as far as this entry can tell.
+    pub(super) fn take_ended_targets(&mut self) -> Vec<Target> {
+        std::mem::take(&mut self.ended_targets)
+    }
+
     /// Applies the limits known to the entries, if the limits or the upstreams have changed.
     pub(super) fn update_limits(&mut self, limits: &SharedLimits, upstreams_changed: bool) {
         if upstreams_changed {
@@ -207,9 +216,16 @@
         })
     }
 
+    /// Returns the upstreams of the services that the routes list. A row may name a service that nobody else knows.
+    fn listed_services(&self) -> impl Iterator<Item = &UpstreamGroup> {
+        let groups = self.groups.iter();
+        let listed = groups.filter(|(service, _)| self.cold_starts.contains_key(*service));
+        listed.map(|(_, group)| group)
+    }
+
     /// Returns how many upstreams may get requests, and how many of them this entry failed to connect to.
     pub(super) fn reach_evidence(&self, now: Now) -> Evidence {
-        let upstreams = self.groups.values().flat_map(|group| &group.upstreams);
+        let upstreams = self.listed_services().flat_map(|group| &group.upstreams);
         let usable = upstreams.filter(|upstream| upstream.is_open(now));
         usable.fold(Evidence::default(), |evidence, upstream| Evidence {
             usable: evidence.usable + 1,
@@ -219,7 +235,7 @@
 
     /// Returns the upstreams that may be probed.
     pub(super) fn probe_targets(&self, now: Now) -> Vec<ProbeTarget> {
-        let groups = self.groups.values();
+        let groups = self.listed_services();
         let upstreams = groups.flat_map(|group| group.upstreams.iter().zip(&group.addrs));
         upstreams
             .filter(|(upstream, _)| upstream.is_open(now))
@@ -300,7 +316,7 @@
                     upstream.warm_keys.note(request.key, now);
                     if !warm {
                         self.unreported_warm_keys
-                            .push(WarmKey(upstream.hash, request.key));
+                            .push(WarmKey(upstream.incarnation_hash(), request.key));
                     }
                 }
                 let restricted = upstream.is_restricted(now);
--- a/crates/entry/src/traffic/fleet/peer_reports.rs
+++ b/crates/entry/src/traffic/fleet/peer_reports.rs
@@ -20,7 +20,7 @@
         let upstreams = self.groups.values().flat_map(|group| &group.upstreams);
         upstreams
             .filter(|upstream| upstream.in_flight > 0)
-            .map(|upstream| (load_key(upstream.hash), upstream.in_flight))
+            .map(|upstream| (load_key(upstream.incarnation_hash()), upstream.in_flight))
             .collect()
     }
 
@@ -34,7 +34,7 @@
         let upstreams = self.groups.values().flat_map(|group| &group.upstreams);
         let keys = upstreams.flat_map(|upstream| {
             let keys = upstream.warm_keys.keys();
-            keys.map(|key| WarmKey(upstream.hash, key))
+            keys.map(|key| WarmKey(upstream.incarnation_hash(), key))
         });
         keys.collect()
     }
@@ -49,7 +49,8 @@
         }
         let groups = self.groups.values_mut();
         for upstream in groups.flat_map(|group| &mut group.upstreams) {
-            for key in by_upstream.get(&upstream.hash).into_iter().flatten() {
+            let keys = by_upstream.get(&upstream.incarnation_hash());
+            for key in keys.into_iter().flatten() {
                 upstream.warm_keys.note(*key, now);
             }
         }
@@ -63,7 +64,8 @@
         };
         let groups = self.groups.values_mut();
         for upstream in groups.flat_map(|group| &mut group.upstreams) {
-            let of_upstream = |sums: &FastMap<_, _>| sums.get(&load_key(upstream.hash)).copied();
+            let key = load_key(upstream.incarnation_hash());
+            let of_upstream = |sums: &FastMap<_, _>| sums.get(&key).copied();
             upstream.peers_in_flight = sums
                 .as_ref()
                 .as_ref()
--- a/crates/entry/src/traffic/group.rs
+++ b/crates/entry/src/traffic/group.rs
@@ -11,6 +11,7 @@
 };
 use base::FastMap;
 use bytestring::ByteString;
+use relay::Target;
 use std::net::SocketAddr;
 
 /// Upstreams of one service.
@@ -51,15 +52,24 @@
         index.ok()
     }
 
-    /// Applies the upstreams of a snapshot. The state that this thread has gathered about an incarnation is kept.
-    pub(super) fn update(&mut self, views: &mut [&UpstreamView]) {
+    /// Applies the upstreams of a snapshot. The state that this thread has gathered about an incarnation is kept. Calls
+    /// `on_ended` for each earlier incarnation of an upstream that has started again under its name.
+    pub(super) fn update(&mut self, views: &mut [&UpstreamView], mut on_ended: impl FnMut(Target)) {
         views.sort_by(|a, b| a.id.cmp(&b.id));
-        let mut previous = std::mem::take(&mut self.upstreams).into_iter().peekable();
-        self.addrs.clear();
+        let upstreams = std::mem::take(&mut self.upstreams);
+        let addrs = std::mem::take(&mut self.addrs);
+        let mut previous = upstreams.into_iter().zip(addrs).peekable();
         for view in views {
-            while previous.next_if(|upstream| upstream.id < view.id).is_some() {}
-            let same = |old: &Upstream| old.id == view.id && old.started_ms == view.started_ms;
-            let mut upstream = previous.next_if(same).unwrap_or_else(|| {
+            while previous.next_if(|(old, _)| old.id < view.id).is_some() {}
+            let previous = previous.next_if(|(old, _)| old.id == view.id);
+            let same = previous.and_then(|(old, addr)| {
+                if old.started_ms == view.started_ms {
+                    return Some(old);
+                }
+                on_ended(Target { id: old.id, addr });
+                None
+            });
+            let mut upstream = same.unwrap_or_else(|| {
                 Upstream::new(
                     view.id.clone(),
                     view.region.clone(),
--- a/crates/entry/src/traffic/mod.rs
+++ b/crates/entry/src/traffic/mod.rs
@@ -150,6 +150,9 @@
         let is_newer = fleet.update(&snapshot);
         if is_newer {
             self.pool.sweep(|id| fleet.is_usable(id));
+            for ended in fleet.take_ended_targets() {
+                self.pool.close_idle(&ended);
+            }
         }
         fleet.update_limits(&self.shared.channels.limits, is_newer);
         self.refresh_quotas(&snapshot, is_newer);
--- a/crates/picture/tests/view.rs
+++ b/crates/picture/tests/view.rs
@@ -353,6 +353,29 @@
     assert_eq!(state(&view, "u", s(1)), "closed");
 }
 
+/// Guards against requests for an incarnation that has ended: a write of its own that takes effect late is in a whole
+/// table, or comes from another entry.
+#[test]
+fn late_write_of_earlier_incarnation_replaces_nothing() {
+    let late = ListedUpstream {
+        addr: "127.0.0.1:10".parse().expect("valid socket address"),
+        ..incarnation(10, false)
+    };
+    let listed = |view: &RoutingView| {
+        let upstream = view.upstreams(s(2)).next();
+        let (listed, is_closed, _) = upstream.expect("an upstream");
+        (listed.started_ms, listed.addr.port(), is_closed)
+    };
+    let mut view = RoutingView::default();
+    view.apply_upstream(&incarnation(20, false), 2, s(1));
+    view.apply_upstream_table(&[(3, late.clone())], 3, false, s(2));
+    assert_eq!(listed(&view), (20, 9, false));
+    let mut sender = RoutingView::default();
+    sender.apply_upstream(&late, 4, s(2));
+    view.apply_upstream_updates(&sender.upstream_updates(0, s(2)), s(2));
+    assert_eq!(listed(&view), (20, 9, false));
+}
+
 /// Without the check, the later incarnation stays closed.
 #[test]
 fn later_incarnation_stays_closed_without_its_guard() {
