An upstream's 408, 429 or 503 that doesn't state that the request did not run gets 502

Cause: callers repeat any request after 408, 421, 429 and 503. An upstream's response with such a status was passed on, also where a request that may run once had run.

Change: for such requests the entry responds with 502 of its own, also if another entry relayed the response; nothing is sent again. Others get the upstream's response as before.

--- a/crates/entry/src/traffic/dispatch.rs
+++ b/crates/entry/src/traffic/dispatch.rs
@@ -302,6 +302,9 @@
 
     /// Forwards a response to the caller, or retries if it is a server error and the request may be sent again.
     fn after_response(&self, progress: &mut Progress, response: Box<ReceivedResponse>) -> NextStep {
+        if self.is_untrue(response.status) {
+            return self.after_untrue_response(progress);
+        }
         let retry = response.status.is_server_error()
             && self.route.kind.is_idempotent()
             && self.may_resend(progress.sends + 1);
@@ -319,6 +322,15 @@
         NextStep::Retry
     }
 
+    /// Ends a request whose upstream responded with a status that would be a false statement to the caller.
+    fn after_untrue_response(&self, progress: &mut Progress) -> NextStep {
+        progress.sends += 1;
+        progress.may_have_run = true;
+        progress.last = Some(LastSend::Failed { timeout: false });
+        let progress = std::mem::take(progress);
+        NextStep::Done(self.give_up(progress, &self.rejection_after_send(Reason::SendFailed)))
+    }
+
     /// Retries after an upstream refused to run the request, if possible.
     fn after_refusal(&self, progress: &mut Progress) -> NextStep {
         progress.sends += 1;
--- a/crates/entry/src/traffic/relay.rs
+++ b/crates/entry/src/traffic/relay.rs
@@ -90,6 +90,12 @@
             let label = outcome_label(&relayed);
             metrics::counter!(metric::RELAYED, "outcome" => label).increment(1);
             match relayed {
+                Relayed::Answered(response) if self.is_untrue(response.status) => {
+                    progress.sends += 1;
+                    progress.may_have_run = true;
+                    rejection.reason = Reason::SendFailed;
+                    break;
+                }
                 Relayed::Answered(response) => {
                     progress.sends += 1;
                     progress.may_have_run = true;
--- a/crates/entry/src/traffic/response.rs
+++ b/crates/entry/src/traffic/response.rs
@@ -53,6 +53,17 @@
     (response, outcome)
 }
 
+/// Returns whether callers take a status as the statement that the request did not run and never will, and repeat it.
+fn states_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Builds the response to a request over the quota of its organisation, which states that it did not run and when to
 /// retry.
 pub(super) fn over_quota(after: Duration) -> FinalResponse {
@@ -70,6 +81,12 @@
 }
 
 impl Dispatch {
+    /// Returns whether a response with this status would state that the request did not run, although it may have: an
+    /// upstream that didn't run a request says so in a header.
+    pub(super) fn is_untrue(&self, status: StatusCode) -> bool {
+        !self.route.kind.is_idempotent() && states_not_run(status)
+    }
+
     /// Builds the final response from an upstream's response.
     pub(super) fn forward_response(
         &self,
--- a/crates/entry/tests/faults.rs
+++ b/crates/entry/tests/faults.rs
@@ -179,6 +179,84 @@
     };
 }
 
+/// Tests the response to a request that may run once, an order and an upload, if its only upstream responds with this
+/// status line and header.
+macro_rules! responses_of_the_only_upstream {
+    ($($name:ident: $status:expr, $header:expr => $caller_status:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            for path in ["/f/x", "/u/x"] {
+                let setup = Setup::scripted(Box::new(|_, request, connection| {
+                    connection.write(format!(
+                        "HTTP/1.1 {}\r\njasmine-request: {}\r\nupstream-id: s\r\n{}\
+                         retry-after: 1\r\ncontent-length: 2\r\n\r\nno",
+                        $status,
+                        request.id(),
+                        $header
+                    ));
+                    true
+                }));
+                let response = setup.call("POST", path, "a1", "order").expect("the entry responds");
+                assert_eq!(response.status, $caller_status, "{}", response.head);
+                assert_eq!(setup.requests_with_id("a1").len(), 1);
+                let states_not_run = [408, 421, 429, 503].contains(&response.status);
+                assert_eq!(states_not_run, response.header("retry-after").is_some());
+                // What the entry says itself doesn't pass for the upstream's.
+                assert!(response.header("upstream-id").is_none(), "{}", response.head);
+            }
+        }
+    )*};
+}
+
+// Guard against an order that is placed twice: callers repeat any request after these statuses, and an upstream that
+// responds with one without a header that says so may have run it.
+responses_of_the_only_upstream! {
+    unavailable_after_it_ran: "503 Busy", "" => 502;
+    too_many_requests_after_it_ran: "429 Slow down", "" => 502;
+    request_timeout_after_it_ran: "408 Too slow", "" => 502;
+    unavailable_without_having_run: "503 Busy", "upstream-refused: 1\r\n" => 503;
+    too_many_requests_without_having_run: "429 Slow down", "upstream-refused: 1\r\n" => 503;
+    request_timeout_without_having_run: "408 Too slow", "upstream-refused: 1\r\n" => 503;
+    misdirected_without_having_run: "421 Other", "upstream-refused: 1\r\n" => 503;
+    bad_request_without_having_run: "400 Bad", "upstream-refused: 1\r\n" => 503;
+}
+
+/// Guards against an upload that is sent again after an upstream has run it, and against one that isn't although the
+/// first upstream states that it did not run it.
+#[test]
+fn upload_is_sent_again_only_if_it_did_not_run() {
+    for (header, sends) in [("", 1), ("upstream-refused: 1\r\n", 2)] {
+        let refusing = || {
+            Upstream::start(Box::new(move |_, _, connection| {
+                connection.write(format!(
+                    "HTTP/1.1 503 Busy\r\n{header}content-length: 0\r\n\r\n"
+                ));
+                true
+            }))
+        };
+        let setup = Setup::new(vec![refusing(), refusing()]);
+        setup
+            .call("POST", "/u/x", "a1", "asset")
+            .expect("the entry responds");
+        assert_eq!(setup.requests_with_id("a1").len(), sends);
+    }
+}
+
+/// An upstream's rejection of a request that may run more than once is passed on as it is if nothing else can be done.
+#[test]
+fn rejection_of_a_read_is_passed_on() {
+    let setup = Setup::scripted(Box::new(|_, request, connection| {
+        let response = ok_response(request, "full").replacen("200 OK", "503 Busy", 1);
+        connection.write(response);
+        true
+    }));
+    let response = setup
+        .call("GET", "/r/x", "a1", "")
+        .expect("the entry responds");
+    assert_eq!((response.status, &response.body[..]), (503, &b"full"[..]));
+    assert_eq!(response.header("upstream-id"), Some("s"));
+}
+
 /// Guards against losing an upstream's statement that it did not run a request: if the only upstream refuses a
 /// non-idempotent request, its caller must not get a 502, which leaves open whether the request ran.
 #[test]
