Limit on the memory for bodies; long uploads are kept while there is room

Cause: each request could hold 64 KiB of its body and about 400 KiB of read-ahead and parts, each response 256 KiB and its parts, without a bound over all requests. An upload of more than 64 KiB held an upstream's slot at the speed of its caller and was not sent again after a rejection. A response behind a slow caller held its upstream.

Change: with a limit on the memory of the process, bodies share a quarter of it. Responses are always delivered. Without a limit bodies are handled as before. Bodies above 16 KiB are no longer copied behind their heads.

--- a/crates/entry/src/metric.rs
+++ b/crates/entry/src/metric.rs
@@ -11,6 +11,10 @@
         "Requests sent to upstreams, by what became of them.";
     SEND_WAIT_SECONDS = "jasmine_entry_send_wait_seconds", Histogram, "seconds", "",
         "Time from the choice of an upstream to a connection on which the request may be sent.";
+    BODY_BYTES = "jasmine_entry_body_bytes", Gauge, "bytes", "",
+        "Memory held for the bodies of requests and responses.";
+    BODIES_REFUSED = "jasmine_entry_bodies_refused_total", Counter, "requests", "",
+        "Requests that were rejected because there was no memory for their bodies.";
     COLD_LEASES = "jasmine_entry_cold_leases", Gauge, "leases", "",
         "Cold upstreams that only this entry sends to.";
     CRASHES = "jasmine_entry_crashes_total", Counter, "crashes", "",
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -59,6 +59,10 @@
 /// Sockets reserved for uses other than connections of callers and upstreams: ports, the store and other entries.
 const RESERVED_SOCKETS: usize = 300;
 
+/// Percentage of the process's memory that bodies of requests and responses may take. The rest is for the routing state,
+/// connections and their buffers.
+const BODY_MEMORY_PCT: u64 = 25;
+
 /// Settings of one process.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -88,6 +92,8 @@
     pub max_sockets: usize,
     /// CPU allotment, in thousandths of a core.
     pub cpu_milli: u32,
+    /// Limit on the memory of the process, in bytes; `None` without one.
+    pub memory_bytes: Option<u64>,
 }
 
 impl Settings {
@@ -97,6 +103,11 @@
         self.max_sockets.saturating_sub(RESERVED_SOCKETS) * 2 / 3
     }
 
+    /// Returns the limit on the memory for bodies.
+    pub(crate) fn body_bytes_max(&self) -> Option<u64> {
+        self.memory_bytes.map(|bytes| bytes / 100 * BODY_MEMORY_PCT)
+    }
+
     /// Returns the names of settings that differ in `next` and only change with a restart.
     pub(crate) fn fixed_differences(&self, next: &Self) -> Vec<&'static str> {
         let differs = [
@@ -112,6 +123,7 @@
             ("relay_addr", self.relay_addr != next.relay_addr),
             ("max_sockets", self.max_sockets != next.max_sockets),
             ("cpu_milli", self.cpu_milli != next.cpu_milli),
+            ("memory_bytes", self.memory_bytes != next.memory_bytes),
         ];
         let differing = differs.into_iter().filter(|(_, differs)| *differs);
         differing.map(|(name, _)| name).collect()
--- a/crates/entry/src/traffic/attempt.rs
+++ b/crates/entry/src/traffic/attempt.rs
@@ -33,6 +33,7 @@
 use picture::Departure;
 use quarantine::Fingerprint;
 use relay::{
+    BodyHold,
     BodyReader,
     Failure,
     Target,
@@ -191,6 +192,8 @@
     pub(super) headers: HeaderMap,
     pub(super) length_bytes: Option<u64>,
     pub(super) body: ReceivedBody,
+    /// Memory held for the body.
+    pub(super) body_hold: Rc<BodyHold>,
 }
 
 /// Body of a response received from an upstream.
@@ -280,7 +283,8 @@
         mut body,
         ..
     } = response;
-    let prefix = match read_buffered(&mut body, deadline).await {
+    let hold = Rc::new(traffic.body_memory.hold());
+    let prefix = match read_buffered(&mut body, deadline, &hold).await {
         Ok(Buffered::Complete(bytes)) => bytes,
         Ok(Buffered::Prefix(prefix)) => {
             let body = ReceivedBody::Partial {
@@ -288,7 +292,7 @@
                 rest: Box::new(body),
                 guard: Box::new(in_flight),
             };
-            return received(status, headers, length_bytes, body);
+            return received(status, headers, length_bytes, body, hold);
         }
         Err(cut) => {
             let failure = Failure::Broken(cut.to_string());
@@ -309,6 +313,7 @@
         headers,
         length_bytes,
         ReceivedBody::Complete(prefix),
+        hold,
     )
 }
 
@@ -320,10 +325,12 @@
     Prefix(Bytes),
 }
 
-/// Reads a body that is short enough to be buffered, or the beginning of a longer one.
+/// Reads a body that is short enough to be buffered, or the beginning of a longer one, or of any while there is no more
+/// memory for bodies: a response is delivered in any case, then part by part.
 pub(super) async fn read_buffered(
     body: &mut BodyReader,
     deadline: Instant,
+    hold: &BodyHold,
 ) -> Result<Buffered, TruncatedBody> {
     let mut prefix = BytesMut::new();
     while prefix.len() <= BUFFERED_BODY_BYTES_MAX {
@@ -331,6 +338,11 @@
             Some(data) => prefix.extend_from_slice(&data),
             None => return Ok(Buffered::Complete(prefix.freeze())),
         }
+        let read_bytes = prefix.len() as u64;
+        if !hold.try_grow_to(read_bytes) {
+            hold.grow(read_bytes - hold.bytes());
+            break;
+        }
     }
     Ok(Buffered::Prefix(prefix.freeze()))
 }
@@ -340,12 +352,14 @@
     headers: HeaderMap,
     length_bytes: Option<u64>,
     body: ReceivedBody,
+    body_hold: Rc<BodyHold>,
 ) -> SendOutcome {
     SendOutcome::Answered(Box::new(ReceivedResponse {
         status,
         headers,
         length_bytes,
         body,
+        body_hold,
     }))
 }
 
--- a/crates/entry/src/traffic/dispatch.rs
+++ b/crates/entry/src/traffic/dispatch.rs
@@ -53,6 +53,7 @@
 use quarantine::Fingerprint;
 use relay::{
     request_head,
+    BodyHold,
     Failure,
     Framing,
     RequestBody,
@@ -97,6 +98,9 @@
     pub(super) path: String,
     pub(super) headers: HeaderMap,
     pub(super) body: BodySource,
+    /// Memory held for the body.
+    #[expect(dead_code, reason = "held for its drop")]
+    pub(super) body_hold: Rc<BodyHold>,
     /// Identical for all attempts of a request, unlike the id.
     pub(super) fingerprint: Fingerprint,
     /// Hash of the affinity key, or of the id if there is none.
--- a/crates/entry/src/traffic/mod.rs
+++ b/crates/entry/src/traffic/mod.rs
@@ -42,7 +42,10 @@
     settings::Settings,
     snapshot::Snapshot, //
 };
-use ::relay::Pool;
+use ::relay::{
+    BodyMemory,
+    Pool, //
+};
 use arc_swap::ArcSwap;
 use balance::affinity_hash;
 use base::{
@@ -104,6 +107,8 @@
     quota_routes_version: Cell<Version>,
     /// Version of the parts that `quotas` has.
     quota_parts_seen: Cell<u64>,
+    /// Memory for the bodies of requests and responses.
+    pub(crate) body_memory: BodyMemory,
     /// Number of open connections from callers.
     pub(crate) caller_connections: Cell<usize>,
     /// Rate limit for log lines about requests.
@@ -113,6 +118,7 @@
 impl Traffic {
     fn new(shared: Arc<SharedState>) -> Self {
         let fleet = Fleet::new(&shared.settings);
+        let body_memory = BodyMemory::new(shared.settings.body_bytes_max());
         let quotas = Limiter::new(
             shared.settings.bounds.quota,
             affinity_hash(shared.settings.instance.as_bytes()),
@@ -128,6 +134,7 @@
             quotas: RefCell::new(quotas),
             quota_routes_version: Cell::new(0),
             quota_parts_seen: Cell::new(0),
+            body_memory,
             caller_connections: Cell::new(0),
             log_limiter: request_log::LogLimiter::default(),
         }
--- a/crates/entry/src/traffic/plan.rs
+++ b/crates/entry/src/traffic/plan.rs
@@ -169,6 +169,7 @@
         path,
         headers,
         body,
+        body_hold: request.body_hold,
         fingerprint,
         key,
         has_affinity_key,
--- a/crates/entry/src/traffic/ports.rs
+++ b/crates/entry/src/traffic/ports.rs
@@ -1,11 +1,14 @@
 //! Accepts connections on the ports of the traffic thread.
 
-use crate::traffic::{
-    lookup::AuxiliaryHandler,
-    path::watch_path,
-    relayed::RelayHandler,
-    SharedState,
-    Traffic, //
+use crate::{
+    metric,
+    traffic::{
+        lookup::AuxiliaryHandler,
+        path::watch_path,
+        relayed::RelayHandler,
+        SharedState,
+        Traffic, //
+    },
 };
 use event::{
     emit,
@@ -89,6 +92,8 @@
         let own = traffic.fleet.borrow().loads();
         let shared = &traffic.shared.channels.loads;
         shared.own.store(Arc::new(own));
+        let held_bytes = traffic.body_memory.budget().held_bytes();
+        metrics::gauge!(metric::BODY_BYTES).set(held_bytes as f64);
         let demands = traffic.quotas.borrow_mut().demands(traffic.now());
         let quotas = &traffic.shared.channels.quotas;
         quotas.demands.store(Arc::new(demands));
--- a/crates/entry/src/traffic/relay.rs
+++ b/crates/entry/src/traffic/relay.rs
@@ -212,7 +212,8 @@
     if status.is_success() && !has_seal {
         return Relayed::Failed { timeout: false };
     }
-    let body = match read_buffered(&mut body, deadline).await {
+    let body_hold = Rc::new(traffic.body_memory.hold());
+    let body = match read_buffered(&mut body, deadline, &body_hold).await {
         Ok(Buffered::Complete(bytes)) => ReceivedBody::Complete(bytes),
         Ok(Buffered::Prefix(prefix)) => ReceivedBody::Partial {
             prefix,
@@ -226,6 +227,7 @@
         headers,
         length_bytes,
         body,
+        body_hold,
     }))
 }
 
--- a/crates/entry/src/traffic/relayed.rs
+++ b/crates/entry/src/traffic/relayed.rs
@@ -21,6 +21,7 @@
 use base::InstanceId;
 use event::Outcome;
 use relay::{
+    BodyMemory,
     CallerResponse,
     Handler,
     Refusal,
@@ -101,8 +102,17 @@
         response
     }
 
+    fn body_memory(&self) -> BodyMemory {
+        self.traffic.body_memory.clone()
+    }
+
     fn refuse(&self, refusal: Refusal) -> CallerResponse {
-        self.traffic.refuse(refusal)
+        let mut response = self.traffic.refuse(refusal);
+        if response.status == StatusCode::SERVICE_UNAVAILABLE {
+            // Otherwise it would pass for an upstream's response.
+            response.headers.insert(RELAY, HeaderValue::from(0));
+        }
+        response
     }
 }
 
--- a/crates/entry/src/traffic/request.rs
+++ b/crates/entry/src/traffic/request.rs
@@ -8,7 +8,10 @@
             Origin,
             Rejected, //
         },
-        response::FinalResponse,
+        response::{
+            retry_later,
+            FinalResponse, //
+        },
         Traffic, //
     },
 };
@@ -20,9 +23,11 @@
 };
 use event::{
     emit,
-    Event, //
+    Event,
+    Outcome, //
 };
 use relay::{
+    BodyMemory,
     CallerResponse,
     Handler,
     Refusal,
@@ -31,7 +36,8 @@
 use route::CallerLimits;
 use std::{
     rc::Rc,
-    sync::atomic::Ordering, //
+    sync::atomic::Ordering,
+    time::Duration, //
 };
 
 impl Handler for Traffic {
@@ -59,12 +65,20 @@
         response
     }
 
+    fn body_memory(&self) -> BodyMemory {
+        self.body_memory.clone()
+    }
+
     fn refuse(&self, refusal: Refusal) -> CallerResponse {
+        if refusal == Refusal::NoBodyMemory {
+            return self.refuse_body();
+        }
         let status = match refusal {
             Refusal::Malformed => StatusCode::BAD_REQUEST,
             Refusal::HeadTooLong => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Refusal::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::TooSlow => StatusCode::REQUEST_TIMEOUT,
+            Refusal::NoBodyMemory => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::Internal => StatusCode::BAD_GATEWAY,
         };
         metrics::counter!(metric::REQUESTS, "outcome" => "unreadable").increment(1);
@@ -78,7 +92,25 @@
     }
 }
 
+/// `Retry-After` of a request for whose body there is no memory: the time that a body of the common length is held.
+const BODY_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 impl Traffic {
+    /// Rejects a request for whose body there is no memory.
+    fn refuse_body(&self) -> CallerResponse {
+        let (response, outcome) = retry_later(BODY_RETRY_AFTER, Outcome::Refused);
+        metrics::counter!(metric::REQUESTS, "outcome" => outcome.as_str()).increment(1);
+        metrics::counter!(metric::BODIES_REFUSED).increment(1);
+        if self.log_limiter.try_take(true, self.now()) {
+            let budget = self.body_memory.budget();
+            emit(&Event::BodyRefused {
+                held_bytes: budget.held_bytes(),
+                limit_bytes: budget.limit_bytes().unwrap_or_default(),
+            });
+        }
+        response
+    }
+
     /// Serves a request of a caller or of another entry.
     pub(super) async fn serve(self: &Rc<Self>, request: Request, origin: Origin) -> FinalResponse {
         let _active = ActiveRequest::new(self);
--- a/crates/entry/src/traffic/response.rs
+++ b/crates/entry/src/traffic/response.rs
@@ -105,6 +105,7 @@
             progress,
         });
         let headers = end_to_end_headers(&upstream_response.headers);
+        let body_hold = upstream_response.body_hold;
         let body = match upstream_response.body {
             ReceivedBody::Complete(_) if self.method == Method::HEAD => ResponseBody::Omitted {
                 length_bytes: upstream_response.length_bytes,
@@ -120,6 +121,10 @@
                     received: self.received,
                     deadline: self.deadline,
                     guard,
+                    body_hold: body_hold.clone(),
+                    rest_bytes: upstream_response
+                        .length_bytes
+                        .map(|length| length.saturating_sub(prefix.len() as u64)),
                 };
                 let parts = stream.forward(prefix, rest);
                 ResponseBody::Stream {
@@ -133,6 +138,7 @@
             headers,
             body,
             close: false,
+            body_hold: Some(body_hold),
         };
         (response, outcome)
     }
--- a/crates/entry/src/traffic/stream.rs
+++ b/crates/entry/src/traffic/stream.rs
@@ -15,15 +15,27 @@
     Event, //
 };
 use relay::{
+    BodyHold,
     BodyPart,
     BodyReader, //
 };
-use std::time::Instant;
+use std::{
+    rc::Rc,
+    time::Instant, //
+};
 use tokio::sync::mpsc;
 
 /// Capacity of the channel between the upstream's body and the caller's connection, in parts.
 const BODY_CHANNEL_PARTS: usize = 8;
 
+/// Length of most of these parts, in bytes.
+const BODY_PART_BYTES: u64 = 16 << 10;
+/// Longest rest of a body that is read ahead of a slow caller while there is a limit on the memory for bodies and much of
+/// it is left, so that the upstream doesn't wait for the caller.
+const READ_AHEAD_BYTES_MAX: u64 = 1 << 20;
+/// Capacity of the channel then, in parts.
+const READ_AHEAD_PARTS: usize = 4096;
+
 /// Guard that counts a request as in flight until it is dropped.
 pub(super) trait StreamGuard {
     /// Returns the state of the traffic thread.
@@ -40,13 +52,17 @@
     pub(super) deadline: Instant,
     /// Keeps the request counted as in flight until the body ends.
     pub(super) guard: Box<dyn StreamGuard>,
+    /// Memory held for the body.
+    pub(super) body_hold: Rc<BodyHold>,
+    /// Length of the part of the body that has not been read; `None` if it is not known.
+    pub(super) rest_bytes: Option<u64>,
 }
 
 impl ResponseStream {
     /// Spawns a task that forwards the data read so far and then the rest. Returns the receiver for the caller's
     /// connection.
     pub(super) fn forward(self, prefix: Bytes, rest: Box<BodyReader>) -> mpsc::Receiver<BodyPart> {
-        let (sender, parts) = mpsc::channel(BODY_CHANNEL_PARTS);
+        let (sender, parts) = mpsc::channel(self.take_channel());
         actix_rt::spawn(async move {
             let (sent_bytes, ended) = self.run(prefix, rest, sender).await;
             if let Err(why) = ended {
@@ -56,6 +72,24 @@
         parts
     }
 
+    /// Takes memory for the channel to the caller's connection. Returns the capacity of the channel in parts.
+    fn take_channel(&self) -> usize {
+        let hold = &self.body_hold;
+        if !self.guard.traffic().body_memory.is_limited() {
+            return BODY_CHANNEL_PARTS;
+        }
+        let held_bytes = hold.bytes();
+        let rest_bytes = self.rest_bytes.filter(|rest| *rest <= READ_AHEAD_BYTES_MAX);
+        if rest_bytes.is_some_and(|rest| hold.try_grow_to(held_bytes + rest)) {
+            return READ_AHEAD_PARTS;
+        }
+        if hold.try_grow_to(held_bytes + BODY_CHANNEL_PARTS as u64 * BODY_PART_BYTES) {
+            return BODY_CHANNEL_PARTS;
+        }
+        hold.grow(BODY_PART_BYTES);
+        1
+    }
+
     /// Forwards the body. Returns the number of bytes sent and, if it ended early, why.
     async fn run(
         &self,
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -187,11 +187,37 @@
         grace: Duration,
         rows: impl RowReader + Send,
     ) -> Self {
+        let settings = Self::settings(name, region, domain, grace);
+        Self::start_with_settings(settings, store, rows)
+    }
+
+    /// Starts an entry with a limit on its memory, and waits until it is ready.
+    pub(crate) fn start_with_memory(
+        name: &'static str,
+        memory_bytes: u64,
+        store: &MemoryStore,
+    ) -> Self {
+        let grace = Duration::from_secs(6);
+        let settings = Settings {
+            memory_bytes: Some(memory_bytes),
+            ..Self::settings(name, "region-a", "domain-a", grace)
+        };
+        let entry = Self::start_with_settings(settings, store, JsonRows);
+        entry.wait_ready(true);
+        entry
+    }
+
+    fn settings(
+        name: &'static str,
+        region: &'static str,
+        domain: &str,
+        grace: Duration,
+    ) -> Settings {
         let [callers, lookups, ready, peers, metrics, relay] = free_addrs();
         let mut regions = FastMap::default();
         regions.insert("domain-a".into(), "region-a".into());
         regions.insert("domain-b".into(), "region-b".into());
-        let settings = Settings {
+        Settings {
             instance: name.into(),
             region: region.into(),
             failure_domain: domain.into(),
@@ -215,7 +241,15 @@
             },
             max_sockets: 1050,
             cpu_milli: 1000,
-        };
+            memory_bytes: None,
+        }
+    }
+
+    fn start_with_settings(
+        settings: Settings,
+        store: &MemoryStore,
+        rows: impl RowReader + Send,
+    ) -> Self {
         let store = store.clone();
         let initial_settings = settings.clone();
         let (changes, changed) = std::sync::mpsc::channel();
@@ -241,12 +275,13 @@
             )
             .expect("the entry runs until it is stopped");
         });
+        let relay = initial_settings.relay_addr;
         Self {
-            callers,
-            lookups,
-            ready,
-            relay,
-            metrics,
+            callers: initial_settings.callers_addr,
+            lookups: initial_settings.lookup_addr,
+            ready: initial_settings.ready_addr,
+            relay: relay.expect("the entry takes relayed requests"),
+            metrics: initial_settings.metrics_addr,
             settings: initial_settings,
             changes,
             stop: Some(stop),
--- a/crates/event/src/event.rs
+++ b/crates/event/src/event.rs
@@ -224,6 +224,8 @@
     },
     /// A caller's input could not be parsed as a request.
     RequestNotRead { why: String, status: u16 },
+    /// A request was rejected because the memory for bodies is used up.
+    BodyRefused { held_bytes: u64, limit_bytes: u64 },
     /// A caller's connection could not be accepted.
     AcceptFailed { error: String },
     /// A caller's connection was closed immediately because `most` connections are open.
@@ -256,6 +258,7 @@
             | Self::EntriesNotRead { .. }
             | Self::HubNotReading { .. }
             | Self::RequestNotRead { .. }
+            | Self::BodyRefused { .. }
             | Self::AcceptFailed { .. }
             | Self::CallerTurnedAway { .. }
             | Self::LinesLeftOut { .. }
--- a/crates/event/tests/lines.rs
+++ b/crates/event/tests/lines.rs
@@ -121,6 +121,7 @@
     };
     table_read: Event::TableRead { table: "operator".into(), rows: 2, position: 9 };
     history_gone: Event::HistoryGone { table: "operator".into(), position: 9 };
+    body_refused: Event::BodyRefused { held_bytes: 40_000_000, limit_bytes: 40_000_000 };
     row_unreadable: Event::RowUnreadable { row: "routes".into(), findings: vec!["x".into()] };
     own_row_not_removed: Event::OwnRowNotRemoved;
     lost_entry_row: Event::LostEntryRow { row: "entries/a".into(), outcome: "done".into() };
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -8,6 +8,11 @@
 //! their connections to upstreams.
 
 use crate::{
+    body_budget::{
+        BodyHold,
+        BodyMemory,
+        SMALL_BODY_BYTES, //
+    },
     message::{
         BodyPart,
         CallerResponse,
@@ -51,6 +56,7 @@
 };
 use strict::set_socket_options;
 use tokio::{
+    io::Interest,
     net::{
         tcp::OwnedReadHalf,
         TcpStream, //
@@ -65,6 +71,7 @@
         Notify,
     },
     time::{
+        sleep,
         timeout,
         timeout_at, //
     },
@@ -74,10 +81,19 @@
 const PIPELINED_MAX: usize = 16;
 /// Bytes read ahead while no further request can be started or body part forwarded.
 const READ_AHEAD_BYTES: usize = 64 << 10;
-/// Longest body that is kept in memory, so that it can be sent again.
-const BUFFERED_BODY_BYTES_MAX: u64 = 64 << 10;
+/// The same while there is a limit on the memory for bodies.
+const LIMITED_READ_AHEAD_BYTES: usize = 8 << 10;
 /// Parts of a streamed body buffered between caller and upstream.
 const BODY_CHANNEL_PARTS: usize = 4;
+/// The same while there is a limit on the memory for bodies.
+const LIMITED_BODY_CHANNEL_PARTS: usize = 2;
+/// Length of these parts while there is a limit, in bytes.
+const LIMITED_PART_BYTES: usize = 8 << 10;
+/// Memory that a streamed body takes while there is a limit, besides what was kept of it before: two parts that are read
+/// ahead, one that waits for the channel, those in the channel, one that is written and its copy with a chunk's frame.
+const STREAM_BYTES: u64 = (LIMITED_BODY_CHANNEL_PARTS + 5) as u64 * LIMITED_PART_BYTES as u64;
+/// Interval between checks whether a caller has closed its end while nothing more is read from it.
+const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for a caller to close its end after the last response. Closing with unread bytes resets the
 /// connection, and the caller could lose a response that it has not read yet.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
@@ -93,6 +109,8 @@
     BodyTooLong,
     /// The request was not received in time.
     TooSlow,
+    /// There is no memory for its body.
+    NoBodyMemory,
     /// The task that handles the request failed.
     Internal,
 }
@@ -109,6 +127,11 @@
     /// without a response.
     fn may_run_concurrently(&self, head: &Head) -> bool;
 
+    /// Memory for bodies; unlimited by default.
+    fn body_memory(&self) -> BodyMemory {
+        BodyMemory::default()
+    }
+
     /// Handles one request. The future is dropped if the caller has closed the connection.
     fn handle(self: Rc<Self>, request: Request) -> impl Future<Output = CallerResponse>;
 
@@ -203,7 +226,7 @@
         if self.has_body() && head.head().expect() && self.state.in_flight.get() == 0 {
             self.send_continue();
         }
-        let (body, remainder) = self.read_body(&head).await?;
+        let (body, remainder, body_hold) = self.read_body(&head).await?;
         let max_in_flight = if concurrent { PIPELINED_MAX } else { 1 };
         self.wait_for_in_flight_below(max_in_flight).await?;
         let close = head.head().connection_type() != ConnectionType::KeepAlive;
@@ -214,6 +237,7 @@
             headers: head.headers().clone(),
             body,
             received,
+            body_hold,
         };
         let task = ResponseTask::start(self.handler.clone().handle(request));
         let last = close || self.queue.is_closed();
@@ -288,9 +312,11 @@
     async fn read_body(
         &mut self,
         head: &Head,
-    ) -> Result<(RequestBody, Option<BodyRemainder>), ReadEnd> {
+    ) -> Result<(RequestBody, Option<BodyRemainder>, Rc<BodyHold>), ReadEnd> {
+        let memory = self.handler.body_memory();
         if !self.has_body() {
-            return Ok((RequestBody::Whole(Bytes::new()), None));
+            let body = RequestBody::Whole(Bytes::new());
+            return Ok((body, None, Rc::new(memory.hold())));
         }
         let limits = self.handler.limits();
         let length = head.headers().get(CONTENT_LENGTH);
@@ -298,26 +324,52 @@
         if length_bytes.is_some_and(|length| length > limits.max_body_bytes) {
             return Err(ReadEnd::Refused(Refusal::BodyTooLong));
         }
-        let mut buffered = BytesMut::new();
-        while buffered.len() as u64 <= BUFFERED_BODY_BYTES_MAX {
+        let Some(hold) = memory.hold_minimum(length_bytes, STREAM_BYTES) else {
+            return Err(ReadEnd::Refused(Refusal::NoBodyMemory));
+        };
+        let hold = Rc::new(hold);
+        let kept_max = || memory.kept_body_bytes_max(length_bytes);
+        let capacity = length_bytes.map_or(0, |length| length.min(kept_max()));
+        let mut kept = BytesMut::with_capacity(usize::try_from(capacity).unwrap_or(0));
+        while kept.len() as u64 <= kept_max() {
             match self.read_body_part(limits.header_timeout).await? {
-                BodyPart::Data(data) => buffered.extend_from_slice(&data),
-                BodyPart::End => return Ok((RequestBody::Whole(buffered.freeze()), None)),
+                BodyPart::Data(data) => kept.extend_from_slice(&data),
+                BodyPart::End => {
+                    hold.shrink_to(kept.len() as u64);
+                    return Ok((RequestBody::Whole(kept.freeze()), None, hold));
+                }
             }
+            let needed = kept.len() as u64 + STREAM_BYTES;
+            let needed = length_bytes.map_or(needed, |length| length.min(needed));
+            let is_small = kept.len() as u64 <= SMALL_BODY_BYTES;
+            if (is_small && length_bytes.is_none()) || hold.try_grow_to(needed) {
+                continue;
+            }
+            if hold.bytes() < STREAM_BYTES {
+                return Err(ReadEnd::Refused(Refusal::NoBodyMemory));
+            }
+            break;
         }
-        let (sender, parts) = channel(BODY_CHANNEL_PARTS);
-        let received_bytes = buffered.len() as u64;
+        let (sender, parts) = if memory.is_limited() {
+            channel(LIMITED_BODY_CHANNEL_PARTS)
+        } else {
+            channel(BODY_CHANNEL_PARTS)
+        };
+        let received_bytes = kept.len() as u64;
         // The channel is new and has capacity.
-        let _ = sender.try_send(BodyPart::Data(buffered.freeze()));
+        let _ = sender.try_send(BodyPart::Data(kept.freeze()));
         let remainder = BodyRemainder {
             sender,
             received_bytes,
+            is_limited: memory.is_limited(),
+            parts_sent: 0,
+            hold: hold.clone(),
         };
         let body = RequestBody::Stream {
             length_bytes,
             parts,
         };
-        Ok((body, Some(remainder)))
+        Ok((body, Some(remainder), hold))
     }
 
     /// Reads the next part of a body.
@@ -356,7 +408,7 @@
             let too_long = remainder.received_bytes > limits.max_body_bytes;
             // The receiver may already have a response and need no more of the body, whose
             // remainder is then discarded.
-            let forwarded = !too_long && self.forward_part(&remainder.sender, part).await?;
+            let forwarded = !too_long && self.forward_part(&mut remainder, part).await?;
             if !forwarded {
                 drop(remainder);
                 self.drain_until_closed().await;
@@ -368,25 +420,54 @@
         }
     }
 
-    /// Forwards one part, while checking that the caller is still connected; `false` if the
-    /// receiver is gone.
+    /// Forwards one part, in pieces if the memory for bodies is limited; `false` if the receiver is gone.
     async fn forward_part(
+        &mut self,
+        remainder: &mut BodyRemainder,
+        mut part: BodyPart,
+    ) -> Result<bool, ReadEnd> {
+        if remainder.is_limited {
+            while let BodyPart::Data(data) = &mut part {
+                if data.len() <= LIMITED_PART_BYTES {
+                    break;
+                }
+                let piece = BodyPart::Data(data.split_to(LIMITED_PART_BYTES));
+                if !self.forward_piece(remainder, piece).await? {
+                    return Ok(false);
+                }
+            }
+        }
+        self.forward_piece(remainder, part).await
+    }
+
+    /// Forwards one piece, while checking that the caller is still connected; `false` if the receiver is gone.
+    async fn forward_piece(
+        &mut self,
+        remainder: &mut BodyRemainder,
+        piece: BodyPart,
+    ) -> Result<bool, ReadEnd> {
+        let sent = self.send_piece(&remainder.sender, piece).await?;
+        remainder.parts_sent += 1;
+        // The first of these has been taken from the channel, so what was kept before it is written.
+        if remainder.parts_sent == LIMITED_BODY_CHANNEL_PARTS + 1 && remainder.is_limited {
+            remainder.hold.shrink_to(STREAM_BYTES);
+        }
+        Ok(sent)
+    }
+
+    async fn send_piece(
         &mut self,
         sender: &Sender<BodyPart>,
-        part: BodyPart,
+        piece: BodyPart,
     ) -> Result<bool, ReadEnd> {
-        let sending = sender.send(part);
+        let read_ahead_max = self.read_ahead_bytes_max();
+        let sending = sender.send(piece);
         tokio::pin!(sending);
         loop {
-            let has_room = self.buf.len() < READ_AHEAD_BYTES;
             tokio::select! {
                 biased;
                 sent = &mut sending => return Ok(sent.is_ok()),
-                read = read_some(&mut self.read_half, &mut self.buf), if has_room => {
-                    if !matches!(read, Ok(1..)) {
-                        return Err(ReadEnd::Closed);
-                    }
-                }
+                read = read_ahead(&mut self.read_half, &mut self.buf, read_ahead_max) => read?,
             }
         }
     }
@@ -394,20 +475,24 @@
     /// Waits until fewer than `max_in_flight` requests are in flight, while checking that the
     /// caller is still connected.
     async fn wait_for_in_flight_below(&mut self, max_in_flight: usize) -> Result<(), ReadEnd> {
+        let read_ahead_max = self.read_ahead_bytes_max();
         while self.state.in_flight.get() >= max_in_flight {
-            let has_room = self.buf.len() < READ_AHEAD_BYTES;
             tokio::select! {
                 () = self.state.response_written.notified() => {}
-                read = read_some(&mut self.read_half, &mut self.buf), if has_room => {
-                    if !matches!(read, Ok(1..)) {
-                        return Err(ReadEnd::Closed);
-                    }
-                }
+                read = read_ahead(&mut self.read_half, &mut self.buf, read_ahead_max) => read?,
             }
         }
         Ok(())
     }
 
+    fn read_ahead_bytes_max(&self) -> usize {
+        if self.handler.body_memory().is_limited() {
+            LIMITED_READ_AHEAD_BYTES
+        } else {
+            READ_AHEAD_BYTES
+        }
+    }
+
     /// Waits for the first bytes of a request. The idle timeout doesn't apply while responses are
     /// pending.
     async fn read_when_idle(&mut self, idle: Duration) -> Result<(), ReadEnd> {
@@ -441,8 +526,33 @@
     }
 }
 
+/// Reads some bytes while fewer than `max_bytes` are in `buf`; beyond that, waits until the caller closes its end.
+async fn read_ahead(
+    read_half: &mut OwnedReadHalf,
+    buf: &mut BytesMut,
+    max_bytes: usize,
+) -> Result<(), ReadEnd> {
+    if buf.len() < max_bytes {
+        return match read_some(read_half, buf).await {
+            Ok(1..) => Ok(()),
+            _ => Err(ReadEnd::Closed),
+        };
+    }
+    loop {
+        match read_half.ready(Interest::READABLE).await {
+            Ok(ready) if !ready.is_read_closed() => sleep(CLOSE_POLL_INTERVAL).await,
+            _ => return Err(ReadEnd::Closed),
+        }
+    }
+}
+
 /// Remainder of a long body.
 struct BodyRemainder {
     sender: Sender<BodyPart>,
     received_bytes: u64,
+    /// Whether the memory for bodies is limited.
+    is_limited: bool,
+    /// Parts that the channel has accepted after the first.
+    parts_sent: usize,
+    hold: Rc<BodyHold>,
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,6 +18,7 @@
 //!   other byte was received on it.
 //! - Dropping an exchange closes its connection, which cancels the request at the upstream.
 
+mod body_budget;
 mod caller;
 mod message;
 mod pool;
@@ -25,6 +26,11 @@
 mod response_writer;
 mod wire;
 
+pub use body_budget::{
+    BodyBudget,
+    BodyHold,
+    BodyMemory, //
+};
 pub use caller::{
     serve,
     Handler,
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -1,5 +1,6 @@
 //! Requests and responses of callers, as this crate passes them to and from a handler.
 
+use crate::body_budget::BodyHold;
 use actix_http::{
     header::HeaderMap,
     Method,
@@ -7,7 +8,10 @@
     Uri, //
 };
 use bytes::Bytes;
-use std::time::Instant;
+use std::{
+    rc::Rc,
+    time::Instant, //
+};
 use tokio::sync::mpsc::Receiver;
 
 /// A part of a streamed body.
@@ -48,6 +52,8 @@
     pub body: RequestBody,
     /// When the head was read.
     pub received: Instant,
+    /// Memory held for the body.
+    pub body_hold: Rc<BodyHold>,
 }
 
 /// Body of a response to a caller.
@@ -80,6 +86,8 @@
     pub body: ResponseBody,
     /// Whether to close the connection after the response.
     pub close: bool,
+    /// Memory held for the body until it is written.
+    pub body_hold: Option<Rc<BodyHold>>,
 }
 
 impl CallerResponse {
@@ -90,6 +98,7 @@
             headers: HeaderMap::new(),
             body: ResponseBody::Whole(Bytes::new()),
             close: false,
+            body_hold: None,
         }
     }
 
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -9,7 +9,10 @@
         HeadReader,
         UpstreamResponse, //
     },
-    wire::encode_chunk, //
+    wire::{
+        encode_chunk,
+        COPIED_BODY_BYTES_MAX, //
+    },
 };
 use base::{
     FastMap,
@@ -354,6 +357,10 @@
     ) -> Result<(), WriteError> {
         match body {
             RequestBody::Whole(bytes) if bytes.is_empty() => self.write(write_half, head).await,
+            RequestBody::Whole(bytes) if bytes.len() > COPIED_BODY_BYTES_MAX => {
+                self.write(write_half, head).await?;
+                self.write(write_half, bytes).await
+            }
             RequestBody::Whole(bytes) => {
                 let mut message = BytesMut::with_capacity(head.len() + bytes.len());
                 message.extend_from_slice(&head);
--- a/crates/relay/src/response_writer.rs
+++ b/crates/relay/src/response_writer.rs
@@ -15,6 +15,7 @@
         encode_chunk,
         put_response_head,
         Framing, //
+        COPIED_BODY_BYTES_MAX,
     },
 };
 use actix_http::StatusCode;
@@ -127,11 +128,17 @@
 ) -> io::Result<()> {
     let mut out = BytesMut::with_capacity(512);
     let (status, headers) = (response.status, response.headers);
+    let _body_hold = response.body_hold;
     match response.body {
         ResponseBody::Whole(body) => {
             let framing = response_framing(status, Some(body.len() as u64));
             put_response_head(&mut out, status, &headers, framing, close);
-            if !head_only && framing != Framing::None {
+            let has_body = !head_only && framing != Framing::None;
+            if has_body && body.len() > COPIED_BODY_BYTES_MAX {
+                write(write_half, &out).await?;
+                return write(write_half, &body).await;
+            }
+            if has_body {
                 out.extend_from_slice(&body);
             }
             write(write_half, &out).await
--- a/crates/relay/src/wire.rs
+++ b/crates/relay/src/wire.rs
@@ -40,6 +40,9 @@
 /// Upper bound on the bytes around a chunk's data: its length in hexadecimal and two line ends.
 const CHUNK_FRAME_BYTES: usize = 20;
 
+/// Longest body that is copied behind its head to be written with it. A copy of a longer one would double its memory.
+pub(crate) const COPIED_BODY_BYTES_MAX: usize = 16 << 10;
+
 /// How the end of a body is indicated to the recipient.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Framing {
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -25,6 +25,12 @@
 const CPU_MILLI_MIN: u32 = 1;
 /// Most thousandths of a core that a field accepts.
 const CPU_MILLI_MAX: u32 = 1_000_000;
+/// Least memory of the process that a field accepts, in megabytes.
+const MEMORY_MB_MIN: u64 = 16;
+/// Most memory of the process that a field accepts, in megabytes.
+const MEMORY_MB_MAX: u64 = 1 << 20;
+/// Bytes of a megabyte.
+const MEGABYTE: u64 = 1_000_000;
 /// Default processor share: a whole core.
 const DEFAULT_CPU_MILLI: u32 = 1000;
 /// Default number of sockets: the usual limit of file descriptors per process, less some for files.
@@ -79,6 +85,8 @@
     let sockets = sockets.integer(SOCKETS_MIN..=SOCKETS_MAX, "sockets");
     let cpu_milli = map.optional("cpu_milli");
     let cpu_milli = cpu_milli.integer(CPU_MILLI_MIN..=CPU_MILLI_MAX, "thousandths of a core");
+    let memory_mb = map.optional("memory_mb");
+    let memory_mb = memory_mb.integer(MEMORY_MB_MIN..=MEMORY_MB_MAX, "megabytes");
     let bounds = map.optional("bounds").map();
     let bounds = bounds.map_or_else(Bounds::default, |mut map| read_bounds(&mut map));
     Some(Settings {
@@ -97,6 +105,7 @@
             bounds,
             max_sockets: sockets.unwrap_or(DEFAULT_MAX_SOCKETS),
             cpu_milli: cpu_milli.unwrap_or(DEFAULT_CPU_MILLI),
+            memory_bytes: memory_mb.map(|memory| memory * MEGABYTE),
         },
         platform_url: platform_url?,
         platform_timeout: platform_timeout.unwrap_or(DEFAULT_PLATFORM_TIMEOUT),
--- a/crates/router/tests/settings.rs
+++ b/crates/router/tests/settings.rs
@@ -24,6 +24,7 @@
     assert_eq!(settings.poll_interval, Duration::from_millis(500));
     assert_eq!(settings.entry.max_sockets, 1000);
     assert_eq!(settings.entry.relay_addr, None);
+    assert_eq!(settings.entry.memory_bytes, None);
     assert_eq!(settings.entry.bounds, entry::Bounds::default());
 }
 
@@ -35,6 +36,16 @@
     assert_eq!(addr.as_deref(), Some("127.0.0.1:7006"));
 }
 
+#[test]
+fn memory_is_read_in_megabytes() {
+    let text = format!("{MINIMAL}memory_mb: 256\n");
+    let settings = Settings::parse("s.yaml", &text).expect("good settings");
+    assert_eq!(settings.entry.memory_bytes, Some(256_000_000));
+    let findings = Settings::parse("s.yaml", &format!("{MINIMAL}memory_mb: 1\n"));
+    let findings = findings.expect_err("too little memory").to_string();
+    assert!(findings.contains("`memory_mb`"), "{findings}");
+}
+
 #[test]
 fn bounds_are_read_in_their_units() {
     let text = format!(
