--- a/crates/entry/src/metric.rs
+++ b/crates/entry/src/metric.rs
@@ -19,6 +19,10 @@
         "Requests that waited at the entry, by priorities of organisation and route and by what became of them.";
     WAITING = "jasmine_entry_waiting", Gauge, "requests", "service",
         "Requests that wait at the entry.";
+    BODY_BYTES = "jasmine_entry_body_bytes", Gauge, "bytes", "",
+        "Memory held for the bodies of requests and responses.";
+    BODIES_REFUSED = "jasmine_entry_bodies_refused_total", Counter, "requests", "",
+        "Requests that were rejected because there was no memory for their bodies.";
     COLD_LEASES = "jasmine_entry_cold_leases", Gauge, "leases", "",
         "Cold upstreams that only this entry sends to.";
     CRASHES = "jasmine_entry_crashes_total", Counter, "crashes", "",
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -60,6 +60,10 @@
 /// Sockets reserved for uses other than connections of callers and upstreams: ports, the store and other entries.
 const RESERVED_SOCKETS: usize = 300;
 
+/// Percentage of the process's memory that bodies of requests and responses may take. The rest is for the routing state,
+/// connections and their buffers.
+const BODY_MEMORY_PCT: u64 = 25;
+
 /// Settings of one process.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -92,6 +96,8 @@
     /// Bandwidth of the instance's link, in Mbit/s; `None` if it isn't stated. Look-ups then offer this entry as often as
     /// those with the most capacity.
     pub link_mbit_per_s: Option<u32>,
+    /// Limit on the memory of the process, in bytes; `None` without one.
+    pub memory_bytes: Option<u64>,
 }
 
 impl Settings {
@@ -109,6 +115,11 @@
         })
     }
 
+    /// Returns the limit on the memory for bodies.
+    pub(crate) fn body_bytes_max(&self) -> Option<u64> {
+        self.memory_bytes.map(|bytes| bytes / 100 * BODY_MEMORY_PCT)
+    }
+
     /// Returns the names of settings that differ in `next` and only change with a restart.
     pub(crate) fn fixed_differences(&self, next: &Self) -> Vec<&'static str> {
         let differs = [
@@ -128,6 +139,7 @@
                 "link_mbit_per_s",
                 self.link_mbit_per_s != next.link_mbit_per_s,
             ),
+            ("memory_bytes", self.memory_bytes != next.memory_bytes),
         ];
         let differing = differs.into_iter().filter(|(_, differs)| *differs);
         differing.map(|(name, _)| name).collect()
--- a/crates/entry/src/traffic/dispatch.rs
+++ b/crates/entry/src/traffic/dispatch.rs
@@ -62,6 +62,7 @@
 use quarantine::Fingerprint;
 use relay::{
     request_head,
+    BodyHold,
     Failure,
     Framing,
     RequestBody,
@@ -106,6 +107,9 @@
     pub(super) path: String,
     pub(super) headers: HeaderMap,
     pub(super) body: BodySource,
+    /// Memory held for the body.
+    #[expect(dead_code, reason = "held for its drop")]
+    pub(super) body_hold: Rc<BodyHold>,
     /// Identical for all attempts of a request, unlike the id.
     pub(super) fingerprint: Fingerprint,
     /// Hash of the affinity key, or of the id if there is none.
@@ -330,6 +334,9 @@
 
     /// Forwards a response to the caller, or retries if it is a server error and the request may be sent again.
     fn after_response(&self, progress: &mut Progress, response: Box<ReceivedResponse>) -> NextStep {
+        if self.is_untrue(response.status) {
+            return self.after_untrue_response(progress);
+        }
         let retry = response.status.is_server_error()
             && self.route.kind.is_idempotent()
             && self.may_resend(progress.sends + 1);
@@ -347,6 +354,15 @@
         NextStep::Retry
     }
 
+    /// Ends a request whose upstream responded with a status that would be a false statement to the caller.
+    fn after_untrue_response(&self, progress: &mut Progress) -> NextStep {
+        progress.sends += 1;
+        progress.may_have_run = true;
+        progress.last = Some(LastSend::Failed { timeout: false });
+        let progress = std::mem::take(progress);
+        NextStep::Done(self.give_up(progress, &self.rejection_after_send(Reason::SendFailed)))
+    }
+
     /// Retries after an upstream refused to run the request, if possible.
     fn after_refusal(&self, progress: &mut Progress) -> NextStep {
         progress.note_not_run();
--- a/crates/entry/src/traffic/mod.rs
+++ b/crates/entry/src/traffic/mod.rs
@@ -45,7 +45,10 @@
     settings::Settings,
     snapshot::Snapshot, //
 };
-use ::relay::Pool;
+use ::relay::{
+    BodyMemory,
+    Pool, //
+};
 use arc_swap::ArcSwap;
 use balance::affinity_hash;
 use base::{
@@ -107,6 +110,8 @@
     quota_routes_version: Cell<Version>,
     /// Version of the parts that `quotas` has.
     quota_parts_seen: Cell<u64>,
+    /// Memory for the bodies of requests and responses.
+    pub(crate) body_memory: BodyMemory,
     /// Number of open connections from callers.
     pub(crate) caller_connections: Cell<usize>,
     /// Requests that wait at this entry.
@@ -118,6 +123,7 @@
 impl Traffic {
     fn new(shared: Arc<SharedState>) -> Self {
         let fleet = Fleet::new(&shared.settings);
+        let body_memory = BodyMemory::new(shared.settings.body_bytes_max());
         let quotas = Limiter::new(
             shared.settings.bounds.quota,
             affinity_hash(shared.settings.instance.as_bytes()),
@@ -133,6 +139,7 @@
             quotas: RefCell::new(quotas),
             quota_routes_version: Cell::new(0),
             quota_parts_seen: Cell::new(0),
+            body_memory,
             caller_connections: Cell::new(0),
             waiting: RefCell::default(),
             log_limiter: request_log::LogLimiter::default(),
@@ -156,6 +163,9 @@
         let is_newer = fleet.update(&snapshot);
         if is_newer {
             self.pool.sweep(|id| fleet.is_usable(id));
+            for ended in fleet.take_ended_targets() {
+                self.pool.close_idle(&ended);
+            }
         }
         fleet.update_limits(&self.shared.channels.limits, is_newer);
         self.refresh_quotas(&snapshot, is_newer);
--- a/crates/entry/src/traffic/relay.rs
+++ b/crates/entry/src/traffic/relay.rs
@@ -90,6 +90,12 @@
             let label = outcome_label(&relayed);
             metrics::counter!(metric::RELAYED, "outcome" => label).increment(1);
             match relayed {
+                Relayed::Answered(response) if self.is_untrue(response.status) => {
+                    progress.sends += 1;
+                    progress.may_have_run = true;
+                    rejection.reason = Reason::SendFailed;
+                    break;
+                }
                 Relayed::Answered(response) => {
                     progress.sends += 1;
                     progress.may_have_run = true;
@@ -206,7 +212,8 @@
     if status.is_success() && !has_seal {
         return Relayed::Failed { timeout: false };
     }
-    let body = match read_buffered(&mut body, deadline).await {
+    let body_hold = Rc::new(traffic.body_memory.hold());
+    let body = match read_buffered(&mut body, deadline, &body_hold).await {
         Ok(Buffered::Complete(bytes)) => ReceivedBody::Complete(bytes),
         Ok(Buffered::Prefix(prefix)) => ReceivedBody::Partial {
             prefix,
@@ -220,6 +227,7 @@
         headers,
         length_bytes,
         body,
+        body_hold,
     }))
 }
 
--- a/crates/entry/src/traffic/response.rs
+++ b/crates/entry/src/traffic/response.rs
@@ -53,6 +53,17 @@
     (response, outcome)
 }
 
+/// Returns whether callers take a status as the statement that the request did not run and never will, and repeat it.
+fn states_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Builds the response to a request over the quota of its organisation, which states that it did not run and when to
 /// retry.
 pub(super) fn over_quota(after: Duration) -> FinalResponse {
@@ -70,6 +81,12 @@
 }
 
 impl Dispatch {
+    /// Returns whether a response with this status would state that the request did not run, although it may have: an
+    /// upstream that didn't run a request says so in a header.
+    pub(super) fn is_untrue(&self, status: StatusCode) -> bool {
+        !self.route.kind.is_idempotent() && states_not_run(status)
+    }
+
     /// Builds the final response from an upstream's response.
     pub(super) fn forward_response(
         &self,
@@ -88,6 +105,7 @@
             progress,
         });
         let headers = end_to_end_headers(&upstream_response.headers);
+        let body_hold = upstream_response.body_hold;
         let body = match upstream_response.body {
             ReceivedBody::Complete(_) if self.method == Method::HEAD => ResponseBody::Omitted {
                 length_bytes: upstream_response.length_bytes,
@@ -103,6 +121,10 @@
                     received: self.received,
                     deadline: self.deadline,
                     guard,
+                    body_hold: body_hold.clone(),
+                    rest_bytes: upstream_response
+                        .length_bytes
+                        .map(|length| length.saturating_sub(prefix.len() as u64)),
                 };
                 let parts = stream.forward(prefix, rest);
                 ResponseBody::Stream {
@@ -117,6 +139,7 @@
             body,
             close: false,
             guard: None,
+            body_hold: Some(body_hold),
         };
         (response, outcome)
     }
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -1,5 +1,6 @@
 //! Requests and responses of callers, as this crate passes them to and from a handler.
 
+use crate::body_budget::BodyHold;
 use actix_http::{
     header::HeaderMap,
     Method,
@@ -9,6 +10,7 @@
 use bytes::Bytes;
 use std::{
     any::Any,
+    rc::Rc,
     time::Instant, //
 };
 use tokio::sync::mpsc::Receiver;
@@ -51,6 +53,8 @@
     pub body: RequestBody,
     /// When the head was read.
     pub received: Instant,
+    /// Memory held for the body.
+    pub body_hold: Rc<BodyHold>,
 }
 
 /// Body of a response to a caller.
@@ -85,6 +89,8 @@
     pub close: bool,
     /// Dropped once the response has been written completely, or its connection has ended.
     pub guard: Option<Box<dyn Any>>,
+    /// Memory held for the body until it is written.
+    pub body_hold: Option<Rc<BodyHold>>,
 }
 
 impl CallerResponse {
@@ -96,6 +102,7 @@
             body: ResponseBody::Whole(Bytes::new()),
             close: false,
             guard: None,
+            body_hold: None,
         }
     }
 
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -29,6 +29,12 @@
 const LINK_MBIT_PER_S_MIN: u32 = 1;
 /// Highest bandwidth of a link that a field accepts, in Mbit/s.
 const LINK_MBIT_PER_S_MAX: u32 = 1_000_000;
+/// Least memory of the process that a field accepts, in megabytes.
+const MEMORY_MB_MIN: u64 = 16;
+/// Most memory of the process that a field accepts, in megabytes.
+const MEMORY_MB_MAX: u64 = 1 << 20;
+/// Bytes of a megabyte.
+const MEGABYTE: u64 = 1_000_000;
 /// Default processor share: a whole core.
 const DEFAULT_CPU_MILLI: u32 = 1000;
 /// Default number of sockets: the usual limit of file descriptors per process, less some for files.
@@ -85,6 +91,8 @@
     let cpu_milli = cpu_milli.integer(CPU_MILLI_MIN..=CPU_MILLI_MAX, "thousandths of a core");
     let link = map.optional("link_mbit_per_s");
     let link_mbit_per_s = link.integer(LINK_MBIT_PER_S_MIN..=LINK_MBIT_PER_S_MAX, "Mbit/s");
+    let memory_mb = map.optional("memory_mb");
+    let memory_mb = memory_mb.integer(MEMORY_MB_MIN..=MEMORY_MB_MAX, "megabytes");
     let bounds = map.optional("bounds").map();
     let bounds = bounds.map_or_else(Bounds::default, |mut map| read_bounds(&mut map));
     Some(Settings {
@@ -104,6 +112,7 @@
             max_sockets: sockets.unwrap_or(DEFAULT_MAX_SOCKETS),
             cpu_milli: cpu_milli.unwrap_or(DEFAULT_CPU_MILLI),
             link_mbit_per_s,
+            memory_bytes: memory_mb.map(|memory| memory * MEGABYTE),
         },
         platform_url: platform_url?,
         platform_timeout: platform_timeout.unwrap_or(DEFAULT_PLATFORM_TIMEOUT),
