--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -36,6 +36,10 @@
 const KEY_UPSTREAMS_OWN_REGION: usize = 2;
 /// Number of upstreams of each other region that a key's requests may have to warm.
 const KEY_UPSTREAMS_OTHER_REGION: usize = 1;
+/// Number of further upstreams of a region that are used because they are known to be warm for a key. While upstreams fail
+/// or reject requests, a key's requests are sent to many; if all of these stayed in use, each would get more keys than it
+/// remembers, long after the failures.
+const KEY_UPSTREAMS_WARM: usize = 2;
 /// Cost of crossing a failure domain's boundary, as a fraction of the target. A wait that is longer by this much is
 /// accepted at the nearer upstream, which saves traffic between failure domains.
 const DOMAIN_CROSSING_COST: f64 = 0.15;
@@ -167,6 +171,8 @@
     known_warm: bool,
     /// Number of candidates of the same region that the key ranks higher.
     rank_in_region: usize,
+    /// Number of these that are known to be warm.
+    warm_before: usize,
 }
 
 /// A candidate with its estimated times.
@@ -243,13 +249,15 @@
 /// Sorts the candidates by their score for the key, and sets their ranks.
 fn rank_candidates(candidates: &mut [Candidate], upstreams: &[Upstream]) {
     candidates.sort_unstable_by_key(|candidate| Reverse(candidate.score));
-    let mut counts: FastMap<&RegionId, usize> = FastMap::default();
+    let mut counts: FastMap<&RegionId, (usize, usize)> = FastMap::default();
     for candidate in candidates {
-        let count = counts
+        let (count, warm) = counts
             .entry(&upstreams[candidate.index].region)
             .or_default();
         candidate.rank_in_region = *count;
+        candidate.warm_before = *warm;
         *count += 1;
+        *warm += usize::from(candidate.known_warm);
     }
 }
 
@@ -260,7 +268,8 @@
         Crossing::None | Crossing::Domain => KEY_UPSTREAMS_OWN_REGION,
         Crossing::Region => KEY_UPSTREAMS_OTHER_REGION,
     };
-    !query.has_affinity_key || candidate.known_warm || candidate.rank_in_region < limit
+    let is_known = candidate.known_warm && candidate.warm_before < KEY_UPSTREAMS_WARM;
+    !query.has_affinity_key || is_known || candidate.rank_in_region < limit
 }
 
 /// Returns the fraction of busy slots among each region's open upstreams.
@@ -418,6 +427,7 @@
             crossing,
             known_warm: query.has_affinity_key && upstream.warm_keys.is_warm(query.key, now),
             rank_in_region: 0,
+            warm_before: 0,
         };
         // One request at a time probes whether a failing upstream has recovered.
         let probe_pending = upstream.health.is_probing(now) && upstream.in_flight > 0;
--- a/crates/balance/src/warm_keys.rs
+++ b/crates/balance/src/warm_keys.rs
@@ -30,6 +30,11 @@
         self.last_requests.insert(key, now);
     }
 
+    /// Removes a key, for example because the upstream has rejected the only request with it.
+    pub fn remove(&mut self, key: u64) {
+        self.last_requests.remove(&key);
+    }
+
     /// Returns all stored keys, including those that are no longer warm.
     pub fn keys(&self) -> impl Iterator<Item = u64> + '_ {
         self.last_requests.keys().copied()
--- a/crates/entry/src/traffic/attempt.rs
+++ b/crates/entry/src/traffic/attempt.rs
@@ -287,6 +287,7 @@
             fleet.close(&incarnation, "another incarnation has its address");
         } else {
             fleet.note_failure(&incarnation, false, traffic.now());
+            fleet.note_not_run(&in_flight.placement);
         }
         return SendOutcome::NotRun {
             status: status.as_u16(),
--- a/crates/entry/src/traffic/fleet/outcome.rs
+++ b/crates/entry/src/traffic/fleet/outcome.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     clock::millis,
+    message::WarmKey,
     metric,
     traffic::{
         fleet::Fleet,
@@ -168,6 +169,19 @@
         }
     }
 
+    /// Records that an upstream did not run a request, which therefore has not warmed it either.
+    pub(in crate::traffic) fn note_not_run(&mut self, placement: &Placement) {
+        let Some(key) = placement.key.filter(|_| !placement.warm) else {
+            return;
+        };
+        let Some(upstream) = self.upstream(&placement.incarnation) else {
+            return;
+        };
+        upstream.warm_keys.remove(key);
+        let unreported = WarmKey(upstream.incarnation_hash(), key);
+        self.unreported_warm_keys.retain(|one| *one != unreported);
+    }
+
     /// Records that a request failed at an upstream; `unreachable` means that no connection could be opened.
     pub(in crate::traffic) fn note_failure(
         &mut self,
