Leave room to higher ranks only while they lack it; after a wait, send only what meets its target

The limit on waits at the upstreams held for all requests of lower ranks. On a deployment where nearly all requests have the lowest rank, they were sent to upstreams that don't know their keys, and late. Tests not run yet.

--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -19,6 +19,8 @@
 const OWED_AFTER_GRANTS: u32 = 10;
 /// Time after its last grant from which a rank whose requests wait is owed one.
 const OWED_AFTER: Duration = Duration::from_secs(2);
+/// Time after the rejection of a request for which lower ranks leave room to its rank.
+const ROOM_TIME: Duration = Duration::from_secs(1);
 /// Time over which the rate of grants is averaged.
 const RATE_TIME: Duration = Duration::from_secs(1);
 /// Minimum delay stated to a rejected caller, about the round trip of a new attempt.
@@ -110,6 +112,8 @@
     passed_over: u32,
     /// Whether a request of this rank was rejected since its last grant.
     has_lost: bool,
+    /// Time when a request of this rank was last rejected.
+    lost_at: Option<Now>,
     /// Time of its last grant, or since which its requests have had none.
     last: Option<Now>,
 }
@@ -167,6 +171,19 @@
         })
     }
 
+    /// Returns whether requests of a rank have to leave room at the upstreams to those of higher ranks: one of those waits, or
+    /// was rejected recently. A rank that is owed a grant doesn't have to.
+    pub fn leaves_room(&self, rank: Rank, now: Now) -> bool {
+        let waits = self.waiting.iter().any(|one| one.candidate.rank < rank);
+        let mut higher = self.grants.iter().filter(|(higher, _)| **higher < rank);
+        let has_lost = |grants: &RankGrants| {
+            let lost_at = grants.lost_at;
+            lost_at.is_some_and(|at| now.saturating_sub(at) < ROOM_TIME)
+        };
+        let is_pressed = waits || higher.any(|(_, grants)| has_lost(grants));
+        is_pressed && !self.is_owed(rank, now)
+    }
+
     /// Counts a grant.
     pub fn note_grant(&mut self, rank: Rank, organisation: &Option<OrganisationId>, now: Now) {
         for (lower, grants) in self.grants.iter_mut().filter(|(lower, _)| **lower > rank) {
@@ -188,11 +205,11 @@
         let mut displaced = None;
         if self.waiting.len() >= self.len_max {
             let Some(index) = self.displaced_by(&candidate, now) else {
-                self.note_lost(candidate.rank);
+                self.note_lost(candidate.rank, now);
                 return Pushed::Full;
             };
             let lost = self.waiting.remove(index);
-            self.note_lost(lost.candidate.rank);
+            self.note_lost(lost.candidate.rank, now);
             displaced = Some(lost.ticket);
         }
         let ticket = self.next_ticket;
@@ -224,8 +241,11 @@
         (is_before || is_needed).then_some(index)
     }
 
-    fn note_lost(&mut self, rank: Rank) {
-        self.grants.entry(rank).or_default().has_lost = true;
+    /// Counts a request that is rejected because others have taken the slots.
+    pub fn note_lost(&mut self, rank: Rank, now: Now) {
+        let grants = self.grants.entry(rank).or_default();
+        grants.has_lost = true;
+        grants.lost_at = Some(now);
     }
 
     /// Removes a request that no longer waits. Returns whether it was waiting.
@@ -238,7 +258,7 @@
     }
 
     /// Offers each waiting request in their order, and removes those that no longer wait. The flag passed to `offer` states
-    /// whether the request's rank is owed a grant. Returns the requests that are rejected because it is too late for them or
+    /// whether the request has to leave room to higher ranks. Returns the requests that are rejected because it is too late for them or
     /// because `offer` rejected them.
     pub fn pass(
         &mut self,
@@ -253,8 +273,8 @@
             let one = &mut self.waiting[index];
             one.is_offered = true;
             let (ticket, rank) = (one.ticket, one.candidate.rank);
-            let is_owed = self.is_owed(rank, now);
-            match offer(ticket, is_owed) {
+            let leaves_room = self.leaves_room(rank, now);
+            match offer(ticket, leaves_room) {
                 Verdict::Granted => {
                     let one = self.waiting.remove(index);
                     self.note_grant(rank, &one.candidate.organisation, now);
@@ -264,7 +284,7 @@
                 }
                 Verdict::Waits { .. } | Verdict::Rejected => {
                     self.waiting.remove(index);
-                    self.note_lost(rank);
+                    self.note_lost(rank, now);
                     rejected.push(ticket);
                 }
             }
@@ -309,7 +329,7 @@
         let late: Vec<(Ticket, Rank)> = late.map(|one| (one.ticket, one.candidate.rank)).collect();
         self.waiting.retain(|one| !is_late(one));
         for (_, rank) in &late {
-            self.note_lost(*rank);
+            self.note_lost(*rank, now);
         }
         late.into_iter().map(|(ticket, _)| ticket).collect()
     }
--- a/crates/balance/examples/choice_time.rs
+++ b/crates/balance/examples/choice_time.rs
@@ -55,7 +55,6 @@
                 shift_limited_regions: &[],
                 cold_per_s: f64::MAX,
                 service_times: ServiceTimes::default(),
-                wait_max: None,
             };
             if let Choice::Send { index: place, .. } = choose(&mut upstreams, &query, &here, now) {
                 upstreams[place].warm_keys.note(key, now);
--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -106,8 +106,6 @@
     pub cold_per_s: f64,
     /// Estimated service times.
     pub service_times: ServiceTimes,
-    /// Maximum wait for a slot at an upstream, as a multiple of the warm service time; `None` leaves it to the target.
-    pub wait_max: Option<f64>,
 }
 
 /// Estimated times of a request at one upstream.
@@ -283,11 +281,7 @@
 /// then use the upstream that the key ranks highest, rather than a different one in each failure domain.
 fn is_in_target(estimate: &Estimate, query: &Query<'_>) -> bool {
     let known = query.service_times.is_known() || !query.has_affinity_key || estimate.known_warm;
-    let warm = query.service_times.warm();
-    let is_short = |max| estimate.expectation.wait <= warm.mul_f64(max);
-    known
-        && query.wait_max.is_none_or(is_short)
-        && estimate.expectation.response_time <= query.target_left.mul_f64(TIME_USED)
+    known && estimate.expectation.response_time <= query.target_left.mul_f64(TIME_USED)
 }
 
 /// Returns the best upstream for the request.
--- a/crates/balance/tests/choose.rs
+++ b/crates/balance/tests/choose.rs
@@ -75,7 +75,6 @@
         shift_limited_regions: &[],
         cold_per_s: 10.0,
         service_times: reliable_times(),
-        wait_max: None,
     }
 }
 
--- a/crates/entry/src/traffic/fleet.rs
+++ b/crates/entry/src/traffic/fleet.rs
@@ -250,9 +250,9 @@
         self.ranks.contains_key(service)
     }
 
-    /// Returns how long requests of a rank may wait at an upstream, as a multiple of the warm service time. The time of the
-    /// highest rank is limited by its target alone; each lower rank leaves a part of the room at the upstreams to those
-    /// above it.
+    /// Returns how long requests of a rank may wait at an upstream while higher ones lack room, as a multiple of the warm
+    /// service time. The time of the highest rank is limited by its target alone; each lower rank leaves a part of the room at
+    /// the upstreams to those above it.
     pub(super) fn wait_max(&self, service: &ServiceId, rank: Rank) -> Option<f64> {
         let ranks = self.ranks.get(service)?;
         let higher = ranks.iter().filter(|other| **other < rank).count();
@@ -311,9 +311,11 @@
             shift_limited_regions: &shift_limited_regions,
             cold_per_s,
             service_times: group.service_times(&request.route.id),
-            wait_max: request.wait_max,
         };
-        match choose(&mut group.upstreams, &query, &self.location, now) {
+        let warm = query.service_times.warm();
+        let wait_max = request.wait_max.map(|max| warm.mul_f64(max));
+        let choice = choose(&mut group.upstreams, &query, &self.location, now);
+        match limit_wait(choice, wait_max) {
             Choice::Send {
                 index,
                 warm,
@@ -446,3 +448,16 @@
         incarnation.matches(upstream).then_some(upstream)
     }
 }
+
+/// Refuses a request that would wait for longer than `wait_max` at the upstream chosen for it.
+fn limit_wait(choice: Choice, wait_max: Option<Duration>) -> Choice {
+    match choice {
+        Choice::Send { expected, .. } if wait_max.is_some_and(|max| expected.wait > max) => {
+            Choice::Refuse {
+                retry_after: expected.wait,
+                expected,
+            }
+        }
+        choice => choice,
+    }
+}
--- a/crates/entry/src/traffic/waiting.rs
+++ b/crates/entry/src/traffic/waiting.rs
@@ -155,22 +155,29 @@
         self.organisation.as_ref().map(|one| one.id.clone())
     }
 
-    /// Selects an upstream for it. A request whose rank is owed a grant may wait there for as long as one of the highest
-    /// rank.
-    fn place(&self, fleet: &mut Fleet, is_owed: bool, now: Now) -> PlacementDecision {
+    /// Selects an upstream for it.
+    fn place(&self, fleet: &mut Fleet, terms: Terms, now: Now) -> PlacementDecision {
         let at = Instant::now();
         let target_at = self.received + self.route.latency_target;
-        let wait_max = fleet.wait_max(&self.service, self.rank);
+        let target_left = target_at.saturating_duration_since(at);
+        let deadline_left = self.deadline.saturating_duration_since(at);
+        let wait_max = terms
+            .leaves_room
+            .then(|| fleet.wait_max(&self.service, self.rank));
         let request = PlacementRequest {
             service: &self.service,
             route: &self.route,
             organisation_homes: self.organisation.as_ref().map_or(&[], |one| &one.homes),
             key: self.key,
             has_affinity_key: self.has_affinity_key,
-            target_left: target_at.saturating_duration_since(at),
-            deadline_left: self.deadline.saturating_duration_since(at),
+            target_left,
+            deadline_left: if terms.may_be_late {
+                deadline_left
+            } else {
+                deadline_left.min(target_left)
+            },
             tried: &self.tried,
-            wait_max: wait_max.filter(|_| !is_owed),
+            wait_max: wait_max.flatten(),
         };
         fleet.place(&request, now)
     }
@@ -195,9 +202,21 @@
     }
 }
 
+/// Terms on which a request is placed.
+#[derive(Clone, Copy)]
+struct Terms {
+    /// Whether it has to leave room at the upstreams to requests of higher ranks.
+    leaves_room: bool,
+    /// Whether it may be sent although it will miss its target. That is decided when it arrives: a request that has waited
+    /// and is late is worth less than those after it.
+    may_be_late: bool,
+}
+
 /// A waiting request.
 struct Waiter {
     request: RankedRequest,
+    /// Whether it has been offered to the upstreams.
+    is_offered: Cell<bool>,
     /// The last rejection by [`Fleet::place`].
     rejection: Cell<Rejection>,
     end: RefCell<Option<WaitEnd>>,
@@ -259,7 +278,11 @@
         let now = self.traffic.now();
         let mut fleet = self.traffic.fleet.borrow_mut();
         if !fleet.is_contended(&self.service) {
-            return request.place(&mut fleet, false, now).into();
+            let terms = Terms {
+                leaves_room: false,
+                may_be_late: true,
+            };
+            return request.place(&mut fleet, terms, now).into();
         }
         drop(fleet);
         // The caller gets the response or the failure of an earlier send instead of a wait.
@@ -378,8 +401,11 @@
         let mut fleet = self.fleet.borrow_mut();
         let goes_first = !may_wait || !of_service.queue.has_before(rank);
         let rejection = if goes_first {
-            let is_owed = of_service.queue.is_owed(rank, now);
-            match request.place(&mut fleet, is_owed, now) {
+            let terms = Terms {
+                leaves_room: of_service.queue.leaves_room(rank, now),
+                may_be_late: true,
+            };
+            match request.place(&mut fleet, terms, now) {
                 PlacementDecision::Send { target, placement } => {
                     of_service.queue.note_grant(rank, &organisation, now);
                     return Ok(Turn::Send { target, placement });
@@ -413,6 +439,7 @@
                 }
                 let waiter = Rc::new(Waiter {
                     request,
+                    is_offered: Cell::new(goes_first),
                     rejection: Cell::new(rejection),
                     end: RefCell::default(),
                     ended: Notify::new(),
@@ -454,11 +481,15 @@
         let mut fleet = self.fleet.borrow_mut();
         let waiters = &of_service.waiters;
         let mut ended = Vec::new();
-        let offer = |ticket: Ticket, is_owed| {
+        let offer = |ticket: Ticket, leaves_room| {
             let Some(waiter) = waiters.get(&ticket) else {
                 return Verdict::Rejected;
             };
-            match waiter.request.place(&mut fleet, is_owed, now) {
+            let terms = Terms {
+                leaves_room,
+                may_be_late: !waiter.is_offered.replace(true),
+            };
+            match waiter.request.place(&mut fleet, terms, now) {
                 PlacementDecision::Send { target, placement } => {
                     ended.push((ticket, WaitEnd::Granted { target, placement }));
                     Verdict::Granted
