Tests of bodies: slots of slow callers are seen at the upstream; kind upload in a file of routes

Cause: slow_upload_holds_no_slot had an upstream that records a request only once it has its body, and slow_reader_holds_no_slot a reader whose socket buffers take the whole response: both passed with the longer kept bodies and the read-ahead turned off.

Change: the upstream records heads, and the reader waits for an earlier response on its connection.

--- a/crates/entry/tests/bodies.rs
+++ b/crates/entry/tests/bodies.rs
@@ -5,6 +5,7 @@
 use std::{
     sync::{
         atomic::{
+            AtomicBool,
             AtomicUsize,
             Ordering, //
         },
@@ -72,7 +73,7 @@
 /// before all of it has arrived here.
 #[test]
 fn slow_upload_holds_no_slot() {
-    let (entry, upstreams) = start(MEMORY_BYTES, true, [ok()]);
+    let (entry, upstreams) = start(MEMORY_BYTES, false, [ok()]);
     let mut caller = begin_upload(&entry, "a1", UPLOAD_BYTES);
     let body = vec![b'x'; UPLOAD_BYTES];
     let (last, pieces) = body.split_last().expect("a body");
@@ -84,7 +85,7 @@
     caller.send([*last]);
     let response = caller.read_response().expect("the entry responds");
     assert_eq!(response.status, 200, "{}", response.head);
-    assert_eq!(upstreams[0].requests()[0].body.len(), UPLOAD_BYTES);
+    assert_eq!(upstreams[0].requests().len(), 1);
 }
 
 /// Guards against an upload lost because the first upstream had no room for it: while there is memory, it is kept and
@@ -161,33 +162,44 @@
 }
 
 /// Guards against an upstream that waits for a slow reader, which it cuts off after some seconds: while there is memory,
-/// the whole response is read from it, and the caller gets it at its own speed.
+/// the whole response is read from it. The reader is one that has to wait for the response to an earlier request, so that
+/// nothing of the next one is on its way.
 #[test]
 fn slow_reader_holds_no_slot() {
     const RESPONSE_BYTES: usize = 1_000_000;
-    let written = Arc::new(AtomicUsize::new(0));
-    let count = written.clone();
+    let released = Arc::new(AtomicBool::new(false));
+    let is_released = released.clone();
     let script: Script = Box::new(move |_, request, connection| {
-        let body = "z".repeat(RESPONSE_BYTES);
-        connection.write(ok_response(request, &body));
-        count.fetch_add(1, Ordering::SeqCst);
+        while request.id() == "first" && !is_released.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(5));
+        }
+        connection.write(ok_response(request, &"z".repeat(RESPONSE_BYTES)));
         true
     });
     let (entry, upstreams) = start(MEMORY_BYTES, true, [script]);
+    let connection_of = |id: &str| {
+        let requests = upstreams[0].requests();
+        let request = requests.iter().find(|request| request.id() == id);
+        request.map(|request| request.connection)
+    };
     let mut slow = Caller::connect(&entry);
-    slow.send(request_head("GET", "/d/x", "a1", ""));
-    eventually("the response to be written", || {
-        (written.load(Ordering::SeqCst) == 1).then_some(())
+    let second = request_head("GET", "/d/x", "second", "");
+    slow.send(request_head("GET", "/d/x", "first", "") + &second);
+    let busy = eventually("the second request", || connection_of("second"));
+    let mut sent = 0;
+    eventually("a request on the connection of the second", || {
+        sent += 1;
+        let id = format!("next{sent}");
+        let mut next = Caller::connect(&entry);
+        next.send(request_head("GET", "/d/x", &id, ""));
+        next.read_response().expect("the entry responds");
+        (connection_of(&id) == Some(busy)).then_some(())
     });
-    thread::sleep(SETTLE_TIME);
-    // The connection is free for the next request.
-    let mut next = Caller::connect(&entry);
-    next.send(request_head("GET", "/d/x", "a2", ""));
-    let response = next.read_response().expect("the entry responds");
-    assert_eq!(response.body.len(), RESPONSE_BYTES);
-    assert_eq!(upstreams[0].requests()[1].connection, 0);
-    let response = slow.read_response().expect("the entry responds");
-    assert_eq!(response.body.len(), RESPONSE_BYTES);
+    released.store(true, Ordering::SeqCst);
+    for _ in 0..2 {
+        let response = slow.read_response().expect("the entry responds");
+        assert_eq!(response.body.len(), RESPONSE_BYTES);
+    }
 }
 
 /// Guards against a response that is lost or cut because the memory for bodies is used up: it is passed on part by part.
--- a/crates/route/tests/routes.rs
+++ b/crates/route/tests/routes.rs
@@ -170,6 +170,18 @@
     assert!(table.find("menus.example", "/menus/x").is_some());
 }
 
+/// Guards against an upload that is sent again after it may have run.
+#[test]
+fn upload_runs_at_most_once() {
+    let file = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/routes.yaml");
+    let text = std::fs::read_to_string(file).expect("the example file");
+    let text = text.replace("kind: non-idempotent", "kind: upload");
+    let routes = route::parse("routes.yaml", &text).expect("no findings");
+    let kind = routes.hosts[1].routes[0].kind;
+    assert_eq!(kind, Kind::Upload);
+    assert!(!kind.is_idempotent());
+}
+
 /// Each finding has its file, line and column, and all readable fields are checked in one pass.
 #[test]
 fn findings_of_a_file_have_locations() {
