Hedged requests: test of a long response; a first send whose head arrived isn't slow

A first send that had its head when the second one completed was recorded a second time, as unfinished. It is left out now.

--- a/crates/entry/src/traffic/hedge.rs
+++ b/crates/entry/src/traffic/hedge.rs
@@ -191,7 +191,7 @@
         };
         if is_final(&outcome) {
             progress.note_dropped(&other);
-            if second_ended {
+            if second_ended && other.state.awaits_response() {
                 let mut fleet = self.traffic.fleet.borrow_mut();
                 fleet.note_overtaken(&other.placement, other.started.elapsed());
             }
--- a/crates/entry/tests/hedge.rs
+++ b/crates/entry/tests/hedge.rs
@@ -28,7 +28,8 @@
     MemoryStore,
     ReceivedRequest,
     Response,
-    Upstream, //
+    Upstream,
+    LONG_BODY_BYTES, //
 };
 
 const UPSTREAM_NAMES: [&str; 3] = ["u-1", "u-2", "u-3"];
@@ -195,6 +196,27 @@
     setup.wait_for_closed(1);
 }
 
+/// Guards against a long response that is cut off when the other send is dropped.
+#[test]
+fn long_response_of_the_second_is_streamed() {
+    let setup = Setup::new(|first, request, connection| {
+        if first {
+            connection.wait_for_close();
+            return false;
+        }
+        connection.write(ok_response(request, &"x".repeat(LONG_BODY_BYTES)));
+        true
+    });
+    let setup = setup.learn("GET", "/d/");
+    let response = setup.call("GET", "/d/special", "a1");
+    assert_eq!(
+        (response.status, response.body.len()),
+        (200, LONG_BODY_BYTES)
+    );
+    assert_eq!(setup.receivers("a1").len(), 2);
+    setup.wait_for_closed(1);
+}
+
 /// Guards against a failure of the second send that ends the first one.
 #[test]
 fn first_goes_on_if_the_second_fails() {
