Speed that upstreams state: forecast, choice, margin of single-run requests (entry tests not run yet)

Upstreams that share their machines state in a fourth value of their load report how long work takes there now; the entries dropped it. Work that began at a slow moment was expected to take the usual time, and requests that must not run twice were cut off at the route's timeout.

LoadReport::parse reads the value, UsualSpeed forecasts it, choose multiplies wait and service time by it, and upstreams without a margin before the deadline are left out. Service times are converted to the usual speed. Services whose upstreams state nothing are decided as before.

Tests of balance pass. Of entry, event and explain only the build has run.

--- a/crates/balance/examples/choice_time.rs
+++ b/crates/balance/examples/choice_time.rs
@@ -55,6 +55,7 @@
                 shift_limited_regions: &[],
                 cold_per_s: f64::MAX,
                 service_times: ServiceTimes::default(),
+                ..Query::default()
             };
             if let Choice::Send { index: place, .. } = choose(&mut upstreams, &query, &here, now) {
                 upstreams[place].warm_keys.note(key, now);
--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -15,8 +15,13 @@
 //! requests after it.
 
 use crate::{
+    margin::{
+        has_margin,
+        SpeedForecast, //
+    },
     rendezvous::rendezvous_score,
     service_times::ServiceTimes,
+    speed::UsualSpeed,
     upstream::Upstream, //
 };
 use base::{
@@ -47,7 +52,7 @@
 const REGION_CROSSING_COST: f64 = 0.3;
 /// Fraction of the remaining time that the estimated response time may take. The estimate is a mean, and half of all
 /// responses take longer.
-const TIME_USED: f64 = 0.9;
+pub(crate) const TIME_USED: f64 = 0.9;
 /// Maximum wait for a slot of a request that misses its target anyway, as a fraction of the warm service time. It
 /// admits some requests of a burst without building a queue.
 const LATE_WAIT_MAX: f64 = 0.34;
@@ -86,7 +91,7 @@
 }
 
 /// Request for which an upstream is chosen.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Query<'a> {
     /// Hash of its affinity key, or of its id if it has none.
     pub key: u64,
@@ -106,6 +111,10 @@
     pub cold_per_s: f64,
     /// Estimated service times.
     pub service_times: ServiceTimes,
+    /// Mean of the speeds that the service's upstreams state.
+    pub usual_speed: UsualSpeed,
+    /// Whether it must not run twice.
+    pub runs_once: bool,
 }
 
 /// Estimated times of a request at one upstream.
@@ -177,6 +186,7 @@
     /// Fraction of its region's slots that are busy.
     region_load: f64,
     expectation: Expectation,
+    speed_forecast: SpeedForecast,
 }
 
 /// Chooses the upstream for a request among the upstreams of its service.
@@ -198,7 +208,13 @@
     let estimates: Vec<Estimate> = eligible
         .map(|candidate| estimate(upstreams, candidate, &region_loads, query, here, now))
         .collect();
-    let Some(best) = best(&estimates, query) else {
+    let (with_margin, others): (Vec<Estimate>, Vec<Estimate>) = estimates
+        .into_iter()
+        .partition(|one| has_margin(query, one.expectation, one.speed_forecast));
+    if with_margin.is_empty() && !others.is_empty() {
+        return refuse_without_margin(&others);
+    }
+    let Some(best) = best(&with_margin, query) else {
         let pause_left = pause_left(upstreams, query.home_regions, now);
         return Choice::NoUpstream {
             retry_after: pause_left.max(RETRY_AFTER_NO_UPSTREAM),
@@ -223,6 +239,18 @@
     }
 }
 
+/// Refuses a request that may not end in time at any upstream, until the first of them is expected to be faster.
+fn refuse_without_margin(estimates: &[Estimate]) -> Choice {
+    let expectations = estimates.iter().map(|one| one.expectation);
+    let fastest = expectations.min_by_key(|one| one.response_time);
+    let improves_in = |one: &Estimate| one.expectation.wait.max(one.speed_forecast.settles_in);
+    let retry_after = estimates.iter().map(improves_in).min().unwrap_or_default();
+    Choice::Refuse {
+        retry_after: retry_after.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX),
+        expected: fastest.unwrap_or_default(),
+    }
+}
+
 /// Returns the time until the first upstream of these regions ends its pause; zero if one of them is not paused.
 pub fn pause_left(upstreams: &[Upstream], home_regions: [&[RegionId]; 2], now: Now) -> Duration {
     let usable = upstreams
@@ -340,11 +368,17 @@
     } else {
         query.service_times.cold()
     };
-    let slowdown = slowdown(upstream, query, now);
     let slots = f64::from(upstream.slots);
     let ahead = (upstream.load(now) - slots + 1.0).max(0.0);
-    let wait = query.service_times.warm().mul_f64(slowdown * ahead / slots);
     let round_trip = here.round_trip(&upstream.region);
+    let slowdown = slowdown(upstream, query, now);
+    let work_time = |start| query.usual_speed.forecast(upstream.speed, start);
+    let slowdown_now = slowdown * work_time(now + round_trip);
+    let wait = query
+        .service_times
+        .warm()
+        .mul_f64(slowdown_now * ahead / slots);
+    let work_time = work_time(now + round_trip + wait);
     Estimate {
         index: candidate.index,
         crossing: candidate.crossing,
@@ -356,7 +390,13 @@
             .unwrap_or_default(),
         expectation: Expectation {
             wait,
-            response_time: round_trip + wait + service_time.mul_f64(slowdown),
+            response_time: round_trip + wait + service_time.mul_f64(slowdown * work_time),
+        },
+        speed_forecast: SpeedForecast {
+            is_slow: work_time > query.usual_speed.work_time(),
+            settles_in: upstream
+                .speed
+                .map_or(Duration::ZERO, |stated| stated.stale_after(now)),
         },
     }
 }
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -18,11 +18,14 @@
 mod cold_start_limiter;
 mod entry_share;
 mod health;
+mod load_report;
+mod margin;
 mod rate_limiter;
 mod rendezvous;
 mod retry_budget;
 mod service_times;
 mod shift;
+mod speed;
 mod upstream;
 mod upstream_counts;
 mod warm_keys;
@@ -39,6 +42,7 @@
 pub use cold_start_limiter::ColdStartLimiter;
 pub use entry_share::entry_share;
 pub use health::Health;
+pub use load_report::LoadReport;
 pub use rate_limiter::RateLimiter;
 pub use rendezvous::{
     affinity_hash,
@@ -47,10 +51,11 @@
 pub use retry_budget::RetryBudget;
 pub use service_times::ServiceTimes;
 pub use shift::ShiftLimiter;
-pub use upstream::{
-    LoadReport,
-    Upstream, //
+pub use speed::{
+    StatedSpeed,
+    UsualSpeed, //
 };
+pub use upstream::Upstream;
 pub use upstream_counts::UpstreamCounts;
 pub use warm_keys::WarmKeys;
 pub use window::Window;
--- a/crates/balance/src/upstream.rs
+++ b/crates/balance/src/upstream.rs
@@ -3,8 +3,10 @@
 use crate::{
     cold_start_limiter::ColdStartLimiter,
     health::Health,
+    load_report::LoadReport,
     rate_limiter::RateLimiter,
     rendezvous::affinity_hash,
+    speed::StatedSpeed,
     warm_keys::WarmKeys, //
 };
 use base::{
@@ -23,17 +25,6 @@
 /// Age from which a report has no weight, because most of the requests that it counted have ended.
 const REPORT_STALE: Duration = Duration::from_millis(2000);
 
-/// Load that an upstream states in a response.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct LoadReport {
-    /// Requests being processed.
-    pub running: u32,
-    /// Requests that wait for a slot at the upstream.
-    pub waiting: u32,
-    /// Requests that it can process concurrently.
-    pub slots: u32,
-}
-
 /// One incarnation of an upstream.
 #[derive(Clone, Debug)]
 pub struct Upstream {
@@ -75,6 +66,8 @@
     reported_others: f64,
     /// Time of the last report.
     reported_at: Now,
+    /// Speed that it last stated.
+    pub speed: Option<StatedSpeed>,
     /// Requests that other entries have in flight there, according to those entries.
     pub peers_in_flight: Option<u32>,
     /// Affinity keys that it served recently.
@@ -105,6 +98,7 @@
             in_flight: 0,
             reported_others: 0.0,
             reported_at: Now::ZERO,
+            speed: None,
             peers_in_flight: None,
             warm_keys: WarmKeys::default(),
             health: Health::default(),
@@ -122,6 +116,11 @@
         let all = f64::from(reported.running + reported.waiting);
         self.reported_others = (all - f64::from(self.in_flight.saturating_sub(1))).max(0.0);
         self.reported_at = now;
+        let stated = reported.work_time_pct.map(|work_time_pct| StatedSpeed {
+            work_time_pct,
+            at: now,
+        });
+        self.speed = stated.or(self.speed);
     }
 
     /// Returns the estimated number of requests that are running or waiting there.
--- a/crates/balance/tests/choose.rs
+++ b/crates/balance/tests/choose.rs
@@ -8,8 +8,10 @@
     LoadReport,
     Location,
     Query,
-    ServiceTimes, //
+    ServiceTimes,
+    StatedSpeed,
     Upstream,
+    UsualSpeed, //
 };
 use base::{
     Now,
@@ -75,6 +77,7 @@
         shift_limited_regions: &[],
         cold_per_s: 10.0,
         service_times: reliable_times(),
+        ..Query::default()
     }
 }
 
@@ -468,6 +471,7 @@
         running: 4,
         waiting: 3,
         slots: 4,
+        ..LoadReport::default()
     };
     one.note_report(reported, NOW);
     assert_eq!(one.load(NOW), 8.0);
@@ -566,3 +570,249 @@
     assert!(times.warm() < ms(120));
     assert!(times.assumed_warm() < ms(120));
 }
+
+/// Service times of an order: 540 ms if warm and 1800 ms if cold.
+fn order_times() -> ServiceTimes {
+    let mut times = ServiceTimes::default();
+    times.note(false, ms(1800));
+    for _ in 0..100 {
+        times.note(true, ms(540));
+    }
+    times
+}
+
+/// The usual speed of a service of which this fraction of statements is 250 %, the others 100 %.
+fn usual_speed(slow_fraction: f64) -> UsualSpeed {
+    let mut usual = UsualSpeed::default();
+    for number in 0..1000 {
+        let is_slow = f64::from(number % 20) < slow_fraction * 20.0;
+        usual.note(if is_slow { 250 } else { 100 });
+    }
+    usual
+}
+
+/// A request that must not run twice, with a timeout of 3 s.
+fn single_run(key: u64) -> Query<'static> {
+    Query {
+        target_left: ms(1500),
+        deadline_left: ms(3000),
+        service_times: order_times(),
+        usual_speed: usual_speed(0.15),
+        runs_once: true,
+        ..query(key)
+    }
+}
+
+fn state_speed(upstream: &mut Upstream, work_time_pct: u32, at: Now) {
+    let report = LoadReport {
+        slots: 4,
+        work_time_pct: Some(work_time_pct),
+        ..LoadReport::default()
+    };
+    upstream.note_report(report, at);
+}
+
+/// Guards against sending to an upstream that is slow at the moment while another warm one is not.
+#[test]
+fn upstream_that_states_that_it_is_slow_is_avoided() {
+    let mut all = vec![upstream("a", "home"), upstream("b", "home")];
+    let key = key_for(&all, &[0, 1]);
+    for one in &mut all {
+        one.warm_keys.note(key, NOW);
+        state_speed(one, 100, NOW);
+    }
+    let stated = Query {
+        usual_speed: usual_speed(0.15),
+        ..query(key)
+    };
+    let first = sent_to(choose(&mut all, &stated, &here(), NOW));
+    state_speed(&mut all[first], 250, NOW);
+    assert_eq!(sent_to(choose(&mut all, &stated, &here(), NOW)), 1 - first);
+    // What it stated a second ago says nothing about the present.
+    let later = NOW + ms(1000);
+    assert_eq!(sent_to(choose(&mut all, &stated, &here(), later)), first);
+}
+
+/// The expected times at an upstream follow what it stated, for the wait and for the work.
+#[test]
+fn expected_times_follow_the_stated_speed() {
+    let expected = |pct: Option<u32>, age: Duration| {
+        let mut all = vec![upstream("a", "home")];
+        all[0].warm_keys.note(7, NOW);
+        if let Some(pct) = pct {
+            state_speed(&mut all[0], pct, NOW - age);
+        }
+        all[0].in_flight = 4;
+        let stated = Query {
+            target_left: ms(9000),
+            deadline_left: ms(9000),
+            usual_speed: usual_speed(0.0),
+            ..query(7)
+        };
+        let Choice::Send { expected, .. } = choose(&mut all, &stated, &here(), NOW) else {
+            panic!("sent");
+        };
+        (expected.wait, expected.response_time)
+    };
+    // One request is ahead at four slots, and all times are those of warm requests.
+    assert_eq!(expected(None, ms(0)), (ms(25), ms(125)));
+    assert_eq!(expected(Some(100), ms(0)), (ms(25), ms(125)));
+    assert_eq!(expected(Some(200), ms(0)), (ms(50), ms(250)));
+    assert_eq!(expected(Some(200), ms(2000)), (ms(25), ms(125)));
+    let (wait, response_time) = expected(Some(200), ms(350));
+    assert!(wait > ms(25) && wait < ms(50), "{wait:?}");
+    assert!(response_time > ms(125) && response_time < ms(250));
+}
+
+/// Guards against requests that all go to the upstreams that were used last, since only these are known to be fast.
+#[test]
+fn requests_are_not_drawn_to_upstreams_that_were_used_last() {
+    let mut all = vec![upstream("h", "home"), upstream("i", "home")];
+    state_speed(&mut all[0], 100, NOW);
+    let mut counts = [0, 0];
+    for number in 0..100_u64 {
+        let unkeyed = Query {
+            has_affinity_key: false,
+            usual_speed: usual_speed(0.15),
+            ..query(affinity_hash(&number.to_le_bytes()))
+        };
+        counts[sent_to(choose(&mut all, &unkeyed, &here(), NOW))] += 1;
+    }
+    assert!(counts.iter().all(|count| *count > 30), "{counts:?}");
+}
+
+/// Guards against other decisions where upstreams don't state their speed.
+#[test]
+fn decisions_are_the_same_without_stated_speeds() {
+    let mut all = vec![upstream("a", "home"), upstream("n", "near")];
+    for in_flight in 0..30 {
+        all[0].in_flight = in_flight;
+        for target_ms in [0, 300, 1500] {
+            let decide = |all: &mut Vec<Upstream>, runs_once| {
+                let query = Query {
+                    target_left: ms(target_ms),
+                    deadline_left: ms(2000),
+                    runs_once,
+                    service_times: order_times(),
+                    ..query(7)
+                };
+                choose(all, &query, &here(), NOW)
+            };
+            assert_eq!(decide(&mut all, true), decide(&mut all, false));
+        }
+    }
+}
+
+/// Guards against a request that must not run twice and is cut off at its timeout, because it began at an upstream that
+/// had just stated that it is slow.
+#[test]
+fn cold_single_run_request_avoids_slow_upstreams() {
+    let mut all = vec![upstream("a", "home"), upstream("b", "home")];
+    let key = key_for(&all, &[0, 1]);
+    assert_eq!(sent_to(choose(&mut all, &single_run(key), &here(), NOW)), 0);
+    state_speed(&mut all[0], 250, NOW);
+    assert_eq!(sent_to(choose(&mut all, &single_run(key), &here(), NOW)), 1);
+    // One that may be repeated and has more time warms the upstream of its key.
+    let repeatable = Query {
+        deadline_left: ms(8000),
+        runs_once: false,
+        ..single_run(key)
+    };
+    assert_eq!(sent_to(choose(&mut all, &repeatable, &here(), NOW)), 0);
+    let short = Query {
+        deadline_left: ms(3000),
+        ..repeatable
+    };
+    assert_eq!(sent_to(choose(&mut all, &short, &here(), NOW)), 1);
+}
+
+/// A warm upstream that is slow still leaves a good margin.
+#[test]
+fn warm_single_run_request_may_use_a_slow_upstream() {
+    let mut all = vec![upstream("a", "home")];
+    all[0].warm_keys.note(7, NOW);
+    state_speed(&mut all[0], 250, NOW);
+    assert_eq!(sent_to(choose(&mut all, &single_run(7), &here(), NOW)), 0);
+}
+
+/// Guards against a request that is refused for longer than the reason lasts, or is sent where it can't end in time.
+#[test]
+fn single_run_request_is_refused_while_all_upstreams_are_slow() {
+    let mut all = vec![upstream("a", "home"), upstream("b", "home")];
+    for one in &mut all {
+        state_speed(one, 250, NOW - ms(100));
+    }
+    let choice = choose(&mut all, &single_run(7), &here(), NOW);
+    let Choice::Refuse {
+        retry_after,
+        expected,
+    } = choice
+    else {
+        panic!("{choice:?}");
+    };
+    assert!(retry_after <= ms(600), "{retry_after:?}");
+    assert!(expected.response_time > ms(3000), "{expected:?}");
+    let later = NOW + retry_after;
+    let choice = choose(&mut all, &single_run(7), &here(), later);
+    assert!(matches!(choice, Choice::Send { .. }), "{choice:?}");
+}
+
+/// Guards against refusing all requests of a key for good, where even an idle upstream leaves little margin: the key
+/// would never become warm.
+#[test]
+fn cold_single_run_request_is_sent_to_an_idle_upstream_of_usual_speed() {
+    let mut all = vec![upstream("a", "home")];
+    let short = Query {
+        deadline_left: ms(2600),
+        ..single_run(7)
+    };
+    assert_eq!(sent_to(choose(&mut all, &short, &here(), NOW)), 0);
+    all[0].in_flight = 4;
+    let choice = choose(&mut all, &short, &here(), NOW);
+    assert!(matches!(choice, Choice::Refuse { .. }), "{choice:?}");
+}
+
+/// Guards against taking a response of a slow moment for a cold one, and one of a fast moment for a warm one.
+#[test]
+fn service_times_are_those_at_the_usual_speed() {
+    let usual = usual_speed(0.0);
+    let stated = |work_time_pct| StatedSpeed {
+        work_time_pct,
+        at: NOW,
+    };
+    let at = |took, after| usual.usual_time(took, None, after, NOW);
+    assert_eq!(at(ms(90), None), ms(90));
+    assert_eq!(at(ms(90), Some(stated(100))), ms(90));
+    assert_eq!(at(ms(90), Some(stated(250))), ms(36));
+    assert_eq!(at(ms(90), Some(stated(60))), ms(150));
+}
+
+/// Guards against converting the time of a long run by a statement made when it ended, as the speed may have changed
+/// several times since it began.
+#[test]
+fn speed_at_the_start_of_the_work_counts() {
+    let usual = usual_speed(0.0);
+    let stated = |work_time_pct, at| Some(StatedSpeed { work_time_pct, at });
+    let start = NOW - ms(1800);
+    let at = |before| usual.usual_time(ms(1800), before, stated(250, NOW), NOW);
+    assert_eq!(at(None), ms(1800));
+    assert_eq!(at(stated(200, start - ms(50))), ms(900));
+    assert_eq!(at(stated(200, start - ms(550))), ms(1800));
+}
+
+/// Guards against an upstream that counts as slow because of a noisy moment.
+#[test]
+fn noisy_moment_does_not_brand_an_upstream_as_slow() {
+    let usual = usual_speed(0.0);
+    let before = StatedSpeed {
+        work_time_pct: 250,
+        at: NOW - ms(750),
+    };
+    let after = StatedSpeed { at: NOW, ..before };
+    let mut all = vec![upstream("a", "home"), upstream("b", "home")];
+    let key = key_for(&all, &[0, 1]);
+    let service_time = usual.usual_time(ms(750), Some(before), Some(after), NOW);
+    all[0].health.note_response(service_time, NOW);
+    assert_eq!(all[0].health.latency(), Some(ms(300)));
+    assert_eq!(sent_to(choose(&mut all, &query(key), &here(), NOW)), 0);
+}
--- a/crates/balance/tests/restart_of_all.rs
+++ b/crates/balance/tests/restart_of_all.rs
@@ -64,6 +64,7 @@
                 shift_limited_regions: &[],
                 cold_per_s: f64::MAX,
                 service_times: work,
+                ..Query::default()
             };
             match choose(&mut upstreams, &query, &here, NOW) {
                 Choice::Send { index: place, .. } => sent.entry(number).or_default().insert(place),
--- a/crates/balance/tests/small_caches.rs
+++ b/crates/balance/tests/small_caches.rs
@@ -80,6 +80,7 @@
             shift_limited_regions: &[],
             cold_per_s: f64::MAX,
             service_times: *service_times,
+            ..Query::default()
         };
         let Choice::Send { index, warm, .. } = choose(upstreams, &query, &here, now) else {
             panic!("an idle upstream is chosen");
--- a/crates/entry/src/metric.rs
+++ b/crates/entry/src/metric.rs
@@ -31,6 +31,8 @@
         "Upstreams known to be leaving from a response, to this entry or another one, before their rows said so.";
     PAUSES = "jasmine_entry_pauses_total", Counter, "pauses", "",
         "Times that an upstream rejected a request and asked for no further ones for a while.";
+    UPSTREAM_WORK_TIME = "jasmine_entry_upstream_work_time_ratio", Histogram, "ratio", "",
+        "Time that work takes at an upstream, as stated in its responses; 1 is the usual.";
     PARTITIONED = "jasmine_entry_partitioned", Gauge, "flag", "",
         "1 while this entry reaches no upstream and relays its callers' requests through other entries.";
     RELAYED = "jasmine_entry_relayed_total", Counter, "requests", "outcome",
--- a/crates/entry/src/traffic/attempt.rs
+++ b/crates/entry/src/traffic/attempt.rs
@@ -252,6 +252,7 @@
     let dialect = &traffic.shared.dialect;
     let status = response.status;
     let signals = Signals::parse(dialect, status, &response.headers);
+    let head_at = traffic.now();
     if let Some(signals) = &signals {
         note_signals(traffic, &incarnation, signals);
     }
@@ -301,7 +302,14 @@
         fleet.note_failure(&incarnation, false, traffic.now());
     } else {
         let placement = &in_flight.placement;
-        fleet.note_response(&incarnation, placement, sent.elapsed(), traffic.now());
+        let speed = signals.and_then(|signals| signals.speed(head_at));
+        fleet.note_response(
+            &incarnation,
+            placement,
+            speed,
+            sent.elapsed(),
+            traffic.now(),
+        );
     }
     drop(fleet);
     received(
--- a/crates/entry/src/traffic/fleet.rs
+++ b/crates/entry/src/traffic/fleet.rs
@@ -284,6 +284,8 @@
             shift_limited_regions: &shift_limited_regions,
             cold_per_s,
             service_times: group.service_times(&request.route.id),
+            usual_speed: group.usual_speed,
+            runs_once: !request.route.kind.is_idempotent(),
         };
         match choose(&mut group.upstreams, &query, &self.location, now) {
             Choice::Send {
@@ -327,6 +329,8 @@
                     load,
                     slots: upstream.slots,
                     report_age,
+                    speed: upstream.speed,
+                    chosen_at: now,
                     region: upstream.region.clone(),
                     failure_domain: upstream.failure_domain.clone(),
                     expected: logged_expectation(expected),
--- a/crates/entry/src/traffic/fleet/outcome.rs
+++ b/crates/entry/src/traffic/fleet/outcome.rs
@@ -11,7 +11,10 @@
         },
     },
 };
-use balance::LoadReport;
+use balance::{
+    LoadReport,
+    StatedSpeed, //
+};
 use base::Now;
 use event::{
     emit,
@@ -76,8 +79,16 @@
         reported: LoadReport,
         now: Now,
     ) {
-        if let Some(upstream) = self.upstream(incarnation) {
-            upstream.note_report(reported, now);
+        let Some(upstream) = self.upstream(incarnation) else {
+            return;
+        };
+        upstream.note_report(reported, now);
+        let Some(pct) = reported.work_time_pct else {
+            return;
+        };
+        metrics::histogram!(metric::UPSTREAM_WORK_TIME).record(f64::from(pct) / 100.0);
+        if let Some(group) = self.groups.get_mut(&incarnation.service) {
+            group.usual_speed.note(pct);
         }
     }
 
@@ -130,11 +141,12 @@
         }
     }
 
-    /// Records that a complete response arrived after `took`.
+    /// Records that a complete response arrived after `took`. `speed` is what the response states.
     pub(in crate::traffic) fn note_response(
         &mut self,
         incarnation: &Incarnation,
         placement: &Placement,
+        speed: Option<StatedSpeed>,
         took: Duration,
         now: Now,
     ) {
@@ -150,6 +162,9 @@
         };
         let round_trip = self.location.round_trip(&upstream.region);
         let service_time = took.saturating_sub(round_trip);
+        let service_time = group
+            .usual_speed
+            .usual_time(service_time, placement.speed, speed, now);
         if upstream.health.note_response(service_time, now) {
             emit(&Event::UpstreamBack {
                 upstream: incarnation.id.clone(),
--- a/crates/entry/src/traffic/group.rs
+++ b/crates/entry/src/traffic/group.rs
@@ -7,7 +7,8 @@
 use balance::{
     RetryBudget,
     ServiceTimes,
-    Upstream, //
+    Upstream,
+    UsualSpeed, //
 };
 use base::FastMap;
 use bytestring::ByteString;
@@ -24,6 +25,8 @@
     pub(super) exhaustion_logged_s: Option<u64>,
     /// Service times by route id, as those of the routes of one service may differ widely.
     pub(super) service_times: FastMap<ByteString, ServiceTimes>,
+    /// Mean of the speeds that the upstreams state.
+    pub(super) usual_speed: UsualSpeed,
 }
 
 impl UpstreamGroup {
@@ -35,6 +38,7 @@
             budget: RetryBudget::new(bounds.retry_ratio, bounds.retry_window),
             exhaustion_logged_s: None,
             service_times: FastMap::default(),
+            usual_speed: UsualSpeed::default(),
         }
     }
 
--- a/crates/entry/src/traffic/placement.rs
+++ b/crates/entry/src/traffic/placement.rs
@@ -3,10 +3,12 @@
 use crate::clock::millis;
 use balance::{
     Expectation,
+    StatedSpeed,
     Upstream, //
 };
 use base::{
     DomainId,
+    Now,
     RegionId,
     ServiceId,
     UpstreamId, //
@@ -71,6 +73,10 @@
     pub(super) slots: u32,
     /// Age of its last load report.
     pub(super) report_age: Option<Duration>,
+    /// Speed that the upstream last stated.
+    pub(super) speed: Option<StatedSpeed>,
+    /// Time of the choice.
+    pub(super) chosen_at: Now,
     /// Region of the upstream.
     pub(super) region: RegionId,
     /// Failure domain of the upstream.
--- a/crates/entry/src/traffic/request_log.rs
+++ b/crates/entry/src/traffic/request_log.rs
@@ -34,8 +34,9 @@
     Outcome,
     RequestEnded,
     SendFailed,
-    SendTarget, //
+    SendTarget,
     SnapshotInfo,
+    StatedWorkTime, //
 };
 use relay::Target;
 use std::{
@@ -263,6 +264,10 @@
         load: placement.load,
         slots: placement.slots,
         report_age_ms: placement.report_age.map(millis),
+        work_time: placement.speed.map(|stated| StatedWorkTime {
+            pct: stated.work_time_pct,
+            age_ms: millis(stated.age(placement.chosen_at)),
+        }),
         warm: placement.warm,
         expected: placement.expected,
     }
--- a/crates/entry/src/traffic/signals.rs
+++ b/crates/entry/src/traffic/signals.rs
@@ -9,7 +9,11 @@
     },
     StatusCode, //
 };
-use balance::LoadReport;
+use balance::{
+    LoadReport,
+    StatedSpeed, //
+};
+use base::Now;
 use std::time::Duration;
 
 /// Statements of an upstream about itself.
@@ -42,7 +46,7 @@
         let limit = limits.find_map(|name| text(headers, name));
         let retry_after = text(headers, &RETRY_AFTER);
         Some(Self {
-            load: load.and_then(parse_load),
+            load: load.and_then(LoadReport::parse),
             limit_per_s: limit.and_then(parse_non_negative),
             is_leaving: text(headers, leaving) == Some(*leaving_value),
             retry_after: retry_after
@@ -50,22 +54,18 @@
                 .and_then(parse_seconds),
         })
     }
+
+    /// Returns its stated speed, if any. `at` is when the head arrived.
+    pub(super) fn speed(&self, at: Now) -> Option<StatedSpeed> {
+        let work_time_pct = self.load?.work_time_pct?;
+        Some(StatedSpeed { work_time_pct, at })
+    }
 }
 
 fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     Some(headers.get(name)?.to_str().ok()?.trim())
 }
 
-/// Parses a load report of the form `running,waiting,slots`.
-fn parse_load(text: &str) -> Option<LoadReport> {
-    let mut numbers = text.split(',').map(|part| part.trim().parse().ok());
-    Some(LoadReport {
-        running: numbers.next()??,
-        waiting: numbers.next()??,
-        slots: numbers.next()??,
-    })
-}
-
 fn parse_non_negative(text: &str) -> Option<f64> {
     let number: f64 = text.parse().ok()?;
     (number.is_finite() && number >= 0.0).then_some(number)
--- a/crates/entry/tests/signals.rs
+++ b/crates/entry/tests/signals.rs
@@ -301,3 +301,39 @@
     }
     assert_eq!(upstream.upstream.requests().len(), 1);
 }
+
+/// Guards against requests to an upstream that states that it is slow while another one is as fast as usual, and against
+/// avoiding one because of a statement that can't be read.
+macro_rules! slow_upstream_is_avoided_if_it_says_so {
+    ($($name:ident: $line:expr => $is_avoided:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let store = MemoryStore::default();
+            store.put_routes(&routes(1));
+            let slow = Signalling::start($line, ok);
+            let other = Signalling::start("upstream-load: 1,0,8,100", ok);
+            store.put_upstream(&upstream_row("u-1", slow.upstream.addr));
+            store.put_upstream(&upstream_row("u-2", other.upstream.addr));
+            let entry = Entry::start("entry-1", &store);
+            let _load = Load::start([&entry, &entry, &entry], PAUSE);
+            other.set(true);
+            let from = slow.first_signal() + SETTLE_TIME;
+            let to = from + REST;
+            thread::sleep(to.saturating_duration_since(Instant::now()));
+            let to_slow = slow.requests_between(from, to);
+            let all = to_slow + other.requests_between(from, to);
+            assert_eq!(to_slow * 4 < all, $is_avoided, "{to_slow} of {all}");
+            assert!(to_slow > 0, "it is tried again once its statement is old");
+        }
+    )*};
+}
+
+slow_upstream_is_avoided_if_it_says_so! {
+    upstream_that_states_a_long_work_time_is_avoided: "upstream-load: 1,0,8,250" => true;
+    upstream_with_further_values_in_its_report_is_avoided: "upstream-load: 1,0,8,250,7" => true;
+    upstream_that_states_the_usual_work_time_is_used: "upstream-load: 1,0,8,100" => false;
+    upstream_that_states_no_work_time_is_used: "upstream-load: 1,0,8" => false;
+    upstream_with_a_garbled_work_time_is_used: "upstream-load: 1,0,8,2x0" => false;
+    upstream_with_an_absurd_work_time_is_used: "upstream-load: 1,0,8,4000000" => false;
+    upstream_with_a_garbled_report_is_used: "upstream-load: 1,?,8,250" => false;
+}
--- a/crates/event/src/lib.rs
+++ b/crates/event/src/lib.rs
@@ -28,8 +28,9 @@
     RequestEnded,
     ResponseEstimate,
     SendFailed,
-    SendTarget, //
+    SendTarget,
     SnapshotInfo,
+    StatedWorkTime, //
 };
 pub use writer::{
     emit,
--- a/crates/event/src/request.rs
+++ b/crates/event/src/request.rs
@@ -134,6 +134,15 @@
     pub answer_ms: u64,
 }
 
+/// Speed that an upstream stated before a routing decision.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StatedWorkTime {
+    /// Time that work took, in percent of the usual.
+    pub pct: u32,
+    /// Age of the statement, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// Upstream that a request was last sent to, and its known state at that time.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct SendTarget {
@@ -153,6 +162,9 @@
     /// Age of the upstream's last load report, in milliseconds.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub report_age_ms: Option<u64>,
+    /// Speed that the upstream last stated, if any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub work_time: Option<StatedWorkTime>,
     /// Whether the upstream recently handled the request's affinity key.
     pub warm: bool,
     /// Estimates for the upstream.
--- a/crates/event/tests/lines.rs
+++ b/crates/event/tests/lines.rs
@@ -11,7 +11,8 @@
     SendTarget,
     Severity, //
     SnapshotInfo,
-    UpstreamCounts,
+    StatedWorkTime,
+    UpstreamCounts, //
 };
 
 fn sent() -> SendTarget {
@@ -23,6 +24,10 @@
         load: 2.5,
         slots: 9,
         report_age_ms: Some(120),
+        work_time: Some(StatedWorkTime {
+            pct: 250,
+            age_ms: 90,
+        }),
         warm: true,
         expected: ResponseEstimate {
             wait_ms: 20,
--- a/crates/explain/src/text.rs
+++ b/crates/explain/src/text.rs
@@ -159,8 +159,14 @@
         None => "never reported".to_owned(),
     };
     let warm = if sent.warm { "warm" } else { "not known warm" };
+    let work_time = sent.work_time.map_or_else(String::new, |stated| {
+        format!(
+            ", work time {} % of the usual {} ms before",
+            stated.pct, stated.age_ms
+        )
+    });
     format!(
-        "{} in {}, load {:.1} of {} slots ({report}), {warm}, answer expected after {} ms",
+        "{} in {}, load {:.1} of {} slots ({report}){work_time}, {warm}, answer expected after {} ms",
         sent.upstream, sent.region, sent.load, sent.slots, sent.expected.answer_ms
     )
 }
--- a/crates/explain/tests/causes.rs
+++ b/crates/explain/tests/causes.rs
@@ -30,6 +30,7 @@
         load: 3.0,
         slots: 9,
         report_age_ms: Some(80),
+        work_time: None,
         warm: true,
         expected: ResponseEstimate {
             wait_ms: 0,
