--- a/crates/entry/tests/signals.rs
+++ b/crates/entry/tests/signals.rs
@@ -316,6 +316,14 @@
             store.put_upstream(&upstream_row("u-2", other.upstream.addr));
             let entry = Entry::start("entry-1", &store);
             let _load = Load::start([&entry, &entry, &entry], PAUSE);
+            // A first response that is late by chance makes an upstream count as slow for some seconds.
+            eventually("requests to both upstreams", || {
+                let is_used = |one: &Signalling| {
+                    let now = Instant::now();
+                    one.requests_between(now - SETTLE_TIME, now) > 10
+                };
+                (is_used(&slow) && is_used(&other)).then_some(())
+            });
             other.set(true);
             let from = slow.first_signal() + SETTLE_TIME;
             let to = from + REST;
