--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -22,12 +22,15 @@
 mod entry_share;
 mod health;
 mod hedge;
+mod load_report;
+mod margin;
 mod rate_limiter;
 mod rendezvous;
 mod response_times;
 mod retry_budget;
 mod service_times;
 mod shift;
+mod speed;
 mod upstream;
 mod upstream_counts;
 mod warm_keys;
@@ -48,6 +51,7 @@
     Hedger,
     PendingSend, //
 };
+pub use load_report::LoadReport;
 pub use rate_limiter::RateLimiter;
 pub use rendezvous::{
     affinity_hash,
@@ -57,10 +61,11 @@
 pub use retry_budget::RetryBudget;
 pub use service_times::ServiceTimes;
 pub use shift::ShiftLimiter;
-pub use upstream::{
-    LoadReport,
-    Upstream, //
+pub use speed::{
+    StatedSpeed,
+    UsualSpeed, //
 };
+pub use upstream::Upstream;
 pub use upstream_counts::UpstreamCounts;
 pub use warm_keys::WarmKeys;
 pub use window::Window;
--- a/crates/entry/src/traffic/fleet.rs
+++ b/crates/entry/src/traffic/fleet.rs
@@ -320,6 +320,8 @@
             shift_limited_regions: &shift_limited_regions,
             cold_per_s,
             service_times: group.service_times(&request.route.id),
+            usual_speed: group.usual_speed,
+            runs_once: !request.route.kind.is_idempotent(),
         };
         let warm = query.service_times.warm();
         let wait_max = request.wait_max.map(|max| warm.mul_f64(max));
@@ -373,6 +375,8 @@
                     load,
                     slots: upstream.slots,
                     report_age,
+                    speed: upstream.speed,
+                    chosen_at: now,
                     region: upstream.region.clone(),
                     failure_domain: upstream.failure_domain.clone(),
                     expected: logged_expectation(expected),
--- a/crates/entry/src/traffic/group.rs
+++ b/crates/entry/src/traffic/group.rs
@@ -8,7 +8,8 @@
     Hedger,
     RetryBudget,
     ServiceTimes,
-    Upstream, //
+    Upstream,
+    UsualSpeed, //
 };
 use base::{
     FastMap,
@@ -36,6 +37,8 @@
     pub(super) service_times: FastMap<ByteString, ServiceTimes>,
     /// Response times and limits of hedged requests, by route id.
     pub(super) hedgers: FastMap<ByteString, Hedger>,
+    /// Mean of the speeds that the upstreams state.
+    pub(super) usual_speed: UsualSpeed,
 }
 
 impl UpstreamGroup {
@@ -48,6 +51,7 @@
             exhaustion_logged_s: None,
             service_times: FastMap::default(),
             hedgers: FastMap::default(),
+            usual_speed: UsualSpeed::default(),
         }
     }
 
