--- a/crates/entry/src/traffic/fleet.rs
+++ b/crates/entry/src/traffic/fleet.rs
@@ -257,7 +257,7 @@
         let ranks = self.ranks.get(service)?;
         let higher = ranks.iter().filter(|other| **other < rank).count();
         let lower_or_same = ranks.len().saturating_sub(higher).max(1);
-        (higher > 0).then(|| WAIT_MAX_LOWEST * lower_or_same as f64)
+        (higher > 0).then_some(WAIT_MAX_LOWEST * lower_or_same as f64)
     }
 
     /// Returns the service for the next request of a route, by its traffic split.
--- a/crates/entry/src/traffic/waiting.rs
+++ b/crates/entry/src/traffic/waiting.rs
@@ -212,6 +212,14 @@
     may_be_late: bool,
 }
 
+impl Terms {
+    /// Terms for a service whose requests all have the same rank.
+    const FREE: Self = Self {
+        leaves_room: false,
+        may_be_late: true,
+    };
+}
+
 /// A waiting request.
 struct Waiter {
     request: RankedRequest,
@@ -275,19 +283,9 @@
     pub(super) async fn place_in_turn(&self, progress: &Progress) -> Turn {
         self.traffic.refresh();
         let request = self.ranked_request(&progress.tried);
-        let now = self.traffic.now();
-        let mut fleet = self.traffic.fleet.borrow_mut();
-        if !fleet.is_contended(&self.service) {
-            let terms = Terms {
-                leaves_room: false,
-                may_be_late: true,
-            };
-            return request.place(&mut fleet, terms, now).into();
-        }
-        drop(fleet);
         // The caller gets the response or the failure of an earlier send instead of a wait.
         let may_wait = matches!(progress.last, None | Some(LastSend::NotRun));
-        match self.traffic.place_or_enqueue(request, may_wait, now) {
+        match self.traffic.place_or_enqueue(request, may_wait) {
             Ok(turn) => turn,
             Err(queued) => self.wait(queued).await,
         }
@@ -383,13 +381,13 @@
 
 impl Traffic {
     /// Selects an upstream for a request, or adds it to the queue of its service if others go before it or if there is no
-    /// free slot and it may wait.
-    fn place_or_enqueue(
-        &self,
-        request: RankedRequest,
-        may_wait: bool,
-        now: Now,
-    ) -> Result<Turn, Queued> {
+    /// free slot and it may wait. Requests for services without ranks are sent or rejected at once.
+    fn place_or_enqueue(&self, request: RankedRequest, may_wait: bool) -> Result<Turn, Queued> {
+        let now = self.now();
+        let mut fleet = self.fleet.borrow_mut();
+        if !fleet.is_contended(&request.service) {
+            return Ok(request.place(&mut fleet, Terms::FREE, now).into());
+        }
         let organisation = request.organisation_id();
         let rank = request.rank;
         let mut queues = self.waiting.borrow_mut();
@@ -398,12 +396,11 @@
             .entry(request.service.clone())
             .or_insert_with(ServiceQueue::new);
         of_service.queue.note_request(rank, &organisation, now);
-        let mut fleet = self.fleet.borrow_mut();
         let goes_first = !may_wait || !of_service.queue.has_before(rank);
         let rejection = if goes_first {
             let terms = Terms {
                 leaves_room: of_service.queue.leaves_room(rank, now),
-                may_be_late: true,
+                ..Terms::FREE
             };
             match request.place(&mut fleet, terms, now) {
                 PlacementDecision::Send { target, placement } => {
