A slow moment moves a key's requests only to another warm upstream

A warm upstream in a slow moment counted as missing the target, and the request warmed a further one.

Tests of balance pass.

--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -186,6 +186,8 @@
     /// Fraction of its region's slots that are busy.
     region_load: f64,
     expectation: Expectation,
+    /// Response time if the work takes as long as usual.
+    usual_response_time: Duration,
     speed_forecast: SpeedForecast,
 }
 
@@ -309,7 +311,12 @@
 /// then use the upstream that the key ranks highest, rather than a different one in each failure domain.
 fn is_in_target(estimate: &Estimate, query: &Query<'_>) -> bool {
     let known = query.service_times.is_known() || !query.has_affinity_key || estimate.known_warm;
-    known && estimate.expectation.response_time <= query.target_left.mul_f64(TIME_USED)
+    let response_time = if query.has_affinity_key {
+        estimate.usual_response_time
+    } else {
+        estimate.expectation.response_time
+    };
+    known && response_time <= query.target_left.mul_f64(TIME_USED)
 }
 
 /// Returns the best upstream for the request.
@@ -317,10 +324,12 @@
 /// Of the upstreams that answer within the target, this is the nearest, unless one farther away is faster by a
 /// considerable part of the target. If there is none, the request is late in any case, and warms an upstream for the
 /// requests after it.
+///
+/// A slow moment moves a key's requests only to another warm upstream, since it is over before a further one is warm.
 fn best<'a>(estimates: &'a [Estimate], query: &Query<'_>) -> Option<&'a Estimate> {
     let in_target = estimates.iter().filter(|one| is_in_target(one, query));
     let target = query.target_left;
-    let cost = |one: &&Estimate| {
+    let added_cost = |one: &Estimate| {
         let crossing = match one.crossing {
             Crossing::None => 0.0,
             // Requests without a key are spread over the region, since an upstream without requests is not known to
@@ -329,10 +338,10 @@
             Crossing::Domain => DOMAIN_CROSSING_COST,
             Crossing::Region => REGION_CROSSING_COST,
         };
-        one.expectation.response_time
-            + target.mul_f64(crossing + REGION_LOAD_COST * one.region_load)
+        target.mul_f64(crossing + REGION_LOAD_COST * one.region_load)
     };
-    let Some(best) = in_target.min_by_key(cost) else {
+    let usual_cost = |one: &&Estimate| one.usual_response_time + added_cost(one);
+    let Some(usual_best) = in_target.clone().min_by_key(usual_cost) else {
         let idle = estimates
             .iter()
             .filter(|one| one.expectation.wait.is_zero());
@@ -349,7 +358,11 @@
                 .min_by_key(|one| one.expectation.response_time)
         });
     };
-    Some(best)
+    if query.has_affinity_key && !usual_best.known_warm {
+        return Some(usual_best);
+    }
+    let alternatives = in_target.filter(|one| one.known_warm || !query.has_affinity_key);
+    alternatives.min_by_key(|one| one.expectation.response_time + added_cost(one))
 }
 
 fn estimate(
@@ -392,6 +405,9 @@
             wait,
             response_time: round_trip + wait + service_time.mul_f64(slowdown * work_time),
         },
+        usual_response_time: round_trip
+            + wait
+            + service_time.mul_f64(slowdown * query.usual_speed.work_time()),
         speed_forecast: SpeedForecast {
             is_slow: work_time > query.usual_speed.work_time(),
             settles_in: upstream
--- a/crates/balance/tests/choose.rs
+++ b/crates/balance/tests/choose.rs
@@ -633,6 +633,24 @@
     assert_eq!(sent_to(choose(&mut all, &stated, &here(), later)), first);
 }
 
+/// Guards against keys that become warm at further upstreams because of passing slow moments, and push others out there.
+#[test]
+fn slow_moment_does_not_move_a_key_to_a_cold_upstream() {
+    for warm in [0, 1] {
+        let mut all = vec![upstream("a", "home"), upstream("b", "home")];
+        let key = key_for(&all, &[0, 1]);
+        all[warm].warm_keys.note(key, NOW);
+        state_speed(&mut all[warm], 250, NOW);
+        let repeatable = Query {
+            deadline_left: ms(8000),
+            runs_once: false,
+            ..single_run(key)
+        };
+        let choice = choose(&mut all, &repeatable, &here(), NOW);
+        assert_eq!(sent_to(choice), warm);
+    }
+}
+
 /// The expected times at an upstream follow what it stated, for the wait and for the work.
 #[test]
 fn expected_times_follow_the_stated_speed() {
