Findings of the review: admission, look-ups, bodies

admit: a request that may no longer wait is offered at once; a rejection without a wait counts for the room that lower ranks leave; a waiting rank that is owed a grant goes before new requests, and the only request of such a rank isn't displaced. waiting: the loss of all upstreams is checked first. Found by reading; no run showed them.

--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -159,8 +159,11 @@
 
     /// Returns whether a waiting request goes before a new one of this rank. The new one must then be added, and gets what
     /// a pass leaves.
-    pub fn has_before(&self, rank: Rank) -> bool {
-        self.waiting.iter().any(|one| one.candidate.rank <= rank)
+    pub fn has_before(&self, rank: Rank, now: Now) -> bool {
+        self.waiting.iter().any(|one| {
+            let waiting = one.candidate.rank;
+            waiting <= rank || (self.is_owed(waiting, now) && !self.is_owed(rank, now))
+        })
     }
 
     /// Returns whether a rank is owed a grant: its next request goes before those of higher ranks.
@@ -227,7 +230,15 @@
     /// owed a grant.
     fn displaced_by(&self, new: &Candidate, now: Now) -> Option<usize> {
         let used = |one: &Candidate| self.shares.used(&one.organisation, now);
-        let waiting = self.waiting.iter().enumerate();
+        let is_only_of = |rank: Rank| {
+            let of_rank = self.waiting.iter().filter(|one| one.candidate.rank == rank);
+            of_rank.count() == 1
+        };
+        // The only one of a rank that is owed a grant keeps its place.
+        let waiting = self.waiting.iter().enumerate().filter(|(_, one)| {
+            let rank = one.candidate.rank;
+            !(self.is_owed(rank, now) && is_only_of(rank))
+        });
         let waiting = waiting.map(|(index, one)| (one.candidate.rank, used(&one.candidate), index));
         let (rank, last_used, index) = waiting.max_by(|one, other| {
             let by_rank = one.0.cmp(&other.0);
--- a/crates/admit/tests/support/mod.rs
+++ b/crates/admit/tests/support/mod.rs
@@ -84,7 +84,7 @@
             retry_after: Duration::ZERO,
         });
         self.queue.note_request(rank, &organisation, self.now);
-        if !self.queue.has_before(rank) && self.free_slots() > 0 {
+        if !self.queue.has_before(rank, self.now) && self.free_slots() > 0 {
             self.queue.note_grant(rank, &organisation, self.now);
             self.grant(index);
             return;
--- a/crates/balance/src/speed.rs
+++ b/crates/balance/src/speed.rs
@@ -7,7 +7,7 @@
 use base::Now;
 use std::time::Duration;
 
-/// Age up to which a statement holds in full. Most responses arrive within this time of being written.
+/// Age up to which a statement holds in full. Covers the time in which a response is written and read.
 const STATEMENT_FRESH: Duration = Duration::from_millis(100);
 /// Age from which a statement says nothing about the present.
 const STATEMENT_STALE: Duration = Duration::from_millis(600);
--- a/crates/balance/src/upstream.rs
+++ b/crates/balance/src/upstream.rs
@@ -125,7 +125,7 @@
         if reported.slots > 0 {
             self.slots = reported.slots;
         }
-        let all = f64::from(reported.running + reported.waiting);
+        let all = f64::from(reported.running) + f64::from(reported.waiting);
         self.reported_others = (all - f64::from(self.in_flight.saturating_sub(1))).max(0.0);
         self.reported_at = now;
         let stated = reported.work_time_pct.map(|work_time_pct| StatedSpeed {
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -110,7 +110,7 @@
     /// Returns what the instance has, if it is stated.
     pub(crate) fn capacity(&self) -> Option<Capacity> {
         self.link_mbit_per_s.map(|link_mbit_per_s| Capacity {
-            cpu_milli: self.cpu_milli,
+            cpu_milli: self.cpu_milli.max(1),
             link_mbit_per_s,
         })
     }
--- a/crates/entry/src/traffic/attempt.rs
+++ b/crates/entry/src/traffic/attempt.rs
@@ -54,6 +54,9 @@
 /// body breaks off. A longer body is streamed.
 const BUFFERED_BODY_BYTES_MAX: usize = 256 << 10;
 
+/// Length up to which a response body is buffered completely even if there is no more memory for bodies.
+const SMALL_BODY_BYTES: usize = 8 << 10;
+
 /// Timeout of the connection attempt that checks whether an upstream has crashed. Covers a round trip to the farthest
 /// region, including jitter.
 const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(400);
@@ -156,6 +159,9 @@
     fn drop(&mut self) {
         let mut fleet = self.traffic.fleet.borrow_mut();
         fleet.note_finished(&self.placement.incarnation, self.is_waiting.get());
+        if !self.state.is_sent() {
+            fleet.note_not_run(&self.placement);
+        }
         drop(fleet);
         self.end_wait();
         self.traffic.note_room(&self.placement.incarnation.service);
@@ -373,8 +379,11 @@
             None => return Ok(Buffered::Complete(prefix.freeze())),
         }
         let read_bytes = prefix.len() as u64;
-        if !hold.try_grow_to(read_bytes) {
+        let is_held = hold.try_grow_to(read_bytes);
+        if !is_held {
             hold.grow(read_bytes - hold.bytes());
+        }
+        if !is_held && prefix.len() > SMALL_BODY_BYTES {
             break;
         }
     }
--- a/crates/entry/src/traffic/dispatch.rs
+++ b/crates/entry/src/traffic/dispatch.rs
@@ -460,7 +460,7 @@
         sends < self.route.max_attempts && self.has_time_left() && !self.body.is_consumed()
     }
 
-    /// Takes ownership of the counts that [`Self::place`] added, and builds the request. Returns `None` if the body
+    /// Takes ownership of the counts that [`super::fleet::Fleet::place`] added, and builds the request. Returns `None` if the body
     /// can't be sent again.
     pub(super) fn start_send(
         &mut self,
--- a/crates/entry/src/traffic/stream.rs
+++ b/crates/entry/src/traffic/stream.rs
@@ -36,6 +36,9 @@
 /// Capacity of the channel then, in parts.
 const READ_AHEAD_PARTS: usize = 4096;
 
+/// Length of a part of a body below which it is copied.
+const COPIED_PART_BYTES: usize = 4 << 10;
+
 /// Guard that counts a request as in flight until it is dropped.
 pub(super) trait StreamGuard {
     /// Returns the state of the traffic thread.
@@ -117,6 +120,10 @@
                 () = sender.closed() => return (sent_bytes, Err("the caller has gone".to_owned())),
             };
             match read {
+                // A short part would keep its whole read buffer while it is queued.
+                Ok(Some(data)) if data.len() < COPIED_PART_BYTES => {
+                    next = Some(Bytes::copy_from_slice(&data));
+                }
                 Ok(data) => next = data,
                 Err(cut) => return (sent_bytes, Err(cut.to_string())),
             }
--- a/crates/entry/src/traffic/waiting.rs
+++ b/crates/entry/src/traffic/waiting.rs
@@ -333,12 +333,14 @@
                 });
             }
             tokio::select! {
-                () = waiter.ended.notified() => {}
-                () = room.notified() => {}
+                biased;
+                // Checked first: a request that misses it would be sent on a path that is cut.
                 () = self.traffic.path_cut.notified() => {
                     guard.outcome.set("left");
                     return Turn::PathCut;
                 }
+                () = waiter.ended.notified() => {}
+                () = room.notified() => {}
                 () = tokio::time::sleep(TICK) => {}
             }
         }
@@ -397,7 +399,9 @@
             .entry(request.service.clone())
             .or_insert_with(ServiceQueue::new);
         of_service.queue.note_request(rank, &organisation, now);
-        let goes_first = !may_wait || !of_service.queue.has_before(rank);
+        // A request that may no longer wait is sent or rejected now, whatever waits.
+        let may_wait = may_wait && request.wait_until(now) > now.saturating_add(TICK);
+        let goes_first = !may_wait || !of_service.queue.has_before(rank, now);
         let rejection = if goes_first {
             let terms = Terms {
                 leaves_room: of_service.queue.leaves_room(rank, now),
@@ -418,6 +422,7 @@
         }
         let useful_until = request.useful_until(&rejection, now);
         if !may_wait || useful_until <= now.saturating_add(TICK) {
+            of_service.queue.note_lost(rank, now);
             let rejection = of_service.rejection(&request, rejection, now);
             return Ok(Turn::Reject(rejection));
         }
@@ -519,6 +524,7 @@
         if let Some(WaitEnd::Granted { placement, .. }) = queued.waiter.end.take() {
             let mut fleet = self.fleet.borrow_mut();
             fleet.note_finished(&placement.incarnation, placement.restricted);
+            fleet.note_not_run(&placement);
         }
         let mut queues = self.waiting.borrow_mut();
         if let Some(of_service) = queues.0.get_mut(service) {
--- a/crates/overlay/src/capacity.rs
+++ b/crates/overlay/src/capacity.rs
@@ -64,7 +64,8 @@
     let (mut offered, mut others): (Vec<usize>, Vec<usize>) =
         (0..capacities.len()).partition(is_offered);
     let missing = OFFERED_MIN.saturating_sub(offered.len());
-    others.sort_by(|a, b| relative[*b].total_cmp(&relative[*a]));
+    let order = |index: usize| random(index) / relative[index].max(f64::MIN_POSITIVE);
+    others.sort_by(|a, b| order(*a).total_cmp(&order(*b)));
     offered.extend(others.into_iter().take(missing));
     offered.sort_unstable();
     offered
