--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -21,10 +21,10 @@
 
 pub use queue::{
     Candidate,
+    OfferResult, //
     Pushed,
     Queue,
     Ticket,
-    Verdict, //
 };
 pub use rank::{
     contended_ranks,
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -23,14 +23,14 @@
 const ROOM_TIME: Duration = Duration::from_secs(1);
 /// Time over which the rate of grants is averaged.
 const RATE_TIME: Duration = Duration::from_secs(1);
-/// Minimum delay stated to a rejected caller, about the round trip of a new attempt.
+/// Minimum delay stated to a rejected caller.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(50);
 /// Maximum delay stated to a rejected caller. The state behind a longer delay is outdated by then.
 const RETRY_AFTER_MAX: Duration = Duration::from_secs(2);
 /// Part of the delay by which callers are spread, so that they don't return together.
 const RETRY_SPREAD: f64 = 0.5;
 
-/// Name of a waiting request in its queue.
+/// Identifier of a waiting request in its queue.
 pub type Ticket = u64;
 
 /// A request that may wait.
@@ -60,7 +60,7 @@
 
 /// What became of a request that was offered in a pass.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Verdict {
+pub enum OfferResult {
     /// It is sent.
     Granted,
     /// It can't be sent now.
@@ -111,9 +111,9 @@
     /// Grants of higher ranks while requests of this one waited or lost their place, since its last grant.
     passed_over: u32,
     /// Whether a request of this rank was rejected since its last grant.
-    has_lost: bool,
+    had_rejection: bool,
     /// Time when a request of this rank was last rejected.
-    lost_at: Option<Now>,
+    rejected_at: Option<Now>,
     /// Time of its last grant, or since which its requests have had none.
     last: Option<Now>,
 }
@@ -179,11 +179,11 @@
     pub fn leaves_room(&self, rank: Rank, now: Now) -> bool {
         let waits = self.waiting.iter().any(|one| one.candidate.rank < rank);
         let mut higher = self.grants.iter().filter(|(higher, _)| **higher < rank);
-        let has_lost = |grants: &RankGrants| {
-            let lost_at = grants.lost_at;
-            lost_at.is_some_and(|at| now.saturating_sub(at) < ROOM_TIME)
+        let had_rejection = |grants: &RankGrants| {
+            let rejected_at = grants.rejected_at;
+            rejected_at.is_some_and(|at| now.saturating_sub(at) < ROOM_TIME)
         };
-        let is_pressed = waits || higher.any(|(_, grants)| has_lost(grants));
+        let is_pressed = waits || higher.any(|(_, grants)| had_rejection(grants));
         is_pressed && !self.is_owed(rank, now)
     }
 
@@ -191,14 +191,14 @@
     pub fn note_grant(&mut self, rank: Rank, organisation: &Option<OrganisationId>, now: Now) {
         for (lower, grants) in self.grants.iter_mut().filter(|(lower, _)| **lower > rank) {
             let mut waiting = self.waiting.iter().map(|one| one.candidate.rank);
-            if grants.has_lost || waiting.any(|waiting| waiting == *lower) {
+            if grants.had_rejection || waiting.any(|waiting| waiting == *lower) {
                 grants.passed_over += 1;
             }
         }
         let grants = self.grants.entry(rank).or_default();
         grants.rate.note(1.0, RATE_TIME, now);
         grants.passed_over = 0;
-        grants.has_lost = false;
+        grants.had_rejection = false;
         grants.last = Some(now);
         self.shares.note_grant(organisation, now);
     }
@@ -208,11 +208,11 @@
         let mut displaced = None;
         if self.waiting.len() >= self.len_max {
             let Some(index) = self.displaced_by(&candidate, now) else {
-                self.note_lost(candidate.rank, now);
+                self.note_rejected(candidate.rank, now);
                 return Pushed::Full;
             };
             let lost = self.waiting.remove(index);
-            self.note_lost(lost.candidate.rank, now);
+            self.note_rejected(lost.candidate.rank, now);
             displaced = Some(lost.ticket);
         }
         let ticket = self.next_ticket;
@@ -253,10 +253,10 @@
     }
 
     /// Counts a request that is rejected because others have taken the slots.
-    pub fn note_lost(&mut self, rank: Rank, now: Now) {
+    pub fn note_rejected(&mut self, rank: Rank, now: Now) {
         let grants = self.grants.entry(rank).or_default();
-        grants.has_lost = true;
-        grants.lost_at = Some(now);
+        grants.had_rejection = true;
+        grants.rejected_at = Some(now);
     }
 
     /// Removes a request that no longer waits. Returns whether it was waiting.
@@ -269,12 +269,12 @@
     }
 
     /// Offers each waiting request in their order, and removes those that no longer wait. The flag passed to `offer` states
-    /// whether the request has to leave room to higher ranks. Returns the requests that are rejected because it is too late for them or
-    /// because `offer` rejected them.
+    /// whether the request has to leave room to higher ranks. Returns the requests that are rejected because it is too late
+    /// for them or because `offer` rejected them.
     pub fn pass(
         &mut self,
         now: Now,
-        mut offer: impl FnMut(Ticket, bool) -> Verdict,
+        mut offer: impl FnMut(Ticket, bool) -> OfferResult,
     ) -> Vec<Ticket> {
         let mut rejected = self.remove_late(now);
         for one in &mut self.waiting {
@@ -286,16 +286,16 @@
             let (ticket, rank) = (one.ticket, one.candidate.rank);
             let leaves_room = self.leaves_room(rank, now);
             match offer(ticket, leaves_room) {
-                Verdict::Granted => {
+                OfferResult::Granted => {
                     let one = self.waiting.remove(index);
                     self.note_grant(rank, &one.candidate.organisation, now);
                 }
-                Verdict::Waits { useful_until } if useful_until > now => {
+                OfferResult::Waits { useful_until } if useful_until > now => {
                     self.waiting[index].candidate.useful_until = useful_until;
                 }
-                Verdict::Waits { .. } | Verdict::Rejected => {
+                OfferResult::Waits { .. } | OfferResult::Rejected => {
                     self.waiting.remove(index);
-                    self.note_lost(rank, now);
+                    self.note_rejected(rank, now);
                     rejected.push(ticket);
                 }
             }
@@ -340,7 +340,7 @@
         let late: Vec<(Ticket, Rank)> = late.map(|one| (one.ticket, one.candidate.rank)).collect();
         self.waiting.retain(|one| !is_late(one));
         for (_, rank) in &late {
-            self.note_lost(*rank, now);
+            self.note_rejected(*rank, now);
         }
         late.into_iter().map(|(ticket, _)| ticket).collect()
     }
--- a/crates/admit/src/shares.rs
+++ b/crates/admit/src/shares.rs
@@ -8,8 +8,7 @@
 };
 use std::time::Duration;
 
-/// Time over which an organisation's usual number of requests is averaged: longer than a surge that others should not
-/// pay for.
+/// Time over which an organisation's usual number of requests is averaged, longer than a surge.
 const USUAL_TIME: Duration = Duration::from_secs(60);
 /// Time over which recent requests and grants are averaged.
 const RECENT_TIME: Duration = Duration::from_secs(2);
--- a/crates/admit/tests/properties.rs
+++ b/crates/admit/tests/properties.rs
@@ -4,9 +4,9 @@
 
 use admit::{
     Candidate,
+    OfferResult, //
     Pushed,
     Queue,
-    Verdict, //
 };
 use base::Now;
 use bolero::{
@@ -133,7 +133,7 @@
         let mut offered = Vec::new();
         let rejected = queue.pass(Now::ZERO, |ticket, _| {
             offered.push(ticket);
-            Verdict::Waits {
+            OfferResult::Waits {
                 useful_until: ms(1000),
             }
         });
--- a/crates/admit/tests/support/mod.rs
+++ b/crates/admit/tests/support/mod.rs
@@ -4,11 +4,11 @@
 
 use admit::{
     Candidate,
+    OfferResult, //
     Pushed,
     Queue,
     Rank,
     Ticket,
-    Verdict, //
 };
 use base::{
     FastMap,
@@ -125,13 +125,13 @@
             .collect();
         let rejected = self.queue.pass(self.now, |ticket, _| {
             if free == 0 {
-                return Verdict::Waits {
+                return OfferResult::Waits {
                     useful_until: useful_until[&ticket],
                 };
             }
             free -= 1;
             granted.push(ticket);
-            Verdict::Granted
+            OfferResult::Granted
         });
         for ticket in granted {
             let index = self.waiting.remove(&ticket).expect("it waited");
--- a/crates/entry/src/traffic/dispatch.rs
+++ b/crates/entry/src/traffic/dispatch.rs
@@ -35,7 +35,7 @@
             FinalResponse,
             LastSend, //
         },
-        waiting::Turn,
+        waiting::PlacementOutcome,
         Traffic, //
     },
 };
@@ -218,10 +218,10 @@
             };
             self.count_in_budget();
             let (target, placement) = match self.place_in_turn(&progress).await {
-                Turn::Send { target, placement } => (target, *placement),
+                PlacementOutcome::Send { target, placement } => (target, *placement),
                 // The next pass relays the request.
-                Turn::PathCut => continue,
-                Turn::Reject(rejection) => {
+                PlacementOutcome::PathCut => continue,
+                PlacementOutcome::Reject(rejection) => {
                     drop(permit);
                     // Right after a partition, this entry may still pass over upstreams that others reach.
                     if self.traffic.is_mostly_unreachable() {
@@ -460,8 +460,8 @@
         sends < self.route.max_attempts && self.has_time_left() && !self.body.is_consumed()
     }
 
-    /// Takes ownership of the counts that [`super::fleet::Fleet::place`] added, and builds the request. Returns `None` if the body
-    /// can't be sent again.
+    /// Takes ownership of the counts that [`super::fleet::Fleet::place`] added, and builds the request. Returns `None` if
+    /// the body can't be sent again.
     pub(super) fn start_send(
         &mut self,
         progress: &mut Progress,
--- a/crates/entry/src/traffic/mod.rs
+++ b/crates/entry/src/traffic/mod.rs
@@ -3,8 +3,9 @@
 //! - `request` handles one request from its head to its final response; `plan` resolves its route, service, deadline
 //!   and affinity key.
 //! - `dispatch` sends the request to upstreams, with retries; `hedge` sends a slow one to a second upstream as well;
-//!   `attempt` makes one send and reports whether the request may have run; `response` builds the final response; `stream` forwards a long response body; `request_log` writes
-//!   log lines; `signals` reads what an upstream states about itself.
+//!   `attempt` makes one send and reports whether the request may have run; `response` builds the final response;
+//!   `stream` forwards a long response body; `request_log` writes log lines; `signals` reads what an upstream states
+//!   about itself.
 //! - `waiting` holds the requests that wait at this entry because their service has too few free slots.
 //! - `fleet` holds this thread's state of the upstreams, in one `group` per service, and selects the upstream of a
 //!   request; `placement` has the types for this.
--- a/crates/entry/src/traffic/ports.rs
+++ b/crates/entry/src/traffic/ports.rs
@@ -87,7 +87,8 @@
     Listener::from_std(listener)
 }
 
-/// Publishes requests in flight, warm keys and the demand of organisations to the control thread, more often than it forwards them.
+/// Publishes requests in flight, warm keys and the demand of organisations to the control thread, more often than it
+/// forwards them.
 async fn publish_loads(traffic: Rc<Traffic>) {
     loop {
         tokio::time::sleep(LOADS_INTERVAL).await;
--- a/crates/entry/src/traffic/stream.rs
+++ b/crates/entry/src/traffic/stream.rs
@@ -28,7 +28,7 @@
 /// Capacity of the channel between the upstream's body and the caller's connection, in parts.
 const BODY_CHANNEL_PARTS: usize = 8;
 
-/// Length of most of these parts, in bytes.
+/// Length that a part counts with, in bytes.
 const BODY_PART_BYTES: u64 = 16 << 10;
 /// Longest rest of a body that is read ahead of a slow caller while there is a limit on the memory for bodies and much of
 /// it is left, so that the upstream doesn't wait for the caller.
--- a/crates/entry/src/traffic/waiting.rs
+++ b/crates/entry/src/traffic/waiting.rs
@@ -29,11 +29,11 @@
 };
 use admit::{
     Candidate,
+    OfferResult, //
     Pushed,
     Queue,
     Rank,
     Ticket,
-    Verdict, //
 };
 use base::{
     FastMap,
@@ -251,7 +251,7 @@
 }
 
 /// Result of selecting an upstream, maybe after a wait.
-pub(super) enum Turn {
+pub(super) enum PlacementOutcome {
     Send {
         target: Target,
         placement: Box<Placement>,
@@ -261,7 +261,7 @@
     PathCut,
 }
 
-impl From<PlacementDecision> for Turn {
+impl From<PlacementDecision> for PlacementOutcome {
     fn from(decision: PlacementDecision) -> Self {
         match decision {
             PlacementDecision::Send { target, placement } => Self::Send { target, placement },
@@ -270,7 +270,7 @@
     }
 }
 
-impl From<WaitEnd> for Turn {
+impl From<WaitEnd> for PlacementOutcome {
     fn from(end: WaitEnd) -> Self {
         match end {
             WaitEnd::Granted { target, placement } => Self::Send { target, placement },
@@ -281,7 +281,7 @@
 
 impl Dispatch {
     /// Selects the upstream for the next send. If there is no free slot, the request may wait for one.
-    pub(super) async fn place_in_turn(&self, progress: &Progress) -> Turn {
+    pub(super) async fn place_in_turn(&self, progress: &Progress) -> PlacementOutcome {
         self.traffic.refresh();
         let request = self.ranked_request(&progress.tried);
         // The caller gets the response or the failure of an earlier send instead of a wait.
@@ -309,7 +309,7 @@
     }
 
     /// Waits until the request is sent or rejected.
-    async fn wait(&self, queued: Queued) -> Turn {
+    async fn wait(&self, queued: Queued) -> PlacementOutcome {
         let guard = WaitGuard {
             dispatch: self,
             queued,
@@ -327,7 +327,7 @@
             if shared.closing.load(Ordering::Relaxed) {
                 guard.outcome.set("rejected");
                 let rejection = waiter.rejection.get();
-                return Turn::Reject(Rejection {
+                return PlacementOutcome::Reject(Rejection {
                     retry_after: CLOSING_RETRY_AFTER,
                     ..rejection
                 });
@@ -337,7 +337,7 @@
                 // Checked first: a request that misses it would be sent on a path that is cut.
                 () = self.traffic.path_cut.notified() => {
                     guard.outcome.set("left");
-                    return Turn::PathCut;
+                    return PlacementOutcome::PathCut;
                 }
                 () = waiter.ended.notified() => {}
                 () = room.notified() => {}
@@ -385,7 +385,11 @@
 impl Traffic {
     /// Selects an upstream for a request, or adds it to the queue of its service if others go before it or if there is no
     /// free slot and it may wait. Requests for services without ranks are sent or rejected at once.
-    fn place_or_enqueue(&self, request: RankedRequest, may_wait: bool) -> Result<Turn, Queued> {
+    fn place_or_enqueue(
+        &self,
+        request: RankedRequest,
+        may_wait: bool,
+    ) -> Result<PlacementOutcome, Queued> {
         let now = self.now();
         let mut fleet = self.fleet.borrow_mut();
         if !fleet.is_contended(&request.service) {
@@ -410,7 +414,7 @@
             match request.place(&mut fleet, terms, now) {
                 PlacementDecision::Send { target, placement } => {
                     of_service.queue.note_grant(rank, &organisation, now);
-                    return Ok(Turn::Send { target, placement });
+                    return Ok(PlacementOutcome::Send { target, placement });
                 }
                 PlacementDecision::Reject(rejection) => rejection,
             }
@@ -418,13 +422,13 @@
             fleet.no_slot(&request.service, now)
         };
         if rejection.reason != Reason::NoSlotInTime {
-            return Ok(Turn::Reject(rejection));
+            return Ok(PlacementOutcome::Reject(rejection));
         }
         let useful_until = request.useful_until(&rejection, now);
         if !may_wait || useful_until <= now.saturating_add(TICK) {
-            of_service.queue.note_lost(rank, now);
+            of_service.queue.note_rejected(rank, now);
             let rejection = of_service.rejection(&request, rejection, now);
-            return Ok(Turn::Reject(rejection));
+            return Ok(PlacementOutcome::Reject(rejection));
         }
         let candidate = Candidate {
             rank,
@@ -434,7 +438,7 @@
         match of_service.queue.push(candidate, now) {
             Pushed::Full => {
                 let rejection = of_service.rejection(&request, rejection, now);
-                Ok(Turn::Reject(rejection))
+                Ok(PlacementOutcome::Reject(rejection))
             }
             Pushed::Waits { ticket, displaced } => {
                 if let Some(displaced) = displaced {
@@ -486,7 +490,7 @@
         let mut ended = Vec::new();
         let offer = |ticket: Ticket, leaves_room| {
             let Some(waiter) = waiters.get(&ticket) else {
-                return Verdict::Rejected;
+                return OfferResult::Rejected;
             };
             let terms = Terms {
                 leaves_room,
@@ -495,16 +499,16 @@
             match waiter.request.place(&mut fleet, terms, now) {
                 PlacementDecision::Send { target, placement } => {
                     ended.push((ticket, WaitEnd::Granted { target, placement }));
-                    Verdict::Granted
+                    OfferResult::Granted
                 }
                 PlacementDecision::Reject(rejection) => {
                     waiter.rejection.set(rejection);
                     if rejection.reason != Reason::NoSlotInTime {
                         ended.push((ticket, WaitEnd::Rejected(rejection)));
-                        return Verdict::Rejected;
+                        return OfferResult::Rejected;
                     }
                     let useful_until = waiter.request.useful_until(&rejection, now);
-                    Verdict::Waits { useful_until }
+                    OfferResult::Waits { useful_until }
                 }
             }
         };
