Log how many connections had failed when a path counts as cut

The line gets failed_connections and usable, and a gauge jasmine_entry_failed_connections follows the count. No decision is changed.

--- a/crates/entry/src/metric.rs
+++ b/crates/entry/src/metric.rs
@@ -47,6 +47,8 @@
         "Time that work takes at an upstream, as stated in its responses; 1 is the usual.";
     PARTITIONED = "jasmine_entry_partitioned", Gauge, "flag", "",
         "1 while this entry reaches no upstream and relays its callers' requests through other entries.";
+    FAILED_CONNECTIONS = "jasmine_entry_failed_connections", Gauge, "upstreams", "",
+        "Upstreams that connections failed to, as counted for the suspicion that this entry reaches no upstream.";
     RELAYED = "jasmine_entry_relayed_total", Counter, "requests", "outcome",
         "Requests relayed to other entries, by what became of them.";
     PEERS = "jasmine_entry_peers", Gauge, "sessions", "",
--- a/crates/entry/src/traffic/path.rs
+++ b/crates/entry/src/traffic/path.rs
@@ -98,10 +98,15 @@
         let is_cut = matches!(change, Change::Cut { .. });
         metrics::gauge!(metric::PARTITIONED).set(f64::from(u8::from(is_cut)));
         match change {
-            Change::Cut { silence } => emit(&Event::UpstreamsUnreachable {
-                silence_ms: millis(silence),
-                relays: self.shared.published.load().relays.len(),
-            }),
+            Change::Cut { silence } => {
+                let evidence = self.fleet.borrow().reach_evidence(self.now());
+                emit(&Event::UpstreamsUnreachable {
+                    silence_ms: millis(silence),
+                    failed_connections: evidence.unreachable,
+                    usable: evidence.usable,
+                    relays: self.shared.published.load().relays.len(),
+                });
+            }
             Change::Opened { after } => {
                 emit(&Event::UpstreamsReachable {
                     after_ms: millis(after),
@@ -123,6 +128,7 @@
         traffic.refresh_snapshot();
         let now = traffic.now();
         let evidence = traffic.fleet.borrow().reach_evidence(now);
+        metrics::gauge!(metric::FAILED_CONNECTIONS).set(evidence.unreachable as f64);
         if traffic.reach.borrow_mut().take_probe(evidence, now) {
             run_probes(&traffic).await;
         }
--- a/crates/event/src/event.rs
+++ b/crates/event/src/event.rs
@@ -137,9 +137,16 @@
         service: ServiceId,
         pause_ms: u64,
     },
-    /// This entry reaches no upstream: no probe connects, and `silence_ms` have passed without a response. `relays` other
-    /// entries take its callers' requests.
-    UpstreamsUnreachable { silence_ms: u64, relays: usize },
+    /// This entry reaches no upstream: no probe connects, and `silence_ms` have passed without a response. Connections to
+    /// `failed_connections` of `usable` upstreams had failed before. `relays` other entries take its callers' requests.
+    UpstreamsUnreachable {
+        silence_ms: u64,
+        #[serde(default)]
+        failed_connections: usize,
+        #[serde(default)]
+        usable: usize,
+        relays: usize,
+    },
     /// This entry reaches upstreams again.
     UpstreamsReachable { after_ms: u64 },
     /// An upstream that was excluded after a failure has responded.
--- a/crates/event/tests/lines.rs
+++ b/crates/event/tests/lines.rs
@@ -227,7 +227,12 @@
         service: "menu".into(),
         pause_ms: 3_000,
     };
-    upstreams_unreachable: Event::UpstreamsUnreachable { silence_ms: 320, relays: 9 };
+    upstreams_unreachable: Event::UpstreamsUnreachable {
+        silence_ms: 320,
+        failed_connections: 3,
+        usable: 370,
+        relays: 9,
+    };
     upstreams_reachable: Event::UpstreamsReachable { after_ms: 11_800 };
     relay_failed: Event::RelayFailed {
         id: "4f".into(),
--- a/crates/explain/src/text.rs
+++ b/crates/explain/src/text.rs
@@ -64,8 +64,14 @@
             let upstreams = upstreams.join(", ");
             format!("lease of cold {upstreams} claimed: {outcome}")
         }
-        Event::UpstreamsUnreachable { silence_ms, relays } => format!(
-            "no upstream can be reached, {silence_ms} ms after the last answer; {relays} entries relay requests"
+        Event::UpstreamsUnreachable {
+            silence_ms,
+            failed_connections,
+            usable,
+            relays,
+        } => format!(
+            "no upstream can be reached, {silence_ms} ms after the last answer, connections to {failed_connections} of {usable} \
+             failed; {relays} entries relay requests"
         ),
         Event::UpstreamsReachable { after_ms } => {
             format!("upstreams can be reached again, after {after_ms} ms")
--- a/crates/explain/tests/causes.rs
+++ b/crates/explain/tests/causes.rs
@@ -245,7 +245,12 @@
         })),
     ] => Quarantined, "fingerprint 0a; crashed in these logs: u-1, u-2";
     refused_by_a_partitioned_entry: [
-        (-300, Event::UpstreamsUnreachable { silence_ms: 320, relays: 1 }),
+        (-300, Event::UpstreamsUnreachable {
+            silence_ms: 320,
+            failed_connections: 3,
+            usable: 370,
+            relays: 1,
+        }),
         (-2, Event::RelayFailed {
             id: "4f".into(),
             entry: "dar-1".into(),
