Failing tests: a partition that goes unnoticed in a large fleet

Open-loop callers send each entry a request every 120 ms, with affinity keys, timeouts and targets; an upstream takes 250 ms for a key that it knows and 1.85 s for another one, which is late. Calls begun 4 to 9 s after the cut count, and 4 s after its end.

Links of an entry are cut at the same time: filling one backlog after the other would take seconds with 136 of them.

--- a/crates/entry/tests/support/link.rs
+++ b/crates/entry/tests/support/link.rs
@@ -96,11 +96,13 @@
         }
     }
 
-    /// Cuts all links.
+    /// Cuts all links at the same time: filling a backlog takes a while.
     pub(crate) fn cut(&self, cut: Cut) {
-        for link in &*self.links {
-            link.cut(cut);
-        }
+        thread::scope(|scope| {
+            for link in &*self.links {
+                scope.spawn(move || link.cut(cut));
+            }
+        });
     }
 
     /// Ends the cut.
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -7,8 +7,10 @@
 )]
 
 mod deployment;
+mod large_deployment;
 mod link;
 mod load;
+mod open_loop;
 mod store;
 mod upstream;
 
@@ -19,6 +21,10 @@
     SLOW_PATH,
     SLOW_TIME, //
 };
+pub(crate) use large_deployment::{
+    LargeDeployment,
+    REGION_ENTRIES, //
+};
 pub(crate) use link::{
     Cut,
     Links,
@@ -31,6 +37,11 @@
     Load,
     ENTRY_NAMES, //
 };
+pub(crate) use open_loop::{
+    call_open_loop,
+    Call,
+    OpenLoop, //
+};
 pub(crate) use store::{
     JsonRows, //
     MemoryStore,
