A partition is suspected by connections that fail, not by a share of all upstreams

Cause: an entry suspected its path after a silence, or when it had failed to connect to most of all usable upstreams. While open connections answer there is no silence, and 186 of 370 upstreams don't fail within the partition at an entry with 26 requests a second, a quarter of which need a new connection. Until then each refused upstream is passed over, the key's next ones are not warm, and the request is expected to miss its timeout there. The class is a threshold that grows with the deployment, for evidence that doesn't.

Change: a pool counts the upstreams that new connections failed to since one last delivered a response or stayed open as a probe; a connection that takes over 400 ms to be established counts before its timeout. Three such upstreams make the path suspicious, and probes decide as before. While it is suspicious or not open again, requests that would be rejected are relayed. This works because a partition fails every new connection, so that three in a row take an entry's next few requests however many upstreams there are, while an upstream that crashes is followed by connections that work.

--- a/crates/entry/src/traffic/dispatch.rs
+++ b/crates/entry/src/traffic/dispatch.rs
@@ -223,8 +223,7 @@
                 PlacementOutcome::PathCut => continue,
                 PlacementOutcome::Reject(rejection) => {
                     drop(permit);
-                    // Right after a partition, this entry may still pass over upstreams that others reach.
-                    if self.traffic.is_mostly_unreachable() {
+                    if self.traffic.may_be_partitioned() {
                         return self.relay(progress, rejection).await;
                     }
                     return self.give_up(progress, &rejection);
--- a/crates/entry/src/traffic/fleet.rs
+++ b/crates/entry/src/traffic/fleet.rs
@@ -58,7 +58,6 @@
 };
 use bytestring::ByteString;
 use event::Reason;
-use reach::Evidence;
 use relay::Target;
 use route::{
     Route,
@@ -234,14 +233,10 @@
         listed.map(|(_, group)| group)
     }
 
-    /// Returns how many upstreams may get requests, and how many of them this entry failed to connect to.
-    pub(super) fn reach_evidence(&self, now: Now) -> Evidence {
+    /// Returns how many upstreams may get requests.
+    pub(super) fn usable_count(&self, now: Now) -> usize {
         let upstreams = self.listed_services().flat_map(|group| &group.upstreams);
-        let usable = upstreams.filter(|upstream| upstream.is_open(now));
-        usable.fold(Evidence::default(), |evidence, upstream| Evidence {
-            usable: evidence.usable + 1,
-            unreachable: evidence.unreachable + usize::from(!upstream.health.is_reachable()),
-        })
+        upstreams.filter(|upstream| upstream.is_open(now)).count()
     }
 
     /// Returns the upstreams that may be probed.
--- a/crates/entry/src/traffic/path.rs
+++ b/crates/entry/src/traffic/path.rs
@@ -12,7 +12,8 @@
 use rand::seq::IndexedRandom;
 use reach::{
     Admission,
-    Change, //
+    Change,
+    Evidence, //
 };
 use relay::{
     Pool,
@@ -80,10 +81,16 @@
         })
     }
 
-    /// Returns whether this entry's last attempts to connect to most upstreams failed.
-    pub(super) fn is_mostly_unreachable(&self) -> bool {
-        let evidence = self.fleet.borrow().reach_evidence(self.now());
-        evidence.is_mostly_unreachable()
+    /// Returns whether this entry may be partitioned, so that it passes over upstreams which others reach.
+    pub(super) fn may_be_partitioned(&self) -> bool {
+        !self.reach.borrow().is_open() || self.reach_evidence().is_suspicious()
+    }
+
+    fn reach_evidence(&self) -> Evidence {
+        Evidence {
+            usable: self.fleet.borrow().usable_count(self.now()),
+            failed_connections: self.pool.failed_connections(),
+        }
     }
 
     /// Records a response of an upstream.
@@ -99,10 +106,10 @@
         metrics::gauge!(metric::PARTITIONED).set(f64::from(u8::from(is_cut)));
         match change {
             Change::Cut { silence } => {
-                let evidence = self.fleet.borrow().reach_evidence(self.now());
+                let evidence = self.reach_evidence();
                 emit(&Event::UpstreamsUnreachable {
                     silence_ms: millis(silence),
-                    failed_connections: evidence.unreachable,
+                    failed_connections: evidence.failed_connections,
                     usable: evidence.usable,
                     relays: self.shared.published.load().relays.len(),
                 });
@@ -127,8 +134,8 @@
         tokio::time::sleep(CHECK_INTERVAL).await;
         traffic.refresh_snapshot();
         let now = traffic.now();
-        let evidence = traffic.fleet.borrow().reach_evidence(now);
-        metrics::gauge!(metric::FAILED_CONNECTIONS).set(evidence.unreachable as f64);
+        let evidence = traffic.reach_evidence();
+        metrics::gauge!(metric::FAILED_CONNECTIONS).set(evidence.failed_connections as f64);
         if traffic.reach.borrow_mut().take_probe(evidence, now) {
             run_probes(&traffic).await;
         }
--- a/crates/entry/tests/large_partition.rs
+++ b/crates/entry/tests/large_partition.rs
@@ -30,6 +30,8 @@
 const STABLE_WINDOW: Duration = Duration::from_secs(4);
 /// Time for which calls are counted.
 const COUNTED_TIME: Duration = Duration::from_secs(5);
+/// A cut that ends before a restart of an upstream would be known.
+const SHORT_CUT: Duration = Duration::from_millis(2000);
 const LOAD: OpenLoop = OpenLoop {
     interval: Duration::from_millis(120),
     timeout: Duration::from_millis(3000),
@@ -70,6 +72,28 @@
     }
 }
 
+/// Puts the deployment under load until `until` and cuts its links from `cut_at` to `healed_at`. Returns the calls.
+fn call_while_cut(
+    deployment: &LargeDeployment,
+    cut: Cut,
+    [cut_at, healed_at, until]: [Instant; 3],
+) -> Vec<Call> {
+    let wait_until = |at: Instant| thread::sleep(at.saturating_duration_since(Instant::now()));
+    thread::scope(|scope| {
+        scope.spawn(move || {
+            wait_until(cut_at);
+            for links in &deployment.links {
+                scope.spawn(move || links.cut(cut));
+            }
+            wait_until(healed_at);
+            for links in &deployment.links {
+                links.heal();
+            }
+        });
+        call_open_loop(&deployment.entries, LOAD, until)
+    })
+}
+
 /// Cuts the first entries from all upstreams under load, and checks what they serve during the cut and after it.
 fn serves_while_cut(cut: Cut, cut_count: usize) {
     let _guard = ONE_AT_A_TIME.lock();
@@ -78,19 +102,7 @@
     let healed_at = cut_at + STABLE_WINDOW + COUNTED_TIME;
     let counted_again_at = healed_at + STABLE_WINDOW;
     let until = counted_again_at + COUNTED_TIME / 2;
-    let calls = thread::scope(|scope| {
-        scope.spawn(|| {
-            thread::sleep(cut_at.saturating_duration_since(Instant::now()));
-            for links in &deployment.links {
-                scope.spawn(|| links.cut(cut));
-            }
-            thread::sleep(healed_at.saturating_duration_since(Instant::now()));
-            for links in &deployment.links {
-                links.heal();
-            }
-        });
-        call_open_loop(&deployment.entries, LOAD, until)
-    });
+    let calls = call_while_cut(&deployment, cut, [cut_at, healed_at, until]);
     let (during, after): (Vec<Call>, Vec<Call>) =
         calls.into_iter().partition(|call| call.sent_at < healed_at);
     check_shares(&during, cut_at + STABLE_WINDOW, cut_count, "during the cut");
@@ -98,6 +110,26 @@
     assert_eq!(deployment.repeated_filings(), Vec::<String>::new());
 }
 
+/// Guards against entries that go on rejecting requests after a short partition, because they pass over upstreams that
+/// refused them until these could have restarted.
+#[test]
+fn large_fleet_serves_after_a_short_cut() {
+    let _guard = ONE_AT_A_TIME.lock();
+    let cut_count = 3;
+    let deployment = LargeDeployment::start(cut_count);
+    let cut = Cut {
+        open: OpenConnections::Reset,
+        new: NewConnections::Refused,
+    };
+    let cut_at = Instant::now() + WARM_UP;
+    let healed_at = cut_at + SHORT_CUT;
+    let counted_from = healed_at + Duration::from_secs(1);
+    let until = counted_from + COUNTED_TIME;
+    let calls = call_while_cut(&deployment, cut, [cut_at, healed_at, until]);
+    check_shares(&calls, counted_from, cut_count, "after the cut");
+    assert_eq!(deployment.repeated_filings(), Vec::<String>::new());
+}
+
 /// Guards against entries that don't notice a partition because they have many more upstreams than requests, and
 /// then fail, reject or delay their callers' requests.
 macro_rules! serves_in_time_while_partitioned {
--- a/crates/entry/tests/partition.rs
+++ b/crates/entry/tests/partition.rs
@@ -32,6 +32,8 @@
 const STABLE_WINDOW: Duration = Duration::from_secs(3);
 /// Time for which requests are counted.
 const COUNTED_TIME: Duration = Duration::from_secs(3);
+/// A cut that ends before a restart of an upstream would be known.
+const SHORT_CUT: Duration = Duration::from_millis(1500);
 /// Pause of each caller between a response and its next request.
 const PAUSE: Duration = Duration::from_millis(20);
 /// First tries that were served, of all that were made.
@@ -172,6 +174,32 @@
     serves_while_all_but_one_entry_hang: Hang, Hang, 3;
 }
 
+/// Guards against entries that reject requests after a short partition, because they pass over all upstreams until these
+/// could have restarted.
+#[test]
+fn serves_after_a_short_cut() {
+    let deployment = Arc::new(Deployment::start());
+    let cut_at = Instant::now() + Duration::from_secs(1);
+    let healed_at = cut_at + SHORT_CUT;
+    let cutting = deployment.clone();
+    let cutter = thread::spawn(move || {
+        thread::sleep(cut_at.saturating_duration_since(Instant::now()));
+        cutting.links[0].cut(Cut {
+            open: OpenConnections::Reset,
+            new: NewConnections::Refused,
+        });
+        thread::sleep(healed_at.saturating_duration_since(Instant::now()));
+        cutting.links[0].heal();
+    });
+    let counted_from = healed_at + Duration::from_secs(1);
+    let until = counted_from + COUNTED_TIME;
+    let tries = call_all(&deployment.entries, counted_from, until);
+    cutter.join().expect("the cut ends");
+    for tries in &tries {
+        assert!(tries.share() > 0.95, "after the cut: {tries:?}");
+    }
+}
+
 fn file_slowly(entry: &Entry, id: &str) -> Option<u16> {
     let mut caller = Caller::connect(entry);
     caller.send(request_head("POST", SLOW_PATH, id, "content-length: 0\r\n"));
--- a/crates/entry/tests/support/deployment.rs
+++ b/crates/entry/tests/support/deployment.rs
@@ -2,6 +2,7 @@
 
 use crate::support::{
     ok_response,
+    repeated_filings,
     routes,
     upstream_row,
     Entry,
@@ -114,11 +115,6 @@
 
     /// Returns the ids of filings that reached an upstream more than once.
     pub(crate) fn repeated_filings(&self) -> Vec<String> {
-        let requests = self.upstreams.iter().flat_map(Upstream::requests);
-        let filings = requests.filter(|request| request.head.starts_with("POST"));
-        let mut ids: Vec<String> = filings.map(|filing| filing.id().to_owned()).collect();
-        ids.sort_unstable();
-        let repeated = ids.windows(2).filter(|pair| pair[0] == pair[1]);
-        repeated.map(|pair| pair[0].clone()).collect()
+        repeated_filings(&self.upstreams)
     }
 }
--- a/crates/entry/tests/support/large_deployment.rs
+++ b/crates/entry/tests/support/large_deployment.rs
@@ -3,6 +3,7 @@
 
 use crate::support::{
     ok_response,
+    repeated_filings,
     routes,
     upstream_row,
     Entry,
@@ -19,7 +20,6 @@
     ServiceShare, //
 };
 use std::{
-    collections::HashSet,
     sync::Mutex,
     thread,
     time::Duration, //
@@ -43,7 +43,7 @@
 /// Slots of each upstream.
 const SLOTS: u32 = 16;
 /// Time of an upstream for a key that it has served before.
-pub(crate) const WARM_TIME: Duration = Duration::from_millis(250);
+const WARM_TIME: Duration = Duration::from_millis(250);
 /// Time of an upstream for another key.
 const COLD_TIME: Duration = Duration::from_millis(1850);
 /// Time until the entries have sessions with each other, and leaves follow their hubs.
@@ -51,7 +51,6 @@
 
 /// Entries of which the first ones of `region-a` have links of their own to all upstreams.
 pub(crate) struct LargeDeployment {
-    pub(crate) store: MemoryStore,
     /// Entries, those of `region-a` first.
     pub(crate) entries: Vec<Entry>,
     /// Links of the first entries.
@@ -101,7 +100,6 @@
         }
         thread::sleep(Duration::from_millis(1000));
         Self {
-            store,
             entries,
             links,
             upstreams: upstreams.into_iter().map(|(.., one)| one).collect(),
@@ -110,11 +108,7 @@
 
     /// Returns the ids of filings that reached an upstream more than once.
     pub(crate) fn repeated_filings(&self) -> Vec<String> {
-        let requests = self.upstreams.iter().flat_map(Upstream::requests);
-        let filings = requests.filter(|request| request.head.starts_with("POST"));
-        let mut seen = HashSet::new();
-        let ids = filings.map(|filing| filing.id().to_owned());
-        ids.filter(|id| !seen.insert(id.clone())).collect()
+        repeated_filings(&self.upstreams)
     }
 }
 
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -48,6 +48,7 @@
 };
 pub(crate) use upstream::{
     ok_response,
+    repeated_filings,
     Connection,
     ReceivedRequest,
     Script,
--- a/crates/entry/tests/support/upstream.rs
+++ b/crates/entry/tests/support/upstream.rs
@@ -299,3 +299,13 @@
             .clone()
     }
 }
+
+/// Returns the ids of filings that reached one of these upstreams more than once, or several of them.
+pub(crate) fn repeated_filings(upstreams: &[Upstream]) -> Vec<String> {
+    let requests = upstreams.iter().flat_map(Upstream::requests);
+    let filings = requests.filter(|request| request.head.starts_with("POST"));
+    let mut ids: Vec<String> = filings.map(|filing| filing.id().to_owned()).collect();
+    ids.sort_unstable();
+    let repeated = ids.windows(2).filter(|pair| pair[0] == pair[1]);
+    repeated.map(|pair| pair[0].clone()).collect()
+}
--- a/crates/reach/src/reach.rs
+++ b/crates/reach/src/reach.rs
@@ -13,6 +13,9 @@
 const GAP_WEIGHT: f64 = 0.05;
 /// Minimum time between two rounds of probes while the path is open.
 const PROBE_INTERVAL_OPEN: Duration = Duration::from_millis(1000);
+/// Number of upstreams that new connections failed to, while none worked, from which the path is suspicious. It is not a
+/// share of the upstreams, since an entry that has many of them connects to few within seconds.
+const FAILED_CONNECTIONS_MIN: usize = 3;
 /// Time between two probes while the path is cut.
 const PROBE_INTERVAL_CUT: Duration = Duration::from_millis(300);
 /// Time for which only requests that may run twice try the path after a successful probe.
@@ -23,14 +26,15 @@
 pub struct Evidence {
     /// Upstreams that may get requests.
     pub usable: usize,
-    /// Those of them to which this entry's last attempt to connect failed.
-    pub unreachable: usize,
+    /// Upstreams that new connections failed to since one last worked.
+    pub failed_connections: usize,
 }
 
 impl Evidence {
-    /// Returns whether most of the upstreams can't be connected to.
-    pub fn is_mostly_unreachable(self) -> bool {
-        self.unreachable * 2 > self.usable
+    /// Returns whether new connections fail to so many upstreams that the path may be cut.
+    pub fn is_suspicious(self) -> bool {
+        let most = self.usable / 2 + 1;
+        self.failed_connections >= most.min(FAILED_CONNECTIONS_MIN)
     }
 }
 
@@ -146,7 +150,7 @@
             .is_none_or(|at| now.saturating_sub(at) >= interval);
         let is_due = waited
             && evidence.usable > 0
-            && (!self.is_open() || evidence.is_mostly_unreachable() || self.is_silent(now));
+            && (!self.is_open() || evidence.is_suspicious() || self.is_silent(now));
         if is_due {
             self.probed_at = Some(now);
         }
--- a/crates/reach/tests/reach.rs
+++ b/crates/reach/tests/reach.rs
@@ -15,11 +15,11 @@
 
 const ALL_REACHABLE: Evidence = Evidence {
     usable: 10,
-    unreachable: 0,
+    failed_connections: 0,
 };
-const MOST_UNREACHABLE: Evidence = Evidence {
+const MOST_FAILED: Evidence = Evidence {
     usable: 10,
-    unreachable: 6,
+    failed_connections: 6,
 };
 
 fn ms(ms: u64) -> Now {
@@ -108,7 +108,7 @@
 #[test]
 fn refused_connections_are_probed_despite_responses() {
     let (mut reach, now) = steady(5);
-    assert!(reach.take_probe(MOST_UNREACHABLE, now));
+    assert!(reach.take_probe(MOST_FAILED, now));
 }
 
 /// Guards against a flood of probes while they fail.
@@ -241,3 +241,28 @@
         }
     });
 }
+
+macro_rules! failed_connections_are_suspicious {
+    ($($name:ident: $failed:expr, $usable:expr, $expected:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let evidence = Evidence {
+                usable: $usable,
+                failed_connections: $failed,
+            };
+            assert_eq!(evidence.is_suspicious(), $expected);
+        }
+    )*};
+}
+
+failed_connections_are_suspicious! {
+    // Guards against a partition that goes unnoticed until connections to half of many upstreams have failed.
+    three_of_many_upstreams_are_suspicious: 3, 370, true;
+    two_of_many_upstreams_are_not_suspicious: 2, 370, false;
+    // Guards against a partition that goes unnoticed because there are few upstreams.
+    only_upstream_is_suspicious: 1, 1, true;
+    both_upstreams_are_suspicious: 2, 2, true;
+    one_of_two_upstreams_is_not_suspicious: 1, 2, false;
+    no_failure_is_not_suspicious: 0, 1, false;
+    no_upstreams_are_not_suspicious: 0, 0, false;
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -20,6 +20,7 @@
 
 mod body_budget;
 mod caller;
+mod connects;
 mod message;
 mod pool;
 mod response;
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -1,6 +1,10 @@
 //! Pool of connections to upstreams, and exchange of one request over a connection.
 
 use crate::{
+    connects::{
+        ConnectAttempt,
+        ConnectLog, //
+    },
     message::{
         BodyPart,
         RequestBody, //
@@ -134,6 +138,7 @@
 #[derive(Clone, Debug)]
 pub struct Pool {
     idle: Rc<RefCell<FastMap<Target, Vec<IdleConnection>>>>,
+    connect_log: Rc<RefCell<ConnectLog>>,
     connect_timeout: Duration,
 }
 
@@ -148,6 +153,7 @@
     pub fn with_connect_timeout(connect_timeout: Duration) -> Self {
         Self {
             idle: Rc::default(),
+            connect_log: Rc::default(),
             connect_timeout,
         }
     }
@@ -168,9 +174,12 @@
         may_send: impl FnOnce() -> bool,
     ) -> Result<UpstreamResponse, Failure> {
         let deadline = request.deadline.into();
-        let stream = match self.check_out(target) {
-            Some(stream) => stream,
-            None => self.connect(target.addr, request.deadline).await?,
+        let (stream, connect) = match self.check_out(target) {
+            Some(stream) => (stream, None),
+            None => {
+                let (stream, connect) = self.connect(target, request.deadline).await?;
+                (stream, Some(connect))
+            }
         };
         if !may_send() {
             self.check_in(target, stream, None);
@@ -179,7 +188,16 @@
         let mut writer = RequestWriter::default();
         let exchange = self.send(stream, target, request, &mut writer);
         match timeout_at(deadline, exchange).await {
-            Ok(result) => result,
+            Ok(result) => {
+                if let Some(connect) = connect {
+                    match result {
+                        Ok(_) | Err(Failure::Malformed(_)) => connect.worked(),
+                        Err(Failure::Broken(_) | Failure::NotSent(_)) => connect.failed(),
+                        Err(_) => {}
+                    }
+                }
+                result
+            }
             Err(_elapsed) => {
                 // If the network path is dead, the other idle connections are dead, too, and each
                 // would cost another request its deadline.
@@ -200,7 +218,7 @@
     /// Fails with [`Failure::Refused`] if no process listens on the address, or with the error that
     /// prevented the connection.
     pub async fn open(&self, target: &Target, deadline: Instant) -> Result<(), Failure> {
-        let stream = self.connect(target.addr, deadline).await?;
+        let (stream, _) = self.connect(target, deadline).await?;
         self.check_in(target, stream, None);
         Ok(())
     }
@@ -216,15 +234,22 @@
         deadline: Instant,
         hold: Duration,
     ) -> Result<(), Failure> {
-        let stream = self.connect(target.addr, deadline).await?;
+        let (stream, connect) = self.connect(target, deadline).await?;
         let ended = timeout_at((Instant::now() + hold).into(), stream.readable()).await;
         if ended.is_ok() {
+            connect.failed();
             return Err(Failure::NotSent("the connection ended".to_owned()));
         }
+        connect.worked();
         self.check_in(target, stream, None);
         Ok(())
     }
 
+    /// Returns the number of upstreams that connections failed to, or take too long, since one last worked.
+    pub fn failed_connections(&self) -> usize {
+        self.connect_log.borrow().failed_count(Instant::now())
+    }
+
     /// Closes all idle connections to an upstream.
     pub fn close_idle(&self, target: &Target) {
         self.idle.borrow_mut().remove(target);
@@ -276,8 +301,33 @@
         None
     }
 
-    async fn connect(&self, addr: SocketAddr, deadline: Instant) -> Result<TcpStream, Failure> {
-        connect(addr, deadline.min(Instant::now() + self.connect_timeout)).await
+    async fn connect(
+        &self,
+        target: &Target,
+        deadline: Instant,
+    ) -> Result<(TcpStream, ConnectAttempt), Failure> {
+        let connect = ConnectAttempt::begin(&self.connect_log, &target.id);
+        let limit = deadline.min(Instant::now() + self.connect_timeout);
+        match timeout_at(limit.into(), TcpStream::connect(target.addr)).await {
+            Ok(Ok(stream)) => {
+                connect.established();
+                set_socket_options(&stream).map_err(|error| Failure::NotSent(error.to_string()))?;
+                Ok((stream, connect))
+            }
+            Ok(Err(error)) => {
+                connect.failed();
+                Err(match error.kind() {
+                    io::ErrorKind::ConnectionRefused => Failure::Refused,
+                    _ => Failure::NotSent(error.to_string()),
+                })
+            }
+            Err(_elapsed) => {
+                connect.timed_out();
+                Err(Failure::NotSent(
+                    "no connection before the timeout".to_owned(),
+                ))
+            }
+        }
     }
 
     async fn send(
@@ -317,24 +367,6 @@
     }
 }
 
-async fn connect(addr: SocketAddr, limit: Instant) -> Result<TcpStream, Failure> {
-    let connected = timeout_at(limit.into(), TcpStream::connect(addr)).await;
-    let stream = match connected {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
-            return Err(Failure::Refused);
-        }
-        Ok(Err(error)) => return Err(Failure::NotSent(error.to_string())),
-        Err(_elapsed) => {
-            return Err(Failure::NotSent(
-                "no connection before the timeout".to_owned(),
-            ))
-        }
-    };
-    set_socket_options(&stream).map_err(|error| Failure::NotSent(error.to_string()))?;
-    Ok(stream)
-}
-
 enum WriteError {
     NothingWritten(io::Error),
     /// The subsequent read finds the cause.
