--- a/crates/relay/src/connects.rs
+++ b/crates/relay/src/connects.rs
@@ -17,7 +17,7 @@
 /// Time after which a connection that is not established yet counts as failed. Covers a round trip to the farthest region,
 /// including jitter.
 const OVERDUE: Duration = Duration::from_millis(400);
-/// Maximum number of upstreams that are told apart.
+/// Maximum number of failed upstreams that are stored. The count does not grow beyond it.
 const FAILED_MAX: usize = 16;
 
 /// Connections opened by one pool.
