--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -6,4 +6,4 @@
     echo "build with the command of deploy/system.toml and review/build.sh first"
     exit 2
 fi
-exec "$case_program" born-back review/2/record.txt
+exec "$case_program" stop-pipelined review/2/record.txt
--- a/review/standins/client.rs
+++ b/review/standins/client.rs
@@ -29,10 +29,10 @@
 }
 
 /// Picks addresses at random.
-struct Random(u64);
+pub struct Random(u64);
 
 impl Random {
-    fn new(name: &str) -> Self {
+    pub fn new(name: &str) -> Self {
         let started = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
         let seed = started.map_or(1, |since_epoch| since_epoch.subsec_nanos());
         Self(name.bytes().fold(u64::from(seed), |seed, byte| {
@@ -40,11 +40,21 @@
         }))
     }
 
-    fn pick(&mut self, addresses: &[SocketAddr]) -> Option<SocketAddr> {
+    /// Returns a number of at least 0 and below 1.
+    pub fn fraction(&mut self) -> f64 {
+        self.step();
+        (self.0 >> 33) as f64 / f64::from(1_u32 << 31)
+    }
+
+    fn step(&mut self) {
         self.0 = self
             .0
             .wrapping_mul(6364136223846793005)
             .wrapping_add(1442695040888963407);
+    }
+
+    pub fn pick(&mut self, addresses: &[SocketAddr]) -> Option<SocketAddr> {
+        self.step();
         let index = (self.0 >> 33) as usize % addresses.len().max(1);
         addresses.get(index).copied()
     }
@@ -63,6 +73,19 @@
 
 pub type AllSent = Arc<Mutex<Vec<Sent>>>;
 
+/// Asks a directory where to connect.
+pub fn lookup(traffic: &Traffic, directories: &[SocketAddr]) -> Option<Vec<SocketAddr>> {
+    let path = format!(
+        "/v1/resolve?name={}&region={}&zone={}",
+        traffic.host, traffic.region, traffic.zone
+    );
+    let answers = directories.iter().filter_map(|addr| get(*addr, &path).ok());
+    let answer = answers.into_iter().find(|answer| answer.status() == 200)?;
+    let body = Json::parse(&String::from_utf8_lossy(&answer.body))?;
+    let listed = body.get("addresses").list().iter();
+    Some(listed.filter_map(|one| one.text().parse().ok()).collect())
+}
+
 /// Starts a client, which sends until `stop` is set.
 pub fn start(
     traffic: Traffic,
@@ -83,16 +106,8 @@
                 return;
             }
             if asked.is_none_or(|at| at.elapsed() >= LOOKUP_KEPT) {
-                let path = format!(
-                    "/v1/resolve?name={}&region={}&zone={}",
-                    traffic.host, traffic.region, traffic.zone
-                );
-                let answers = directories.iter().filter_map(|addr| get(*addr, &path).ok());
-                if let Some(answer) = answers.into_iter().find(|answer| answer.status() == 200) {
-                    let body = Json::parse(&String::from_utf8_lossy(&answer.body));
-                    let body = body.unwrap_or(Json::Null);
-                    let listed = body.get("addresses").list().iter();
-                    addresses = listed.filter_map(|one| one.text().parse().ok()).collect();
+                if let Some(listed) = lookup(&traffic, &directories) {
+                    addresses = listed;
                     asked = Some(Instant::now());
                 }
             }
--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -84,8 +84,8 @@
         Ok(self.buf.drain(..count).collect())
     }
 
-    /// Reads one message whose body has a length or is chunked.
-    pub fn read(&mut self) -> io::Result<Message> {
+    /// Reads the head of one message.
+    pub fn read_head(&mut self) -> io::Result<Message> {
         let mut message = Message {
             start: self.line()?,
             ..Message::default()
@@ -99,6 +99,18 @@
                 .headers
                 .push((name.to_owned(), value.trim().to_owned()));
         }
+        Ok(message)
+    }
+
+    /// Reads one message whose body has a length or is chunked.
+    pub fn read(&mut self) -> io::Result<Message> {
+        let mut message = self.read_head()?;
+        self.read_body(&mut message)?;
+        Ok(message)
+    }
+
+    /// Reads the body of a message whose head has been read.
+    pub fn read_body(&mut self, message: &mut Message) -> io::Result<()> {
         let chunked = message
             .header("transfer-encoding")
             .is_some_and(|value| value.eq_ignore_ascii_case("chunked"));
@@ -107,7 +119,7 @@
                 let size = usize::from_str_radix(self.line()?.trim(), 16).map_err(|_| ended())?;
                 let data = self.bytes(size + 2)?;
                 if size == 0 {
-                    return Ok(message);
+                    return Ok(());
                 }
                 message.body.extend_from_slice(&data[..size]);
             }
@@ -116,7 +128,7 @@
             .header("content-length")
             .and_then(|value| value.parse().ok());
         message.body = self.bytes(length.unwrap_or(0))?;
-        Ok(message)
+        Ok(())
     }
 
     /// Writes one message with a length.
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -6,6 +6,7 @@
 mod entry;
 mod http;
 mod json;
+mod pipeline;
 mod record;
 mod server;
 mod store;
@@ -20,7 +21,7 @@
     process::ExitCode,
     sync::{
         atomic::{AtomicBool, Ordering},
-        Arc,
+        Arc, Mutex,
     },
     thread::sleep,
     time::Duration,
@@ -48,6 +49,12 @@
     config_apply: Duration::from_secs(4),
     stable_window: Duration::from_secs(4),
 };
+/// Bounds of sites/kilima-lb.toml.
+const KILIMA: Bounds = Bounds {
+    drain: Duration::from_millis(2500),
+    config_apply: Duration::from_millis(2500),
+    stable_window: Duration::from_secs(4),
+};
 /// Bounds of sites/ccd-gslb.toml.
 const CCD: Bounds = Bounds {
     drain: Duration::from_secs(2),
@@ -215,6 +222,8 @@
         zone,
         slots: 6,
         work: Duration::from_millis(60),
+        answer_bytes: 200,
+        answer_time: Duration::ZERO,
     }
 }
 
@@ -367,10 +376,10 @@
             for entry in &entries[..2] {
                 signal(entry, "STOP")?;
             }
-            system.record.tell(&format!(
-                "round {round}: {} and {} stand still",
-                entries[0].name, entries[1].name
-            ));
+            let (first, second) = (&entries[0].name, &entries[1].name);
+            system
+                .record
+                .tell(&format!("round {round}: {first} and {second} stand still"));
         }
         sleep(Duration::from_millis(100));
         let menus = if round % 2 == 0 {
@@ -378,10 +387,10 @@
         } else {
             "menubook"
         };
-        let acknowledged = system.configure(8 + round, menus);
+        let version = 8 + round;
+        let acknowledged = system.configure(version, menus);
         system.record.tell(&format!(
-            "version {} sends menu look-ups to {menus}, acknowledged",
-            8 + round
+            "version {version} sends menu look-ups to {menus}, acknowledged"
         ));
         versions.push((acknowledged, menus));
         sleep(STILL);
@@ -396,47 +405,166 @@
     system.finish();
     let sent = system.sent.lock().unwrap();
     let runs = system.runs.lock().unwrap();
-    let in_touch: Vec<_> = entries[2..].iter().map(|entry| entry.front).collect();
-    let mut stale = 0;
+    let mut stale = Vec::new();
     for run in runs.iter().filter(|run| run.path.starts_with(MENUS_PREFIX)) {
         let Some(request) = sent.iter().find(|one| one.id == run.request) else {
             continue;
         };
-        let bound = |at: &Duration| *at + CCD.config_apply < request.at;
-        let in_force = versions.iter().rposition(|(at, _)| bound(at)).unwrap_or(0);
+        let binds = |at: &Duration| *at + CCD.config_apply < request.at;
+        let in_force = versions.iter().rposition(|(at, _)| binds(at)).unwrap_or(0);
         // Versions that were written after the run can't be its reason.
-        let later = versions[in_force..].iter().filter(|(at, _)| *at <= run.at);
-        let allowed = later
-            .into_iter()
-            .any(|(_, service)| *service == run.service);
-        let taken_in_touch = request.front.is_some_and(|front| in_touch.contains(&front));
-        if allowed || !taken_in_touch {
-            continue;
-        }
-        stale += 1;
-        if stale <= 5 {
-            system.record.tell(&format!(
+        let mut later = versions[in_force..].iter().filter(|(at, _)| *at <= run.at);
+        let is_allowed = later.any(|(_, service)| *service == run.service);
+        // The machines that stood still are not in touch.
+        let entry = entries[2..]
+            .iter()
+            .find(|entry| Some(entry.front) == request.front);
+        if let Some(entry) = entry.filter(|_| !is_allowed) {
+            stale.push(format!(
                 "request {} is sent to {} {:.3} s after the acknowledgement, and runs at {} of {}",
                 run.request,
-                entries
-                    .iter()
-                    .find(|entry| Some(entry.front) == request.front)
-                    .map_or("?", |entry| &entry.name),
+                entry.name,
                 (request.at - versions[in_force].0).as_secs_f64(),
                 run.server,
                 run.service
             ));
         }
     }
+    for line in stale.iter().take(5).chain(stale.last()) {
+        system.record.tell(line);
+    }
+    system.record.tell(&format!(
+        "{} requests sent to machines in touch later than config-apply-s after an acknowledgement ran at the old service",
+        stale.len()
+    ));
+    Ok(stale.is_empty())
+}
+
+/// Entries are stopped in turn and replaced, while clients send further look-ups before the first has been answered.
+fn stop_pipelined(record: &Path) -> io::Result<bool> {
+    let system = System::new(record)?;
+    for (id, zone) in [
+        ("i-90b37e55", "za"),
+        ("i-c4de1287", "zb"),
+        ("i-02d9e6b4", "za"),
+        ("i-5c11a0d7", "zb"),
+    ] {
+        let server = Spec {
+            slots: 20,
+            answer_bytes: 600_000,
+            answer_time: Duration::from_millis(100),
+            ..spec(id, "menubook", zone)
+        };
+        system.server(&server, None, unix_ms())?;
+    }
+    let mut entries = system.entries(&TWO_ENTRIES, KILIMA)?;
+    let directories = Arc::new(Mutex::new(Vec::new()));
+    let set_directories = |entries: &[Entry]| {
+        *directories.lock().unwrap() = entries.iter().map(|entry| entry.directory).collect();
+    };
+    set_directories(&entries);
+    let outcome = Arc::new(Mutex::new(pipeline::Outcome::default()));
+    for number in 0..PIPELINING_CLIENTS {
+        let traffic = Traffic {
+            name: format!("menu-{number}"),
+            method: "GET",
+            host: MENUS_HOST,
+            prefix: MENUS_PREFIX,
+            body: b"",
+            interval: Duration::from_millis(200),
+            deadline: DEADLINE,
+            region: "ra",
+            zone: "za",
+        };
+        pipeline::start(
+            traffic,
+            CLIENT_DELAY,
+            directories.clone(),
+            &system.record,
+            &outcome,
+            &system.stop,
+        );
+    }
+    sleep(Duration::from_secs(6));
+    // Each stop: the address of the entry, when it got the signal, and when its process had ended.
+    let mut stops = Vec::new();
+    for round in 0..STOPS {
+        if system.trouble {
+            let index = round as usize % entries.len();
+            let mut stopped = entries.remove(index);
+            let at = system.record.now();
+            signal(&stopped, "TERM")?;
+            system
+                .record
+                .tell(&format!("{} gets SIGTERM", stopped.name));
+            let until = std::time::Instant::now() + Duration::from_secs(6);
+            while stopped.child.try_wait()?.is_none() && std::time::Instant::now() < until {
+                sleep(Duration::from_millis(20));
+            }
+            system.record.tell(&format!("{} has ended", stopped.name));
+            stops.push((stopped.front, at, system.record.now()));
+            let name = format!("edge-z{}-{}", if index == 0 { "a" } else { "b" }, round + 2);
+            let zone = if index == 0 { "za" } else { "zb" };
+            drop(stopped);
+            let started = system.entries(&[(&name, zone)], KILIMA)?;
+            entries.splice(index..index, started);
+            set_directories(&entries);
+        } else {
+            sleep(Duration::from_secs(5));
+        }
+        sleep(Duration::from_secs(5));
+    }
+    system.stop.store(true, Ordering::SeqCst);
+    sleep(DEADLINE + Duration::from_secs(1));
+    let outcome = outcome.lock().unwrap();
+    let runs = system.runs.lock().unwrap();
+    system.record.tell(&format!(
+        "{} look-ups answered 200, {} otherwise, {} without an answer",
+        outcome.answered,
+        outcome.refused,
+        outcome.unanswered.len()
+    ));
+    let mut lost = 0;
+    for request in &outcome.unanswered {
+        let Some(run) = runs.iter().find(|run| run.request == request.request) else {
+            continue;
+        };
+        let around_stop = stops.iter().find(|(front, at, ended)| {
+            *front == request.front && *at <= request.ended && request.sent <= *ended
+        });
+        let Some((_, at, _)) = around_stop else {
+            system
+                .record
+                .tell(&format!("not around a stop: {request:?}"));
+            continue;
+        };
+        lost += 1;
+        if lost <= 5 {
+            system.record.tell(&format!(
+                "look-up {} is sent {:.3} s after SIGTERM, reaches server {} {:.0} ms later, and its connection ends {:.0} ms after it was sent, without an answer",
+                request.request,
+                request.sent.as_secs_f64() - at.as_secs_f64(),
+                run.server,
+                (run.at.as_secs_f64() - request.sent.as_secs_f64()) * 1000.0,
+                (request.ended - request.sent).as_secs_f64() * 1000.0
+            ));
+        }
+    }
     system.record.tell(&format!(
-        "{stale} requests sent to machines in touch later than config-apply-s after an acknowledgement ran at the old service"
+        "{lost} look-ups were read around a stop, passed on to a server, and never answered"
     ));
-    Ok(stale == 0)
+    Ok(lost == 0)
 }
 
+/// Clients of the case of stopped entries, and the delay of their links each way.
+const PIPELINING_CLIENTS: u32 = 24;
+const CLIENT_DELAY: Duration = Duration::from_millis(8);
+/// Number of stops of that case.
+const STOPS: u32 = 4;
+
 /// Rounds of the case of machines that stand still.
 const ROUNDS: u32 = 4;
-/// Time for which they do.
+/// Time for which the machines of that case stand still.
 const STILL: Duration = Duration::from_secs(5);
 
 fn signal(entry: &Entry, name: &str) -> io::Result<()> {
@@ -460,6 +588,7 @@
     let held = match case.as_str() {
         "born-back" => born_back(record),
         "foreign-row" => foreign_row(record),
+        "stop-pipelined" => stop_pipelined(record),
         "hubs-still" => hubs_still(record),
         _ => Err(io::Error::other("no such case")),
     };
--- a/review/standins/server.rs
+++ b/review/standins/server.rs
@@ -7,7 +7,7 @@
     store::Store,
 };
 use std::{
-    io,
+    io::{self, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         atomic::{AtomicBool, AtomicU32, Ordering},
@@ -17,6 +17,9 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
+/// Parts in which a long answer is sent.
+const PARTS: usize = 20;
+
 pub const HEARTBEAT: Duration = Duration::from_millis(1500);
 
 /// What a server is; the same for all its starts.
@@ -27,6 +30,10 @@
     pub zone: &'static str,
     pub slots: u32,
     pub work: Duration,
+    /// Length of its answers.
+    pub answer_bytes: usize,
+    /// Time in which it sends one.
+    pub answer_time: Duration,
 }
 
 /// A request that has reached a server and was not answered 421 or rejected.
@@ -252,15 +259,31 @@
         if draining {
             headers.push(("Connection", "close"));
         }
-        connection.write(
-            "HTTP/1.1 200 OK",
-            &headers,
-            format!("done by {}", spec.id).as_bytes(),
-        )?;
+        self.send_answer(connection, &headers)?;
         inner.runs.lock().unwrap()[index].answered = true;
         if draining {
             return Err(io::ErrorKind::ConnectionAborted.into());
         }
         Ok(())
     }
+
+    /// Sends the answer in parts over the time that it takes.
+    fn send_answer(&self, connection: &mut Connection, headers: &[(&str, &str)]) -> io::Result<()> {
+        let spec = &self.spec;
+        let body = vec![b'x'; spec.answer_bytes];
+        if spec.answer_time.is_zero() {
+            return connection.write("HTTP/1.1 200 OK", headers, &body);
+        }
+        let mut head = String::from("HTTP/1.1 200 OK\r\n");
+        for (name, value) in headers {
+            head.push_str(&format!("{name}: {value}\r\n"));
+        }
+        head.push_str(&format!("Content-Length: {}\r\n\r\n", body.len()));
+        connection.stream.write_all(head.as_bytes())?;
+        for part in body.chunks(spec.answer_bytes.div_ceil(PARTS).max(1)) {
+            connection.stream.write_all(part)?;
+            thread::sleep(spec.answer_time / PARTS as u32);
+        }
+        Ok(())
+    }
 }
