--- a/review/standins/client.rs
+++ b/review/standins/client.rs
@@ -14,6 +14,9 @@
 /// Time for which an answer of the directory is kept.
 const LOOKUP_KEPT: Duration = Duration::from_secs(2);
 
+/// Number of objects that the requests concern.
+const OBJECTS: u32 = 47;
+
 /// Requests that a client sends.
 #[derive(Clone)]
 pub struct Traffic {
@@ -112,12 +115,13 @@
                 }
             }
             let started = Instant::now();
+            let object = (random.fraction() * f64::from(OBJECTS)) as u32;
             let id = format!("{}-{number}", traffic.name);
             let at = record.now();
             let (front, status) = {
                 let other = addresses.iter().filter(|addr| Some(**addr) != failed);
                 let other: Vec<SocketAddr> = other.copied().collect();
-                exchange(&traffic, &id, &mut connection, random.pick(&other))
+                exchange(&traffic, &id, &mut connection, random.pick(&other), object)
             };
             if status == 0 {
                 failed = front;
@@ -143,6 +147,7 @@
     id: &str,
     connection: &mut Option<Connection>,
     addr: Option<SocketAddr>,
+    object: u32,
 ) -> (Option<SocketAddr>, u16) {
     if let (None, Some(addr)) = (&connection, addr) {
         let stream = TcpStream::connect_timeout(&addr, Duration::from_secs(1));
@@ -157,7 +162,9 @@
         .set_read_timeout(Some(traffic.deadline + Duration::from_millis(500)));
     let start = format!("{} {}2f HTTP/1.1", traffic.method, traffic.prefix);
     let deadline = traffic.deadline.as_millis().to_string();
+    let cookie = format!("X-Jasminefield-Affinity-Key={object}");
     let headers = [
+        ("Cookie", cookie.as_str()),
         ("Host", traffic.host),
         ("X-Jasminefield-Request-Id", id),
         ("X-Jasminefield-Request-Deadline", deadline.as_str()),
