--- a/review/standins/entry.rs
+++ b/review/standins/entry.rs
@@ -4,9 +4,10 @@
 use std::{
     fs::File,
     io,
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
     path::Path,
     process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
     thread,
     time::{Duration, Instant},
 };
@@ -44,19 +45,22 @@
     }
 }
 
-fn free_port() -> io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0")?.local_addr()
+fn free_port(ip: Ipv4Addr) -> io::Result<SocketAddr> {
+    TcpListener::bind((ip, 0))?.local_addr()
 }
 
-/// Returns the first of a range of free ports.
-fn free_range() -> io::Result<u16> {
+/// Returns a loopback address of its own for an entry, and the first of a range of free ports there.
+fn free_range() -> io::Result<(Ipv4Addr, u16)> {
+    static NUMBER: AtomicU32 = AtomicU32::new(0);
     for _ in 0..200 {
-        let first = free_port()?.port();
-        let Some(last) = first.checked_add(INTERNAL_PORTS) else {
-            continue;
-        };
-        if (first..last).all(|port| TcpListener::bind(("127.0.0.1", port)).is_ok()) {
-            return Ok(first);
+        let number = NUMBER.fetch_add(1, Ordering::SeqCst);
+        let [.., a, b] = std::process::id().to_be_bytes();
+        let ip = Ipv4Addr::new(127, 100 + (number % 100) as u8, a, b.max(1));
+        // Below the ports that the system gives out by itself.
+        let first = 20_000 + (number / 100) as u16 * INTERNAL_PORTS;
+        let last = first + INTERNAL_PORTS;
+        if (first..last).all(|port| TcpListener::bind((ip, port)).is_ok()) {
+            return Ok((ip, first));
         }
     }
     Err(io::Error::other("no range of free ports"))
@@ -71,9 +75,9 @@
         folder: &Path,
         record: &Record,
     ) -> io::Result<Self> {
-        let first = free_range()?;
-        let (front, ready) = (free_port()?, free_port()?);
-        let (control, directory) = (free_port()?, free_port()?);
+        let (ip, first) = free_range()?;
+        let (front, ready) = (free_port(ip)?, free_port(ip)?);
+        let (control, directory) = (free_port(ip)?, free_port(ip)?);
         let zones = deployment.zones.iter();
         let zone_lines: Vec<String> = zones
             .map(|(zone, region)| format!("{zone} = \"{region}\""))
@@ -88,7 +92,7 @@
 role = "entry"
 machine-class = "edge"
 serves = ["edge","directory"]
-ip = "127.0.0.1"
+ip = "{ip}"
 zone = "{zone}"
 region = "{region}"
 internal-port-range = [{first},{last}]
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -84,6 +84,8 @@
 /// A small deployment: two services, two zones of one region, two entries.
 struct System {
     trouble: bool,
+    /// Whether routes are sticky: requests for an object then go to the same server.
+    sticky: bool,
     record: Record,
     store: Store,
     runs: Runs,
@@ -93,7 +95,7 @@
 }
 
 impl System {
-    fn new(record: &Path) -> io::Result<Self> {
+    fn new(record: &Path, sticky: bool) -> io::Result<Self> {
         let record = Record::create(record)?;
         let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
         record.tell(&format!(
@@ -103,6 +105,7 @@
         let store = Store::start()?;
         let system = Self {
             trouble,
+            sticky,
             record,
             store,
             runs: Runs::default(),
@@ -122,9 +125,10 @@
                 r#"{{"name":"{name}","health-path":"/health","max-connections":330,"protocol":"h1","tls":false,"cold-start-s":0,"cold-per-s":0}}"#
             )
         });
+        let sticky = self.sticky;
         let route = |host: &str, prefix: &str, kind: &str, service: &str| {
             format!(
-                r#"{{"host":"{host}","paths":[{{"name":"r-{service}","prefix":"{prefix}","kind":"{kind}","timeout-s":2.5,"target-latency-s":0.4,"priority":1,"service":"{service}","max-attempts":2,"sticky":true,"allowed-regions":[]}}]}}"#
+                r#"{{"host":"{host}","paths":[{{"name":"r-{service}","prefix":"{prefix}","kind":"{kind}","timeout-s":2.5,"target-latency-s":0.4,"priority":1,"service":"{service}","max-attempts":2,"sticky":{sticky},"allowed-regions":[]}}]}}"#
             )
         };
         let config = format!(
@@ -229,7 +233,7 @@
 
 /// A server starts again under its id while the time of day of its machine has been set back, and leaves later.
 fn born_back(record: &Path) -> io::Result<bool> {
-    let system = System::new(record)?;
+    let system = System::new(record, false)?;
     let leaving = spec("i-7f3a91c2", "orderdesk", "za");
     for other in [
         spec("i-02d9e6b4", "orderdesk", "zb"),
@@ -293,7 +297,7 @@
 
 /// An entry of another writer, in which fields are missing, names a server of another service.
 fn foreign_row(record: &Path) -> io::Result<bool> {
-    let system = System::new(record)?;
+    let system = System::new(record, false)?;
     let named = spec("i-7f3a91c2", "menubook", "za");
     for other in [
         spec("i-02d9e6b4", "orderdesk", "zb"),
@@ -350,7 +354,7 @@
 
 /// Two of three machines of a zone stand still at once, and servers leave just after.
 fn hubs_still(record: &Path) -> io::Result<bool> {
-    let system = System::new(record)?;
+    let system = System::new(record, true)?;
     for server in [
         spec("i-02d9e6b4", "orderdesk", "za"),
         spec("i-5c11a0d7", "orderdesk", "zb"),
@@ -451,7 +455,7 @@
 
 /// Entries are stopped in turn and replaced, while clients send further look-ups before the first has been answered.
 fn stop_pipelined(record: &Path) -> io::Result<bool> {
-    let system = System::new(record)?;
+    let system = System::new(record, false)?;
     for (id, zone) in [
         ("i-90b37e55", "za"),
         ("i-c4de1287", "zb"),
