Read the store in time after both hubs of a failure domain are lost

Cause: any message of a hub counted as a proof that the leaf's tables were current, and a leaf called the store itself 3.0 s (a hub 1.5 s) after the last one, whatever the deployment's bound on changes. A hub that came back, and a message that was held up, started that wait anew.

Change: messages about a table state when the sender's copy was last known to be complete, on the sender's clock; the fastest message of a session relates the clocks (overlay::TableFollower). The first call of an entry whose copy is too old doesn't wait.

--- a/crates/entry/src/control/feeds.rs
+++ b/crates/entry/src/control/feeds.rs
@@ -4,7 +4,7 @@
     clock::millis,
     control::{
         apply::Source,
-        hubs::forward_timeout,
+        hubs::table_age_max,
         Control, //
     },
     message::FollowedTable,
@@ -16,7 +16,6 @@
     emit,
     Event, //
 };
-use overlay::Overlay;
 use plat::{
     Changes,
     Feed,
@@ -28,11 +27,6 @@
 use rand::RngExt;
 use std::time::Duration;
 
-/// Maximum time that a call of the first reader waits for changes. Each call puts load on the store, but readers whose
-/// calls get no answer go unnoticed for this long.
-pub(super) const CHANGES_WAIT: Duration = Duration::from_millis(1000);
-/// Maximum time that a call of a reader waits for changes while a reader before it forwards them.
-const BACKUP_CHANGES_WAIT: Duration = Duration::from_millis(2000);
 /// Maximum time that a new entry waits for the routing view of its hub. Sessions are up within a second of the start,
 /// and if an entire domain starts at once, its hub sends the view to one entry after the other. No caller uses a new
 /// entry yet.
@@ -43,20 +37,6 @@
 const START_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum interval between checks whether a call to the store is due.
 const DUE_POLL_INTERVAL: Duration = Duration::from_millis(200);
-/// Minimum time between two calls for changes of one table, per entry of the deployment. Changes within this time are
-/// batched into one answer; a first change is read at once, since a call is waiting for it.
-///
-/// Without batching, rows that are written one after the other, such as those of upstreams that start or are replaced,
-/// each end a call of every entry, and each call puts load on the store. So the time grows with the number of entries:
-/// up to eighty entries together make a hundred calls per second for a table, a twentieth of the two thousand reads
-/// per second that the smallest store sustains.
-const BATCH_INTERVAL_PER_ENTRY: Duration = Duration::from_millis(10);
-/// Lower bound of the batch interval: an eighth of the strictest bound within which a change has to be in force, two
-/// seconds.
-const BATCH_INTERVAL_MIN: Duration = Duration::from_millis(250);
-/// Upper bound of the batch interval: a quarter of that bound in deployments with so many entries, which is three
-/// seconds or more.
-const BATCH_INTERVAL_MAX: Duration = Duration::from_millis(800);
 /// Delay after a first failed call.
 const RETRY_DELAY_MIN: Duration = Duration::from_millis(200);
 /// Maximum delay after a failed call. Changes that the store has after an outage have to be in force within seconds,
@@ -159,6 +139,12 @@
     }
 }
 
+/// A whole table, and when its read began.
+struct TableRead {
+    rows: Rows,
+    called_at: Now,
+}
+
 impl<S: Feed + StoreTable + 'static, W: RowReader> Control<S, W> {
     /// Follows a table of the store for the lifetime of the process.
     pub(super) async fn follow(&self, table_name: &'static str, table: FollowedTable) {
@@ -167,15 +153,15 @@
             self.follow_changes(&mut calls).await;
         }
         loop {
-            let rows = self.read_table(&mut calls).await;
+            let read = self.read_table(&mut calls).await;
             if std::mem::take(&mut calls.restored) {
-                self.apply_restored_table(table, &rows);
+                self.apply_restored_table(table, &read);
                 let following = self.follow_changes(&mut calls);
                 let _ = tokio::time::timeout(REWRITE_WAIT, following).await;
                 continue;
             }
             let after_outage = calls.after_outage(self.now());
-            self.apply_table(table, &rows, after_outage);
+            self.apply_table(table, &read, after_outage);
             self.follow_changes(&mut calls).await;
         }
     }
@@ -222,9 +208,11 @@
         self.state.borrow_mut().table_mut(table).follower.position()
     }
 
-    fn apply_table(&self, table: FollowedTable, rows: &Rows, after_outage: bool) {
+    fn apply_table(&self, table: FollowedTable, read: &TableRead, after_outage: bool) {
+        let rows = &read.rows;
         let mut state = self.state.borrow_mut();
-        state.table_mut(table).follower.on_table_read(rows.position);
+        let follower = &mut state.table_mut(table).follower;
+        follower.on_read(rows.position, read.called_at);
         drop(state);
         match table {
             FollowedTable::Operator => {
@@ -246,9 +234,11 @@
 
     /// Applies a whole table of a store that was restored from an older copy. Nothing ends or is removed because its row
     /// is missing: the row may have been written after the copy and will be written again.
-    fn apply_restored_table(&self, table: FollowedTable, rows: &Rows) {
+    fn apply_restored_table(&self, table: FollowedTable, read: &TableRead) {
+        let rows = &read.rows;
         let mut state = self.state.borrow_mut();
-        state.table_mut(table).follower.on_table_read(rows.position);
+        let follower = &mut state.table_mut(table).follower;
+        follower.on_read(rows.position, read.called_at);
         drop(state);
         match table {
             FollowedTable::Operator => {
@@ -279,7 +269,7 @@
     }
 
     /// Reads the whole table, and retries until a read succeeds.
-    async fn read_table(&self, calls: &mut FeedCalls) -> Rows {
+    async fn read_table(&self, calls: &mut FeedCalls) -> TableRead {
         loop {
             calls.called_at = self.now();
             match self.store.read_all(calls.table_name).await {
@@ -290,7 +280,10 @@
                         rows: rows.rows.len(),
                         position: rows.position,
                     });
-                    return rows;
+                    return TableRead {
+                        rows,
+                        called_at: calls.called_at,
+                    };
                 }
                 Err(error) => self.on_read_failed(calls, &error).await,
             }
@@ -315,45 +308,58 @@
             tokio::pin!(changed);
             // Registers for the notification before the check; a change between the two would be missed otherwise.
             changed.as_mut().enable();
-            if self.is_due(table) {
+            let Some(forwarded_for) = self.forwarded_for(table) else {
                 return;
-            }
-            let _ = tokio::time::timeout(DUE_POLL_INTERVAL, changed).await;
+            };
+            let _ = tokio::time::timeout(forwarded_for.min(DUE_POLL_INTERVAL), changed).await;
         }
     }
 
-    fn is_due(&self, table: FollowedTable) -> bool {
+    /// Returns for how long a table counts as forwarded if no further message arrives; `None` if it doesn't.
+    fn forwarded_for(&self, table: FollowedTable) -> Option<Duration> {
+        let now = self.now();
         let mut state = self.state.borrow_mut();
-        !self.is_forwarded(&mut state, table, self.now())
+        let is_forwarded = self.is_forwarded(&mut state, table, now);
+        let age_max = table_age_max(&state, now);
+        let follower = &state.table_mut(table).follower;
+        is_forwarded.then(|| follower.forwarded_until(age_max).saturating_sub(now))
     }
 
     /// Returns the version after which the next call requests changes, and the maximum time that it waits for them.
     ///
     /// A call whose answer is lost ends only after its wait. During an outage the calls don't wait, so that the first one
-    /// after it begins soon.
+    /// after it begins soon. The first call of an entry that has heard nothing for long doesn't wait either: the entries
+    /// that it forwards the table to have heard nothing for as long.
     fn next_call(&self, calls: &FeedCalls) -> Option<(u64, Duration)> {
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        let silence = forward_timeout(&state.overlay, now);
+        let timing = state.feed_timing();
+        let age_max = table_age_max(&state, now);
         let follower = &state.table_mut(calls.table).follower;
-        let mut forwarders = follower.forwarders(silence, now);
-        let wait = if follower.has_gap() || calls.outage.is_some() {
+        let mut forwarders = follower.forwarders(age_max, now);
+        let is_old = follower.age(now) >= age_max;
+        let wait = if follower.has_gap() || is_old || calls.outage.is_some() {
             Duration::ZERO
         } else if forwarders.any(|reader| *reader < self.settings.instance) {
-            BACKUP_CHANGES_WAIT
+            timing.backup_changes_wait()
         } else {
-            CHANGES_WAIT
+            timing.changes_wait()
         };
         Some((follower.position()?, wait))
     }
 
+    fn batch_interval(&self) -> Duration {
+        let state = self.state.borrow();
+        state.feed_timing().batch_interval(&state.overlay)
+    }
+
     /// Waits for changes and returns them with the version after which they begin. Returns `None` if the whole table
     /// has to be read again.
     async fn next_changes(&self, calls: &mut FeedCalls) -> Option<(u64, Rows)> {
         loop {
             self.wait_until_due(calls.table).await;
             let elapsed = self.now().saturating_sub(calls.changed_at);
-            let batch_interval = batch_interval(&self.state.borrow().overlay);
+            let batch_interval = self.batch_interval();
             tokio::time::sleep(batch_interval.saturating_sub(elapsed)).await;
             let started = self.now();
             calls.called_at = started;
@@ -368,7 +374,9 @@
                     }
                     let mut state = self.state.borrow_mut();
                     let follower = &mut state.table_mut(calls.table).follower;
-                    follower.on_changes_read(rows.position);
+                    // A process that was paused meanwhile sees the answer late, but not before its wait has passed.
+                    let complete_at = self.now().min(started + wait);
+                    follower.on_read(rows.position, complete_at);
                     return Some((position, rows));
                 }
                 Ok(Changes::HistoryGone) => {
@@ -391,12 +399,3 @@
         }
     }
 }
-
-/// Returns the minimum time between two calls for changes. It depends on the number of all entries, since all of them
-/// call the store if their hubs are lost.
-pub(super) fn batch_interval(overlay: &Overlay) -> Duration {
-    let entries = overlay.sender_count().unwrap_or(1);
-    let entries = u32::try_from(entries).unwrap_or(u32::MAX);
-    let interval = BATCH_INTERVAL_PER_ENTRY.saturating_mul(entries);
-    interval.clamp(BATCH_INTERVAL_MIN, BATCH_INTERVAL_MAX)
-}
--- a/crates/entry/src/control/hubs.rs
+++ b/crates/entry/src/control/hubs.rs
@@ -7,7 +7,6 @@
 use crate::{
     control::{
         apply::Source,
-        feeds,
         Control,
         ControlState, //
     },
@@ -31,7 +30,7 @@
 };
 use overlay::{
     Continuity, //
-    Overlay,
+    Freshness,
     Roster,
 };
 use peer::SendResult;
@@ -42,13 +41,6 @@
 };
 use std::time::Duration;
 
-/// Time for the answer of a reader's call and its way to the other hubs.
-const FORWARD_TIME: Duration = Duration::from_millis(250);
-/// Time for which a leaf waits longer than its hub for a message, so that it doesn't call the store whenever its hub does:
-/// a keep-alive and the hub's read.
-const LEAF_EXTRA_WAIT: Duration = Duration::from_millis(1500);
-/// Minimum time between keep-alives of a hub to its leaves for an unchanged table.
-const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(1000);
 /// Version of a roster that has not been advertised.
 const NOT_ADVERTISED: u64 = 0;
 
@@ -134,9 +126,9 @@
         table: FollowedTable,
         now: Now,
     ) -> bool {
-        let timeout = forward_timeout(&state.overlay, now);
+        let age_max = table_age_max(state, now);
         let is_reader = state.overlay.is_reader(now);
-        !is_reader && state.table_mut(table).follower.is_forwarded(timeout, now)
+        !is_reader && state.table_mut(table).follower.is_forwarded(age_max, now)
     }
 
     /// Forwards changes that were read from the store to the leaves of this hub and, if it is a reader, to the other
@@ -152,14 +144,17 @@
             FollowedTable::Operator => self.rows.without_keys(row),
             FollowedTable::Upstreams => row.clone(),
         });
+        let mut state = self.state.borrow_mut();
+        let follower = &state.table_mut(table).follower;
         let message = Message::Rows(ForwardedRows {
             table,
             after,
             position: rows.position,
+            freshness: follower.read_freshness(self.now()),
             rows: forwarded.collect(),
             after_outage,
         });
-        self.send_to_followers(&self.state.borrow(), &message);
+        self.send_to_followers(&state, &message);
     }
 
     /// Sends the positions of the tables that this hub forwards on a new session.
@@ -169,10 +164,11 @@
             let is_hub = state.overlay.is_hub(self.now());
             let table_state = state.table_mut(table);
             let position = table_state.follower.position();
+            let freshness = table_state.follower.freshness(self.now());
             let is_reading = is_hub && !table_state.unreadable;
             drop(state);
             if let Some(position) = position.filter(|_| is_reading) {
-                self.send(to, &Message::Position(table, position));
+                self.send(to, &Message::Position(table, position, freshness));
             }
         }
     }
@@ -193,16 +189,18 @@
         self.send_to(hubs.chain(state.overlay.leaves()), message);
     }
 
-    pub(super) fn on_rows(&self, from: &InstanceId, forwarded: ForwardedRows, now: Now) {
+    pub(super) fn on_rows(&self, from: &InstanceId, mut forwarded: ForwardedRows, now: Now) {
         let ForwardedRows {
             table,
             after,
             position,
+            freshness,
             ..
         } = forwarded;
         let mut state = self.state.borrow_mut();
         let follower = &mut state.table_mut(table).follower;
-        let continuity = follower.on_forwarded(from, after, position, now);
+        let continuity = follower.on_forwarded(from, after, position, freshness, now);
+        forwarded.freshness = follower.freshness(now);
         drop(state);
         let label = match continuity {
             Continuity::Next => "taken",
@@ -234,16 +232,18 @@
     /// Sends the leaves of this hub a keep-alive for an unchanged table.
     fn send_keep_alive(&self, table: FollowedTable, now: Now) {
         let mut state = self.state.borrow_mut();
+        let interval = state.feed_timing().keep_alive_interval();
         let table_state = state.table_mut(table);
         let Some(position) = table_state.follower.position() else {
             return;
         };
-        if now.saturating_sub(table_state.last_sent_at) < KEEP_ALIVE_INTERVAL {
+        if now.saturating_sub(table_state.last_sent_at) < interval {
             return;
         }
         table_state.last_sent_at = now;
+        let freshness = table_state.follower.freshness(now);
         drop(state);
-        self.send_to_leaves(&Message::Position(table, position), None);
+        self.send_to_leaves(&Message::Position(table, position, freshness), None);
     }
 
     pub(super) fn on_position(
@@ -251,11 +251,12 @@
         from: &InstanceId,
         table: FollowedTable,
         position: u64,
+        freshness: Freshness,
         now: Now,
     ) {
         let mut state = self.state.borrow_mut();
         let follower = &mut state.table_mut(table).follower;
-        if follower.on_hub_position(from, position, now) {
+        if follower.on_hub_position(from, position, freshness, now) {
             drop(state);
             self.note_current(table);
         }
@@ -296,6 +297,8 @@
         let full_view = FullView {
             operator_position,
             upstreams_position,
+            operator_freshness: state.operator.follower.freshness(now),
+            upstreams_freshness: state.upstreams.follower.freshness(now),
             routes: view.routes().cloned(),
             evacuations: view.evacuation_updates(),
             upstreams: view.upstream_updates(0, now),
@@ -327,17 +330,22 @@
         state
             .view
             .advance_read_position(received.upstreams_position);
-        state
-            .operator
-            .follower
-            .on_table_read(received.operator_position);
-        state
-            .upstreams
-            .follower
-            .on_table_read(received.upstreams_position);
-        for table_state in [&mut state.operator, &mut state.upstreams] {
-            let position = table_state.follower.position().unwrap_or_default();
-            table_state.follower.on_hub_position(from, position, now);
+        let tables = [
+            (
+                &mut state.operator,
+                received.operator_position,
+                received.operator_freshness,
+            ),
+            (
+                &mut state.upstreams,
+                received.upstreams_position,
+                received.upstreams_freshness,
+            ),
+        ];
+        for (table_state, position, freshness) in tables {
+            let follower = &mut table_state.follower;
+            follower.on_read(position, Now::ZERO);
+            follower.on_hub_position(from, position, freshness, now);
         }
         emit(&Event::PictureTaken {
             from: from.clone(),
@@ -360,15 +368,9 @@
     }
 }
 
-/// Returns the time without a message about a table after which an entry calls the store itself. Readers forward what
-/// each call returns, and the first of them begins the next one within the batch interval.
-pub(super) fn forward_timeout(overlay: &Overlay, now: Now) -> Duration {
-    let hub_timeout = feeds::batch_interval(overlay) + feeds::CHANGES_WAIT + FORWARD_TIME;
-    if overlay.is_hub(now) {
-        hub_timeout
-    } else {
-        hub_timeout + LEAF_EXTRA_WAIT
-    }
+/// Returns the age of a forwarded table at which this entry calls the store itself.
+pub(super) fn table_age_max(state: &ControlState, now: Now) -> Duration {
+    state.feed_timing().age_max(state.overlay.is_hub(now))
 }
 
 /// Returns the rosters that are new to sessions, and removals of those that are no longer advertised.
--- a/crates/entry/src/control/messages.rs
+++ b/crates/entry/src/control/messages.rs
@@ -186,7 +186,9 @@
         match message {
             Message::State(entry_state) => self.on_state(from, entry_state),
             Message::Rows(rows) => self.on_rows(from, rows, now),
-            Message::Position(table, position) => self.on_position(from, table, position, now),
+            Message::Position(table, position, freshness) => {
+                self.on_position(from, table, position, freshness, now);
+            }
             Message::NotReading(table) => self.on_not_reading(from, table),
             Message::WantView => self.on_want_view(from, now),
             Message::View(view) => self.on_view(from, view, now),
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -3,7 +3,8 @@
 //! Everything in this module runs on one thread, so the state is a [`RefCell`]; no borrow of it is held across an
 //! await. Each change of the state ends with a call of [`Control::publish`], which creates a snapshot of it.
 //!
-//! - `feeds` follows the two tables of the store, and `apply` applies their rows to the routing view.
+//! - `feeds` follows the two tables of the store at the intervals of `feed_timing`, and `apply` applies their rows to the
+//!   routing view.
 //! - `publish` creates snapshots.
 //! - `registry` registers this entry and reads the rows of the others, and `sessions` keeps sessions to them.
 //! - `hubs` exchanges rosters and forwards the store's rows to a hub's leaves.
@@ -21,6 +22,7 @@
 mod crash_rows;
 mod crashes;
 mod departures;
+mod feed_timing;
 mod feeds;
 mod hubs;
 mod limits;
@@ -60,6 +62,7 @@
     take_dropped_lines,
     Event, //
 };
+use feed_timing::FeedTiming;
 use lease::{
     EraWait,
     Leases, //
@@ -211,6 +214,11 @@
         }
     }
 
+    /// Returns the intervals of following the store's tables.
+    fn feed_timing(&self) -> FeedTiming {
+        FeedTiming::new(self.bounds.change_within)
+    }
+
     fn table_mut(&mut self, table: FollowedTable) -> &mut TableState {
         match table {
             FollowedTable::Operator => &mut self.operator,
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -15,6 +15,7 @@
 use overlay::{
     CallerService,
     Capacity,
+    Freshness,
     Load,
     LoadKey,
     Member,
@@ -57,7 +58,7 @@
     /// Changes that a reader has read from the store, for the other hubs and all leaves.
     Rows(ForwardedRows),
     /// Version up to which a hub has read a table, sent on a new session and as a keep-alive.
-    Position(FollowedTable, u64),
+    Position(FollowedTable, u64, Freshness),
     /// The sender can't read this table of the store.
     NotReading(FollowedTable),
     /// The sender has just started and has not read any table yet.
@@ -156,6 +157,8 @@
     pub(crate) after: u64,
     /// Version up to which the changes reach.
     pub(crate) position: u64,
+    /// Until when the sender's table is known to be complete.
+    pub(crate) freshness: Freshness,
     /// Changed rows.
     pub(crate) rows: Vec<FeedRow>,
     /// The store has just become available again; rows may be missing that are soon rewritten.
@@ -169,6 +172,10 @@
     pub(crate) operator_position: u64,
     /// Version up to which the upstreams' table was read.
     pub(crate) upstreams_position: u64,
+    /// Until when the operators' table is known to be complete.
+    pub(crate) operator_freshness: Freshness,
+    /// Until when the upstreams' table is known to be complete.
+    pub(crate) upstreams_freshness: Freshness,
     /// Routes in force.
     pub(crate) routes: Option<Arc<Routes>>,
     /// Evacuations, including ended ones.
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -20,6 +20,8 @@
 pub struct Bounds {
     /// Maximum time from the signal to stop to the end of the process.
     pub grace: Duration,
+    /// Maximum time until a change that the store has acknowledged is in force at every entry.
+    pub change_within: Duration,
     /// Maximum ratio of retries to requests of a service.
     pub retry_ratio: f64,
     /// Window over which the ratio of retries is measured.
@@ -45,6 +47,7 @@
     fn default() -> Self {
         Self {
             grace: Duration::from_secs(6),
+            change_within: Duration::from_secs(2),
             retry_ratio: 0.1,
             retry_window: Duration::from_secs(10),
             retry_slack: 20.0,
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -104,11 +104,16 @@
         Instant, //
     },
 };
-use tokio::sync::oneshot;
+use tokio::sync::mpsc::{
+    unbounded_channel,
+    UnboundedSender, //
+};
 
 /// Window of the entries' retry budget. During its first window a process gets no share of the budget's constant
 /// part, so tests wait until that window has passed.
 const RETRY_WINDOW: Duration = Duration::from_millis(400);
+/// Time within which a change that the store has is in force at every entry.
+pub(crate) const CHANGE_WITHIN: Duration = Duration::from_secs(2);
 /// Timeout for expected events; long enough for a busy machine.
 pub(crate) const TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -146,9 +151,22 @@
     pub(crate) metrics: SocketAddr,
     settings: Settings,
     changes: std::sync::mpsc::Sender<Result<Settings, Vec<String>>>,
-    stop: Option<oneshot::Sender<()>>,
+    signals: Option<UnboundedSender<Signal>>,
+}
+
+/// What the process of an entry is told.
+enum Signal {
+    Stop,
+    /// Control stands still until the other end of the channel is dropped.
+    Pause(std::sync::mpsc::Receiver<()>),
 }
 
+/// A pause of an entry's control thread, which lasts until this is dropped. The entry's sessions stay open and carry
+/// nothing, as if its machine had lost power.
+pub(crate) struct Pause(
+    #[expect(dead_code, reason = "ends the pause when dropped")] std::sync::mpsc::Sender<()>,
+);
+
 impl Entry {
     /// Starts an entry in `region-a`, and waits until it is ready, has counted the other entries and has its share of
     /// the retry budget; before that it sends no request twice.
@@ -242,6 +260,7 @@
             relay_addr: Some(relay),
             bounds: Bounds {
                 grace,
+                change_within: CHANGE_WITHIN,
                 retry_ratio: 0.2,
                 retry_window: RETRY_WINDOW,
                 retry_slack: 60.0,
@@ -266,13 +285,15 @@
         let store = store.clone();
         let initial_settings = settings.clone();
         let (changes, changed) = std::sync::mpsc::channel();
-        let (stop, stopped) = oneshot::channel();
+        let (signals, mut received) = unbounded_channel();
         thread::spawn(move || {
             let reload: Reload = Box::new(move || changed.try_recv().ok());
             let handle = METRICS.get_or_init(|| PrometheusBuilder::new().build_recorder().handle());
             let shutdown = async move {
                 // Dropping the `Entry` stops the entry as well.
-                let _ = stopped.await;
+                while let Some(Signal::Pause(end)) = received.recv().await {
+                    let _ = end.recv();
+                }
                 Ok(())
             };
             let dialect = Dialect::default_names();
@@ -297,7 +318,7 @@
             metrics: initial_settings.metrics_addr,
             settings: initial_settings,
             changes,
-            stop: Some(stop),
+            signals: Some(signals),
         }
     }
 
@@ -312,8 +333,18 @@
 
     /// Starts the planned stop.
     pub(crate) fn stop(&mut self) {
-        let stop = self.stop.take().expect("the entry is stopped only once");
-        stop.send(()).expect("the entry is running");
+        let signals = self.signals.take();
+        let signals = signals.expect("the entry is stopped only once");
+        assert!(signals.send(Signal::Stop).is_ok(), "the entry is running");
+    }
+
+    /// Stops the entry's control thread, without a message to other entries.
+    pub(crate) fn pause(&self) -> Pause {
+        let (end, ended) = std::sync::mpsc::channel();
+        let signals = self.signals.as_ref().expect("the entry is running");
+        let sent = signals.send(Signal::Pause(ended));
+        assert!(sent.is_ok(), "the entry is running");
+        Pause(end)
     }
 
     pub(crate) fn wait_ready(&self, ready: bool) {
--- a/crates/overlay/src/lib.rs
+++ b/crates/overlay/src/lib.rs
@@ -36,8 +36,9 @@
     Capacity, //
 };
 pub use follower::{
-    Continuity, //
-    Guards,
+    Continuity,
+    Freshness,
+    Guards, //
     TableFollower,
 };
 pub use member::Member;
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -123,6 +123,7 @@
 fn read_bounds(map: &mut Map<'_>) -> Bounds {
     let defaults = Bounds::default();
     let grace = duration(map.optional("grace_ms"));
+    let change_within = duration(map.optional("change_within_ms"));
     let retry_ratio = ratio(map.optional("retry_pct"));
     let retry_window = duration(map.optional("retry_window_ms"));
     let retry_slack = count(map.optional("retry_slack"));
@@ -135,6 +136,7 @@
     let quota_slack = count(map.optional("quota_slack"));
     Bounds {
         grace: grace.unwrap_or(defaults.grace),
+        change_within: change_within.unwrap_or(defaults.change_within),
         retry_ratio: retry_ratio.unwrap_or(defaults.retry_ratio),
         retry_window: retry_window.unwrap_or(defaults.retry_window),
         retry_slack: retry_slack.unwrap_or(defaults.retry_slack),
--- a/crates/router/tests/settings.rs
+++ b/crates/router/tests/settings.rs
@@ -49,7 +49,7 @@
 #[test]
 fn bounds_are_read_in_their_units() {
     let text = format!(
-        "{MINIMAL}bounds: {{grace_ms: 4000, retry_pct: 20, cold_pct: 150, cold_slack: 5, \
+        "{MINIMAL}bounds: {{grace_ms: 4000, change_within_ms: 3000, retry_pct: 20, cold_pct: 150, cold_slack: 5, \
          shift_pct: 12.5, lookup_ttl_ms: 1500}}\n"
     );
     let bounds = Settings::parse("s.yaml", &text)
@@ -57,6 +57,7 @@
         .entry
         .bounds;
     assert_eq!(bounds.grace, Duration::from_secs(4));
+    assert_eq!(bounds.change_within, Duration::from_secs(3));
     assert_eq!(bounds.retry_ratio, 0.2);
     assert_eq!(bounds.cold_factor, 1.5);
     assert_eq!(bounds.cold_slack, 5.0);
