Start no request behind the answer that closes its connection

Cause: the writing half of a connection decided to close when it began a response and nothing else was queued; the reading half went on starting requests while the body was written, and these were dropped with the queue.

Change: the decision is state of the connection, made before the head is written. No request is started after it, those started before are answered, and the last answer closes. A stopping process has one request at a time on a connection, and none before the caller has acknowledged the answer before it; a closing connection stays until everything is acknowledged, which the stop waits for within its grace period. Requests of downloads and of routes that had a response too long to be buffered run alone on their connection, so that nothing is lost behind one that breaks off; its connection is reset at once. A long response doesn't announce a planned stop: callers may close their end on reading it.

--- a/crates/entry/src/traffic/attempt.rs
+++ b/crates/entry/src/traffic/attempt.rs
@@ -52,7 +52,7 @@
 
 /// Longest response body that is buffered completely before it is forwarded, so that the request can be retried if the
 /// body breaks off. A longer body is streamed.
-const BUFFERED_BODY_BYTES_MAX: usize = 256 << 10;
+pub(super) const BUFFERED_BODY_BYTES_MAX: usize = 256 << 10;
 
 /// Length up to which a response body is buffered completely even if there is no more memory for bodies.
 const SMALL_BODY_BYTES: usize = 8 << 10;
--- a/crates/entry/src/traffic/lookup.rs
+++ b/crates/entry/src/traffic/lookup.rs
@@ -22,6 +22,7 @@
 };
 use relay::{
     CallerResponse,
+    Concurrency,
     Handler,
     Refusal,
     Request, //
@@ -68,8 +69,8 @@
         false
     }
 
-    fn may_run_concurrently(&self, _: &Head) -> bool {
-        true
+    fn concurrency(&self, _: &Head) -> Concurrency {
+        Concurrency::Concurrent
     }
 
     async fn handle(self: Rc<Self>, request: Request) -> CallerResponse {
--- a/crates/entry/src/traffic/mod.rs
+++ b/crates/entry/src/traffic/mod.rs
@@ -53,9 +53,11 @@
 use arc_swap::ArcSwap;
 use balance::affinity_hash;
 use base::{
+    FastSet,
     Now,
     Version, //
 };
+use bytestring::ByteString;
 use fleet::Fleet;
 use metrics_exporter_prometheus::PrometheusHandle;
 use org::Limiter;
@@ -115,6 +117,8 @@
     pub(crate) body_memory: BodyMemory,
     /// Number of open connections from callers.
     pub(crate) caller_connections: Cell<usize>,
+    /// Routes that had a response which was too long to be buffered.
+    long_response_routes: RefCell<FastSet<ByteString>>,
     /// Requests that wait at this entry.
     waiting: RefCell<waiting::Queues>,
     /// Rate limit for log lines about requests.
@@ -142,6 +146,7 @@
             quota_parts_seen: Cell::new(0),
             body_memory,
             caller_connections: Cell::new(0),
+            long_response_routes: RefCell::default(),
             waiting: RefCell::default(),
             log_limiter: request_log::LogLimiter::default(),
         }
@@ -193,6 +198,18 @@
         }
     }
 
+    /// Returns whether responses of a route may be too long to be buffered, so that they may break off while they are
+    /// written.
+    fn has_long_responses(&self, route: &ByteString) -> bool {
+        self.long_response_routes.borrow().contains(route)
+    }
+
+    fn note_long_response(&self, route: &ByteString) {
+        if !self.has_long_responses(route) {
+            self.long_response_routes.borrow_mut().insert(route.clone());
+        }
+    }
+
     pub(crate) fn now(&self) -> Now {
         self.shared.clock.now()
     }
--- a/crates/entry/src/traffic/relayed.rs
+++ b/crates/entry/src/traffic/relayed.rs
@@ -23,6 +23,7 @@
 use relay::{
     BodyMemory,
     CallerResponse,
+    Concurrency,
     Handler,
     Refusal,
     Request, //
@@ -81,8 +82,8 @@
         self.traffic.is_stopping()
     }
 
-    fn may_run_concurrently(&self, _: &Head) -> bool {
-        false
+    fn concurrency(&self, _: &Head) -> Concurrency {
+        Concurrency::Sequential
     }
 
     async fn handle(self: Rc<Self>, mut request: Request) -> CallerResponse {
--- a/crates/entry/src/traffic/request.rs
+++ b/crates/entry/src/traffic/request.rs
@@ -29,11 +29,15 @@
 use relay::{
     BodyMemory,
     CallerResponse,
+    Concurrency,
     Handler,
     Refusal,
     Request, //
 };
-use route::CallerLimits;
+use route::{
+    CallerLimits,
+    Kind, //
+};
 use std::{
     rc::Rc,
     sync::atomic::Ordering,
@@ -51,13 +55,19 @@
         self.shared.published.load().stopping
     }
 
-    fn may_run_concurrently(&self, head: &Head) -> bool {
+    fn concurrency(&self, head: &Head) -> Concurrency {
         let snapshot = self.shared.published.load();
         let route = snapshot.routes.as_ref().and_then(|table| {
             let host = head.headers().get(HOST)?.to_str().ok()?;
             table.find(host, head.uri().path())
         });
-        route.is_some_and(|route| route.kind.is_idempotent())
+        match route {
+            Some(route) if route.kind == Kind::Download || self.has_long_responses(&route.id) => {
+                Concurrency::Exclusive
+            }
+            Some(route) if route.kind.is_idempotent() => Concurrency::Concurrent,
+            _ => Concurrency::Sequential,
+        }
     }
 
     async fn handle(self: Rc<Self>, request: Request) -> CallerResponse {
--- a/crates/entry/src/traffic/response.rs
+++ b/crates/entry/src/traffic/response.rs
@@ -5,7 +5,8 @@
     traffic::{
         attempt::{
             ReceivedBody,
-            ReceivedResponse, //
+            ReceivedResponse,
+            BUFFERED_BODY_BYTES_MAX, //
         },
         dispatch::{
             Dispatch,
@@ -116,6 +117,9 @@
                 rest,
                 guard,
             } => {
+                if prefix.len() > BUFFERED_BODY_BYTES_MAX {
+                    self.traffic.note_long_response(&self.route.id);
+                }
                 let stream = ResponseStream {
                     id: self.id.clone(),
                     received: self.received,
--- a/crates/entry/tests/faults.rs
+++ b/crates/entry/tests/faults.rs
@@ -17,7 +17,10 @@
         Arc, //
     },
     thread,
-    time::Duration, //
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 use support::{
     eventually,
@@ -501,6 +504,45 @@
     assert_eq!(setup.call("GET", "/d/x", "a1", ""), None);
 }
 
+/// Guards against requests that are passed on behind a long answer and get none, because that one breaks off.
+macro_rules! requests_behind_an_answer_that_breaks_off_stay_unsent {
+    ($($name:ident: $path:expr, $whole_answers:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let whole_answers: &[&str] = $whole_answers;
+            let setup = Setup::scripted(Box::new(|_, request, connection| {
+                let answer = ok_response(request, &"y".repeat(1 << 20));
+                if request.id().starts_with("b") {
+                    connection.write(&answer[..answer.len() - 10]);
+                    connection.close();
+                    return false;
+                }
+                connection.write(answer);
+                true
+            }));
+            for id in whole_answers {
+                let answer = setup.call("GET", $path, id, "");
+                assert_eq!(answer.map(|answer| answer.status), Some(200));
+            }
+            let mut caller = Caller::connect(&setup.entry);
+            let pipelined = ["b1", "c1", "c2"].map(|id| request_head("GET", $path, id, ""));
+            let sent = Instant::now();
+            caller.send(pipelined.concat());
+            assert_eq!(caller.read_response(), None);
+            assert!(sent.elapsed() < Duration::from_secs(1), "the connection stays open");
+            thread::sleep(Duration::from_millis(300));
+            for id in ["c1", "c2"] {
+                assert!(setup.requests_with_id(id).is_empty(), "{id} was passed on");
+            }
+        }
+    )*};
+}
+
+requests_behind_an_answer_that_breaks_off_stay_unsent! {
+    requests_behind_a_download_that_breaks_off_stay_unsent: "/d/x", &[];
+    requests_behind_a_long_answer_that_breaks_off_stay_unsent: "/r/x", &["a1"];
+}
+
 /// Pipelined requests get their responses in order; none is served after one with `connection: close`.
 #[test]
 fn pipelined_requests_get_responses_in_order() {
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -333,7 +333,13 @@
 
     /// Starts the planned stop.
     pub(crate) fn stop(&mut self) {
-        let signals = self.signals.take();
+        self.begin_stop();
+        self.signals = None;
+    }
+
+    /// Like [`Self::stop`], while others still use the entry.
+    pub(crate) fn begin_stop(&self) {
+        let signals = self.signals.as_ref();
         let signals = signals.expect("the entry is stopped only once");
         assert!(signals.send(Signal::Stop).is_ok(), "the entry is running");
     }
@@ -487,6 +493,14 @@
         })
     }
 
+    /// Uses an open connection.
+    pub(crate) fn of_stream(stream: TcpStream) -> Self {
+        Self {
+            stream,
+            buffer: Vec::new(),
+        }
+    }
+
     pub(crate) fn send(&mut self, bytes: impl AsRef<[u8]>) {
         assert!(self.try_send(bytes), "the connection is open");
     }
@@ -535,6 +549,13 @@
     }
 }
 
+/// Removes and returns the first response in `bytes` if it is complete.
+pub(crate) fn take_response(bytes: &mut Vec<u8>) -> Option<Response> {
+    let (response, length) = complete_response(bytes)?;
+    bytes.drain(..length);
+    Some(response)
+}
+
 /// Returns the first response in `bytes`, and its length, if it is complete by its own framing.
 fn complete_response(bytes: &[u8]) -> Option<(Response, usize)> {
     let mut response = Response::parse(bytes)?;
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -23,7 +23,8 @@
     response_writer::{
         write_responses,
         QueuedResponse,
-        ResponseTask, //
+        ResponseTask,
+        WRITE_STALL_TIMEOUT, //
     },
 };
 use actix_codec::Decoder;
@@ -54,7 +55,10 @@
         Instant, //
     },
 };
-use strict::set_socket_options;
+use strict::{
+    set_socket_options,
+    unacknowledged_bytes, //
+};
 use tokio::{
     io::Interest,
     net::{
@@ -94,9 +98,11 @@
 const STREAM_BYTES: u64 = (LIMITED_BODY_CHANNEL_PARTS + 5) as u64 * LIMITED_PART_BYTES as u64;
 /// Interval between checks whether a caller has closed its end while nothing more is read from it.
 const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(100);
-/// Time for a caller to close its end after the last response. Closing with unread bytes resets the
+/// Time for a caller to close its end after it has received the last response. Closing with unread bytes resets the
 /// connection, and the caller could lose a response that it has not read yet.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Interval between checks whether a caller has received all that was written.
+const RECEIVED_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Why a request was refused before it was read completely; no part of it has reached an upstream.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
@@ -115,6 +121,18 @@
     Internal,
 }
 
+/// How a request may run beside others of its connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Concurrency {
+    /// Beside earlier requests, which may end up without a response.
+    Concurrent,
+    /// After all earlier requests.
+    Sequential,
+    /// After all earlier requests and before all later ones. If a response breaks off while it is written, the connection
+    /// ends, and later requests that have run would get no response.
+    Exclusive,
+}
+
 /// Handles callers' requests.
 pub trait Handler: 'static {
     /// Current limits on what callers may send.
@@ -123,9 +141,8 @@
     /// Whether the process is about to stop, so that connections close after the current response.
     fn is_stopping(&self) -> bool;
 
-    /// Whether a request may run concurrently with earlier ones on its connection, which may end up
-    /// without a response.
-    fn may_run_concurrently(&self, head: &Head) -> bool;
+    /// How a request may run beside others of its connection.
+    fn concurrency(&self, head: &Head) -> Concurrency;
 
     /// Memory for bodies; unlimited by default.
     fn body_memory(&self) -> BodyMemory {
@@ -146,6 +163,9 @@
     pub(crate) in_flight: Cell<usize>,
     /// Notified when a response has been written.
     pub(crate) response_written: Notify,
+    /// Whether the connection closes after the responses to the requests that have been started. No further one is
+    /// started then: callers repeat it.
+    pub(crate) closing: Cell<bool>,
 }
 
 /// Serves a caller's connection until it ends.
@@ -164,18 +184,38 @@
         handler: handler.clone(),
         state: state.clone(),
         queue,
+        after_exclusive: false,
     };
     let reading = reader.run();
     tokio::pin!(reading);
     let writing = write_responses(write_half, receiver, handler, state);
-    tokio::select! {
+    let written = tokio::select! {
         () = &mut reading => return,
         // The write half was shut down. Dropping it doesn't close the connection while the read
         // half exists.
-        _write_half = writing => {}
+        written = writing => written,
+    };
+    if written.is_broken {
+        return;
+    }
+    // Closing before the caller has received everything could cost it the last response: further requests that it sends
+    // before it reads that response would reset the connection.
+    let mut progress_at = Instant::now();
+    let mut unacknowledged = written.unacknowledged_bytes();
+    while timeout(RECEIVED_POLL_INTERVAL, &mut reading).await.is_err() {
+        let before = std::mem::replace(&mut unacknowledged, written.unacknowledged_bytes());
+        if unacknowledged < before {
+            progress_at = Instant::now();
+        }
+        let limit = if unacknowledged == 0 {
+            LINGER_TIMEOUT
+        } else {
+            WRITE_STALL_TIMEOUT
+        };
+        if progress_at.elapsed() >= limit {
+            return;
+        }
     }
-    // A timeout ends the connection, too.
-    let _ = timeout(LINGER_TIMEOUT, reading).await;
 }
 
 /// Why the read half ends.
@@ -194,6 +234,8 @@
     handler: Rc<H>,
     state: Rc<ConnectionState>,
     queue: UnboundedSender<QueuedResponse>,
+    /// Whether the request that was started last is exclusive.
+    after_exclusive: bool,
 }
 
 impl<H: Handler> RequestReader<H> {
@@ -222,13 +264,16 @@
     async fn read_request(&mut self) -> Result<bool, ReadEnd> {
         let head = self.read_head().await?;
         let received = Instant::now();
-        let concurrent = self.handler.may_run_concurrently(&head);
+        let concurrency = self.handler.concurrency(&head);
         if self.has_body() && head.head().expect() && self.state.in_flight.get() == 0 {
             self.send_continue();
         }
         let (body, remainder, body_hold) = self.read_body(&head).await?;
-        let max_in_flight = if concurrent { PIPELINED_MAX } else { 1 };
-        self.wait_for_in_flight_below(max_in_flight).await?;
+        self.wait_for_turn(concurrency).await?;
+        if self.state.closing.get() {
+            return Ok(false);
+        }
+        self.after_exclusive = concurrency == Concurrency::Exclusive;
         let close = head.head().connection_type() != ConnectionType::KeepAlive;
         let head_only = head.method() == Method::HEAD;
         let request = Request {
@@ -472,17 +517,32 @@
         }
     }
 
-    /// Waits until fewer than `max_in_flight` requests are in flight, while checking that the
-    /// caller is still connected.
-    async fn wait_for_in_flight_below(&mut self, max_in_flight: usize) -> Result<(), ReadEnd> {
+    /// Waits until few enough requests are in flight to start another one, while checking that the caller is still
+    /// connected.
+    async fn wait_for_turn(&mut self, concurrency: Concurrency) -> Result<(), ReadEnd> {
         let read_ahead_max = self.read_ahead_bytes_max();
-        while self.state.in_flight.get() >= max_in_flight {
+        let is_concurrent = concurrency == Concurrency::Concurrent && !self.after_exclusive;
+        loop {
+            // Once the process stops, a response that is being written may turn out to be the last one, and one that a
+            // slow caller has not received yet leaves too little time for another.
+            let is_stopping = self.handler.is_stopping();
+            let max_in_flight = if is_concurrent && !is_stopping {
+                PIPELINED_MAX
+            } else {
+                1
+            };
+            let in_flight = self.state.in_flight.get();
+            let stream: &TcpStream = self.read_half.as_ref();
+            let is_received = || unacknowledged_bytes(stream).unwrap_or(0) == 0;
+            if in_flight < max_in_flight && (!is_stopping || is_received()) {
+                return Ok(());
+            }
             tokio::select! {
                 () = self.state.response_written.notified() => {}
+                () = sleep(RECEIVED_POLL_INTERVAL), if is_stopping && in_flight == 0 => {}
                 read = read_ahead(&mut self.read_half, &mut self.buf, read_ahead_max) => read?,
             }
         }
-        Ok(())
     }
 
     fn read_ahead_bytes_max(&self) -> usize {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -34,6 +34,7 @@
 };
 pub use caller::{
     serve,
+    Concurrency,
     Handler,
     Refusal, //
 };
--- a/crates/relay/src/response_writer.rs
+++ b/crates/relay/src/response_writer.rs
@@ -21,15 +21,20 @@
 use actix_http::StatusCode;
 use bytes::BytesMut;
 use std::{
+    any::Any,
     cell::Cell,
     future::Future,
     io,
     rc::Rc,
     time::Duration, //
 };
+use strict::unacknowledged_bytes;
 use tokio::{
     io::AsyncWriteExt,
-    net::tcp::OwnedWriteHalf,
+    net::{
+        tcp::OwnedWriteHalf,
+        TcpStream, //
+    },
     sync::mpsc::{
         Receiver,
         UnboundedReceiver, //
@@ -39,7 +44,7 @@
 };
 
 /// Longest time for which a write of a response may make no progress.
-const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(15);
+pub(crate) const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// Response to a request, available or still being produced; dropping it cancels the request.
 pub(crate) enum ResponseTask {
@@ -71,6 +76,23 @@
     pub(crate) body_read: Rc<Cell<bool>>,
 }
 
+/// A connection after its last response, which the caller may not have received yet.
+pub(crate) struct Written {
+    write_half: OwnedWriteHalf,
+    /// Whether a response broke off, so that closing the connection resets it.
+    pub(crate) is_broken: bool,
+    /// Guard of the last response. A planned stop waits for it, and so until the caller has received that response.
+    _guard: Option<Box<dyn Any>>,
+}
+
+impl Written {
+    /// Returns how many bytes the caller has not acknowledged; 0 if that can't be told.
+    pub(crate) fn unacknowledged_bytes(&self) -> usize {
+        let stream: &TcpStream = self.write_half.as_ref();
+        unacknowledged_bytes(stream).unwrap_or(0)
+    }
+}
+
 /// Writes the responses in order until one closes the connection, which is then shut down for
 /// writing.
 pub(crate) async fn write_responses<H: Handler>(
@@ -78,7 +100,9 @@
     mut queue: UnboundedReceiver<QueuedResponse>,
     handler: Rc<H>,
     state: Rc<ConnectionState>,
-) -> OwnedWriteHalf {
+) -> Written {
+    let mut last_guard = None;
+    let mut is_broken = false;
     while let Some(queued) = queue.recv().await {
         let mut response = match queued.task {
             ResponseTask::Ready(response) => *response,
@@ -87,14 +111,22 @@
                 Err(_panicked) => handler.refuse(Refusal::Internal),
             },
         };
-        // Callers take requests behind a response that closes the connection as not processed, so
-        // the connection stays open while other responses are queued.
-        let stopping = handler.is_stopping() && queue.is_empty();
+        // A caller may close its end as soon as it reads that the connection closes, which would cut off a long response.
+        // A planned stop therefore waits for a later response, or for the end of the process.
+        let is_long = matches!(response.body, ResponseBody::Stream { .. });
+        let stops = handler.is_stopping() && !is_long;
         // The unread rest of a request's body would be parsed as the next request.
-        let close = queued.close || response.close || stopping || !queued.body_read.get();
+        if queued.close || response.close || stops || !queued.body_read.get() {
+            state.closing.set(true);
+        }
+        // Callers take requests behind a response that closes the connection as not processed, so the last response to a
+        // request that was started closes it. None is started from here on.
+        let close = state.closing.get() && queue.is_empty();
         let guard = response.guard.take();
         let written = write_response(&mut write_half, response, queued.head_only, close).await;
-        drop(guard);
+        if close {
+            last_guard = guard;
+        }
         state.in_flight.set(state.in_flight.get() - 1);
         state.response_written.notify_one();
         match written {
@@ -103,13 +135,21 @@
             // A truncated response must not look complete: the connection is reset, not shut down.
             Err(_incomplete) => {
                 reset_on_close(&write_half);
-                return write_half;
+                is_broken = true;
+                break;
             }
         }
     }
-    // Fails if the caller closed the connection first.
-    let _ = write_half.shutdown().await;
-    write_half
+    state.closing.set(true);
+    if !is_broken {
+        // Fails if the caller closed the connection first.
+        let _ = write_half.shutdown().await;
+    }
+    Written {
+        write_half,
+        is_broken,
+        _guard: last_guard,
+    }
 }
 
 /// Makes closing the connection send a reset.
@@ -117,7 +157,7 @@
 /// A body with a length or in chunks looks truncated after an orderly close, too. A reset is
 /// reported to the caller at once, even if it doesn't check the framing.
 fn reset_on_close(write_half: &OwnedWriteHalf) {
-    let stream: &tokio::net::TcpStream = write_half.as_ref();
+    let stream: &TcpStream = write_half.as_ref();
     // Fails if the connection has already ended, which needs no reset.
     let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
 }
--- a/crates/relay/tests/bodies.rs
+++ b/crates/relay/tests/bodies.rs
@@ -6,6 +6,7 @@
     BodyMemory,
     BodyPart,
     CallerResponse,
+    Concurrency,
     Handler,
     Refusal,
     Request,
@@ -81,8 +82,8 @@
         false
     }
 
-    fn may_run_concurrently(&self, _: &actix_http::Request) -> bool {
-        false
+    fn concurrency(&self, _: &actix_http::Request) -> Concurrency {
+        Concurrency::Sequential
     }
 
     fn body_memory(&self) -> BodyMemory {
--- a/crates/strict/src/lib.rs
+++ b/crates/strict/src/lib.rs
@@ -18,7 +18,10 @@
 mod stream;
 
 pub use closing::ClosingConnections;
-pub use socket::set_socket_options;
+pub use socket::{
+    set_socket_options,
+    unacknowledged_bytes, //
+};
 pub use stream::{
     strict_connector,
     tracking_connector,
--- a/crates/strict/src/socket.rs
+++ b/crates/strict/src/socket.rs
@@ -6,6 +6,7 @@
 };
 use std::{
     io,
+    os::fd::AsRawFd,
     time::Duration, //
 };
 use tokio::net::TcpStream;
@@ -35,3 +36,26 @@
         .with_interval(KEEPALIVE_INTERVAL);
     socket.set_tcp_keepalive(&keepalive)
 }
+
+/// Returns how many bytes that were written to a connection its peer has not acknowledged.
+///
+/// # Errors
+///
+/// The connection is already closed, or it can't be told.
+pub fn unacknowledged_bytes(stream: &impl AsRawFd) -> io::Result<usize> {
+    let mut bytes = 0;
+    // SAFETY: The request writes one integer, and `bytes` outlives the call.
+    #[expect(unsafe_code, reason = "no library function has this request")]
+    let result = unsafe { ioctl::outq(stream.as_raw_fd(), &mut bytes) };
+    result?;
+    Ok(usize::try_from(bytes).unwrap_or(0))
+}
+
+mod ioctl {
+    nix::ioctl_read_bad!(
+        /// Reads the number of unacknowledged bytes of a socket.
+        outq,
+        nix::libc::TIOCOUTQ,
+        nix::libc::c_int
+    );
+}
