Give up on upstreams that send bytes without end

A response to another request whose body never ends was skipped until the deadline of the request, so that its caller got 504 after 3 s.

A connection is given up after 4 MiB without the end of a head, 32 interim responses, 64 KiB of a chunked body without data, or 256 MiB of a body without a stated length. A stated idle timeout is capped at an hour: one near 2^64 seconds overflowed.

--- a/crates/entry/tests/support/upstream.rs
+++ b/crates/entry/tests/support/upstream.rs
@@ -121,6 +121,26 @@
         let _ = self.stream.shutdown(Shutdown::Both);
     }
 
+    /// Writes a beginning and then the same bytes again and again until the peer closes the connection. Returns how many
+    /// bytes it took.
+    pub(crate) fn write_without_end(&mut self, begin: &[u8], repeated: &[u8]) -> u64 {
+        let repeated = repeated.repeat((16 << 10) / repeated.len());
+        let mut part = begin;
+        let mut written = 0;
+        loop {
+            match (&*self.stream).write(part) {
+                Ok(0) | Err(_) => return written,
+                Ok(length) => {
+                    written += length as u64;
+                    part = &part[length..];
+                }
+            }
+            if part.is_empty() {
+                part = &repeated;
+            }
+        }
+    }
+
     /// Makes the connection end by a reset when it is closed.
     pub(crate) fn reset(&mut self) {
         reset(&self.stream);
--- a/crates/relay/src/response.rs
+++ b/crates/relay/src/response.rs
@@ -42,8 +42,19 @@
 
 /// Header that states how long the upstream keeps an idle connection open.
 const KEEP_ALIVE: &str = "keep-alive";
+/// Longest stated timeout that is used.
+const KEEP_ALIVE_MAX: Duration = Duration::from_secs(3600);
 /// Responses to other requests that are skipped before a connection is given up.
 const MISMATCHED_RESPONSES_MAX: u32 = 3;
+/// Bytes that are read for one head before a connection is given up. A head by itself is limited by the codec; these may
+/// also be interim responses and the bodies of responses to other requests.
+const HEAD_READ_BYTES_MAX: usize = 4 << 20;
+/// Interim responses that are skipped before a connection is given up.
+const INTERIM_RESPONSES_MAX: u32 = 32;
+/// Bytes of a body that are read in a row without any of its data: lengths of chunks, and their extensions.
+const FRAMING_BYTES_MAX: usize = 64 << 10;
+/// Longest body without a stated length.
+const UNSIZED_BODY_BYTES_MAX: u64 = 256 << 20;
 
 /// A body ended before it was complete.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -97,6 +108,10 @@
     codec: Option<ClientCodec>,
     echo: Option<(HeaderName, Bytes)>,
     head_only: bool,
+    /// Number of bytes read.
+    read_bytes: usize,
+    /// Number of interim responses received first.
+    interim_responses: u32,
     /// Number of responses to other requests received first.
     mismatched_responses: u32,
     /// Body of such a response that is being skipped.
@@ -111,6 +126,8 @@
             codec: Some(ClientCodec::default()),
             echo,
             head_only,
+            read_bytes: 0,
+            interim_responses: 0,
             mismatched_responses: 0,
             mismatched_body: None,
             delimiter: BodyDelimiter::Empty,
@@ -131,9 +148,12 @@
             }
             match read_some(read_half, &mut self.buf).await {
                 Ok(0) => return Err(Failure::Broken("it was closed".to_owned())),
-                Ok(_) => {}
+                Ok(read) => self.read_bytes += read,
                 Err(error) => return Err(Failure::Broken(error.to_string())),
             }
+            if self.read_bytes > HEAD_READ_BYTES_MAX {
+                return Err(Failure::Malformed("no end of the head".to_owned()));
+            }
         }
     }
 
@@ -150,6 +170,10 @@
                 return Ok(None);
             };
             if head.status.is_informational() {
+                self.interim_responses += 1;
+                if self.interim_responses > INTERIM_RESPONSES_MAX {
+                    return Err(Failure::Malformed("too many interim responses".to_owned()));
+                }
                 continue;
             }
             let delimiter = body_delimiter(&head, codec, self.head_only);
@@ -234,6 +258,9 @@
                 upstream,
                 reusable,
                 stated_timeout,
+                is_sized: length_bytes.is_some(),
+                data_bytes: 0,
+                framing_bytes: 0,
             },
         }
     }
@@ -245,7 +272,8 @@
     let timeout = text
         .split(',')
         .find_map(|part| part.trim().strip_prefix("timeout="))?;
-    timeout.trim().parse().ok().map(Duration::from_secs)
+    let timeout = Duration::from_secs(timeout.trim().parse().ok()?);
+    Some(timeout.min(KEEP_ALIVE_MAX))
 }
 
 /// How the body of a response ends.
@@ -279,6 +307,12 @@
     upstream: Target,
     reusable: bool,
     stated_timeout: Option<Duration>,
+    /// Whether the length of the body is stated.
+    is_sized: bool,
+    /// Number of bytes of data returned.
+    data_bytes: u64,
+    /// Number of bytes read since data was last returned.
+    framing_bytes: usize,
 }
 
 impl BodyReader {
@@ -289,7 +323,11 @@
     /// The body was truncated, or the deadline passed.
     pub async fn next(&mut self, deadline: Instant) -> Result<Option<Bytes>, TruncatedBody> {
         match timeout_at(deadline.into(), self.read_next()).await {
-            Ok(result) => result,
+            Ok(Ok(data)) => Ok(data),
+            Ok(Err(why)) => {
+                self.stream = None;
+                Err(TruncatedBody(why))
+            }
             Err(_elapsed) => {
                 self.stream = None;
                 Err(TruncatedBody("the deadline passed".to_owned()))
@@ -297,7 +335,7 @@
         }
     }
 
-    async fn read_next(&mut self) -> Result<Option<Bytes>, TruncatedBody> {
+    async fn read_next(&mut self) -> Result<Option<Bytes>, String> {
         loop {
             match &mut self.delimiter {
                 BodyDelimiter::Empty => {
@@ -305,33 +343,47 @@
                     return Ok(None);
                 }
                 BodyDelimiter::Framed(codec) => match codec.decode(&mut self.buf) {
-                    Ok(Some(Some(data))) => return Ok(Some(data)),
+                    Ok(Some(Some(data))) => return self.note_data(data).map(Some),
                     Ok(Some(None)) => {
                         self.delimiter = BodyDelimiter::Empty;
                         continue;
                     }
+                    Ok(None) if self.framing_bytes > FRAMING_BYTES_MAX => {
+                        return Err("no data between the lengths of chunks".to_owned());
+                    }
                     Ok(None) => {}
-                    Err(error) => return Err(TruncatedBody(error.to_string())),
+                    Err(error) => return Err(error.to_string()),
                 },
                 BodyDelimiter::Connection if !self.buf.is_empty() => {
-                    return Ok(Some(self.buf.split().freeze()));
+                    let data = self.buf.split().freeze();
+                    return self.note_data(data).map(Some);
                 }
                 BodyDelimiter::Connection => {}
             }
             let Some(stream) = &mut self.stream else {
-                return Err(TruncatedBody("the connection is already closed".to_owned()));
+                return Err("the connection is already closed".to_owned());
             };
             match read_some(stream, &mut self.buf).await {
                 Ok(0) if matches!(self.delimiter, BodyDelimiter::Connection) => {
                     self.delimiter = BodyDelimiter::Empty
                 }
-                Ok(0) => return Err(TruncatedBody("the connection was closed".to_owned())),
-                Ok(_) => {}
-                Err(error) => return Err(TruncatedBody(error.to_string())),
+                Ok(0) => return Err("the connection was closed".to_owned()),
+                Ok(read) => self.framing_bytes += read,
+                Err(error) => return Err(error.to_string()),
             }
         }
     }
 
+    /// Counts data of the body. A stated length is a limit by itself.
+    fn note_data(&mut self, data: Bytes) -> Result<Bytes, String> {
+        self.framing_bytes = 0;
+        self.data_bytes += data.len() as u64;
+        if !self.is_sized && self.data_bytes > UNSIZED_BODY_BYTES_MAX {
+            return Err("no end of the body".to_owned());
+        }
+        Ok(data)
+    }
+
     /// Returns the connection to the pool if it can be reused and no unread bytes are left.
     fn release_connection(&mut self) {
         let Some(stream) = self.stream.take() else {
