Count broken long answers against their upstream

What callers saw: long answers (over 256 KiB) of an upstream that breaks each of them off, again and again.

Cause: an answer that is streamed counted neither as a failure nor as a success of its upstream, so that it was never ejected. Change: the end of the stream is recorded: a failure if it breaks off or reaches its deadline while the caller keeps up, a success if it is whole.

--- a/crates/balance/src/health.rs
+++ b/crates/balance/src/health.rs
@@ -52,12 +52,7 @@
 impl Health {
     /// Records a complete response. Returns whether the upstream has recovered from failing.
     pub fn note_response(&mut self, latency: Duration, now: Now) -> bool {
-        let was_failing = self.failure_rate >= EJECTION_THRESHOLD;
-        self.failure_rate *= 1.0 - FAILURE_WEIGHT;
-        self.unreachable = false;
-        if self.failure_rate < EJECTION_THRESHOLD / 2.0 {
-            self.next_ejection = EJECTION_MIN;
-        }
+        let has_recovered = self.note_success();
         let latency_s = latency.as_secs_f64();
         let outdated = self.is_latency_outdated(now);
         self.responded_at = now;
@@ -66,6 +61,18 @@
         } else {
             self.latency_s + LATENCY_WEIGHT * (latency_s - self.latency_s)
         };
+        has_recovered
+    }
+
+    /// Records a complete response whose duration says nothing about the upstream, since it depends on its caller as
+    /// well. Returns whether the upstream has recovered from failing.
+    pub fn note_success(&mut self) -> bool {
+        let was_failing = self.failure_rate >= EJECTION_THRESHOLD;
+        self.failure_rate *= 1.0 - FAILURE_WEIGHT;
+        self.unreachable = false;
+        if self.failure_rate < EJECTION_THRESHOLD / 2.0 {
+            self.next_ejection = EJECTION_MIN;
+        }
         was_failing && self.failure_rate < EJECTION_THRESHOLD
     }
 
--- a/crates/entry/src/traffic/attempt.rs
+++ b/crates/entry/src/traffic/attempt.rs
@@ -153,6 +153,17 @@
     fn source(&self) -> &ByteString {
         &self.target.id
     }
+
+    fn note_end(&self, is_whole: bool) {
+        let now = self.traffic.now();
+        let mut fleet = self.traffic.fleet.borrow_mut();
+        let incarnation = &self.placement.incarnation;
+        if is_whole {
+            fleet.note_streamed(incarnation);
+        } else {
+            fleet.note_failure(incarnation, false, now);
+        }
+    }
 }
 
 impl Drop for InFlight {
--- a/crates/entry/src/traffic/fleet/outcome.rs
+++ b/crates/entry/src/traffic/fleet/outcome.rs
@@ -167,10 +167,7 @@
             .usual_speed
             .usual_time(service_time, placement.speed, speed, now);
         if upstream.health.note_response(service_time, now) {
-            emit(&Event::UpstreamBack {
-                upstream: incarnation.id.clone(),
-                service: incarnation.service.clone(),
-            });
+            log_back(incarnation);
         }
         if let Some(key) = placement.key {
             upstream.warm_keys.note(key, now);
@@ -184,6 +181,14 @@
         }
     }
 
+    /// Records that a response was streamed to its end.
+    pub(in crate::traffic) fn note_streamed(&mut self, incarnation: &Incarnation) {
+        let upstream = self.upstream(incarnation);
+        if upstream.is_some_and(|upstream| upstream.health.note_success()) {
+            log_back(incarnation);
+        }
+    }
+
     /// Records that an upstream did not run a request, which therefore has not warmed it either.
     pub(in crate::traffic) fn note_not_run(&mut self, placement: &Placement) {
         let Some(key) = placement.key.filter(|_| !placement.warm) else {
@@ -251,6 +256,13 @@
     }
 }
 
+fn log_back(incarnation: &Incarnation) {
+    emit(&Event::UpstreamBack {
+        upstream: incarnation.id.clone(),
+        service: incarnation.service.clone(),
+    });
+}
+
 /// Logs that an upstream gets no requests for `ejection`, if that period begins now.
 fn log_ejected(incarnation: &Incarnation, ejection: Option<Duration>, not_there: bool) {
     if let Some(ejection) = ejection {
--- a/crates/entry/src/traffic/stream.rs
+++ b/crates/entry/src/traffic/stream.rs
@@ -46,6 +46,9 @@
 
     /// Returns the upstream, or the entry, that the response comes from.
     fn source(&self) -> &ByteString;
+
+    /// Records whether the source sent its whole response.
+    fn note_end(&self, _is_whole: bool) {}
 }
 
 /// A response body being streamed to the caller.
@@ -111,6 +114,7 @@
                 return (sent_bytes, Err("the caller has gone".to_owned()));
             }
             if ended {
+                self.guard.note_end(true);
                 return (sent_bytes, Ok(()));
             }
             sent_bytes += length;
@@ -125,7 +129,13 @@
                     next = Some(Bytes::copy_from_slice(&data));
                 }
                 Ok(data) => next = data,
-                Err(cut) => return (sent_bytes, Err(cut.to_string())),
+                Err(cut) => {
+                    // Otherwise the caller may be the cause, which reads too slowly.
+                    if sender.capacity() > 0 {
+                        self.guard.note_end(false);
+                    }
+                    return (sent_bytes, Err(cut.to_string()));
+                }
             }
         }
     }
--- a/crates/entry/tests/faults.rs
+++ b/crates/entry/tests/faults.rs
@@ -776,3 +776,31 @@
         .expect("the value is a number of milliseconds");
     assert!(left <= 3000);
 }
+
+/// Guards against an upstream that gets as many requests as others although it breaks off every long answer.
+#[test]
+fn upstream_that_breaks_off_long_answers_is_passed_over() {
+    let answer_bytes = 1 << 20;
+    let breaking = Upstream::start(Box::new(move |_, request, connection| {
+        let answer = ok_response(request, &"y".repeat(answer_bytes));
+        connection.write(&answer[..answer_bytes / 2]);
+        connection.close();
+        false
+    }));
+    let sound = Upstream::start(Box::new(move |_, request, connection| {
+        connection.write(ok_response(request, &"y".repeat(answer_bytes)));
+        true
+    }));
+    let setup = Setup::new(vec![breaking, sound]);
+    for number in 0..40 {
+        let id = format!("a{number}");
+        let whole = setup.call("GET", "/d/x", &id, "").is_some();
+        let by_sound = setup.upstreams[1]
+            .requests()
+            .iter()
+            .any(|one| one.id() == id);
+        assert_eq!(whole, by_sound);
+    }
+    let reached = setup.upstreams[0].requests().len();
+    assert!((1..=8).contains(&reached), "{reached} of 40 reached it");
+}
