Take the first rows of an upstream that restarted with its clock set back

Cause: each row with an earlier start time counted as a late write of an ended incarnation. Statements of leaving in responses were ordered by the start time, too.

Change: rows state how often their incarnation has written; the first two writes are of one that has just started, whatever its start time. Statements of leaving are kept for each incarnation by itself.

Evidence: restart_after_the_clock_was_set_back_counts, restart_after_the_clock_was_set_back and departure_after_the_clock_was_set_back in picture/tests/view.rs.

--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -446,6 +446,7 @@
         leaving: false,
         cold_left: Duration::ZERO,
         started_ms: 0,
+        writes: None,
     }
 }
 
--- a/crates/model/src/picture.rs
+++ b/crates/model/src/picture.rs
@@ -148,6 +148,7 @@
         leaving,
         cold_left: Duration::ZERO,
         started_ms: 0,
+        writes: None,
     }
 }
 
--- a/crates/picture/src/update.rs
+++ b/crates/picture/src/update.rs
@@ -36,9 +36,12 @@
     /// Remaining time for which it stays cold, as of the write of the row.
     pub cold_left: Duration,
     /// Start time in Unix milliseconds by its own clock; zero if not reported. An upstream that restarts
-    /// under the same name has lost its state, so a later start is another incarnation.
+    /// under the same name has lost its state, so another start time is another incarnation.
     #[serde(default)]
     pub started_ms: u64,
+    /// Number of times that this incarnation has written its row; `None` if not reported.
+    #[serde(default)]
+    pub writes: Option<u64>,
 }
 
 /// Evacuation state of a failure domain.
@@ -68,7 +71,7 @@
 }
 
 /// Incarnation of an upstream that has stated in a response that it is leaving.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Departure {
     /// Name of the upstream.
     pub upstream: UpstreamId,
--- a/crates/picture/src/view.rs
+++ b/crates/picture/src/view.rs
@@ -31,6 +31,9 @@
 /// Time for which an upstream whose row disappeared during an outage of the store stays open. Rows that
 /// expired in the outage are written again within about two seconds of the store's return.
 const REMOVAL_GRACE: Duration = Duration::from_millis(1500);
+/// Number of writes up to which an incarnation counts as just started. A write takes some seconds at most to take effect,
+/// by which time an incarnation that is still running has written more often.
+const FIRST_WRITES_MAX: u64 = 2;
 /// Time for which the version of a removed row is kept, so that older updates don't restore the row.
 const REMOVED_RETENTION: Duration = Duration::from_secs(60);
 /// Time for which the upstreams of a failure domain count as cold after the end of its evacuation,
@@ -202,8 +205,13 @@
         if !accepted {
             return Applied::Unchanged;
         }
-        // A write of an earlier incarnation may take effect late; it doesn't describe the later one.
-        if self.guards.incarnations && listed.started_ms < known.listed.started_ms {
+        // A write of an earlier incarnation may take effect late; it doesn't describe the later one. The first writes of
+        // an incarnation do, whatever its start time: the clock may have been set back in between.
+        let is_earlier = listed.started_ms < known.listed.started_ms;
+        let has_just_started = listed
+            .writes
+            .is_some_and(|writes| writes <= FIRST_WRITES_MAX);
+        if self.guards.incarnations && is_earlier && !has_just_started {
             known.version = version;
             return Applied::Unchanged;
         }
@@ -262,7 +270,7 @@
     pub fn apply_departure(&mut self, departure: &Departure, now: Now) -> Applied {
         let known = self.upstreams.get(&departure.upstream);
         let is_known = known.is_some_and(|known| {
-            known.listed.leaving && known.listed.started_ms >= departure.started_ms
+            known.listed.leaving && known.listed.started_ms == departure.started_ms
         });
         if is_known || !self.departures.note(departure, now) {
             return Applied::Unchanged;
@@ -409,7 +417,10 @@
         });
         removed.retain(|_, (_, at)| now.saturating_sub(*at) < REMOVED_RETENTION);
         let upstreams = &self.upstreams;
-        let is_listed = |id: &UpstreamId| upstreams.contains_key(id);
+        let is_listed = |departure: &Departure| {
+            let known = upstreams.get(&departure.upstream);
+            known.is_some_and(|known| known.listed.started_ms == departure.started_ms)
+        };
         self.departures.sweep(REMOVED_RETENTION, is_listed, now);
     }
 
--- a/crates/picture/tests/view.rs
+++ b/crates/picture/tests/view.rs
@@ -32,6 +32,7 @@
         leaving: false,
         cold_left: Duration::ZERO,
         started_ms: 0,
+        writes: None,
     }
 }
 
@@ -353,6 +354,48 @@
     assert_eq!(state(&view, "u", s(1)), "closed");
 }
 
+/// An incarnation in its first row.
+fn just_started(started_ms: u64) -> ListedUpstream {
+    ListedUpstream {
+        writes: Some(1),
+        ..incarnation(started_ms, false)
+    }
+}
+
+/// Guards against an upstream whose rows are ignored for as long as it runs, because the clock of its machine was set back
+/// before it restarted under the same name.
+#[test]
+fn restart_after_the_clock_was_set_back_counts() {
+    let mut view = RoutingView::default();
+    view.apply_upstream(&incarnation(20, true), 2, s(1));
+    let restarted = ListedUpstream {
+        addr: "127.0.0.1:10".parse().expect("valid socket address"),
+        slots: 3,
+        cold_left: s(4),
+        ..just_started(10)
+    };
+    assert_eq!(view.apply_upstream(&restarted, 3, s(1)), Applied::Changed);
+    let known = |view: &RoutingView| {
+        let upstream = view.upstreams(s(2)).next();
+        let (listed, is_closed, cold_until) = upstream.expect("an upstream");
+        (listed.addr.port(), listed.slots, is_closed, cold_until)
+    };
+    assert_eq!(known(&view), (10, 3, false, s(5)));
+    let later = ListedUpstream {
+        writes: Some(7),
+        leaving: true,
+        cold_left: s(0),
+        ..restarted
+    };
+    view.apply_upstream(&later, 4, s(2));
+    assert_eq!(known(&view), (10, 3, true, s(0)));
+    let late = ListedUpstream {
+        writes: Some(9),
+        ..incarnation(5, false)
+    };
+    assert_eq!(view.apply_upstream(&late, 5, s(2)), Applied::Unchanged);
+}
+
 /// Guards against requests for an incarnation that has ended: a write of its own that takes effect late is in a whole
 /// table, or comes from another entry.
 #[test]
@@ -472,6 +515,12 @@
     earlier_departure_after_a_later_one: [
         Row(1, incarnation(20, false)), Departure(20), Departure(10)
     ] => "closed";
+    departure_after_the_clock_was_set_back: [
+        Row(1, incarnation(20, false)), Departure(20), Row(2, just_started(10)), Departure(10)
+    ] => "closed";
+    restart_after_the_clock_was_set_back: [
+        Row(1, incarnation(20, false)), Departure(20), Row(2, just_started(10))
+    ] => "open";
     name_without_a_start_used_again: [
         Row(1, incarnation(0, false)), Departure(0), Removal(2), Sweep(11), Row(3, incarnation(0, false))
     ] => "open";
--- a/crates/router/src/store.rs
+++ b/crates/router/src/store.rs
@@ -95,6 +95,7 @@
                 cold_left: Duration::from_millis(listed.cold_left_ms),
                 // Each start of an upstream has its own id in the product's list.
                 started_ms: 0,
+                writes: None,
             };
             let value =
                 serde_json::to_vec(&upstream).map_err(|error| malformed(error.to_string()))?;
