--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -24,6 +24,7 @@
         write_responses,
         QueuedResponse,
         ResponseTask,
+        Written,
         WRITE_STALL_TIMEOUT, //
     },
 };
@@ -49,6 +50,7 @@
 use std::{
     cell::Cell,
     future::Future,
+    pin::Pin,
     rc::Rc,
     time::{
         Duration,
@@ -102,7 +104,7 @@
 /// connection, and the caller could lose a response that it has not read yet.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Interval between checks whether a caller has received all that was written.
-const RECEIVED_POLL_INTERVAL: Duration = Duration::from_millis(20);
+const RECEIVED_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Why a request was refused before it was read completely; no part of it has reached an upstream.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
@@ -195,11 +197,17 @@
         // half exists.
         written = writing => written,
     };
-    if written.is_broken {
-        return;
+    if !written.is_broken {
+        linger(&written, reading).await;
     }
-    // Closing before the caller has received everything could cost it the last response: further requests that it sends
-    // before it reads that response would reset the connection.
+}
+
+/// Keeps a connection open after its last response until the caller has closed its end, or has received everything some
+/// time ago.
+///
+/// Closing earlier could cost the caller that response: further requests that it sends before it reads the response would
+/// reset the connection.
+async fn linger(written: &Written, mut reading: Pin<&mut impl Future<Output = ()>>) {
     let mut progress_at = Instant::now();
     let mut unacknowledged = written.unacknowledged_bytes();
     while timeout(RECEIVED_POLL_INTERVAL, &mut reading).await.is_err() {
@@ -271,6 +279,7 @@
         let (body, remainder, body_hold) = self.read_body(&head).await?;
         self.wait_for_turn(concurrency).await?;
         if self.state.closing.get() {
+            // The caller takes the request as not processed and repeats it.
             return Ok(false);
         }
         self.after_exclusive = concurrency == Concurrency::Exclusive;
