--- a/crates/entry/src/control/feeds.rs
+++ b/crates/entry/src/control/feeds.rs
@@ -328,8 +328,8 @@
     /// Returns the version after which the next call requests changes, and the maximum time that it waits for them.
     ///
     /// A call whose answer is lost ends only after its wait. During an outage the calls don't wait, so that the first one
-    /// after it begins soon. The first call of an entry that has heard nothing for long doesn't wait either: the entries
-    /// that it forwards the table to have heard nothing for as long.
+    /// after it begins soon. The first call of an entry whose copy is too old doesn't wait either, since the copies of the
+    /// entries that it forwards to are as old.
     fn next_call(&self, calls: &FeedCalls) -> Option<(u64, Duration)> {
         let now = self.now();
         let mut state = self.state.borrow_mut();
--- a/crates/entry/tests/endless.rs
+++ b/crates/entry/tests/endless.rs
@@ -33,9 +33,9 @@
 
 /// Time within which a caller has an answer, and other callers have theirs.
 const ANSWER_TIME: Duration = Duration::from_secs(1);
-/// Time within which the caller of a body without end is told: the deadline of its request.
+/// Deadline of a request, by which the answer to it is cut off if its body doesn't end.
 const DEADLINE: Duration = Duration::from_secs(3);
-/// How late it may be told.
+/// How much later than the deadline the connections may end.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(700);
 /// Most bytes that are taken of a head, or of a body without data. Sockets hold a part of them.
 const TAKEN_BYTES_MAX: u64 = 24 << 20;
--- a/crates/entry/tests/stop_pipelined.rs
+++ b/crates/entry/tests/stop_pipelined.rs
@@ -218,7 +218,7 @@
         path: "/r/x", outstanding_max: 4, body_bytes: 540_000, bytes_per_s: None,
     };
     planned_stop_behind_very_long_answers: Pipelining {
-        path: "/r/x", outstanding_max: 8, body_bytes: 2 << 20, bytes_per_s: None,
+        path: "/r/x", outstanding_max: 16, body_bytes: 4 << 20, bytes_per_s: None,
     };
     planned_stop_behind_long_downloads: Pipelining {
         path: "/d/x", outstanding_max: 16, body_bytes: 1 << 20, bytes_per_s: None,
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -154,7 +154,7 @@
     signals: Option<UnboundedSender<Signal>>,
 }
 
-/// What the process of an entry is told.
+/// A signal to the process of an entry.
 enum Signal {
     Stop,
     /// Control stands still until the other end of the channel is dropped.
--- a/crates/overlay/src/follower.rs
+++ b/crates/overlay/src/follower.rs
@@ -1,8 +1,8 @@
 //! How far an entry has read a table of the store, and until when this was known to be the whole table.
 //!
-//! An entry that reads the table through others has to notice when they no longer tell it of changes. Each message
-//! about the table therefore states when the sender's copy was last known to be complete. An arrival alone proves
-//! nothing: a message may have been held up on the way, or sent by an entry that has itself heard nothing for a while.
+//! An entry that reads the table through others has to notice when they no longer forward changes. Each message about the
+//! table therefore states when the sender's copy was last known to be complete. The time of arrival isn't enough: a
+//! message may be delayed, or its sender's copy may be outdated.
 
 use base::{
     InstanceId,
--- a/crates/overlay/tests/follow.rs
+++ b/crates/overlay/tests/follow.rs
@@ -183,7 +183,7 @@
     assert_eq!(follow.position(), Some(12));
 }
 
-/// Guards against a message that proves nothing: its sender has heard nothing for a while, or it was held up on the way.
+/// Guards against counting the age of a table from the arrival of a message that was delayed, or whose sender's copy is old.
 macro_rules! old_messages_do_not_count_as_forwarding {
     ($($name:ident: $age_s:expr, $delay_s:expr;)*) => {$(
         #[test]
--- a/crates/relay/src/response_writer.rs
+++ b/crates/relay/src/response_writer.rs
@@ -86,7 +86,7 @@
 }
 
 impl Written {
-    /// Returns how many bytes the caller has not acknowledged; 0 if that can't be told.
+    /// Returns how many bytes the caller has not acknowledged; 0 if that isn't known.
     pub(crate) fn unacknowledged_bytes(&self) -> usize {
         let stream: &TcpStream = self.write_half.as_ref();
         unacknowledged_bytes(stream).unwrap_or(0)
--- a/crates/strict/src/socket.rs
+++ b/crates/strict/src/socket.rs
@@ -41,7 +41,7 @@
 ///
 /// # Errors
 ///
-/// The connection is already closed, or it can't be told.
+/// The connection is already closed, or the system doesn't support the request.
 pub fn unacknowledged_bytes(stream: &impl AsRawFd) -> io::Result<usize> {
     let mut bytes = 0;
     // SAFETY: The request writes one integer, and `bytes` outlives the call.
