--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -9,6 +9,7 @@
 mod lost;
 mod slow;
 mod store;
+mod spoiled;
 mod stray;
 mod system;
 
@@ -27,6 +28,7 @@
         exit(2);
     });
     let outcome = std::panic::catch_unwind(|| match name.as_str() {
+        "two-framings" => spoiled::two_framings(&record, trouble),
         "behind-long" => lost::behind_long(&record, trouble),
         "paused-readers" => slow::paused_readers(&record, trouble),
         "extra-bytes" => stray::extra_bytes(&record, trouble),
