--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -10,6 +10,7 @@
 mod slow;
 mod store;
 mod spoiled;
+mod starved;
 mod stray;
 mod system;
 
@@ -29,6 +30,7 @@
     });
     let outcome = std::panic::catch_unwind(|| match name.as_str() {
         "two-framings" => spoiled::two_framings(&record, trouble),
+        "slow-once" => starved::slow_once(&record, trouble),
         "behind-long" => lost::behind_long(&record, trouble),
         "paused-readers" => slow::paused_readers(&record, trouble),
         "extra-bytes" => stray::extra_bytes(&record, trouble),
