--- a/review/stand-ins-2/http.rs
+++ b/review/stand-ins-2/http.rs
@@ -173,11 +173,7 @@
                 .set_read_timeout(Some(left.max(Duration::from_millis(1))))
                 .ok()?;
             let body = self.body(&headers)?;
-            return Some(Response {
-                status,
-                headers,
-                body,
-            });
+            return Some(Response { status, headers, body });
         }
     }
 
@@ -202,7 +198,7 @@
     let mut out = Vec::new();
     let mut at = 0;
     while at < bytes.len() {
-        if bytes[at] == b'%' && at + 2 < bytes.len() + 0 {
+        if bytes[at] == b'%' && at + 2 < bytes.len() {
             let hex = std::str::from_utf8(&bytes[at + 1..at + 3]).unwrap_or("3F");
             out.push(u8::from_str_radix(hex, 16).unwrap_or(b'?'));
             at += 3;
--- a/review/stand-ins-2/lost.rs
+++ b/review/stand-ins-2/lost.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     http::SEAL,
-    system::{answer_body, config, connect, rand, request_text, sound, Answer, Manner, Record, System, HOST},
+    system::{answer_body, config, connect, rand, request_text, Answer, Manner, Record, System, HOST},
 };
 use std::{
     collections::HashMap,
@@ -63,7 +63,6 @@
         let manner = long_answers(breaks.clone(), broken_by.clone(), name);
         system.server(name, "menu", zone, 9, manner);
     }
-    let _ = sound;
     if !system.wait_until_served(HOST, "/read/2f") {
         return Err("the processes serve nothing".to_owned());
     }
@@ -72,8 +71,13 @@
     // A kept connection, which has had an answer before.
     let first = format!("first-{}", rand());
     let text = request_text("GET", HOST, "/read/2f", &first, 2000, "");
-    connection.stream.write_all(text.as_bytes()).map_err(|error| error.to_string())?;
-    let kept = connection.read_response(Duration::from_secs(3)).ok_or("no answer to the first request")?;
+    connection
+        .stream
+        .write_all(text.as_bytes())
+        .map_err(|error| error.to_string())?;
+    let kept = connection
+        .read_response(Duration::from_secs(3))
+        .ok_or("no answer to the first request")?;
     record.note(&format!("id {first} is answered {}", kept.status));
     let ids: Vec<String> = (0..PIPELINED).map(|number| format!("p{number}-{}", rand())).collect();
     let mut text = String::new();
@@ -81,15 +85,24 @@
         let path = if number == 0 { "/read/long" } else { "/read/2f" };
         text += &request_text("GET", HOST, path, id, 2000, "");
     }
-    connection.stream.write_all(text.as_bytes()).map_err(|error| error.to_string())?;
-    record.note(&format!("the client sends {PIPELINED} requests, the first for a long answer"));
+    connection
+        .stream
+        .write_all(text.as_bytes())
+        .map_err(|error| error.to_string())?;
+    record.note(&format!(
+        "the client sends {PIPELINED} requests, the first for a long answer"
+    ));
     let mut answered = HashMap::new();
     for id in &ids {
         let Some(answer) = connection.read_response(Duration::from_secs(4)) else {
             record.note(&format!("id {id} gets no complete answer; the connection has ended"));
             break;
         };
-        record.note(&format!("id {id} is answered {} with {} bytes", answer.status, answer.body.len()));
+        record.note(&format!(
+            "id {id} is answered {} with {} bytes",
+            answer.status,
+            answer.body.len()
+        ));
         answered.insert(id.clone(), answer.status);
     }
     thread::sleep(Duration::from_millis(500));
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -8,9 +8,9 @@
 mod json;
 mod lost;
 mod slow;
-mod store;
 mod spoiled;
 mod starved;
+mod store;
 mod stray;
 mod system;
 
--- a/review/stand-ins-2/slow.rs
+++ b/review/stand-ins-2/slow.rs
@@ -1,6 +1,6 @@
 //! Clients that read a large answer slowly.
 
-use crate::system::{connect, config, rand, request_text, Answer, Record, System, HOST};
+use crate::system::{config, connect, rand, request_text, Answer, Record, System, HOST};
 use std::{
     io::{Read, Write},
     sync::Arc,
@@ -53,8 +53,13 @@
         })
         .collect();
     let results: Vec<_> = clients.into_iter().map(|client| client.join().unwrap()).collect();
-    let lost = results.iter().filter(|(id, read)| !read && !system.runs_of(id).is_empty()).count();
-    record.note(&format!("requests that a server ran and whose answer broke off: {lost} of {CLIENTS}"));
+    let lost = results
+        .iter()
+        .filter(|(id, read)| !read && !system.runs_of(id).is_empty())
+        .count();
+    record.note(&format!(
+        "requests that a server ran and whose answer broke off: {lost} of {CLIENTS}"
+    ));
     Ok(lost > 3)
 }
 
@@ -74,19 +79,29 @@
     }
     let started = Instant::now();
     let text = request_text("GET", HOST, "/binder/2f", id, DEADLINE_S * 1000, "");
-    record.note(&format!("a client sends GET /binder/2f id {id} with {DEADLINE_S} s until its deadline"));
+    record.note(&format!(
+        "a client sends GET /binder/2f id {id} with {DEADLINE_S} s until its deadline"
+    ));
     if connection.stream.write_all(text.as_bytes()).is_err() {
         return true;
     }
-    let _ = connection.stream.set_read_timeout(Some(Duration::from_secs(DEADLINE_S)));
+    let _ = connection
+        .stream
+        .set_read_timeout(Some(Duration::from_secs(DEADLINE_S)));
     let mut part = vec![0; 64 << 10];
     let mut received = connection.stream.read(&mut part).unwrap_or(0);
     let is_success = part.starts_with(b"HTTP/1.1 200");
     if !is_success {
-        record.note(&format!("id {id} is refused: {:?}", String::from_utf8_lossy(&part[..received.min(60)])));
+        record.note(&format!(
+            "id {id} is refused: {:?}",
+            String::from_utf8_lossy(&part[..received.min(60)])
+        ));
         return true;
     }
-    let head = part.windows(4).position(|end| end == b"\r\n\r\n").map_or(0, |at| at + 4);
+    let head = part
+        .windows(4)
+        .position(|end| end == b"\r\n\r\n")
+        .map_or(0, |at| at + 4);
     thread::sleep(pause);
     let whole = head + BODY_BYTES;
     let error = loop {
@@ -100,6 +115,10 @@
         }
     };
     let took = started.elapsed().as_secs_f64();
-    record.note(&format!("id {id} has {} of {BODY_BYTES} bytes after {took:.2} s: {}", received - head, error.as_deref().unwrap_or("whole")));
+    record.note(&format!(
+        "id {id} has {} of {BODY_BYTES} bytes after {took:.2} s: {}",
+        received - head,
+        error.as_deref().unwrap_or("whole")
+    ));
     error.is_none() || took >= DEADLINE_S as f64
 }
--- a/review/stand-ins-2/spoiled.rs
+++ b/review/stand-ins-2/spoiled.rs
@@ -42,7 +42,9 @@
             });
         }
         spoiled.fetch_add(1, Ordering::Relaxed);
-        record.note(&format!("the answer to id {id} has {BODY_BYTES} bytes in chunks and a stated length of {STATED_BYTES}"));
+        record.note(&format!(
+            "the answer to id {id} has {BODY_BYTES} bytes in chunks and a stated length of {STATED_BYTES}"
+        ));
         let head = format!(
             "HTTP/1.1 200 OK\r\n{ID}: {id}\r\n{SEAL}: {server}.{id}\r\nContent-Length: {STATED_BYTES}\r\nTransfer-Encoding: chunked\r\n\r\n"
         );
@@ -64,7 +66,13 @@
     let spoiled = Arc::new(AtomicUsize::new(0));
     for name in ["i-faulty", "i-b", "i-c"] {
         let is_faulty = trouble && name == "i-faulty";
-        system.server(name, "binders", 0, 6, in_chunks(name, is_faulty, spoiled.clone(), record.clone()));
+        system.server(
+            name,
+            "binders",
+            0,
+            6,
+            in_chunks(name, is_faulty, spoiled.clone(), record.clone()),
+        );
     }
     if !system.wait_until_served(HOST, "/binder/2f") {
         return Err("the processes serve nothing".to_owned());
@@ -107,7 +115,12 @@
             continue;
         };
         let is_whole = answer.status != 200 || answer.body == whole_body(&id);
-        record.note(&format!("id {id} is answered {} with {} bytes{}", answer.status, answer.body.len(), if is_whole { "" } else { ", not the server's whole body" }));
+        record.note(&format!(
+            "id {id} is answered {} with {} bytes{}",
+            answer.status,
+            answer.body.len(),
+            if is_whole { "" } else { ", not the server's whole body" }
+        ));
         mixed += usize::from(!is_whole);
         kept = Some(connection);
     }
--- a/review/stand-ins-2/starved.rs
+++ b/review/stand-ins-2/starved.rs
@@ -1,7 +1,8 @@
 //! A route whose requests are refused for good after a server was slow for some seconds.
 
-use crate::system::{answer_body, call, config, rand, sound, Answer, Manner, Record, System, HOST};
+use crate::system::{answer_body, config, connect, rand, request_text, sound, Answer, Manner, Record, System, HOST};
 use std::{
+    io::Write,
     sync::{
         atomic::{AtomicBool, Ordering},
         Arc, Mutex,
@@ -19,6 +20,8 @@
 const SETTLE_TIME: Duration = Duration::from_secs(8);
 /// Requests on each route in steady state.
 const REQUESTS: usize = 40;
+/// Objects that the orders are about.
+const OBJECTS: usize = 20;
 /// Deadline of the clients and timeout of the routes.
 const DEADLINE_MS: u64 = 2_500;
 
@@ -56,7 +59,9 @@
     system.store.put("op", "config", &added);
     thread::sleep(Duration::from_secs(3));
     if trouble {
-        record.note(&format!("server i-home, one of six, is {SLOWDOWN} times as slow for {SLOW_TIME:?}"));
+        record.note(&format!(
+            "server i-home, one of six, is {SLOWDOWN} times as slow for {SLOW_TIME:?}"
+        ));
         is_slow.store(true, Ordering::Relaxed);
     }
     let until = Instant::now() + SLOW_TIME;
@@ -67,8 +72,9 @@
             let (front, record) = (*front, record.clone());
             thread::spawn(move || {
                 // The last one is answered while the server is slow.
+                let mut objects = (0..OBJECTS).cycle();
                 while Instant::now() + Duration::from_millis(DEADLINE_MS) < until {
-                    order(front, LATER, &record);
+                    order(front, LATER, objects.next().unwrap_or(0), &record);
                     thread::sleep(Duration::from_millis(200));
                 }
             })
@@ -89,8 +95,8 @@
         .map(|(index, prefix, front)| {
             let (record, served) = (record.clone(), served.clone());
             thread::spawn(move || {
-                for _ in 0..REQUESTS / 2 {
-                    if order(front, prefix, &record) {
+                for number in 0..REQUESTS / 2 {
+                    if order(front, prefix, number % OBJECTS, &record) {
                         served.lock().unwrap()[index] += 1;
                     }
                     thread::sleep(Duration::from_millis(300));
@@ -111,13 +117,20 @@
     Ok(later * 4 < first)
 }
 
-/// Places an order. Returns whether it was served.
-fn order(front: std::net::SocketAddr, prefix: &str, record: &Record) -> bool {
+/// Places an order about one of the objects. Returns whether it was served.
+fn order(front: std::net::SocketAddr, prefix: &str, object: usize, record: &Record) -> bool {
     let id = format!("order-{}", rand());
     let started = Instant::now();
-    let answer = call(front, "POST", HOST, &format!("{prefix}2f"), &id, b"order", DEADLINE_MS);
+    let more = format!("Cookie: X-Jasminefield-Affinity-Key={object}\r\nContent-Length: 5\r\n");
+    let text = request_text("POST", HOST, &format!("{prefix}2f"), &id, DEADLINE_MS, &more) + "order";
+    let answer = connect(front).and_then(|mut connection| {
+        connection.stream.write_all(text.as_bytes()).ok()?;
+        connection.read_response(Duration::from_millis(DEADLINE_MS + 1000))
+    });
     let status = answer.map(|answer| answer.status);
     let took = started.elapsed().as_secs_f64();
-    record.note(&format!("POST {prefix}2f id {id} to {front} is answered {status:?} after {took:.2} s"));
+    record.note(&format!(
+        "POST {prefix}2f id {id} about object {object} to {front} is answered {status:?} after {took:.2} s"
+    ));
     status == Some(200)
 }
--- a/review/stand-ins-2/store.rs
+++ b/review/stand-ins-2/store.rs
@@ -67,9 +67,7 @@
         let mut state = self.state.lock().unwrap();
         state.ver += 1;
         let ver = state.ver;
-        state
-            .rows
-            .insert((table.to_owned(), key.to_owned()), (ver, value));
+        state.rows.insert((table.to_owned(), key.to_owned()), (ver, value));
         self.changed.notify_all();
         ver
     }
--- a/review/stand-ins-2/stray.rs
+++ b/review/stand-ins-2/stray.rs
@@ -29,7 +29,10 @@
     Box::new(move |request, connection| {
         let peer = connection.stream.peer_addr().ok()?;
         if owing.lock().unwrap().remove(&peer) {
-            record.note(&format!("the faulty server sends additional bytes, then answers id {}", request.id()));
+            record.note(&format!(
+                "the faulty server sends additional bytes, then answers id {}",
+                request.id()
+            ));
             extras.fetch_add(1, Ordering::Relaxed);
             let _ = connection.stream.write_all(EXTRA);
         }
@@ -48,7 +51,11 @@
     let routes = [("/order/", "non_idempotent", "desk", 2.5)];
     let system = System::start(record.clone(), &[0, 1], &config(7, &routes));
     let extras = Arc::new(AtomicUsize::new(0));
-    let faulty = if trouble { with_extras(record.clone(), extras.clone()) } else { sound(WORK) };
+    let faulty = if trouble {
+        with_extras(record.clone(), extras.clone())
+    } else {
+        sound(WORK)
+    };
     system.server("i-faulty", "desk", 0, 6, faulty);
     system.server("i-sound", "desk", 0, 6, sound(WORK));
     if !system.wait_until_served(HOST, "/order/2f") {
@@ -73,7 +80,10 @@
         if runs.len() > 1 {
             twice += 1;
             let servers: Vec<_> = runs.iter().map(|run| run.server.as_str()).collect();
-            record.note(&format!("id {id} ran {} times, at {servers:?}; its client was answered {status:?}", runs.len()));
+            record.note(&format!(
+                "id {id} ran {} times, at {servers:?}; its client was answered {status:?}",
+                runs.len()
+            ));
         }
         if matches!(status, Some(408 | 421 | 429 | 503)) && !runs.is_empty() {
             untrue += 1;
--- a/review/stand-ins-2/system.rs
+++ b/review/stand-ins-2/system.rs
@@ -301,7 +301,13 @@
             continue;
         }
         if !connection.read_body(&mut request) {
-            record.note(&format!("server {} got an incomplete {} {} id {}", server.id, request.method, request.path, request.id()));
+            record.note(&format!(
+                "server {} got an incomplete {} {} id {}",
+                server.id,
+                request.method,
+                request.path,
+                request.id()
+            ));
             return;
         }
         let echo = format!("{ID}: {}\r\n", request.id());
@@ -312,7 +318,13 @@
             _ => None,
         };
         if let Some(status) = refusal {
-            record.note(&format!("server {} refuses {} {} id {:?}: {status}", server.id, request.method, request.path, request.id()));
+            record.note(&format!(
+                "server {} refuses {} {} id {:?}: {status}",
+                server.id,
+                request.method,
+                request.path,
+                request.id()
+            ));
             let not = if status.starts_with("421") {
                 format!("X-Jasminefield-Instance-Id: {}\r\n", server.id)
             } else {
@@ -326,7 +338,11 @@
         }
         record.note(&format!(
             "server {} runs {} {} id {} with a body of {} bytes",
-            server.id, request.method, request.path, request.id(), request.body.len()
+            server.id,
+            request.method,
+            request.path,
+            request.id(),
+            request.body.len()
         ));
         runs.lock().unwrap().push(Run {
             server: server.id.clone(),
@@ -378,7 +394,9 @@
 
 /// Connects as a client.
 pub fn connect(addr: SocketAddr) -> Option<Connection> {
-    TcpStream::connect_timeout(&addr, Duration::from_secs(1)).ok().map(Connection::new)
+    TcpStream::connect_timeout(&addr, Duration::from_secs(1))
+        .ok()
+        .map(Connection::new)
 }
 
 /// Makes one request on a connection of its own.
@@ -392,7 +410,11 @@
     deadline_ms: u64,
 ) -> Option<crate::http::Response> {
     let mut connection = connect(addr)?;
-    let more = if body.is_empty() { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
+    let more = if body.is_empty() {
+        String::new()
+    } else {
+        format!("Content-Length: {}\r\n", body.len())
+    };
     let mut message = request_text(method, host, path, id, deadline_ms, &more).into_bytes();
     message.extend_from_slice(body);
     connection.stream.write_all(&message).ok()?;
@@ -419,7 +441,10 @@
 }
 
 fn settings_text(name: &str, ip: &str, zone: &str, region: &str, base: u16, store: SocketAddr) -> String {
-    let zones: Vec<_> = ZONES.iter().map(|(zone, region)| format!("{zone} = \"{region}\"")).collect();
+    let zones: Vec<_> = ZONES
+        .iter()
+        .map(|(zone, region)| format!("{zone} = \"{region}\""))
+        .collect();
     format!(
         r#"node-name = "{name}"
 role = "entry"
@@ -510,7 +535,7 @@
         .iter()
         .map(|(prefix, kind, service, timeout_s)| {
             format!(
-                "{{\"name\":\"r-{}\",\"prefix\":\"{prefix}\",\"kind\":\"{kind}\",\"timeout-s\":{timeout_s},\"target-latency-s\":0.4,\"priority\":1,\"service\":\"{service}\",\"max-attempts\":2,\"sticky\":false,\"allowed-regions\":[]}}",
+                "{{\"name\":\"r-{}\",\"prefix\":\"{prefix}\",\"kind\":\"{kind}\",\"timeout-s\":{timeout_s},\"target-latency-s\":0.4,\"priority\":1,\"service\":\"{service}\",\"max-attempts\":2,\"sticky\":true,\"allowed-regions\":[]}}",
                 prefix.trim_matches('/').replace('/', "-")
             )
         })
