Try a route again whose estimates rule out all of its requests

Cause: a request is refused if the estimated response time exceeds nine tenths of its remaining time. Only answers change the estimate, and the refused requests bring none.

Change: every two seconds without an answer that changes a route's estimates, one request that would be refused although an upstream is idle is sent as a probe. Its answer replaces the estimates and the mean of the stated speeds, and the other upstreams' latencies count as outdated from then on. The other requests are refused at once as before. Answers for keys that are known to be warm don't postpone probes, as they say nothing about the estimate that rules out the others.

--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -12,7 +12,8 @@
 //! full.
 //!
 //! A request that would wait for a slot and miss its target is refused at once, because its wait would only delay the
-//! requests after it.
+//! requests after it. So is one that isn't expected to be answered before its deadline, unless it may be sent as a probe:
+//! without responses, the estimates that rule it out would never change.
 
 use crate::{
     margin::{
@@ -119,6 +120,8 @@
     pub usual_speed: UsualSpeed,
     /// Whether it must not run twice.
     pub runs_once: bool,
+    /// Whether it may be sent to an idle upstream that isn't expected to answer in time.
+    pub may_probe: bool,
 }
 
 /// Estimated times of a request at one upstream.
@@ -141,6 +144,8 @@
         warm: bool,
         /// Whether the upstream should have a free slot.
         idle: bool,
+        /// Whether it is sent although no answer is expected in time, so that its response renews the estimates.
+        is_probe: bool,
         /// Estimated times at the upstream.
         expected: Expectation,
     },
@@ -230,11 +235,15 @@
     };
     let is_in_deadline = best.expectation.response_time <= query.deadline_left.mul_f64(TIME_USED);
     let late_wait_max = query.service_times.warm().mul_f64(LATE_WAIT_MAX);
-    if is_in_target(best, query) || (is_in_deadline && best.expectation.wait <= late_wait_max) {
+    let is_served =
+        is_in_target(best, query) || (is_in_deadline && best.expectation.wait <= late_wait_max);
+    let idle = best.expectation.wait.is_zero();
+    if is_served || (idle && query.may_probe) {
         return Choice::Send {
             index: best.index,
             warm: best.known_warm,
-            idle: best.expectation.wait.is_zero(),
+            idle,
+            is_probe: !is_served,
             expected: best.expectation,
         };
     }
--- a/crates/balance/src/health.rs
+++ b/crates/balance/src/health.rs
@@ -32,8 +32,8 @@
     next_ejection: Duration,
     /// Moving average of the latency in seconds; zero before the first response.
     latency_s: f64,
-    /// Time of the last response.
-    responded_at: Now,
+    /// Time of the last response; `None` if the latency no longer applies.
+    responded_at: Option<Now>,
 }
 
 impl Default for Health {
@@ -44,7 +44,7 @@
             unreachable: false,
             next_ejection: EJECTION_MIN,
             latency_s: 0.0,
-            responded_at: Now::ZERO,
+            responded_at: None,
         }
     }
 }
@@ -55,7 +55,7 @@
         let has_recovered = self.note_success();
         let latency_s = latency.as_secs_f64();
         let outdated = self.is_latency_outdated(now);
-        self.responded_at = now;
+        self.responded_at = Some(now);
         self.latency_s = if self.latency_s == 0.0 || outdated {
             latency_s
         } else {
@@ -136,9 +136,15 @@
         !self.is_ejected(now) && self.failure_rate >= EJECTION_THRESHOLD
     }
 
+    /// Marks the latency as outdated, since a response to a probe has shown that what slowed the upstreams down may have ended.
+    pub fn expire_latency(&mut self) {
+        self.responded_at = None;
+    }
+
     /// Returns whether no response has arrived for so long that the latency may have changed.
     pub fn is_latency_outdated(&self, now: Now) -> bool {
-        now.saturating_sub(self.responded_at) > LATENCY_RETENTION
+        self.responded_at
+            .is_none_or(|at| now.saturating_sub(at) > LATENCY_RETENTION)
     }
 
     /// Returns the average latency, or `None` before the first response.
--- a/crates/balance/src/service_times.rs
+++ b/crates/balance/src/service_times.rs
@@ -1,5 +1,10 @@
 //! Service times at warm and cold upstreams.
+//!
+//! Only responses update the estimates, and requests that aren't expected to be answered in time get none. Estimates that
+//! rule out all requests would therefore last for good, so a few requests are sent as probes in spite of them, and the
+//! response to a probe replaces the estimates.
 
+use base::Now;
 use std::time::Duration;
 
 /// Weight of the latest time in the warm estimate if it is above the estimate.
@@ -21,6 +26,8 @@
 /// A response from an upstream not known to be warm counts as warm if its service time is below this multiple of the
 /// warm estimate.
 const WARM_FACTOR_MAX: f64 = 1.6;
+/// Minimum time from a response, or from a probe, to the next probe.
+const PROBE_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Estimated service times, without the network round trip.
 #[derive(Clone, Copy, Debug, Default)]
@@ -29,12 +36,14 @@
     cold_s: Option<f64>,
     /// Rate at which upstreams not known to be warm turned out to be warm.
     assumed_warm_rate: f64,
+    /// Time from which a request may be sent as a probe.
+    next_probe_at: Now,
 }
 
 impl ServiceTimes {
     /// Records the service time of a response that did not wait for a slot. `known_warm` is whether the upstream was
     /// known to have served the key recently.
-    pub fn note(&mut self, known_warm: bool, service_time: Duration) {
+    pub fn note(&mut self, known_warm: bool, service_time: Duration, now: Now) {
         let time_s = service_time.as_secs_f64();
         let was_warm = self
             .warm_s
@@ -44,13 +53,33 @@
             self.assumed_warm_rate += WEIGHT_ASSUMED_WARM * (result - self.assumed_warm_rate);
         }
         if known_warm || was_warm {
+            // Doesn't delay probes, as the estimate for other upstreams may still be outdated.
             self.note_warm(time_s);
         } else {
+            self.next_probe_at = now + PROBE_INTERVAL;
             let cold = self.cold_s.unwrap_or(time_s);
             self.cold_s = Some(cold + WEIGHT_COLD * (time_s - cold));
         }
     }
 
+    /// Returns whether a request may be sent as a probe.
+    pub fn is_probe_due(&self, now: Now) -> bool {
+        now >= self.next_probe_at
+    }
+
+    /// Records that a probe is sent.
+    pub fn note_probe_sent(&mut self, now: Now) {
+        self.next_probe_at = now + PROBE_INTERVAL;
+    }
+
+    /// Discards the estimates, since a probe has got a response.
+    pub fn reset(&mut self) {
+        *self = Self {
+            next_probe_at: self.next_probe_at,
+            ..Self::default()
+        };
+    }
+
     fn note_warm(&mut self, time_s: f64) {
         let weight = match self.warm_s {
             Some(warm) if time_s > warm => WEIGHT_ABOVE,
--- a/crates/balance/src/speed.rs
+++ b/crates/balance/src/speed.rs
@@ -56,6 +56,11 @@
         self.mean = Some(mean + MEAN_WEIGHT * (stated - mean));
     }
 
+    /// Replaces the mean with a statement in the response to a probe.
+    pub fn restart(&mut self, work_time_pct: u32) {
+        self.mean = Some(f64::from(work_time_pct) / 100.0);
+    }
+
     /// Returns whether upstreams of the service state their speed.
     pub fn is_known(&self) -> bool {
         self.mean.is_some()
--- a/crates/balance/tests/choose.rs
+++ b/crates/balance/tests/choose.rs
@@ -48,10 +48,10 @@
 /// Service times of 100 ms if warm and 300 ms if cold; all upstreams assumed to be warm were warm.
 fn reliable_times() -> ServiceTimes {
     let mut times = ServiceTimes::default();
-    times.note(false, ms(300));
+    times.note(false, ms(300), NOW);
     for _ in 0..100 {
-        times.note(true, ms(100));
-        times.note(false, ms(100));
+        times.note(true, ms(100), NOW);
+        times.note(false, ms(100), NOW);
     }
     times
 }
@@ -59,9 +59,9 @@
 /// The same service times; no upstream assumed to be warm was warm.
 fn unreliable_times() -> ServiceTimes {
     let mut times = ServiceTimes::default();
-    times.note(false, ms(300));
+    times.note(false, ms(300), NOW);
     for _ in 0..100 {
-        times.note(true, ms(100));
+        times.note(true, ms(100), NOW);
     }
     times
 }
@@ -518,17 +518,17 @@
 fn queueing_does_not_raise_the_service_time() {
     let mut times = ServiceTimes::default();
     for _ in 0..100 {
-        times.note(true, ms(100));
+        times.note(true, ms(100), NOW);
     }
     // Three of four responses include a wait, although none was expected.
     for _ in 0..100 {
         for time_ms in [400, 500, 110, 350] {
-            times.note(true, ms(time_ms));
+            times.note(true, ms(time_ms), NOW);
         }
     }
     assert!(times.warm() < ms(260), "{:?}", times.warm());
     for _ in 0..20 {
-        times.note(true, ms(100));
+        times.note(true, ms(100), NOW);
     }
     assert!(times.warm() < ms(120), "{:?}", times.warm());
 }
@@ -561,10 +561,10 @@
 #[test]
 fn warm_answers_of_unknown_upstreams_count_as_warm() {
     let mut times = ServiceTimes::default();
-    times.note(false, ms(300));
-    times.note(true, ms(100));
+    times.note(false, ms(300), NOW);
+    times.note(true, ms(100), NOW);
     for _ in 0..100 {
-        times.note(false, ms(110));
+        times.note(false, ms(110), NOW);
     }
     assert_eq!(times.cold(), ms(300));
     assert!(times.warm() < ms(120));
@@ -574,9 +574,9 @@
 /// Service times of an order: 540 ms if warm and 1800 ms if cold.
 fn order_times() -> ServiceTimes {
     let mut times = ServiceTimes::default();
-    times.note(false, ms(1800));
+    times.note(false, ms(1800), NOW);
     for _ in 0..100 {
-        times.note(true, ms(540));
+        times.note(true, ms(540), NOW);
     }
     times
 }
--- a/crates/balance/tests/noisy_neighbours.rs
+++ b/crates/balance/tests/noisy_neighbours.rs
@@ -292,7 +292,7 @@
             let after = work_time_pct.map(|work_time_pct| StatedSpeed { work_time_pct, at });
             let usual = entry.usual_speed.usual_time(took, before, after, at);
             upstream.health.note_response(usual, at);
-            entry.service_times.note(response.known_warm, usual);
+            entry.service_times.note(response.known_warm, usual, at);
         }
         upstream.in_flight -= 1;
     }
--- a/crates/balance/tests/rejections_everywhere.rs
+++ b/crates/balance/tests/rejections_everywhere.rs
@@ -36,9 +36,9 @@
 
 fn service_times() -> ServiceTimes {
     let mut times = ServiceTimes::default();
-    times.note(false, Duration::from_millis(560));
+    times.note(false, Duration::from_millis(560), NOW);
     for _ in 0..100 {
-        times.note(true, Duration::from_millis(168));
+        times.note(true, Duration::from_millis(168), NOW);
     }
     times
 }
--- a/crates/balance/tests/restart_of_all.rs
+++ b/crates/balance/tests/restart_of_all.rs
@@ -87,6 +87,6 @@
 #[test]
 fn a_key_stays_where_it_was_warmed_first() {
     let mut observed = ServiceTimes::default();
-    observed.note(false, COLD);
+    observed.note(false, COLD, NOW);
     assert_eq!(sent(ServiceTimes::default()), sent(observed));
 }
--- a/crates/balance/tests/small_caches.rs
+++ b/crates/balance/tests/small_caches.rs
@@ -86,7 +86,7 @@
             panic!("an idle upstream is chosen");
         };
         let is_warm = caches[index].run(key);
-        service_times.note(warm, if is_warm { WARM } else { COLD });
+        service_times.note(warm, if is_warm { WARM } else { COLD }, now);
         for (upstreams, _) in &mut entries {
             upstreams[index].warm_keys.note(key, now);
         }
--- a/crates/entry/src/metric.rs
+++ b/crates/entry/src/metric.rs
@@ -13,6 +13,8 @@
         "Time from the choice of an upstream to a connection on which the request may be sent.";
     HEDGES = "jasmine_entry_hedges_total", Counter, "requests", "outcome",
         "Requests sent to a second upstream because the first took unusually long, by which of them responded.";
+    PROBES = "jasmine_entry_probes_total", Counter, "requests", "",
+        "Requests sent although no answer was expected in time, to find out whether the estimates still hold.";
     WAIT_SECONDS = "jasmine_entry_wait_seconds", Histogram, "seconds", "rank",
         "Time that requests waited at the entry because their service had no free slot, by priorities of organisation and route.";
     WAITS = "jasmine_entry_waits_total", Counter, "requests", "rank,outcome",
--- a/crates/entry/src/traffic/attempt.rs
+++ b/crates/entry/src/traffic/attempt.rs
@@ -295,7 +295,7 @@
     let signals = Signals::parse(dialect, status, &response.headers);
     let head_at = traffic.now();
     if let Some(signals) = &signals {
-        note_signals(traffic, &incarnation, signals);
+        note_signals(traffic, &in_flight.placement, signals);
     }
     let not_run = response.headers.contains_key(&dialect.not_run);
     if not_run || status == StatusCode::MISDIRECTED_REQUEST {
@@ -331,6 +331,9 @@
     let prefix = match read_buffered(&mut body, deadline, &hold).await {
         Ok(Buffered::Complete(bytes)) => bytes,
         Ok(Buffered::Prefix(prefix)) => {
+            let mut fleet = traffic.fleet.borrow_mut();
+            fleet.note_stream_begins(&in_flight.placement);
+            drop(fleet);
             let body = ReceivedBody::Partial {
                 prefix,
                 rest: Box::new(body),
@@ -348,15 +351,9 @@
     if status.is_server_error() {
         fleet.note_failure(&incarnation, false, traffic.now());
     } else {
-        let placement = &in_flight.placement;
         let speed = signals.and_then(|signals| signals.speed(head_at));
-        fleet.note_response(
-            &incarnation,
-            placement,
-            speed,
-            sent.elapsed(),
-            traffic.now(),
-        );
+        let placement = &in_flight.placement;
+        fleet.note_response(placement, speed, sent.elapsed(), traffic.now());
     }
     drop(fleet);
     received(
@@ -418,11 +415,12 @@
 }
 
 /// Records what the head of a response states.
-fn note_signals(traffic: &Traffic, incarnation: &Incarnation, signals: &Signals) {
+fn note_signals(traffic: &Traffic, placement: &Placement, signals: &Signals) {
     let now = traffic.now();
+    let incarnation = &placement.incarnation;
     let mut fleet = traffic.fleet.borrow_mut();
     if let Some(reported) = signals.load {
-        fleet.note_load(incarnation, reported, now);
+        fleet.note_load(placement, reported, now);
     }
     if signals.is_leaving && fleet.note_leaving(incarnation) {
         traffic.shared.channels.departures.push(Departure {
--- a/crates/entry/src/traffic/dispatch.rs
+++ b/crates/entry/src/traffic/dispatch.rs
@@ -416,6 +416,7 @@
             tried,
             pending: Some(pending),
             wait_max: None,
+            may_probe: false,
         };
         fleet.place(&request, self.traffic.now())
     }
--- a/crates/entry/src/traffic/fleet.rs
+++ b/crates/entry/src/traffic/fleet.rs
@@ -305,6 +305,7 @@
         };
         let tried = request.tried.iter().filter_map(|id| group.index_of(id));
         let tried: Vec<usize> = tried.collect();
+        let service_times = group.service_times(&request.route.id);
         let query = Query {
             key: request.key,
             has_affinity_key: request.has_affinity_key,
@@ -314,9 +315,10 @@
             tried: &tried,
             shift_limited_regions: &shift_limited_regions,
             cold_per_s,
-            service_times: group.service_times(&request.route.id),
+            service_times,
             usual_speed: group.usual_speed,
             runs_once: !request.route.kind.is_idempotent(),
+            may_probe: request.may_probe && service_times.is_probe_due(now),
         };
         let warm = query.service_times.warm();
         let wait_max = request.wait_max.map(|max| warm.mul_f64(max));
@@ -333,8 +335,12 @@
                 index,
                 warm,
                 idle,
+                is_probe,
                 expected,
             } => {
+                if is_probe {
+                    group.note_probe_sent(&request.route.id, now);
+                }
                 let upstream = &mut group.upstreams[index];
                 let load = upstream.load(now);
                 let report_age = upstream.report_age(now);
@@ -366,6 +372,7 @@
                     key: request.has_affinity_key.then_some(request.key),
                     warm,
                     idle,
+                    is_probe,
                     restricted,
                     load,
                     slots: upstream.slots,
--- a/crates/entry/src/traffic/fleet/outcome.rs
+++ b/crates/entry/src/traffic/fleet/outcome.rs
@@ -76,10 +76,11 @@
     /// Records the load stated in a response.
     pub(in crate::traffic) fn note_load(
         &mut self,
-        incarnation: &Incarnation,
+        placement: &Placement,
         reported: LoadReport,
         now: Now,
     ) {
+        let incarnation = &placement.incarnation;
         let Some(upstream) = self.upstream(incarnation) else {
             return;
         };
@@ -89,7 +90,11 @@
         };
         metrics::histogram!(metric::UPSTREAM_WORK_TIME).record(f64::from(pct) / 100.0);
         if let Some(group) = self.groups.get_mut(&incarnation.service) {
-            group.usual_speed.note(pct);
+            if placement.is_probe {
+                group.usual_speed.restart(pct);
+            } else {
+                group.usual_speed.note(pct);
+            }
         }
     }
 
@@ -145,12 +150,12 @@
     /// Records that a complete response arrived after `took`. `speed` is what the response states.
     pub(in crate::traffic) fn note_response(
         &mut self,
-        incarnation: &Incarnation,
         placement: &Placement,
         speed: Option<StatedSpeed>,
         took: Duration,
         now: Now,
     ) {
+        let incarnation = &placement.incarnation;
         let Some(group) = self.groups.get_mut(&incarnation.service) else {
             return;
         };
@@ -177,7 +182,31 @@
                 .service_times
                 .entry(placement.route.clone())
                 .or_default();
-            service_times.note(placement.warm, service_time);
+            if placement.is_probe {
+                service_times.reset();
+            }
+            service_times.note(placement.warm, service_time, now);
+            if placement.is_probe {
+                let others = group.upstreams.iter_mut();
+                for other in others.filter(|other| !incarnation.matches(other)) {
+                    other.health.expire_latency();
+                }
+            }
+        }
+    }
+
+    /// Records that a response is being streamed. Its service time stays unknown, since its duration depends on the caller
+    /// as well, but the response to a probe shows that the estimates are outdated.
+    pub(in crate::traffic) fn note_stream_begins(&mut self, placement: &Placement) {
+        let group = self.groups.get_mut(&placement.incarnation.service);
+        let Some(group) = group.filter(|_| placement.is_probe) else {
+            return;
+        };
+        if let Some(service_times) = group.service_times.get_mut(&placement.route) {
+            service_times.reset();
+        }
+        for upstream in &mut group.upstreams {
+            upstream.health.expire_latency();
         }
     }
 
--- a/crates/entry/src/traffic/group.rs
+++ b/crates/entry/src/traffic/group.rs
@@ -1,6 +1,7 @@
 //! State of the upstreams of one service.
 
 use crate::{
+    metric,
     settings::Bounds,
     snapshot::UpstreamView, //
 };
@@ -60,6 +61,13 @@
         self.service_times.get(route).copied().unwrap_or_default()
     }
 
+    /// Records that a request of a route is sent as a probe.
+    pub(super) fn note_probe_sent(&mut self, route: &ByteString, now: Now) {
+        let service_times = self.service_times.entry(route.clone()).or_default();
+        service_times.note_probe_sent(now);
+        metrics::counter!(metric::PROBES).increment(1);
+    }
+
     /// Charges one retry to the budget, to which this entry's share of its constant part is added. Returns whether the
     /// budget allowed it, and logs once a second that it did not.
     pub(super) fn try_take_retry(&mut self, service: &ServiceId, slack: f64, now: Now) -> bool {
--- a/crates/entry/src/traffic/placement.rs
+++ b/crates/entry/src/traffic/placement.rs
@@ -39,6 +39,8 @@
     pub(super) pending: Option<PendingSend>,
     /// Maximum wait at an upstream, as a multiple of the warm service time; `None` leaves it to the target.
     pub(super) wait_max: Option<f64>,
+    /// Whether it may be sent as a probe, if that is due.
+    pub(super) may_probe: bool,
 }
 
 /// One incarnation of an upstream. The result of a request applies only to the incarnation that it was sent to.
@@ -70,6 +72,8 @@
     pub(super) warm: bool,
     /// Whether the upstream is expected to have a free slot.
     pub(super) idle: bool,
+    /// Whether it is sent although no answer is expected in time.
+    pub(super) is_probe: bool,
     /// Whether the upstream is cold or states a rate limit; the request then counts as waiting there until it is sent.
     pub(super) restricted: bool,
     /// Estimated number of requests at the upstream.
--- a/crates/entry/src/traffic/waiting.rs
+++ b/crates/entry/src/traffic/waiting.rs
@@ -179,6 +179,7 @@
             tried: &self.tried,
             pending: None,
             wait_max: wait_max.flatten(),
+            may_probe: terms.may_be_late && self.tried.is_empty(),
         };
         fleet.place(&request, now)
     }
