Try an upstream again while long responses are under way

An upstream that was ejected, or whose latency is outdated, is tried again by one request at a time. Any request in flight counted as that one, also a long response that began before: a download of a minute kept all other requests away for as long. And an upstream whose responses are all streamed kept an outdated latency for good, one request at a time.

Change: a request that tries an upstream keeps others from it for at most 3 s after it was chosen, or after the ejection's end. A streamed response discards a latency that is outdated.

Evidence: three tests in balance/tests/outdated_estimates.rs, which fail with each of the two changes undone.

--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -438,7 +438,7 @@
 /// Returns the ratio of an upstream's latency to the service time, or 1 if it is within the usual variation. Once the latency
 /// is outdated, one request at a time finds out whether it still holds.
 fn slowdown(upstream: &Upstream, query: &Query<'_>, now: Now) -> f64 {
-    if upstream.in_flight == 0 && upstream.health.is_latency_outdated(now) {
+    if upstream.health.is_latency_outdated(now) && !upstream.is_being_tried(now) {
         return 1.0;
     }
     let Some(latency) = upstream.health.latency() else {
@@ -489,7 +489,7 @@
             warm_before: 0,
         };
         // One request at a time probes whether a failing upstream has recovered.
-        let probe_pending = upstream.health.is_probing(now) && upstream.in_flight > 0;
+        let probe_pending = upstream.health.is_probing(now) && upstream.is_being_tried(now);
         if !upstream.health.is_ejected(now) && !probe_pending {
             candidates.push(candidate);
         } else if upstream.health.is_reachable() {
--- a/crates/balance/src/health.rs
+++ b/crates/balance/src/health.rs
@@ -65,8 +65,16 @@
     }
 
     /// Records a complete response whose duration says nothing about the upstream, since it depends on its caller as
-    /// well. Returns whether the upstream has recovered from failing.
-    pub fn note_success(&mut self) -> bool {
+    /// well. An outdated latency is discarded: an upstream whose responses are all of this kind has no other end of it.
+    /// Returns whether the upstream has recovered from failing.
+    pub fn note_streamed(&mut self, now: Now) -> bool {
+        if self.is_latency_outdated(now) {
+            self.latency_s = 0.0;
+        }
+        self.note_success()
+    }
+
+    fn note_success(&mut self) -> bool {
         let was_failing = self.failure_rate >= EJECTION_THRESHOLD;
         self.failure_rate *= 1.0 - FAILURE_WEIGHT;
         self.unreachable = false;
@@ -121,6 +129,11 @@
         };
     }
 
+    /// Returns the end of the last ejection.
+    pub(crate) fn ejected_until(&self) -> Now {
+        self.ejected_until
+    }
+
     /// Returns whether the upstream is ejected at `now`.
     pub fn is_ejected(&self, now: Now) -> bool {
         now < self.ejected_until
--- a/crates/balance/src/upstream.rs
+++ b/crates/balance/src/upstream.rs
@@ -20,6 +20,8 @@
 };
 use std::time::Duration;
 
+/// Time for which a request that tries an upstream again keeps others from it. A long response would do so for minutes.
+const TRIAL_WAIT_MAX: Duration = Duration::from_secs(3);
 /// Age up to which an upstream's report is more accurate than the other entries' counts, which are some tenths of a
 /// second old.
 const REPORT_EXACT: Duration = Duration::from_millis(100);
@@ -65,6 +67,8 @@
     pub rate_limiter: RateLimiter,
     /// Requests that this entry has in flight there.
     pub in_flight: u32,
+    /// Time at which it was last chosen for a request.
+    pub chosen_at: Option<Now>,
     /// Requests that other entries had in flight there, according to its last report.
     reported_others: f64,
     /// Time of the last report.
@@ -99,6 +103,7 @@
             limit_per_s: None,
             rate_limiter: RateLimiter::default(),
             in_flight: 0,
+            chosen_at: None,
             reported_others: 0.0,
             reported_at: Now::ZERO,
             speed: None,
@@ -148,6 +153,15 @@
         f64::from(self.in_flight) + others
     }
 
+    /// Returns whether a request is under way whose result may show that it has recovered.
+    pub(crate) fn is_being_tried(&self, now: Now) -> bool {
+        let is_recent = self.chosen_at.is_none_or(|chosen_at| {
+            let began = chosen_at.max(self.health.ejected_until());
+            now.saturating_sub(began) < TRIAL_WAIT_MAX
+        });
+        self.in_flight > 0 && is_recent
+    }
+
     /// Returns whether it gets no new requests.
     pub fn is_closed(&self) -> bool {
         self.closed || self.gone || self.states_leaving
--- a/crates/balance/tests/choose.rs
+++ b/crates/balance/tests/choose.rs
@@ -434,6 +434,20 @@
     assert_eq!(sent_to(choose(&mut all, &query(key), &here(), reset)), 0);
 }
 
+/// Guards against a request that is refused because the upstream of its key is slow, while another is idle that would answer
+/// it late but before its deadline.
+#[test]
+fn request_leaves_a_slow_upstream_that_would_miss_its_deadline() {
+    let mut all = vec![upstream("a", "home"), upstream("b", "home")];
+    let key = key_for(&all, &[0, 1]);
+    all[0].health.note_response(ms(3000), NOW);
+    let query = Query {
+        target_left: ms(200),
+        ..query(key)
+    };
+    assert_eq!(sent_to(choose(&mut all, &query, &here(), NOW)), 1);
+}
+
 /// A request that would wait and miss its target is refused at once with a retry delay. One that misses its target
 /// without waiting is sent.
 #[test]
--- a/crates/balance/tests/outdated_estimates.rs
+++ b/crates/balance/tests/outdated_estimates.rs
@@ -3,6 +3,7 @@
 use balance::{
     choose,
     Choice,
+    Health,
     Location,
     Query,
     ServiceTimes,
@@ -122,3 +123,50 @@
     usual.restart(100);
     assert_eq!(sent(&query(usual, false)), Some(false));
 }
+
+/// An upstream with a long response under way that was chosen long before [`NOW`].
+fn upstream_with_a_long_response() -> Upstream {
+    let mut upstream = upstream("u-1");
+    upstream.in_flight = 1;
+    upstream.chosen_at = Some(Duration::from_secs(1));
+    upstream
+}
+
+/// Guards against an upstream that stays unused until the long responses end which were under way when it was ejected.
+#[test]
+fn long_responses_dont_prolong_an_ejection() {
+    let mut upstreams = [upstream_with_a_long_response()];
+    upstreams[0].health.note_failure(true, NOW);
+    let query = query(times_of(SERVICE_TIME), NOW);
+    let choice = |upstreams: &mut [Upstream], at| is_probe(choose(upstreams, &query, &here(), at));
+    assert_eq!(choice(&mut upstreams, NOW), None);
+    let later = NOW + OUTDATED_AFTER;
+    assert_eq!(choice(&mut upstreams, later), Some(false));
+    // One request at a time finds out.
+    upstreams[0].in_flight += 1;
+    upstreams[0].chosen_at = Some(later);
+    assert_eq!(choice(&mut upstreams, later), None);
+}
+
+/// Guards against a latency that stays in force until the long responses end which are under way.
+#[test]
+fn long_responses_dont_prolong_a_latency() {
+    let mut upstreams = [upstream_with_a_long_response()];
+    upstreams[0].health.note_response(SLOW_SERVICE_TIME, NOW);
+    let query = query(times_of(SERVICE_TIME), NOW);
+    let mut choice = |at| is_probe(choose(&mut upstreams, &query, &here(), at));
+    assert_eq!(choice(NOW), None);
+    assert_eq!(choice(NOW + OUTDATED_AFTER), Some(false));
+}
+
+/// Guards against an upstream that gets one request at a time for good, because its responses are streamed and don't renew
+/// its latency.
+#[test]
+fn streamed_responses_end_an_outdated_latency() {
+    let mut health = Health::default();
+    health.note_response(SLOW_SERVICE_TIME, NOW);
+    health.note_streamed(NOW);
+    assert_eq!(health.latency(), Some(SLOW_SERVICE_TIME));
+    health.note_streamed(NOW + OUTDATED_AFTER);
+    assert_eq!(health.latency(), None);
+}
--- a/crates/entry/src/traffic/attempt.rs
+++ b/crates/entry/src/traffic/attempt.rs
@@ -159,7 +159,7 @@
         let mut fleet = self.traffic.fleet.borrow_mut();
         let incarnation = &self.placement.incarnation;
         if is_whole {
-            fleet.note_streamed(incarnation);
+            fleet.note_streamed(incarnation, now);
         } else {
             fleet.note_failure(incarnation, false, now);
         }
--- a/crates/entry/src/traffic/fleet.rs
+++ b/crates/entry/src/traffic/fleet.rs
@@ -345,6 +345,7 @@
                 let load = upstream.load(now);
                 let report_age = upstream.report_age(now);
                 upstream.in_flight += 1;
+                upstream.chosen_at = Some(now);
                 if request.has_affinity_key {
                     upstream.warm_keys.note(request.key, now);
                     if !warm {
--- a/crates/entry/src/traffic/fleet/outcome.rs
+++ b/crates/entry/src/traffic/fleet/outcome.rs
@@ -211,9 +211,9 @@
     }
 
     /// Records that a response was streamed to its end.
-    pub(in crate::traffic) fn note_streamed(&mut self, incarnation: &Incarnation) {
+    pub(in crate::traffic) fn note_streamed(&mut self, incarnation: &Incarnation, now: Now) {
         let upstream = self.upstream(incarnation);
-        if upstream.is_some_and(|upstream| upstream.health.note_success()) {
+        if upstream.is_some_and(|upstream| upstream.health.note_streamed(now)) {
             log_back(incarnation);
         }
     }
