Send a late request where it is answered before its deadline

A request that no upstream answers within its target goes to the idle one that its key ranks highest, and was refused if that one was expected to miss the deadline, for up to 5 s, although another was idle and expected in time.

Change: upstreams that are expected to answer before the deadline go before those that aren't.

Evidence: request_leaves_a_slow_upstream_that_would_miss_its_deadline (balance/tests/choose.rs) was refused before.

--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -233,10 +233,9 @@
             retry_after: pause_left.max(RETRY_AFTER_NO_UPSTREAM),
         };
     };
-    let is_in_deadline = best.expectation.response_time <= query.deadline_left.mul_f64(TIME_USED);
     let late_wait_max = query.service_times.warm().mul_f64(LATE_WAIT_MAX);
-    let is_served =
-        is_in_target(best, query) || (is_in_deadline && best.expectation.wait <= late_wait_max);
+    let is_served = is_in_target(best, query)
+        || (is_in_deadline(best, query) && best.expectation.wait <= late_wait_max);
     let idle = best.expectation.wait.is_zero();
     if is_served || (idle && query.may_probe) {
         return Choice::Send {
@@ -337,6 +336,11 @@
     known && response_time <= query.target_left.mul_f64(TIME_USED)
 }
 
+/// Returns whether a response is expected before the deadline.
+fn is_in_deadline(estimate: &Estimate, query: &Query<'_>) -> bool {
+    estimate.expectation.response_time <= query.deadline_left.mul_f64(TIME_USED)
+}
+
 /// Returns the best upstream for the request.
 ///
 /// Of the upstreams that answer within the target, this is the nearest, unless one farther away is faster by a
@@ -365,6 +369,7 @@
             .filter(|one| one.expectation.wait.is_zero());
         let nearest = idle.min_by_key(|one| {
             (
+                !is_in_deadline(one, query),
                 one.crossing == Crossing::Region,
                 one.rank_in_region,
                 one.expectation.response_time,
--- a/crates/balance/tests/choose.rs
+++ b/crates/balance/tests/choose.rs
@@ -443,6 +443,7 @@
     all[0].health.note_response(ms(3000), NOW);
     let query = Query {
         target_left: ms(200),
+        deadline_left: ms(900),
         ..query(key)
     };
     assert_eq!(sent_to(choose(&mut all, &query, &here(), NOW)), 1);
