Find the end of bodies without a length in old or unusual responses

An upstream's answer with Transfer-Encoding: identity and no length became a 200 with an empty body that looks whole. An HTTP/1.0 answer without a length, or with a length of 0, became a 502.

Cause: any transfer coding counted as a statement of the body's length, but the codec accepts identity, which states none, and reports no body. For HTTP/1.0 the codec returns a body decoder that never finds an end.

Change: a body without chunks and length ends with its connection, whatever else the head says.

The test's links pass on resets as such; before, they ended the other connection in an orderly way, so that a relayed body seemed to end by itself.

--- a/crates/entry/tests/support/link.rs
+++ b/crates/entry/tests/support/link.rs
@@ -263,19 +263,36 @@
     }
 }
 
-/// Forwards one direction of a connection until it ends.
+/// Forwards one direction of a connection until it ends. A reset is passed on as one.
 fn forward(mut from: &TcpStream, mut to: &TcpStream, state: &Mutex<LinkState>) {
     let mut buf = [0; 16384];
-    while let Ok(read @ 1..) = from.read(&mut buf) {
-        let cut = lock(state).cut;
-        let hangs = cut.is_some_and(|cut| cut.open == OpenConnections::Hang);
-        if !hangs && to.write_all(&buf[..read]).is_err() {
-            break;
+    let is_reset = loop {
+        match from.read(&mut buf) {
+            Ok(0) => break false,
+            Err(_) => break true,
+            Ok(read) => {
+                let cut = lock(state).cut;
+                let hangs = cut.is_some_and(|cut| cut.open == OpenConnections::Hang);
+                if !hangs && to.write_all(&buf[..read]).is_err() {
+                    break false;
+                }
+            }
         }
+    };
+    if is_reset {
+        // Fails if the connection is already closed.
+        let _ = SockRef::from(to).set_linger(Some(Duration::ZERO));
     }
+    // A shutdown for writing would end the connection in an orderly way before closing it resets it.
+    let resets = |stream| SockRef::from(stream).linger().ok().flatten() == Some(Duration::ZERO);
+    let how = if resets(from) || resets(to) {
+        Shutdown::Read
+    } else {
+        Shutdown::Both
+    };
     // Fails if the connection is already closed.
-    let _ = from.shutdown(Shutdown::Both);
-    let _ = to.shutdown(Shutdown::Both);
+    let _ = from.shutdown(how);
+    let _ = to.shutdown(how);
 }
 
 /// Fills the backlog of a listener, so that further connection attempts get no answer. Returns what has to be kept.
--- a/crates/relay/src/response.rs
+++ b/crates/relay/src/response.rs
@@ -16,12 +16,12 @@
     header::{
         HeaderMap,
         HeaderName,
-        CONTENT_LENGTH,
-        TRANSFER_ENCODING, //
+        CONTENT_LENGTH, //
     },
     ConnectionType,
     ResponseHead,
-    StatusCode, //
+    StatusCode,
+    Version, //
 };
 use bytes::{
     Bytes,
@@ -235,7 +235,7 @@
         reusable: bool,
     ) -> UpstreamResponse {
         let stays_open = match head.connection_type() {
-            ConnectionType::KeepAlive => head.version >= actix_http::Version::HTTP_11,
+            ConnectionType::KeepAlive => head.version >= Version::HTTP_11,
             _ => false,
         };
         let delimited = !matches!(self.delimiter, BodyDelimiter::Connection);
@@ -244,8 +244,7 @@
             .headers
             .get(KEEP_ALIVE)
             .and_then(parse_keep_alive_timeout);
-        let length = head.headers.get(CONTENT_LENGTH);
-        let length_bytes = length.and_then(|value| value.to_str().ok()?.trim().parse().ok());
+        let length_bytes = stated_length(&head.headers);
         UpstreamResponse {
             status: head.status,
             length_bytes,
@@ -279,24 +278,31 @@
 /// How the body of a response ends.
 ///
 /// actix-http takes an HTTP/1.1 response without a length and without chunks for one without a
-/// body, whereas its body ends with the connection.
+/// body, whereas its body ends with the connection. So does that of an earlier version, for which
+/// the codec never finds an end.
 fn body_delimiter(head: &ResponseHead, codec: ClientCodec, head_only: bool) -> BodyDelimiter {
     let status = head.status;
     let never_has_body = status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED;
     if head_only || never_has_body {
         return BodyDelimiter::Empty;
     }
+    let length_bytes = stated_length(&head.headers);
+    let is_framed = length_bytes.is_some() || head.version >= Version::HTTP_11;
     match codec.message_type() {
-        MessageType::Payload => BodyDelimiter::Framed(Box::new(codec.into_payload_codec())),
-        _ if head.headers.contains_key(CONTENT_LENGTH)
-            || head.headers.contains_key(TRANSFER_ENCODING) =>
-        {
-            BodyDelimiter::Empty
+        _ if length_bytes == Some(0) => BodyDelimiter::Empty,
+        MessageType::Payload if is_framed => {
+            BodyDelimiter::Framed(Box::new(codec.into_payload_codec()))
         }
         _ => BodyDelimiter::Connection,
     }
 }
 
+/// Returns the length that a head states. The codec rejects invalid ones.
+fn stated_length(headers: &HeaderMap) -> Option<u64> {
+    let length = headers.get(CONTENT_LENGTH)?;
+    length.to_str().ok()?.trim().parse().ok()
+}
+
 /// Reads the body of a response from its connection.
 #[derive(Debug)]
 pub struct BodyReader {
