Reset connections to upstreams when they are closed

Cause: a request is given up by closing its connection in an orderly way, after which the kernel still delivers what it holds once the path works again.

Change: SO_LINGER of 0 on the pool's connections, to upstreams and to entries that relay.

--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -26,6 +26,7 @@
     Bytes,
     BytesMut, //
 };
+use socket2::SockRef;
 use std::{
     cell::RefCell,
     fmt, io,
@@ -311,7 +312,9 @@
         match timeout_at(limit.into(), TcpStream::connect(target.addr)).await {
             Ok(Ok(stream)) => {
                 connect.established();
-                set_socket_options(&stream).map_err(|error| Failure::NotSent(error.to_string()))?;
+                set_socket_options(&stream)
+                    .and_then(|()| reset_on_close(&stream))
+                    .map_err(|error| Failure::NotSent(error.to_string()))?;
                 Ok((stream, connect))
             }
             Ok(Err(error)) => {
@@ -367,6 +370,14 @@
     }
 }
 
+/// Makes closing the connection send a reset.
+///
+/// After an orderly close, the kernel would still deliver a request that was given up while the network path was cut, once
+/// the path is open again and the upstream may no longer get requests.
+fn reset_on_close(stream: &TcpStream) -> io::Result<()> {
+    SockRef::from(stream).set_linger(Some(Duration::ZERO))
+}
+
 enum WriteError {
     NothingWritten(io::Error),
     /// The subsequent read finds the cause.
