Ignore a length beside chunks

Cause: the body is read by its chunks, which decide by RFC 9112, 6.3, but a body too long to be buffered was passed on with the stated length.

Change: such a length is neither used nor passed on, and the connection isn't used again.

--- a/crates/entry/tests/cut_responses.rs
+++ b/crates/entry/tests/cut_responses.rs
@@ -47,7 +47,10 @@
     /// By its length, which is the first header.
     LengthFirst,
     /// By the last chunk.
-    Chunks { trailers: &'static str },
+    Chunks {
+        rest: &'static str,
+        trailers: &'static str,
+    },
     /// By the end of its connection.
     Connection {
         http: &'static str,
@@ -108,14 +111,14 @@
             Form::LengthFirst => {
                 format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n{named}\r\n")
             }
-            Form::Chunks { .. } => {
-                format!("HTTP/1.1 200 OK\r\n{named}transfer-encoding: chunked\r\n\r\n")
+            Form::Chunks { rest, .. } => {
+                format!("HTTP/1.1 200 OK\r\n{named}{rest}transfer-encoding: chunked\r\n\r\n")
             }
             Form::Connection { http, rest } => format!("{http} 200 OK\r\n{named}{rest}\r\n"),
         };
         let head_bytes = head.len();
         let mut response = head.into_bytes();
-        let Form::Chunks { trailers } = self.form else {
+        let Form::Chunks { trailers, .. } = self.form else {
             response.extend(body);
             return (response, head_bytes);
         };
@@ -311,13 +314,13 @@
 
 cut_relayed_response_is_not_whole! {
     cut_relayed_filing_with_a_length: FILING;
-    cut_relayed_filing_in_chunks: Case { form: Form::Chunks { trailers: "x-check: 7\r\n" }, ..FILING };
+    cut_relayed_filing_in_chunks: Case { form: Form::Chunks { rest: "", trailers: "x-check: 7\r\n" }, ..FILING };
     cut_relayed_filing_that_ends_with_its_connection: Case {
         form: Form::Connection { http: "HTTP/1.1", rest: "" },
         ..FILING
     };
     cut_relayed_download_with_a_length: DOWNLOAD;
-    cut_relayed_download_in_chunks: Case { form: Form::Chunks { trailers: "" }, ..DOWNLOAD };
+    cut_relayed_download_in_chunks: Case { form: Form::Chunks { rest: "", trailers: "" }, ..DOWNLOAD };
 }
 
 /// Guards against a response that broke off and looks whole to the caller.
@@ -347,9 +350,9 @@
         form: Form::Length { http: "HTTP/1.0", rest: "connection: close\r\n" },
         ..FILING
     };
-    cut_filing_in_chunks: Case { form: Form::Chunks { trailers: "" }, ..FILING };
+    cut_filing_in_chunks: Case { form: Form::Chunks { rest: "", trailers: "" }, ..FILING };
     cut_filing_in_chunks_with_trailers: Case {
-        form: Form::Chunks { trailers: "x-check: 7\r\nx-more: 8\r\n" },
+        form: Form::Chunks { rest: "", trailers: "x-check: 7\r\nx-more: 8\r\n" },
         ..FILING
     };
     cut_filing_that_ends_with_its_connection: Case {
@@ -373,11 +376,27 @@
     cut_read_in_chunks: Case {
         method: "GET",
         prefix: "/r/",
-        form: Form::Chunks { trailers: "" },
+        form: Form::Chunks { rest: "", trailers: "" },
         ..FILING
     };
+    cut_filing_in_chunks_with_a_shorter_length: Case {
+        form: Form::Chunks { rest: "content-length: 7\r\n", trailers: "" },
+        ..FILING
+    };
+    cut_download_in_chunks_with_a_shorter_length: Case {
+        form: Form::Chunks { rest: "content-length: 290000\r\n", trailers: "" },
+        ..DOWNLOAD
+    };
+    cut_download_in_chunks_with_a_longer_length: Case {
+        form: Form::Chunks { rest: "content-length: 400000\r\n", trailers: "" },
+        ..DOWNLOAD
+    };
+    cut_download_in_chunks_with_a_length_of_zero: Case {
+        form: Form::Chunks { rest: "content-length: 0\r\n", trailers: "" },
+        ..DOWNLOAD
+    };
     cut_download_with_a_length: DOWNLOAD;
-    cut_download_in_chunks: Case { form: Form::Chunks { trailers: "x-check: 7\r\n" }, ..DOWNLOAD };
+    cut_download_in_chunks: Case { form: Form::Chunks { rest: "", trailers: "x-check: 7\r\n" }, ..DOWNLOAD };
     cut_download_that_ends_with_its_connection: Case {
         form: Form::Connection { http: "HTTP/1.1", rest: "connection: close\r\n" },
         ..DOWNLOAD
--- a/crates/relay/src/response.rs
+++ b/crates/relay/src/response.rs
@@ -16,7 +16,8 @@
     header::{
         HeaderMap,
         HeaderName,
-        CONTENT_LENGTH, //
+        CONTENT_LENGTH,
+        TRANSFER_ENCODING, //
     },
     ConnectionType,
     ResponseHead,
@@ -238,13 +239,15 @@
             ConnectionType::KeepAlive => head.version >= Version::HTTP_11,
             _ => false,
         };
-        let delimited = !matches!(self.delimiter, BodyDelimiter::Connection);
+        // A sender that states both chunks and a length may not know where its response ends.
+        let is_ambiguous = is_chunked(&head) && head.headers.contains_key(CONTENT_LENGTH);
+        let delimited = !matches!(self.delimiter, BodyDelimiter::Connection) && !is_ambiguous;
         let reusable = reusable && stays_open && delimited && self.mismatched_responses == 0;
         let stated_timeout = head
             .headers
             .get(KEEP_ALIVE)
             .and_then(parse_keep_alive_timeout);
-        let length_bytes = stated_length(&head.headers);
+        let length_bytes = stated_length(&head);
         UpstreamResponse {
             status: head.status,
             length_bytes,
@@ -265,6 +268,13 @@
     }
 }
 
+/// Returns whether the body is in chunks. The codec rejects combinations with other codings.
+fn is_chunked(head: &ResponseHead) -> bool {
+    let coding = head.headers.get(TRANSFER_ENCODING);
+    let coding = coding.filter(|_| head.version >= Version::HTTP_11);
+    coding.is_some_and(|coding| coding.as_bytes().eq_ignore_ascii_case(b"chunked"))
+}
+
 /// Parses the timeout of a `Keep-Alive` header.
 fn parse_keep_alive_timeout(value: &actix_http::header::HeaderValue) -> Option<Duration> {
     let text = value.to_str().ok()?;
@@ -286,7 +296,7 @@
     if head_only || never_has_body {
         return BodyDelimiter::Empty;
     }
-    let length_bytes = stated_length(&head.headers);
+    let length_bytes = stated_length(head);
     let is_framed = length_bytes.is_some() || head.version >= Version::HTTP_11;
     match codec.message_type() {
         _ if length_bytes == Some(0) => BodyDelimiter::Empty,
@@ -297,9 +307,13 @@
     }
 }
 
-/// Returns the length that a head states. The codec rejects invalid ones.
-fn stated_length(headers: &HeaderMap) -> Option<u64> {
-    let length = headers.get(CONTENT_LENGTH)?;
+/// Returns the length that a head states; `None` if the body is in chunks, which overrides it. The codec rejects invalid
+/// lengths.
+fn stated_length(head: &ResponseHead) -> Option<u64> {
+    if is_chunked(head) {
+        return None;
+    }
+    let length = head.headers.get(CONTENT_LENGTH)?;
     length.to_str().ok()?.trim().parse().ok()
 }
 
