Skip a response without an id where its sender would state one

Cause: bytes after a complete answer that look like a rejection and bear no request's id were taken for the answer to the next request on the connection, and so for the proof that it did not run.

Change: a connection knows whether a response on it has repeated its request's id. If so, one without an id is skipped like one with another id.

--- a/crates/entry/src/traffic/dispatch.rs
+++ b/crates/entry/src/traffic/dispatch.rs
@@ -63,6 +63,7 @@
 use relay::{
     request_head,
     BodyHold,
+    Echo,
     Failure,
     Framing,
     RequestBody,
@@ -511,10 +512,11 @@
         UpstreamRequest {
             head: head.freeze(),
             body,
-            echo: Some((
-                self.traffic.shared.dialect.request_id.clone(),
-                Bytes::copy_from_slice(self.id.as_bytes()),
-            )),
+            echo: Some(Echo {
+                name: self.traffic.shared.dialect.request_id.clone(),
+                id: Bytes::copy_from_slice(self.id.as_bytes()),
+                is_consistent: true,
+            }),
             head_only: self.method == Method::HEAD,
             deadline: self.deadline,
         }
--- a/crates/entry/src/traffic/relay.rs
+++ b/crates/entry/src/traffic/relay.rs
@@ -161,7 +161,12 @@
         headers.remove(&shared.dialect.target);
         headers.insert(shared.dialect.deadline_ms.clone(), self.deadline_header());
         headers.insert(relayed::RELAY, header);
-        Some(self.encode(&headers, body))
+        let mut request = self.encode(&headers, body);
+        if let Some(echo) = &mut request.echo {
+            // An entry passes on the id of an upstream's response, but states none in its own.
+            echo.is_consistent = false;
+        }
+        Some(request)
     }
 
     fn log_failed_relay(&self, entry: &InstanceId, not_run: bool, why: String) {
--- a/crates/entry/tests/faults.rs
+++ b/crates/entry/tests/faults.rs
@@ -804,3 +804,41 @@
     let reached = setup.upstreams[0].requests().len();
     assert!((1..=8).contains(&reached), "{reached} of 40 reached it");
 }
+
+/// Guards against bytes without any request's id that an upstream sends where a response is expected: one that seems to
+/// state that the request did not run must not have it sent to another upstream, nor be passed on to the caller.
+macro_rules! response_without_an_id_is_skipped {
+    ($($name:ident: $additional:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let start = || {
+                let last_connection = AtomicUsize::new(usize::MAX);
+                Upstream::start(Box::new(move |_, request, connection| {
+                    let last = last_connection.swap(request.connection, Ordering::Relaxed);
+                    if last == request.connection {
+                        connection.write($additional);
+                        thread::sleep(Duration::from_millis(20));
+                    }
+                    connection.write(ok_response(request, "own"));
+                    true
+                }))
+            };
+            let setup = Setup::new(vec![start(), start()]);
+            for number in 0..10 {
+                let id = format!("d{number}");
+                let response = setup.call("POST", "/f/x", &id, "order").expect("the entry responds");
+                assert_eq!(response.status, 200, "{}", response.head);
+                assert_eq!(response.body, b"own");
+                assert_eq!(setup.requests_with_id(&id).len(), 1);
+            }
+        }
+    )*};
+}
+
+response_without_an_id_is_skipped! {
+    rejection_without_an_id:
+        "HTTP/1.1 503 Full\r\nupstream-refused: 1\r\ncontent-length: 0\r\n\r\n";
+    misdirection_without_an_id: "HTTP/1.1 421 Gone\r\ncontent-length: 0\r\n\r\n";
+    success_without_an_id:
+        "HTTP/1.1 200 OK\r\nupstream-id: s\r\ncontent-length: 5\r\n\r\nother";
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -46,6 +46,7 @@
     ResponseBody,
 };
 pub use pool::{
+    Echo,
     Failure,
     Pool,
     Target, //
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -68,6 +68,17 @@
     pub addr: SocketAddr,
 }
 
+/// Header in which a response repeats the id of its request.
+#[derive(Clone, Debug)]
+pub struct Echo {
+    /// Name of the header.
+    pub name: actix_http::header::HeaderName,
+    /// Id of the request.
+    pub id: Bytes,
+    /// Whether a peer that has sent the header once on a connection always does.
+    pub is_consistent: bool,
+}
+
 /// Encoded request to an upstream.
 #[derive(Debug)]
 pub struct UpstreamRequest {
@@ -75,8 +86,8 @@
     pub head: Bytes,
     /// Body.
     pub body: RequestBody,
-    /// Header in which the response repeats the request's id, and that id.
-    pub echo: Option<(actix_http::header::HeaderName, Bytes)>,
+    /// How the response shows that it belongs to this request.
+    pub echo: Option<Echo>,
     /// Whether its response has no body, as for HEAD.
     pub head_only: bool,
     /// When the exchange is given up.
@@ -133,6 +144,8 @@
 pub(crate) struct IdleConnection {
     pub(crate) stream: TcpStream,
     pub(crate) until: Instant,
+    /// Whether a response on it has repeated the id of its request.
+    pub(crate) has_echoed: bool,
 }
 
 /// Idle connections of one thread to upstreams.
@@ -175,19 +188,20 @@
         may_send: impl FnOnce() -> bool,
     ) -> Result<UpstreamResponse, Failure> {
         let deadline = request.deadline.into();
-        let (stream, connect) = match self.check_out(target) {
-            Some(stream) => (stream, None),
+        let (stream, has_echoed, connect) = match self.check_out(target) {
+            Some(idle) => (idle.stream, idle.has_echoed, None),
             None => {
                 let (stream, connect) = self.connect(target, request.deadline).await?;
-                (stream, Some(connect))
+                (stream, false, Some(connect))
             }
         };
         if !may_send() {
-            self.check_in(target, stream, None);
+            self.check_in(target, stream, has_echoed, None);
             return Err(Failure::Withdrawn);
         }
         let mut writer = RequestWriter::default();
-        let exchange = self.send(stream, target, request, &mut writer);
+        let reader = HeadReader::new(request.echo.clone(), has_echoed, request.head_only);
+        let exchange = self.send(stream, target, request, &mut writer, reader);
         match timeout_at(deadline, exchange).await {
             Ok(result) => {
                 if let Some(connect) = connect {
@@ -220,7 +234,7 @@
     /// prevented the connection.
     pub async fn open(&self, target: &Target, deadline: Instant) -> Result<(), Failure> {
         let (stream, _) = self.connect(target, deadline).await?;
-        self.check_in(target, stream, None);
+        self.check_in(target, stream, false, None);
         Ok(())
     }
 
@@ -242,7 +256,7 @@
             return Err(Failure::NotSent("the connection ended".to_owned()));
         }
         connect.worked();
-        self.check_in(target, stream, None);
+        self.check_in(target, stream, false, None);
         Ok(())
     }
 
@@ -266,12 +280,13 @@
         });
     }
 
-    /// Returns a connection to the pool; `stated_timeout` is the idle timeout stated by the
-    /// upstream.
+    /// Returns a connection to the pool. `has_echoed` is whether a response on it has repeated its request's id, and
+    /// `stated_timeout` the idle timeout stated by the upstream.
     pub(crate) fn check_in(
         &self,
         target: &Target,
         stream: TcpStream,
+        has_echoed: bool,
         stated_timeout: Option<Duration>,
     ) {
         let reuse_for =
@@ -280,12 +295,16 @@
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(target.clone()).or_default();
         if connections.len() < IDLE_CONNECTIONS_MAX {
-            connections.push(IdleConnection { stream, until });
+            connections.push(IdleConnection {
+                stream,
+                until,
+                has_echoed,
+            });
         }
     }
 
     /// Takes the most recently used connection that is open, not expired and without unread bytes.
-    fn check_out(&self, target: &Target) -> Option<TcpStream> {
+    fn check_out(&self, target: &Target) -> Option<IdleConnection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(target)?;
         let now = Instant::now();
@@ -296,7 +315,7 @@
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock
             );
             if reusable && now < connection.until {
-                return Some(connection.stream);
+                return Some(connection);
             }
         }
         None
@@ -339,8 +358,8 @@
         target: &Target,
         request: UpstreamRequest,
         writer: &mut RequestWriter,
+        mut reader: HeadReader,
     ) -> Result<UpstreamResponse, Failure> {
-        let mut reader = HeadReader::new(request.echo, request.head_only);
         let (mut read_half, mut write_half) = stream.split();
         let head = {
             let sending = writer.write_request(&mut write_half, request.head, request.body);
--- a/crates/relay/src/response.rs
+++ b/crates/relay/src/response.rs
@@ -2,6 +2,7 @@
 
 use crate::pool::{
     read_some,
+    Echo,
     Failure,
     Pool,
     Target, //
@@ -15,7 +16,6 @@
     },
     header::{
         HeaderMap,
-        HeaderName,
         CONTENT_LENGTH,
         TRANSFER_ENCODING, //
     },
@@ -107,7 +107,9 @@
 pub(crate) struct HeadReader {
     buf: BytesMut,
     codec: Option<ClientCodec>,
-    echo: Option<(HeaderName, Bytes)>,
+    echo: Option<Echo>,
+    /// Whether a response on the connection has repeated the id of its request.
+    has_echoed: bool,
     head_only: bool,
     /// Number of bytes read.
     read_bytes: usize,
@@ -121,8 +123,9 @@
 }
 
 impl HeadReader {
-    pub(crate) fn new(echo: Option<(HeaderName, Bytes)>, head_only: bool) -> Self {
+    pub(crate) fn new(echo: Option<Echo>, has_echoed: bool, head_only: bool) -> Self {
         Self {
+            has_echoed,
             buf: BytesMut::new(),
             codec: Some(ClientCodec::default()),
             echo,
@@ -217,14 +220,20 @@
         }
     }
 
-    /// Whether the response may belong to this request. Without an id in the response, it is
-    /// assumed to.
-    fn matches_request(&self, head: &ResponseHead) -> bool {
-        let Some((name, id)) = &self.echo else {
+    /// Whether the response may belong to this request. One without an id is assumed to, unless
+    /// its sender would have stated it: additional bytes after an earlier response may look like a
+    /// response, and could state that this request was not run.
+    fn matches_request(&mut self, head: &ResponseHead) -> bool {
+        let Some(echo) = &self.echo else {
             return true;
         };
-        let echoed = head.headers.get(name);
-        echoed.is_none_or(|echoed| echoed.as_bytes() == id)
+        match head.headers.get(&echo.name) {
+            Some(echoed) => {
+                self.has_echoed = true;
+                echoed.as_bytes() == echo.id
+            }
+            None => !(self.has_echoed && echo.is_consistent),
+        }
     }
 
     pub(crate) fn into_response(
@@ -259,6 +268,7 @@
                 pool,
                 upstream,
                 reusable,
+                has_echoed: self.has_echoed,
                 stated_timeout,
                 is_sized: length_bytes.is_some(),
                 data_bytes: 0,
@@ -326,6 +336,7 @@
     pool: Pool,
     upstream: Target,
     reusable: bool,
+    has_echoed: bool,
     stated_timeout: Option<Duration>,
     /// Whether the length of the body is stated.
     is_sized: bool,
@@ -410,8 +421,9 @@
             return;
         };
         if self.reusable && self.buf.is_empty() {
+            let (has_echoed, stated_timeout) = (self.has_echoed, self.stated_timeout);
             self.pool
-                .check_in(&self.upstream, stream, self.stated_timeout);
+                .check_in(&self.upstream, stream, has_echoed, stated_timeout);
         }
     }
 }
