Collect a long response while others wait behind it

Cause: requests of an idempotent route run beside each other until an answer of the route has proved too long to be buffered, and that answer is streamed without regard to those queued behind it.

Change: such an answer is read to its end before it is written, within the memory for bodies and 8 MiB; if it breaks off, a 502 takes its place and the others follow. While a response is streamed, no further request is started on its connection.

--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -163,6 +163,9 @@
 pub(crate) struct ConnectionState {
     /// Requests whose response has not been written completely.
     pub(crate) in_flight: Cell<usize>,
+    /// Whether a response is being written that may break off. No further request is started then, since its response
+    /// would be lost with the connection.
+    pub(crate) is_streaming: Cell<bool>,
     /// Notified when a response has been written.
     pub(crate) response_written: Notify,
     /// Whether the connection closes after the responses to the requests that have been started. No further one is
@@ -535,7 +538,8 @@
             // Once the process stops, a response that is being written may turn out to be the last one, and one that a
             // slow caller has not received yet leaves too little time for another.
             let is_stopping = self.handler.is_stopping();
-            let max_in_flight = if is_concurrent && !is_stopping {
+            let is_alone = is_stopping || self.state.is_streaming.get();
+            let max_in_flight = if is_concurrent && !is_alone {
                 PIPELINED_MAX
             } else {
                 1
--- a/crates/relay/src/response_writer.rs
+++ b/crates/relay/src/response_writer.rs
@@ -19,7 +19,10 @@
     },
 };
 use actix_http::StatusCode;
-use bytes::BytesMut;
+use bytes::{
+    Bytes,
+    BytesMut, //
+};
 use std::{
     any::Any,
     cell::Cell,
@@ -36,6 +39,7 @@
         TcpStream, //
     },
     sync::mpsc::{
+        channel,
         Receiver,
         UnboundedReceiver, //
     },
@@ -46,6 +50,9 @@
 /// Longest time for which a write of a response may make no progress.
 pub(crate) const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Longest body that is collected before it is written because further responses wait behind it.
+const COLLECTED_BODY_BYTES_MAX: usize = 8 << 20;
+
 /// Response to a request, available or still being produced; dropping it cancels the request.
 pub(crate) enum ResponseTask {
     Ready(Box<CallerResponse>),
@@ -114,6 +121,9 @@
         // A caller may close its end as soon as it reads that the connection closes, which would cut off a long response.
         // A planned stop therefore waits for a later response, or for the end of the process.
         let is_long = matches!(response.body, ResponseBody::Stream { .. });
+        if is_long && !queue.is_empty() {
+            response = collect_body(response).await;
+        }
         let stops = handler.is_stopping() && !is_long;
         // The unread rest of a request's body would be parsed as the next request.
         if queued.close || response.close || stops || !queued.body_read.get() {
@@ -123,7 +133,10 @@
         // request that was started closes it. None is started from here on.
         let close = state.closing.get() && queue.is_empty();
         let guard = response.guard.take();
+        let is_streamed = matches!(response.body, ResponseBody::Stream { .. });
+        state.is_streaming.set(is_streamed);
         let written = write_response(&mut write_half, response, queued.head_only, close).await;
+        state.is_streaming.set(false);
         if close {
             last_guard = guard;
         }
@@ -152,6 +165,54 @@
     }
 }
 
+/// Reads a body to its end before any of it is written, as long as there is memory for it. If it breaks off, it becomes a
+/// failure that the caller can tell from a complete response, and the connection stays open for the responses behind it.
+async fn collect_body(mut response: CallerResponse) -> CallerResponse {
+    let ResponseBody::Stream {
+        length_bytes,
+        mut parts,
+    } = response.body
+    else {
+        return response;
+    };
+    let mut body = BytesMut::new();
+    loop {
+        match parts.recv().await {
+            Some(BodyPart::Data(data)) => body.extend_from_slice(&data),
+            Some(BodyPart::End) => {
+                response.body = ResponseBody::Whole(body.freeze());
+                return response;
+            }
+            None => return CallerResponse::empty(StatusCode::BAD_GATEWAY),
+        }
+        let hold = response.body_hold.as_ref();
+        let is_held = hold.is_none_or(|hold| hold.try_grow_to(body.len() as u64));
+        if !is_held || body.len() > COLLECTED_BODY_BYTES_MAX {
+            response.body = ResponseBody::Stream {
+                length_bytes,
+                parts: prepend(body.freeze(), parts),
+            };
+            return response;
+        }
+    }
+}
+
+/// Returns a channel with a first part before those of another one.
+fn prepend(first: Bytes, mut parts: Receiver<BodyPart>) -> Receiver<BodyPart> {
+    let (sender, all_parts) = channel(1);
+    actix_rt::spawn(async move {
+        let mut next = Some(BodyPart::Data(first));
+        while let Some(part) = next {
+            // Fails if the caller has gone. Dropping the channel then cancels the request.
+            if sender.send(part).await.is_err() {
+                return;
+            }
+            next = parts.recv().await;
+        }
+    });
+    all_parts
+}
+
 /// Makes closing the connection send a reset.
 ///
 /// A body with a length or in chunks looks truncated after an orderly close, too. A reset is
