Let callers pause while they read a response

Cause: TCP_USER_TIMEOUT of 4 s on callers' connections also limits the time for which the caller's window is closed, so that the limit of 15 s without progress never applied.

Change: on callers' connections the option is longer than that limit.

--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -58,7 +58,7 @@
     },
 };
 use strict::{
-    set_socket_options,
+    set_reader_socket_options,
     unacknowledged_bytes, //
 };
 use tokio::{
@@ -175,7 +175,7 @@
 
 /// Serves a caller's connection until it ends.
 pub async fn serve<H: Handler>(stream: TcpStream, handler: Rc<H>) {
-    if set_socket_options(&stream).is_err() {
+    if set_reader_socket_options(&stream, WRITE_STALL_TIMEOUT).is_err() {
         // The caller has already closed the connection.
         return;
     }
--- a/crates/strict/src/lib.rs
+++ b/crates/strict/src/lib.rs
@@ -19,6 +19,7 @@
 
 pub use closing::ClosingConnections;
 pub use socket::{
+    set_reader_socket_options,
     set_socket_options,
     unacknowledged_bytes, //
 };
--- a/crates/strict/src/socket.rs
+++ b/crates/strict/src/socket.rs
@@ -28,9 +28,23 @@
 ///
 /// The connection is already closed.
 pub fn set_socket_options(stream: &TcpStream) -> io::Result<()> {
+    set_socket_options_with(stream, USER_TIMEOUT)
+}
+
+/// Like [`set_socket_options`], for a peer that may stop reading for up to `pause_max`. On Linux, `TCP_USER_TIMEOUT` also
+/// limits the time for which the peer's window is closed.
+///
+/// # Errors
+///
+/// The connection is already closed.
+pub fn set_reader_socket_options(stream: &TcpStream, pause_max: Duration) -> io::Result<()> {
+    set_socket_options_with(stream, USER_TIMEOUT.saturating_add(pause_max))
+}
+
+fn set_socket_options_with(stream: &TcpStream, user_timeout: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    socket.set_tcp_user_timeout(Some(user_timeout))?;
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_IDLE)
         .with_interval(KEEPALIVE_INTERVAL);
