Discard outdated estimates in one place; names

No change of behaviour but the order: the response to a probe discards the estimates before it is recorded, instead of between.

--- a/crates/balance/src/health.rs
+++ b/crates/balance/src/health.rs
@@ -32,7 +32,7 @@
     next_ejection: Duration,
     /// Moving average of the latency in seconds; zero before the first response.
     latency_s: f64,
-    /// Time of the last response; `None` if the latency no longer applies.
+    /// Time of the last response; `None` before the first, or if the latency was marked as outdated.
     responded_at: Option<Now>,
 }
 
@@ -149,7 +149,7 @@
         !self.is_ejected(now) && self.failure_rate >= EJECTION_THRESHOLD
     }
 
-    /// Marks the latency as outdated, since a response to a probe has shown that what slowed the upstreams down may have ended.
+    /// Marks the latency as outdated.
     pub fn expire_latency(&mut self) {
         self.responded_at = None;
     }
--- a/crates/balance/src/service_times.rs
+++ b/crates/balance/src/service_times.rs
@@ -26,7 +26,7 @@
 /// A response from an upstream not known to be warm counts as warm if its service time is below this multiple of the
 /// warm estimate.
 const WARM_FACTOR_MAX: f64 = 1.6;
-/// Minimum time from a response, or from a probe, to the next probe.
+/// Minimum time from a response that changes the cold estimate, or from a probe, to the next probe.
 const PROBE_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Estimated service times, without the network round trip.
@@ -53,7 +53,7 @@
             self.assumed_warm_rate += WEIGHT_ASSUMED_WARM * (result - self.assumed_warm_rate);
         }
         if known_warm || was_warm {
-            // Doesn't delay probes, as the estimate for other upstreams may still be outdated.
+            // Such a response doesn't delay probes: the estimate for the other upstreams may still be outdated.
             self.note_warm(time_s);
         } else {
             self.next_probe_at = now + PROBE_INTERVAL;
--- a/crates/entry/src/traffic/attempt.rs
+++ b/crates/entry/src/traffic/attempt.rs
@@ -331,9 +331,8 @@
     let prefix = match read_buffered(&mut body, deadline, &hold).await {
         Ok(Buffered::Complete(bytes)) => bytes,
         Ok(Buffered::Prefix(prefix)) => {
-            let mut fleet = traffic.fleet.borrow_mut();
-            fleet.note_stream_begins(&in_flight.placement);
-            drop(fleet);
+            let placement = &in_flight.placement;
+            traffic.fleet.borrow_mut().note_stream_started(placement);
             let body = ReceivedBody::Partial {
                 prefix,
                 rest: Box::new(body),
--- a/crates/entry/src/traffic/fleet/outcome.rs
+++ b/crates/entry/src/traffic/fleet/outcome.rs
@@ -159,13 +159,14 @@
         let Some(group) = self.groups.get_mut(&incarnation.service) else {
             return;
         };
-        let Some(upstream) = group
-            .upstreams
-            .iter_mut()
-            .find(|upstream| incarnation.matches(upstream))
-        else {
+        let mut upstreams = group.upstreams.iter();
+        let Some(index) = upstreams.position(|upstream| incarnation.matches(upstream)) else {
             return;
         };
+        if placement.is_probe && !group.upstreams[index].is_cold(now) {
+            group.discard_estimates(&placement.route);
+        }
+        let upstream = &mut group.upstreams[index];
         let round_trip = self.location.round_trip(&upstream.region);
         let service_time = took.saturating_sub(round_trip);
         let service_time = group
@@ -182,31 +183,16 @@
                 .service_times
                 .entry(placement.route.clone())
                 .or_default();
-            if placement.is_probe {
-                service_times.reset();
-            }
             service_times.note(placement.warm, service_time, now);
-            if placement.is_probe {
-                let others = group.upstreams.iter_mut();
-                for other in others.filter(|other| !incarnation.matches(other)) {
-                    other.health.expire_latency();
-                }
-            }
         }
     }
 
     /// Records that a response is being streamed. Its service time stays unknown, since its duration depends on the caller
     /// as well, but the response to a probe shows that the estimates are outdated.
-    pub(in crate::traffic) fn note_stream_begins(&mut self, placement: &Placement) {
+    pub(in crate::traffic) fn note_stream_started(&mut self, placement: &Placement) {
         let group = self.groups.get_mut(&placement.incarnation.service);
-        let Some(group) = group.filter(|_| placement.is_probe) else {
-            return;
-        };
-        if let Some(service_times) = group.service_times.get_mut(&placement.route) {
-            service_times.reset();
-        }
-        for upstream in &mut group.upstreams {
-            upstream.health.expire_latency();
+        if let Some(group) = group.filter(|_| placement.is_probe) {
+            group.discard_estimates(&placement.route);
         }
     }
 
--- a/crates/entry/src/traffic/group.rs
+++ b/crates/entry/src/traffic/group.rs
@@ -68,6 +68,17 @@
         metrics::counter!(metric::PROBES).increment(1);
     }
 
+    /// Discards the estimates that ruled out the requests of a route, since a probe has got a response: its service times, and
+    /// the latencies of all upstreams, as what slowed them down may have ended for all.
+    pub(super) fn discard_estimates(&mut self, route: &ByteString) {
+        if let Some(service_times) = self.service_times.get_mut(route) {
+            service_times.reset();
+        }
+        for upstream in &mut self.upstreams {
+            upstream.health.expire_latency();
+        }
+    }
+
     /// Charges one retry to the budget, to which this entry's share of its constant part is added. Returns whether the
     /// budget allowed it, and logs once a second that it did not.
     pub(super) fn try_take_retry(&mut self, service: &ServiceId, slack: f64, now: Now) -> bool {
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -538,12 +538,8 @@
             // Once the process stops, a response that is being written may turn out to be the last one, and one that a
             // slow caller has not received yet leaves too little time for another.
             let is_stopping = self.handler.is_stopping();
-            let is_alone = is_stopping || self.state.is_streaming.get();
-            let max_in_flight = if is_concurrent && !is_alone {
-                PIPELINED_MAX
-            } else {
-                1
-            };
+            let may_overlap = is_concurrent && !is_stopping && !self.state.is_streaming.get();
+            let max_in_flight = if may_overlap { PIPELINED_MAX } else { 1 };
             let in_flight = self.state.in_flight.get();
             let stream: &TcpStream = self.read_half.as_ref();
             let is_received = || unacknowledged_bytes(stream).unwrap_or(0) == 0;
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -75,7 +75,7 @@
     pub name: actix_http::header::HeaderName,
     /// Id of the request.
     pub id: Bytes,
-    /// Whether a peer that has sent the header once on a connection always does.
+    /// Whether a peer that has sent the header once on a connection sends it in all its responses.
     pub is_consistent: bool,
 }
 
