--- a/crates/entry/tests/cut_responses.rs
+++ b/crates/entry/tests/cut_responses.rs
@@ -146,7 +146,7 @@
         (0..=last).filter(is_edge).collect()
     }
 
-    /// Returns whether a cut there can be told from the end of the response.
+    /// Returns whether a cut at this byte differs from the end of a complete response.
     fn is_recognisable(self, cut: usize, end: End, id: &str) -> bool {
         let ends_with_connection = matches!(self.form, Form::Connection { .. });
         !(ends_with_connection && end == End::Close && cut >= self.response(id).1)
--- a/crates/relay/src/response_writer.rs
+++ b/crates/relay/src/response_writer.rs
@@ -165,8 +165,8 @@
     }
 }
 
-/// Reads a body to its end before any of it is written, as long as there is memory for it. If it breaks off, it becomes a
-/// failure that the caller can tell from a complete response, and the connection stays open for the responses behind it.
+/// Reads a body to its end before any of it is written, as long as there is memory for it. If it breaks off, the response
+/// becomes an error, and the connection stays open for the responses behind it.
 async fn collect_body(mut response: CallerResponse) -> CallerResponse {
     let ResponseBody::Stream {
         length_bytes,
