Take a response without a length for truncated after a failed write

Callers got the first part of a response as a complete one: an upstream answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written.

Cause: the kernel reports the error of a reset once. `Pool::send` polled the write before the read, so the write received ECONNRESET; the reads that followed returned what had arrived and then 0, which is what an orderly end looks like, and a body without a length ends with that.

Why it works: once a write has failed, the end of the connection no longer proves that a body without a length is complete, so it counts as truncated. A body with a length or chunks proves it by itself. Reading goes before writing, so that a response that ended in order before the write failed is still seen as such and delivered; the first byte of the request is still written before anything is read.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,7 +13,7 @@
 //! Invariants:
 //! - [`Failure::NotSent`] is returned only if no byte of the request was written.
 //! - A body is complete only by its own framing: its declared length, a final chunk, or, without
-//!   either, an orderly end of the connection.
+//!   either, an orderly end of the connection. After a write has failed, no end counts as orderly.
 //! - A connection is reused only if the request was sent and the response read completely, and no
 //!   other byte was received on it.
 //! - Dropping an exchange closes its connection, which cancels the request at the upstream.
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -28,10 +28,19 @@
 };
 use socket2::SockRef;
 use std::{
-    cell::RefCell,
-    fmt, io,
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    fmt,
+    future::{
+        poll_fn,
+        Future, //
+    },
+    io,
     net::SocketAddr,
     rc::Rc,
+    task::Poll,
     time::{
         Duration,
         Instant, //
@@ -199,9 +208,9 @@
             self.check_in(target, stream, has_echoed, None);
             return Err(Failure::Withdrawn);
         }
-        let mut writer = RequestWriter::default();
+        let writer = RequestWriter::default();
         let reader = HeadReader::new(request.echo.clone(), has_echoed, request.head_only);
-        let exchange = self.send(stream, target, request, &mut writer, reader);
+        let exchange = self.send(stream, target, request, &writer, reader);
         match timeout_at(deadline, exchange).await {
             Ok(result) => {
                 if let Some(connect) = connect {
@@ -217,7 +226,7 @@
                 // If the network path is dead, the other idle connections are dead, too, and each
                 // would cost another request its deadline.
                 self.close_idle(target);
-                Err(if writer.written_bytes == 0 {
+                Err(if writer.written_bytes.get() == 0 {
                     Failure::NotSent("the deadline passed before the first byte".to_owned())
                 } else {
                     Failure::Timeout
@@ -357,35 +366,41 @@
         mut stream: TcpStream,
         target: &Target,
         request: UpstreamRequest,
-        writer: &mut RequestWriter,
+        writer: &RequestWriter,
         mut reader: HeadReader,
     ) -> Result<UpstreamResponse, Failure> {
         let (mut read_half, mut write_half) = stream.split();
-        let head = {
-            let sending = writer.write_request(&mut write_half, request.head, request.body);
-            tokio::pin!(sending);
-            let mut sent = None;
+        let (head, sending) = {
+            let writing = writer.write_request(&mut write_half, request.head, request.body);
+            tokio::pin!(writing);
+            // Bytes that arrived before the request was begun are no response to it.
+            let mut written = poll_fn(|cx| match writing.as_mut().poll(cx) {
+                Poll::Pending if writer.written_bytes.get() == 0 => Poll::Pending,
+                Poll::Pending => Poll::Ready(None),
+                Poll::Ready(written) => Poll::Ready(Some(written)),
+            })
+            .await;
+            let mut sending = Sending::UnderWay;
             loop {
+                match written {
+                    None => {}
+                    Some(Ok(())) => sending = Sending::Complete,
+                    Some(Err(WriteError::BodyCut)) => return Err(Failure::BodyTruncated),
+                    // The response may have arrived before the connection broke.
+                    Some(Err(WriteError::Broken)) => sending = Sending::Broken,
+                    Some(Err(WriteError::NothingWritten(error))) => {
+                        return Err(Failure::NotSent(error.to_string()));
+                    }
+                }
+                // Reads first: a write that fails would conceal whether the response ended in order.
                 tokio::select! {
                     biased;
-                    result = &mut sending, if sent.is_none() => match result {
-                        Ok(()) => sent = Some(true),
-                        Err(WriteError::BodyCut) => return Err(Failure::BodyTruncated),
-                        // The response may have arrived before the connection broke.
-                        Err(WriteError::Broken) => sent = Some(false),
-                        Err(WriteError::NothingWritten(error)) => {
-                            return Err(Failure::NotSent(error.to_string()));
-                        }
-                    },
-                    head = reader.head(&mut read_half) => break head.map(|head| (head, sent)),
+                    head = reader.head(&mut read_half) => break (head?, sending),
+                    result = &mut writing, if sending == Sending::UnderWay => written = Some(result),
                 }
             }
         };
-        let (head, sent) = head?;
-        // A response that arrives before the request was sent completely ends the sending. The
-        // upstream would take a further request on this connection for the rest of the body.
-        let reusable = sent == Some(true);
-        Ok(reader.into_response(head, stream, self.clone(), target.clone(), reusable))
+        Ok(reader.into_response(head, stream, self.clone(), target.clone(), sending))
     }
 }
 
@@ -397,6 +412,16 @@
     SockRef::from(stream).set_linger(Some(Duration::ZERO))
 }
 
+/// How far a request has been sent when the head of its response arrives.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Sending {
+    UnderWay,
+    Complete,
+    /// A write has failed and received the error of the connection, so that a later read returns an orderly end also
+    /// after a reset.
+    Broken,
+}
+
 enum WriteError {
     NothingWritten(io::Error),
     /// The subsequent read finds the cause.
@@ -407,12 +432,12 @@
 /// Writes a request and counts the bytes written.
 #[derive(Default)]
 struct RequestWriter {
-    written_bytes: u64,
+    written_bytes: Cell<u64>,
 }
 
 impl RequestWriter {
     async fn write_request(
-        &mut self,
+        &self,
         write_half: &mut (impl AsyncWriteExt + Unpin),
         head: Bytes,
         body: RequestBody,
@@ -455,14 +480,17 @@
     }
 
     async fn write(
-        &mut self,
+        &self,
         write_half: &mut (impl AsyncWriteExt + Unpin),
         mut bytes: Bytes,
     ) -> Result<(), WriteError> {
         while !bytes.is_empty() {
             match write_half.write_buf(&mut bytes).await {
                 Ok(0) => return Err(self.write_error(io::ErrorKind::WriteZero.into())),
-                Ok(written) => self.written_bytes += written as u64,
+                Ok(written) => {
+                    let before = self.written_bytes.get();
+                    self.written_bytes.set(before + written as u64);
+                }
                 Err(error) => return Err(self.write_error(error)),
             }
         }
@@ -470,7 +498,7 @@
     }
 
     fn write_error(&self, error: io::Error) -> WriteError {
-        if self.written_bytes == 0 {
+        if self.written_bytes.get() == 0 {
             WriteError::NothingWritten(error)
         } else {
             WriteError::Broken
--- a/crates/relay/src/response.rs
+++ b/crates/relay/src/response.rs
@@ -5,6 +5,7 @@
     Echo,
     Failure,
     Pool,
+    Sending,
     Target, //
 };
 use actix_codec::Decoder;
@@ -242,7 +243,7 @@
         stream: TcpStream,
         pool: Pool,
         upstream: Target,
-        reusable: bool,
+        sending: Sending,
     ) -> UpstreamResponse {
         let stays_open = match head.connection_type() {
             ConnectionType::KeepAlive => head.version >= Version::HTTP_11,
@@ -251,7 +252,10 @@
         // A sender that states both chunks and a length may not know where its response ends.
         let is_ambiguous = is_chunked(&head) && head.headers.contains_key(CONTENT_LENGTH);
         let delimited = !matches!(self.delimiter, BodyDelimiter::Connection) && !is_ambiguous;
-        let reusable = reusable && stays_open && delimited && self.mismatched_responses == 0;
+        // A response that arrives before the request was sent completely ends the sending. The upstream would take a further
+        // request on this connection for the rest of the body.
+        let is_sent = sending == Sending::Complete;
+        let reusable = is_sent && stays_open && delimited && self.mismatched_responses == 0;
         let stated_timeout = head
             .headers
             .get(KEEP_ALIVE)
@@ -268,6 +272,7 @@
                 pool,
                 upstream,
                 reusable,
+                may_conceal_reset: sending == Sending::Broken,
                 has_echoed: self.has_echoed,
                 stated_timeout,
                 is_sized: length_bytes.is_some(),
@@ -336,6 +341,8 @@
     pool: Pool,
     upstream: Target,
     reusable: bool,
+    /// Whether an orderly end of the connection may have been a reset.
+    may_conceal_reset: bool,
     has_echoed: bool,
     stated_timeout: Option<Duration>,
     /// Whether the length of the body is stated.
@@ -395,7 +402,10 @@
                 return Err("the connection is already closed".to_owned());
             };
             match read_some(stream, &mut self.buf).await {
-                Ok(0) if matches!(self.delimiter, BodyDelimiter::Connection) => {
+                Ok(0)
+                    if matches!(self.delimiter, BodyDelimiter::Connection)
+                        && !self.may_conceal_reset =>
+                {
                     self.delimiter = BodyDelimiter::Empty
                 }
                 Ok(0) => return Err("the connection was closed".to_owned()),
