Reject responses with a blank between a field's name and its colon

Callers got such a response of an upstream as an answer: with the line passed on under the name without the blank, with the body that a `content-length : 2` states where other recipients read more or less, or, behind `upstream-refused : 1`, with the statement that their request did not run.

Cause: actix-http parses responses with httparse's `allow_spaces_after_header_name_in_responses`, which skips blanks and tabs there.

Why it works: each head is also parsed by httparse with its default configuration before it is decoded, which rejects any byte in a name that RFC 9110 doesn't allow. The exchange then fails like any other response that isn't HTTP: the request may have run. `strict` holds the check because its own connections need it as well.

--- a/crates/relay/src/response.rs
+++ b/crates/relay/src/response.rs
@@ -36,6 +36,7 @@
         Instant, //
     },
 };
+use strict::check_head;
 use tokio::{
     io::AsyncReadExt,
     net::TcpStream,
@@ -167,6 +168,7 @@
             if !self.skip_mismatched_body()? {
                 return Ok(None);
             }
+            check_head(&self.buf).map_err(|invalid| Failure::Malformed(invalid.to_string()))?;
             let mut codec = self.codec.take().unwrap_or_default();
             let decoded = codec.decode(&mut self.buf);
             let head = decoded.map_err(|error| Failure::Malformed(error.to_string()))?;
--- a/crates/strict/src/lib.rs
+++ b/crates/strict/src/lib.rs
@@ -14,10 +14,15 @@
 //! limits and timeouts: the entry's are in the daemon's `connection`, the platform client's in `plat`.
 
 mod closing;
+mod head;
 mod socket;
 mod stream;
 
 pub use closing::ClosingConnections;
+pub use head::{
+    check_head,
+    InvalidHead, //
+};
 pub use socket::{
     set_reader_socket_options,
     set_socket_options,
