Reject responses with a status above 599

Callers got a response with status 600 or 999 as an answer, and one that also said that it refused the request as the statement that the request did not run.

Cause: actix-http takes each status of three digits from 100 on.

Evidence: of the 17 status lines in `entry/tests/invalid_heads.rs`, six were taken for responses before: 600, 799, 999, 600 of HTTP/1.0, 600 of a refusal, and 999 of a response to another request. Those below 100, 000 among them, and those that aren't three digits were rejected before; they stay as tests.

Why it works: `strict::check_head` rejects statuses outside 100 to 599, so the exchange fails like any other response that isn't HTTP.

--- a/crates/entry/tests/invalid_heads.rs
+++ b/crates/entry/tests/invalid_heads.rs
@@ -89,6 +89,35 @@
         "HTTP/1.1 200 OK\r\njasmine-request: other\r\ncontent-length : 0\r\n\r\nHTTP/1.1 200 OK\r\njasmine-request: {id}\r\nupstream-id: s\r\n", BODY;
 }
 
+/// A response with this status line that is complete otherwise.
+fn with_status(status: &str) -> String {
+    format!("HTTP/1.1 {status}\r\njasmine-request: {{id}}\r\nupstream-id: s\r\n")
+}
+
+invalid_head_is_no_response! {
+    status_000: with_status("000 Trouble"), BODY;
+    status_000_alone: with_status("000"), BODY;
+    status_001: with_status("001 Trouble"), BODY;
+    status_099: with_status("099 Trouble"), BODY;
+    status_600: with_status("600 Trouble"), BODY;
+    status_799: with_status("799 Trouble"), BODY;
+    status_999: with_status("999 Trouble"), BODY;
+    status_of_two_digits: with_status("20 OK"), BODY;
+    status_of_four_digits: with_status("2000 OK"), BODY;
+    status_with_a_sign: with_status("+20 OK"), BODY;
+    status_that_is_no_number: with_status("2OO OK"), BODY;
+    status_000_of_a_refusal: with_status("000 Trouble"), "upstream-refused: 1\r\ncontent-length: 0\r\n\r\n";
+    status_600_of_a_refusal: with_status("600 Trouble"), "upstream-refused: 1\r\ncontent-length: 0\r\n\r\n";
+    status_000_of_an_older_version:
+        "HTTP/1.0 000 Trouble\r\njasmine-request: {id}\r\nupstream-id: s\r\n", BODY;
+    status_600_of_an_older_version:
+        "HTTP/1.0 600 Trouble\r\njasmine-request: {id}\r\nupstream-id: s\r\n", BODY;
+    status_099_of_an_interim_response:
+        "HTTP/1.1 099 Early\r\n\r\nHTTP/1.1 200 OK\r\njasmine-request: {id}\r\nupstream-id: s\r\n", BODY;
+    status_999_of_a_response_to_another_request:
+        "HTTP/1.1 999 OK\r\njasmine-request: other\r\ncontent-length: 0\r\n\r\nHTTP/1.1 200 OK\r\njasmine-request: {id}\r\nupstream-id: s\r\n", BODY;
+}
+
 /// Guards against valid responses that are rejected.
 macro_rules! valid_head_is_a_response {
     ($($name:ident: $begin:expr, $rest:expr, $status:expr;)*) => {$(
@@ -107,6 +136,8 @@
     all_bytes_that_a_name_may_hold: OK, "!#$%&'*+-.^_`|~09azAZ: b\r\ncontent-length: 2\r\n\r\nok", 200;
     empty_value: OK, "x-a:\r\ncontent-length: 2\r\n\r\nok", 200;
     other_letters_in_a_value: OK, "x-a: \u{e9}\r\ncontent-length: 2\r\n\r\nok", 200;
+    no_reason: with_status("200"), BODY, 200;
+    unassigned_status: with_status("599 Other"), BODY, 599;
     interim_responses:
         "HTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\nHTTP/1.1 200 OK\r\njasmine-request: {id}\r\nupstream-id: s\r\n", BODY, 200;
 }
--- a/crates/strict/src/head.rs
+++ b/crates/strict/src/head.rs
@@ -1,7 +1,7 @@
 //! Checks of response heads that the decoder of actix-http leaves out.
 //!
-//! It accepts blanks between the name of a field and its colon, which recipients interpret differently. Such a head is no
-//! response.
+//! It accepts blanks between the name of a field and its colon, which recipients interpret differently, and any status of
+//! three digits. Such a head is no response.
 
 use httparse::{
     Error,
@@ -21,12 +21,15 @@
 pub enum InvalidHead {
     /// They don't follow the grammar.
     Malformed(Error),
+    /// The status is not between 100 and 599.
+    Status(u16),
 }
 
 impl fmt::Display for InvalidHead {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Malformed(error) => write!(f, "{error} in the head of the response"),
+            Self::Status(status) => write!(f, "the response has the invalid status {status:03}"),
         }
     }
 }
@@ -41,8 +44,13 @@
 pub fn check_head(bytes: &[u8]) -> Result<(), InvalidHead> {
     let mut fields = [const { MaybeUninit::uninit() }; FIELDS_MAX];
     let mut response = Response::new(&mut []);
-    ParserConfig::default()
+    let parsed = ParserConfig::default()
         .parse_response_with_uninit_headers(&mut response, bytes, &mut fields)
         .map_err(InvalidHead::Malformed)?;
-    Ok(())
+    match response.code {
+        Some(status) if parsed.is_complete() && !(100..=599).contains(&status) => {
+            Err(InvalidHead::Status(status))
+        }
+        _ => Ok(()),
+    }
 }
