Check the heads of responses on the connections of awc clients

`jasmined`, `jasminectl`, the clients of the store and the callers of the load generator took a response with a blank or a tab after a field's name, or with a status of 600 to 999, for an answer; `jasmined` passed it on.

Cause: as in `relay`, actix-http accepts such heads, and awc offers no way to see the bytes of a head.

Evidence: in `strict/tests/heads.rs`, 5 of 9 invalid heads were read as responses before (two names with a blank, one with a tab, 600 and 999). The others (a blank or a control byte within a name, 000, 099, 101) were rejected; they stay as tests.

Why it works: `StrictStream`, which all these clients read from, checks the first bytes after each request with the same function as `relay` and fails the read before awc gets them.

--- a/crates/strict/src/stream.rs
+++ b/crates/strict/src/stream.rs
@@ -1,6 +1,7 @@
-//! TCP stream that reports end of file as an error, and its awc connectors.
+//! TCP stream that reports end of file and invalid heads of responses as errors, and its awc connectors.
 
 use crate::{
+    head::HeadChecker,
     socket::set_socket_options,
     ClosingConnections, //
 };
@@ -38,13 +39,14 @@
     ReadBuf, //
 };
 
-/// TCP stream that reports end of file as an error.
+/// TCP stream of a client that reports end of file and invalid heads of responses as errors.
 #[derive(Debug)]
 pub struct StrictStream {
     /// `None` only once the stream is being dropped.
     tcp: Option<TcpStream>,
     /// Tracks the connection after the drop until the peer has closed it.
     closing: Option<ClosingConnections>,
+    heads: HeadChecker,
 }
 
 impl StrictStream {
@@ -101,6 +103,7 @@
         let stream = StrictStream {
             tcp: Some(tcp),
             closing: closing.clone(),
+            heads: HeadChecker::default(),
         };
         connection.replace_io(stream).1
     });
@@ -115,12 +118,12 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         ready!(self.tcp_mut().poll_read(cx, buf))?;
-        let ended = buf.filled().len() == before && buf.remaining() > 0;
-        Poll::Ready(if ended {
-            Err(io::ErrorKind::UnexpectedEof.into())
-        } else {
-            Ok(())
-        })
+        let read = &buf.filled()[before..];
+        if read.is_empty() && buf.remaining() > 0 {
+            return Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into()));
+        }
+        let checked = self.heads.check(read);
+        Poll::Ready(checked.map_err(|invalid| io::Error::new(io::ErrorKind::InvalidData, invalid)))
     }
 }
 
@@ -130,6 +133,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.heads.note_written();
         self.tcp_mut().poll_write(cx, buf)
     }
 
@@ -146,6 +150,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.heads.note_written();
         self.tcp_mut().poll_write_vectored(cx, bufs)
     }
 
