Reject HTTP/1.1 responses without a length in awc clients

A caller of `jasmined` got a complete answer without a body when an upstream sent a 200 without a length, a part of the body, and closed or reset the connection. The other awc clients read it the same way.

Cause: awc takes an HTTP/1.1 response without a length and without chunks for one without a body, and puts its connection back into the pool. `StrictStream` notices only an early end while a body is read.

Evidence: four cases in `strict/tests/heads.rs` failed before (no length, with `Connection: close`, with `identity`, without any body), each with status 200 and an empty body.

Why it works: the body of such a response ends with its connection, which these clients reject for HTTP/1.0 because a reset between the two may be concealed. The check of the head now does the same for HTTP/1.1, before awc has the head.

--- a/crates/strict/src/head.rs
+++ b/crates/strict/src/head.rs
@@ -5,6 +5,7 @@
 
 use httparse::{
     Error,
+    Header,
     ParserConfig,
     Response, //
 };
@@ -27,6 +28,8 @@
     Status(u16),
     /// It has no end.
     TooLong,
+    /// It doesn't state where the body ends.
+    NoLength,
 }
 
 impl fmt::Display for InvalidHead {
@@ -35,6 +38,7 @@
             Self::Malformed(error) => write!(f, "{error} in the head of the response"),
             Self::Status(status) => write!(f, "the response has the invalid status {status:03}"),
             Self::TooLong => f.write_str("the head of the response has no end"),
+            Self::NoLength => f.write_str("the response doesn't state where it ends"),
         }
     }
 }
@@ -47,17 +51,40 @@
 ///
 /// The bytes are not the head of a response.
 pub fn check_head(bytes: &[u8]) -> Result<bool, InvalidHead> {
+    Ok(parse_head(bytes)?.is_some())
+}
+
+/// What a head states about the body.
+struct Head {
+    /// Whether there is none because of the status.
+    is_bodyless: bool,
+    /// Whether its end is stated, by a length or by chunks.
+    is_delimited: bool,
+}
+
+/// Parses the head of a response; `None` if it is not complete.
+fn parse_head(bytes: &[u8]) -> Result<Option<Head>, InvalidHead> {
     let mut fields = [const { MaybeUninit::uninit() }; FIELDS_MAX];
     let mut response = Response::new(&mut []);
     let parsed = ParserConfig::default()
         .parse_response_with_uninit_headers(&mut response, bytes, &mut fields)
         .map_err(InvalidHead::Malformed)?;
-    match response.code {
-        Some(status) if parsed.is_complete() && !(100..=599).contains(&status) => {
-            Err(InvalidHead::Status(status))
-        }
-        _ => Ok(parsed.is_complete()),
+    let Some(status) = response.code.filter(|_| parsed.is_complete()) else {
+        return Ok(None);
+    };
+    if !(100..=599).contains(&status) {
+        return Err(InvalidHead::Status(status));
     }
+    let has_chunks = |field: &Header<'_>| {
+        let is_coding = field.name.eq_ignore_ascii_case("transfer-encoding");
+        is_coding && field.value.eq_ignore_ascii_case(b"chunked")
+    };
+    let has_length = |field: &Header<'_>| field.name.eq_ignore_ascii_case("content-length");
+    let mut fields = response.headers.iter();
+    Ok(Some(Head {
+        is_bodyless: matches!(status, 100..=199 | 204 | 304),
+        is_delimited: fields.any(|field| has_length(field) || has_chunks(field)),
+    }))
 }
 
 /// Checks the heads of the responses on a connection while they are read.
@@ -65,29 +92,37 @@
 pub(crate) struct HeadChecker {
     /// What has been received of the head that is awaited; `None` if none is.
     received: Option<Vec<u8>>,
+    /// Whether that is the response to a HEAD request.
+    is_of_head_request: bool,
 }
 
 impl HeadChecker {
-    /// Records that bytes of a request have been written.
-    pub(crate) fn note_written(&mut self) {
-        self.received.get_or_insert_default();
+    /// Records that bytes of a request are written.
+    pub(crate) fn note_written(&mut self, bytes: &[u8]) {
+        if self.received.is_none() {
+            self.received = Some(Vec::new());
+            self.is_of_head_request = bytes.starts_with(b"HEAD ");
+        }
     }
 
     /// Checks what has been read.
     ///
     /// # Errors
     ///
-    /// It is not the head of a response.
+    /// It is not the head of a response whose end can be recognised.
     pub(crate) fn check(&mut self, read: &[u8]) -> Result<(), InvalidHead> {
         let Some(received) = &mut self.received else {
             return Ok(());
         };
         received.extend_from_slice(read);
-        if check_head(received)? {
-            self.received = None;
-        } else if received.len() > HEAD_BYTES_MAX {
-            return Err(InvalidHead::TooLong);
+        match parse_head(received)? {
+            Some(head) if head.is_delimited || head.is_bodyless || self.is_of_head_request => {
+                self.received = None;
+                Ok(())
+            }
+            Some(_) => Err(InvalidHead::NoLength),
+            None if received.len() > HEAD_BYTES_MAX => Err(InvalidHead::TooLong),
+            None => Ok(()),
         }
-        Ok(())
     }
 }
--- a/crates/strict/src/lib.rs
+++ b/crates/strict/src/lib.rs
@@ -4,7 +4,8 @@
 //! with chunked encoding, as long as the bytes received so far could be parsed. A caller would take a
 //! truncated response for a complete one. Here end of file on a connection is an error, so a body only
 //! ends successfully by its own framing. A response delimited only by the end of its connection is
-//! rejected as well, because its completeness can't be checked.
+//! rejected as well, because its completeness can't be checked; awc would take one of HTTP/1.1 for a
+//! response without a body.
 //!
 //! actix-http accepts heads that are no response, such as one with a status above 599. Here they are errors as well; crate
 //! `relay`, which has connections of its own, uses [`check_head`].
--- a/crates/strict/src/stream.rs
+++ b/crates/strict/src/stream.rs
@@ -133,7 +133,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.heads.note_written();
+        self.heads.note_written(buf);
         self.tcp_mut().poll_write(cx, buf)
     }
 
@@ -150,7 +150,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.heads.note_written();
+        self.heads.note_written(bufs.first().map_or(&[], |buf| buf));
         self.tcp_mut().poll_write_vectored(cx, bufs)
     }
 
--- a/crates/strict/tests/heads.rs
+++ b/crates/strict/tests/heads.rs
@@ -1,4 +1,5 @@
-//! Responses with invalid heads, as a client with a strict connector reads them.
+//! Responses with invalid heads, and with heads that don't state where the body ends, as a client with a strict connector
+//! reads them.
 
 use actix_rt::System;
 use awc::{
@@ -81,7 +82,11 @@
     status_099: "HTTP/1.1 099 Trouble\r\ncontent-length: 2\r\n\r\nok";
     status_600: "HTTP/1.1 600 Trouble\r\ncontent-length: 2\r\n\r\nok";
     status_999: "HTTP/1.1 999 Trouble\r\ncontent-length: 2\r\n\r\nok";
+    no_length: "HTTP/1.1 200 OK\r\n\r\nok";
+    no_length_and_no_body: "HTTP/1.1 200 OK\r\n\r\n";
+    no_length_in_a_response_that_closes: "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nok";
     no_length_in_an_older_version: "HTTP/1.0 200 OK\r\n\r\nok";
+    no_transfer_coding: "HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\n\r\nok";
     other_protocol: "HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\n\r\nok";
 }
 
