Follow the list of upstreams beside entries that can't be used

After another writer had left one odd entry in the platform's list, the daemons that read it stopped following it: instances and upstreams that came were not used, and those that left were not noticed.

Cause: the list was decoded as a whole, so one entry with a missing field, a number out of range or deep nesting made all of it unreadable. The router also rejected the whole list for one address that it couldn't parse, and `jasmined` took upstreams with a port out of range.

Why it works: each entry is kept as raw text, which has no limit on nesting, and decoded by itself. One that can't be used, also because its address isn't host:port, is left out, so that what it replaced counts as removed, and it is logged once while the list holds it.

--- a/crates/daemon/src/process/control/list.rs
+++ b/crates/daemon/src/process/control/list.rs
@@ -1,7 +1,8 @@
 //! The platform's list of instances and upstreams.
 //!
 //! The list lags and may be stale for long periods. It adds the upstreams that it contains, removes
-//! an upstream only when a later list omits it, and never makes a leaving upstream live again.
+//! an upstream only when a later list omits it, and never makes a leaving upstream live again. Entries
+//! that can't be used are logged and count as omitted.
 
 use crate::process::{
     control::Control,
@@ -30,7 +31,8 @@
     ListedInstance,
     ListedState,
     ListedUpstream,
-    Listing, //
+    Listing,
+    UnusableEntry, //
 };
 use std::{
     collections::BTreeMap,
@@ -61,6 +63,10 @@
 
     fn apply_list(&mut self, list: List) {
         let now = self.now();
+        for entry in self.unusable_entries.replace(list.unusable) {
+            let UnusableEntry { place, finding } = entry;
+            spdlog::error!("an entry of the list can't be used", kv: { place, finding });
+        }
         let facts = PlatformList {
             age: self.list_age(list.as_of_ms),
             instances: list.instances.iter().map(instance_facts).collect(),
--- a/crates/daemon/src/process/control/mod.rs
+++ b/crates/daemon/src/process/control/mod.rs
@@ -97,7 +97,10 @@
     ViewTimeouts, //
 };
 use peer::Mesh;
-use plat::HttpPlatform;
+use plat::{
+    HttpPlatform,
+    UnusableEntries, //
+};
 use rand::{
     rngs::SmallRng,
     RngExt,
@@ -177,6 +180,8 @@
     peers_listener: Option<TcpListener>,
     mesh: Option<Mesh>,
     membership_view: MembershipView,
+    /// Entries of the list that can't be used.
+    unusable_entries: UnusableEntries,
     /// Instances to which sessions are maintained.
     partners: Vec<InstanceId>,
     heartbeat_seq: u64,
@@ -234,6 +239,7 @@
             peers_listener: Some(peers_listener),
             mesh: None,
             membership_view: MembershipView::new(settings.instance.clone(), view_timeouts),
+            unusable_entries: UnusableEntries::default(),
             partners: Vec::new(),
             heartbeat_seq: 0,
             heartbeat_requested: true,
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -20,6 +20,7 @@
 
 mod caller;
 mod http;
+mod list;
 mod outcome;
 mod types;
 mod wire;
@@ -48,6 +49,8 @@
     Row,
     Rows,
     Txn,
+    UnusableEntries,
+    UnusableEntry,
     Write, //
 };
 
--- a/crates/plat/src/types.rs
+++ b/crates/plat/src/types.rs
@@ -1,5 +1,9 @@
 //! Rows, transactions and the instance list as exchanged with the platform.
 
+use crate::list::{
+    host_and_port,
+    WireList, //
+};
 use base::{
     DomainId,
     InstanceId,
@@ -106,10 +110,13 @@
     /// Its failure domain.
     pub failure_domain: DomainId,
     /// `host:port` for callers.
+    #[serde(deserialize_with = "host_and_port")]
     pub callers_addr: ByteString,
     /// `host:port` for other daemons.
+    #[serde(deserialize_with = "host_and_port")]
     pub peers_addr: ByteString,
     /// `host:port` for operators.
+    #[serde(deserialize_with = "host_and_port")]
     pub operator_addr: ByteString,
     /// Whether it accepts new work.
     pub state: ListedState,
@@ -127,6 +134,7 @@
     /// Its failure domain.
     pub failure_domain: DomainId,
     /// `host:port` for requests, health checks and load reports.
+    #[serde(deserialize_with = "host_and_port")]
     pub addr: ByteString,
     /// Number of requests it can serve concurrently.
     pub slots: u32,
@@ -138,7 +146,8 @@
 }
 
 /// A snapshot of the platform's list.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+#[serde(from = "WireList")]
 pub struct List {
     /// Time of the snapshot, in milliseconds of the platform's wall clock; may be in the past.
     pub as_of_ms: u64,
@@ -146,6 +155,32 @@
     pub instances: Vec<ListedInstance>,
     /// All upstreams.
     pub upstreams: Vec<ListedUpstream>,
+    /// Entries that can't be used.
+    pub unusable: Vec<UnusableEntry>,
+}
+
+/// An entry of the list that can't be used.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct UnusableEntry {
+    /// Where it is in the list.
+    pub place: String,
+    /// Why it can't be used.
+    pub finding: String,
+}
+
+/// Entries that can't be used, of which each is reported once while the list holds it.
+#[derive(Debug, Default)]
+pub struct UnusableEntries {
+    known: Vec<UnusableEntry>,
+}
+
+impl UnusableEntries {
+    /// Replaces the entries by those of the newest list, and returns the new ones.
+    pub fn replace(&mut self, entries: Vec<UnusableEntry>) -> Vec<UnusableEntry> {
+        let known = std::mem::replace(&mut self.known, entries);
+        let new = self.known.iter().filter(|entry| !known.contains(entry));
+        new.cloned().collect()
+    }
 }
 
 /// A row as returned by the feed of its table.
--- a/crates/router/src/store.rs
+++ b/crates/router/src/store.rs
@@ -11,9 +11,13 @@
 
 use crate::reader::UPSTREAMS;
 use base::FastMap;
-
+use bytes::Bytes;
 use bytestring::ByteString;
-use picture::ListedUpstream;
+use event::{
+    emit,
+    Event, //
+};
+use picture::ListedUpstream as Upstream;
 use plat::{
     Changes,
     Commit,
@@ -22,18 +26,22 @@
     FeedRow,
     HttpPlatform,
     ListedState,
+    ListedUpstream,
     Listing,
     Outcome,
     ReadError,
     Row,
     Rows,
     Table,
-    Txn, //
+    Txn,
+    UnusableEntries,
+    UnusableEntry, //
 };
 use route::keys;
 use std::{
     cell::RefCell,
     collections::BTreeMap,
+    net::AddrParseError,
     time::{
         Duration,
         Instant, //
@@ -50,6 +58,8 @@
     poll_interval: Duration,
     /// Rows of each table at its previous poll.
     previous: RefCell<FastMap<String, TableRows>>,
+    /// Entries of the upstream list that can't be used.
+    unusable: RefCell<UnusableEntries>,
 }
 
 impl Store {
@@ -59,6 +69,7 @@
             platform,
             poll_interval,
             previous: RefCell::default(),
+            unusable: RefCell::default(),
         }
     }
 
@@ -80,33 +91,30 @@
     /// Reads the upstream list as rows.
     async fn read_upstreams(&self) -> Result<Rows, ReadError> {
         let list = self.platform.list().await?;
-        let rows = list.upstreams.iter().map(|listed| {
-            let upstream = ListedUpstream {
-                id: listed.id.clone(),
-                service: listed.service.clone(),
-                region: listed.region.clone(),
-                failure_domain: listed.failure_domain.clone(),
-                addr: listed
-                    .addr
-                    .parse()
-                    .map_err(|error| malformed(format!("{}: {error}", listed.id)))?,
-                slots: listed.slots,
-                leaving: listed.state == ListedState::Leaving,
-                cold_left: Duration::from_millis(listed.cold_left_ms),
-                // Each start of an upstream has its own id in the product's list.
-                started_ms: 0,
-                writes: None,
-            };
-            let value =
-                serde_json::to_vec(&upstream).map_err(|error| malformed(error.to_string()))?;
-            Ok(FeedRow {
-                key: listed.id.clone(),
-                version: list.as_of_ms,
-                value: Some(value.into()),
-            })
-        });
+        let mut unusable = list.unusable;
+        let mut rows = Vec::with_capacity(list.upstreams.len());
+        for listed in list.upstreams {
+            let key = listed.id.clone();
+            match upstream_of(listed) {
+                Ok(upstream) => rows.push(FeedRow {
+                    key,
+                    version: list.as_of_ms,
+                    value: Some(encode(&upstream)?),
+                }),
+                Err(error) => unusable.push(UnusableEntry {
+                    place: format!("{UPSTREAMS}/{key}"),
+                    finding: error.to_string(),
+                }),
+            }
+        }
+        for entry in self.unusable.borrow_mut().replace(unusable) {
+            emit(&Event::RowUnreadable {
+                row: entry.place,
+                findings: vec![entry.finding],
+            });
+        }
         Ok(Rows {
-            rows: rows.collect::<Result<_, ReadError>>()?,
+            rows,
             position: list.as_of_ms,
         })
     }
@@ -202,6 +210,25 @@
     }
 }
 
-fn malformed(error: String) -> ReadError {
-    ReadError(FailureReason::Malformed(error))
+/// Converts an upstream of the list, whose address must be an IP address and a port.
+fn upstream_of(listed: ListedUpstream) -> Result<Upstream, AddrParseError> {
+    Ok(Upstream {
+        addr: listed.addr.parse()?,
+        id: listed.id,
+        service: listed.service,
+        region: listed.region,
+        failure_domain: listed.failure_domain,
+        slots: listed.slots,
+        leaving: listed.state == ListedState::Leaving,
+        cold_left: Duration::from_millis(listed.cold_left_ms),
+        // Each start of an upstream has its own id in the product's list.
+        started_ms: 0,
+        writes: None,
+    })
+}
+
+fn encode(upstream: &Upstream) -> Result<Bytes, ReadError> {
+    let encoded = serde_json::to_vec(upstream);
+    let encoded = encoded.map_err(|error| FailureReason::Malformed(error.to_string()))?;
+    Ok(encoded.into())
 }
--- a/crates/router/tests/store.rs
+++ b/crates/router/tests/store.rs
@@ -171,6 +171,39 @@
     assert!(rows.len() == 1 && rows[0].value.is_none(), "{rows:?}");
 }
 
+/// Guards against entries of other writers that end the following of the list.
+macro_rules! list_with_an_unusable_entry_is_followed {
+    ($($name:ident: $entry:expr;)*) => {$(
+        #[actix_rt::test]
+        async fn $name() {
+            let fixture = Fixture::new();
+            fixture.list_upstream("m-1", ListedState::Live).await;
+            let initial = fixture.store.read_all("upstreams").await.expect("a list");
+            fixture.control("PUT", "/list/upstreams/m-2", $entry).await;
+            fixture.list_upstream("m-3", ListedState::Live).await;
+            let (rows, position) = fixture
+                .changes("upstreams", initial.position, LONG_WAIT)
+                .await;
+            assert!(rows.len() == 1 && rows[0].key == "m-3", "{rows:?}");
+            let replaced = $entry.replace("m-2", "m-3");
+            fixture.control("PUT", "/list/upstreams/m-3", &replaced).await;
+            let (rows, _) = fixture.changes("upstreams", position, LONG_WAIT).await;
+            let removed = rows.len() == 1 && rows[0].key == "m-3" && rows[0].value.is_none();
+            assert!(removed, "{rows:?}");
+        }
+    )*};
+}
+
+list_with_an_unusable_entry_is_followed! {
+    entry_without_fields: r#"{"id":"m-2"}"#;
+    entry_with_a_port_out_of_range: r#"{"id":"m-2","service":"menu","region":"moshi",
+        "failure_domain":"moshi-a","addr":"127.0.0.1:65536","slots":4,"state":"live"}"#;
+    entry_with_too_many_slots: r#"{"id":"m-2","service":"menu","region":"moshi",
+        "failure_domain":"moshi-a","addr":"127.0.0.1:9","slots":4294967296,"state":"live"}"#;
+    entry_with_a_host_name: r#"{"id":"m-2","service":"menu","region":"moshi",
+        "failure_domain":"moshi-a","addr":"somewhere:9","slots":4,"state":"live"}"#;
+}
+
 /// Guards against ordering lists by their arrival. A platform that lags may return an older list; if that
 /// replaced a newer one, an upstream that is leaving would get requests again.
 #[actix_rt::test]
