Reject late requests that could outlast the grace period

In a planned stop with a grace period above 6 s, requests that came more than 3 s after SIGTERM were passed on and cut off without an answer when the process had to exit, filings among them.

Cause: an entry accepts requests for half of the grace period, whatever their deadline. One with a deadline beyond the end may still be at its upstream then.

Late requests with a shorter deadline, and one with a long deadline in the first seconds, are answered as before.

Why it works: after the first 3 s, in which most callers' look-ups expire, only requests are accepted whose deadline passes before the process exits; by then each of them has its answer. A rejected caller tries another entry at once.

--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -52,16 +52,23 @@
             AtomicUsize,
             Ordering, //
         },
-        Arc, //
+        Arc,
+        OnceLock, //
     },
     time::{
         Duration,
         Instant, //
     },
 };
-use tokio::signal::unix::{
-    signal,
-    SignalKind, //
+use tokio::{
+    signal::unix::{
+        signal,
+        SignalKind, //
+    },
+    time::{
+        sleep,
+        sleep_until, //
+    },
 };
 
 /// Reserve at the end of the grace period, since timers fire late on a busy machine.
@@ -70,6 +77,9 @@
 /// arrives just before its end would be cut off by the end of the process. By then the look-up responses of most
 /// callers have expired; requests of the others are refused as not run, and these callers use another entry.
 const SERVE_PCT: u32 = 50;
+/// Part of the grace period in which requests are accepted whatever their deadline. Then callers have learned of the stop,
+/// and only requests are accepted whose deadline passes within the grace period: others could be cut off by its end.
+const ANY_DEADLINE_PERIOD: Duration = Duration::from_secs(3);
 /// Minimum time between the last accepted request and the end of the process, so that refusals reach the callers.
 const REFUSAL_PERIOD: Duration = Duration::from_millis(500);
 /// Interval between checks whether all requests have ended.
@@ -121,6 +131,7 @@
         metrics,
         clock,
         active_requests: AtomicUsize::new(0),
+        deadline_max: OnceLock::new(),
         closing: AtomicBool::new(false),
     });
     System::new().block_on(async move {
@@ -159,31 +170,36 @@
 /// Runs the metrics recorder's upkeep periodically, which drains the samples that it buffers.
 async fn run_metrics_upkeep(metrics: PrometheusHandle) {
     loop {
-        tokio::time::sleep(::metric::UPKEEP_INTERVAL).await;
+        sleep(::metric::UPKEEP_INTERVAL).await;
         metrics.run_upkeep();
     }
 }
 
-/// Performs the planned stop: withdraws this entry, accepts requests for a part of the grace period, then refuses new
-/// ones and waits for those in flight.
+/// Performs the planned stop: withdraws this entry, accepts requests for a part of the grace period, at last only those
+/// that end within it, then refuses new ones and waits for those in flight.
 async fn stop<S, W>(control: &Rc<Control<S, W>>, shared: &SharedState)
 where
     S: Feed + Table + 'static,
     W: RowReader,
 {
     let started = Instant::now();
+    let grace = shared.published.load().bounds.grace;
+    let serve_period = grace * SERVE_PCT / 100;
+    let end = started + grace.saturating_sub(STOP_MARGIN);
     let under_way = || shared.active_requests.load(Ordering::Relaxed);
     emit(&Event::Stopping {
         under_way: under_way(),
     });
-    let grace = shared.published.load().bounds.grace;
     let stopping_control = control.clone();
     actix_rt::spawn(async move { stopping_control.begin_stop().await });
-    tokio::time::sleep(grace * SERVE_PCT / 100).await;
+    sleep_until((started + serve_period.min(ANY_DEADLINE_PERIOD)).into()).await;
+    // Fails only if it has been set.
+    let _ = shared.deadline_max.set(end);
+    sleep_until((started + serve_period).into()).await;
     shared.closing.store(true, Ordering::Relaxed);
-    tokio::time::sleep(REFUSAL_PERIOD).await;
-    while under_way() > 0 && started.elapsed() < grace.saturating_sub(STOP_MARGIN) {
-        tokio::time::sleep(STOP_POLL_INTERVAL).await;
+    sleep(REFUSAL_PERIOD).await;
+    while under_way() > 0 && Instant::now() < end {
+        sleep(STOP_POLL_INTERVAL).await;
     }
     control.close_sessions().await;
     emit(&Event::Stopped {
--- a/crates/entry/src/traffic/mod.rs
+++ b/crates/entry/src/traffic/mod.rs
@@ -73,9 +73,13 @@
             AtomicBool,
             AtomicUsize, //
         },
-        Arc, //
+        Arc,
+        OnceLock, //
+    },
+    time::{
+        Duration,
+        Instant, //
     },
-    time::Duration,
 };
 use tokio::sync::Notify;
 
@@ -93,6 +97,8 @@
     pub(crate) clock: Clock,
     /// Number of requests without a final response.
     pub(crate) active_requests: AtomicUsize,
+    /// Latest deadline of requests that are accepted, set during a planned stop.
+    pub(crate) deadline_max: OnceLock<Instant>,
     /// Set shortly before the process exits; new requests are then rejected.
     pub(crate) closing: AtomicBool,
 }
--- a/crates/entry/src/traffic/plan.rs
+++ b/crates/entry/src/traffic/plan.rs
@@ -101,9 +101,7 @@
     origin: Origin,
 ) -> Result<Dispatch, Box<Rejected>> {
     if traffic.shared.closing.load(Ordering::Relaxed) {
-        let (mut response, outcome) = retry_later(CLOSING_RETRY_AFTER, Outcome::Closing);
-        response.close = true;
-        return Err((response, outcome).into());
+        return Err(about_to_exit().into());
     }
     let dialect = &traffic.shared.dialect;
     let Some(table) = &snapshot.routes else {
@@ -132,6 +130,11 @@
     let requested =
         requested_ms.map(|ms| Duration::try_from_secs_f64(ms / 1000.0).unwrap_or(Duration::MAX));
     let timeout = requested.map_or(route.timeout, |requested| requested.min(route.timeout));
+    let deadline = request.received + timeout;
+    let deadline_max = traffic.shared.deadline_max.get();
+    if deadline_max.is_some_and(|max| deadline > *max) {
+        return Err(about_to_exit().into());
+    }
     let mut fleet = traffic.fleet.borrow_mut();
     let Some(service) = fleet.next_service(route) else {
         return Err(retry_later(NO_ROUTES_RETRY_AFTER, Outcome::NoService).into());
@@ -174,7 +177,7 @@
         key,
         has_affinity_key,
         received: request.received,
-        deadline: request.received + timeout,
+        deadline,
         is_counted: matches!(&origin, Origin::Entry(relayed) if relayed.is_counted),
         origin,
         has_final_response: Cell::new(false),
@@ -183,6 +186,13 @@
     })
 }
 
+/// Builds the response to a request that this entry may not be able to finish before it exits.
+fn about_to_exit() -> FinalResponse {
+    let (mut response, outcome) = retry_later(CLOSING_RETRY_AFTER, Outcome::Closing);
+    response.close = true;
+    (response, outcome)
+}
+
 fn no_such_route() -> FinalResponse {
     let response = CallerResponse::empty(StatusCode::NOT_FOUND);
     (response, Outcome::NoSuchRoute)
