--- a/crates/ctl/src/command/organisations.rs
+++ b/crates/ctl/src/command/organisations.rs
@@ -27,6 +27,8 @@
 
 /// Path of the page on an entry's metrics port.
 const PATH: &str = "/v1/organisations";
+/// Maximum size of the page; an organisation takes some hundred bytes.
+const PAGE_BYTES_MAX: usize = 16 << 20;
 
 /// Prints the digest of a key that is read from a file or from standard input. A line end after the key is ignored.
 pub(super) fn digest(file: Option<&Path>) -> Result<Output, Failure> {
@@ -106,7 +108,7 @@
 
 /// Reads the page of one entry.
 async fn read(entry: &str, timeout: Duration) -> Result<Vec<Usage>, String> {
-    let caller = HttpCaller::new(format!("http://{entry}"));
+    let caller = HttpCaller::new(format!("http://{entry}"), PAGE_BYTES_MAX);
     let response = caller.get(PATH, timeout).await;
     let response = response.map_err(|error| error.into_reason().to_string())?;
     if !response.status.is_success() {
--- a/crates/plat/src/caller.rs
+++ b/crates/plat/src/caller.rs
@@ -38,8 +38,6 @@
 };
 use strict::strict_connector;
 
-/// Maximum size of a response body, so that a faulty platform can't exhaust the daemon's memory.
-const MAX_RESPONSE_BYTES: usize = 256 << 20;
 /// How long an idle connection is kept open.
 ///
 /// Shorter than the idle timeout of common servers: a commit sent just as the server closes an idle
@@ -96,6 +94,8 @@
 pub struct HttpCaller {
     /// URL that paths are appended to, without a trailing slash.
     base_url: String,
+    /// Maximum size of a response body, so that a faulty server can't exhaust the memory of the process.
+    response_bytes_max: usize,
     /// Client with its pool of idle connections; replaced after a timeout.
     client: RefCell<Client>,
 }
@@ -109,12 +109,14 @@
 }
 
 impl HttpCaller {
-    /// Creates a client of the platform at `base_url` (`http://host:port`); doesn't connect yet.
-    pub fn new(base_url: impl Into<String>) -> Self {
+    /// Creates a client of the platform at `base_url` (`http://host:port`) that accepts response bodies of up to
+    /// `response_bytes_max`; doesn't connect yet.
+    pub fn new(base_url: impl Into<String>, response_bytes_max: usize) -> Self {
         let mut base_url = base_url.into();
         base_url.truncate(base_url.trim_end_matches('/').len());
         Self {
             base_url,
+            response_bytes_max,
             client: RefCell::new(new_client()),
         }
     }
@@ -155,7 +157,7 @@
                 .map_err(classify_error)?;
             let body = response
                 .body()
-                .limit(MAX_RESPONSE_BYTES)
+                .limit(self.response_bytes_max)
                 .await
                 .map_err(|error| CallError::MaybeSent(FailureReason::Broken(error.to_string())))?;
             Ok(HttpResponse {
--- a/crates/plat/src/http.rs
+++ b/crates/plat/src/http.rs
@@ -45,6 +45,9 @@
     time::Duration, //
 };
 
+/// Maximum size of a response body. The largest are objects with a block table.
+const RESPONSE_BYTES_MAX: usize = 256 << 20;
+
 /// The platform's table, object store and instance list over HTTP.
 ///
 /// Must be used inside an actix system, on one thread.
@@ -76,7 +79,7 @@
         write_timeout: Duration,
     ) -> Self {
         Self {
-            caller: HttpCaller::new(base_url),
+            caller: HttpCaller::new(base_url, RESPONSE_BYTES_MAX),
             read_timeout,
             write_timeout,
         }
