End streamed bodies at their deadline

A body that went on without end was streamed far beyond its request's deadline, and held its upstream and the traffic thread meanwhile: with a deadline of 3 s, 35 s where data kept coming, and 15 s where the caller read nothing.

Cause: `timeout_at` polls the read first, so the deadline is noticed only when a read has to wait, which it need not while the upstream is fast. And while a part waits for a caller that doesn't read, no deadline applied, only the limit of 15 s without progress.

Evidence: the tests of `entry/tests/endless.rs` were to show this, but their responses stated a seal under a name that this dialect doesn't have, so the entry rejected them by their heads and never read a body.

Why it works: 250 ms after the deadline no more data is taken, whether or not it is there, and no longer than that does a part wait for the caller then. In that time a body that had arrived is still delivered. Once all of a body has been read, only the limits of the caller's connection apply. Ruled out: a limit in bytes after the deadline, which a body in chunks of 4 bytes took 74 s to reach.

--- a/crates/entry/src/traffic/stream.rs
+++ b/crates/entry/src/traffic/stream.rs
@@ -21,9 +21,21 @@
 };
 use std::{
     rc::Rc,
-    time::Instant, //
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+use tokio::{
+    sync::mpsc::{
+        self,
+        error::SendError, //
+    },
+    time::{
+        error::Elapsed,
+        timeout_at, //
+    },
 };
-use tokio::sync::mpsc;
 
 /// Capacity of the channel between the upstream's body and the caller's connection, in parts.
 const BODY_CHANNEL_PARTS: usize = 8;
@@ -36,6 +48,9 @@
 /// Capacity of the channel then, in parts.
 const READ_AHEAD_PARTS: usize = 4096;
 
+/// Time after the deadline that the caller's connection has to take a part before the rest of the body is read.
+const LATE_SEND_PERIOD: Duration = Duration::from_millis(250);
+
 /// Length of a part of a body below which it is copied.
 const COPIED_PART_BYTES: usize = 4 << 10;
 
@@ -104,20 +119,27 @@
         sender: mpsc::Sender<BodyPart>,
     ) -> (u64, Result<(), String>) {
         let mut sent_bytes = 0;
+        let length_bytes = self.rest_bytes.map(|rest| prefix.len() as u64 + rest);
         let mut next = Some(prefix);
         loop {
-            let length = next.as_ref().map_or(0, Bytes::len) as u64;
+            let part_bytes = next.as_ref().map_or(0, Bytes::len) as u64;
             let part = next.take().map_or(BodyPart::End, BodyPart::Data);
             let ended = part == BodyPart::End;
-            // The caller has disconnected. Returning drops the upstream connection, which cancels the request there.
-            if sender.send(part).await.is_err() {
-                return (sent_bytes, Err("the caller has gone".to_owned()));
+            let is_read = ended || length_bytes == Some(sent_bytes + part_bytes);
+            match self.send(&sender, part, is_read).await {
+                Ok(Ok(())) => {}
+                // The caller has disconnected. Returning drops the upstream connection, which cancels the request there.
+                Ok(Err(_closed)) => return (sent_bytes, Err("the caller has gone".to_owned())),
+                Err(_elapsed) => {
+                    let why = "the caller has not read it by the deadline";
+                    return (sent_bytes, Err(why.to_owned()));
+                }
             }
             if ended {
                 self.guard.note_end(true);
                 return (sent_bytes, Ok(()));
             }
-            sent_bytes += length;
+            sent_bytes += part_bytes;
             let read = tokio::select! {
                 read = rest.next(self.deadline) => read,
                 // Otherwise the task would wait for a stalled upstream after the caller has disconnected.
@@ -140,6 +162,22 @@
         }
     }
 
+    /// Sends a part to the caller's connection. Once all of the body `is_read`, the caller may take as long as its
+    /// connection allows; until then it holds the upstream, so that the deadline applies.
+    async fn send(
+        &self,
+        sender: &mpsc::Sender<BodyPart>,
+        part: BodyPart,
+        is_read: bool,
+    ) -> Result<Result<(), SendError<BodyPart>>, Elapsed> {
+        let sending = sender.send(part);
+        if is_read {
+            return Ok(sending.await);
+        }
+        let until = self.deadline.max(Instant::now()) + LATE_SEND_PERIOD;
+        timeout_at(until.into(), sending).await
+    }
+
     fn log_cut(&self, sent_bytes: u64, why: String) {
         let traffic = self.guard.traffic();
         if !traffic.log_limiter.try_take(true, traffic.now()) {
--- a/crates/entry/tests/endless.rs
+++ b/crates/entry/tests/endless.rs
@@ -53,7 +53,7 @@
     repeated: &'static str,
 }
 
-const HEAD: &str = "HTTP/1.1 200 OK\r\njasmine-seal: s\r\n";
+const HEAD: &str = "HTTP/1.1 200 OK\r\nupstream-id: s\r\n";
 
 /// One upstream that sends bytes without end and one that answers.
 struct Setup {
@@ -150,19 +150,25 @@
 bytes_without_end_that_are_no_answer! {
     head_of_arbitrary_bytes: "", "no answer at all; ";
     head_of_empty_lines: "", "\r\n";
-    head_with_a_line_without_end: "HTTP/1.1 200 OK\r\njasmine-seal: s\r\nx-a: ", "aaaaaaaaaaaaaaaa";
-    head_with_headers_without_end: "HTTP/1.1 200 OK\r\njasmine-seal: s\r\n", "x-a: a\r\n";
+    head_with_a_line_without_end: "HTTP/1.1 200 OK\r\nupstream-id: s\r\nx-a: ", "aaaaaaaaaaaaaaaa";
+    head_with_headers_without_end: "HTTP/1.1 200 OK\r\nupstream-id: s\r\n", "x-a: a\r\n";
     interim_responses_without_end: "", "HTTP/1.1 100 Continue\r\n\r\n";
     response_to_another_request_without_end:
         "HTTP/1.1 200 OK\r\njasmine-request: other\r\ncontent-length: 9000000000000\r\n\r\n", "x";
     responses_to_other_requests_without_end:
         "", "HTTP/1.1 200 OK\r\njasmine-request: other\r\ncontent-length: 1\r\n\r\nx";
     chunk_length_without_end:
-        "HTTP/1.1 200 OK\r\njasmine-seal: s\r\ntransfer-encoding: chunked\r\n\r\n", "0";
+        "HTTP/1.1 200 OK\r\nupstream-id: s\r\ntransfer-encoding: chunked\r\n\r\n", "0";
     chunk_extension_without_end:
-        "HTTP/1.1 200 OK\r\njasmine-seal: s\r\ntransfer-encoding: chunked\r\n\r\n1;", "x";
+        "HTTP/1.1 200 OK\r\nupstream-id: s\r\ntransfer-encoding: chunked\r\n\r\n1;", "x";
+    chunk_extension_without_end_behind_data:
+        "HTTP/1.1 200 OK\r\nupstream-id: s\r\ntransfer-encoding: chunked\r\n\r\n1\r\nx\r\n1;", "x";
+    trailer_without_end:
+        "HTTP/1.1 200 OK\r\nupstream-id: s\r\ntransfer-encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nx-a: ", "a";
+    trailers_without_end:
+        "HTTP/1.1 200 OK\r\nupstream-id: s\r\ntransfer-encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n", "x-a: a\r\n";
     chunk_length_that_is_none:
-        "HTTP/1.1 200 OK\r\njasmine-seal: s\r\ntransfer-encoding: chunked\r\n\r\n", "zz";
+        "HTTP/1.1 200 OK\r\nupstream-id: s\r\ntransfer-encoding: chunked\r\n\r\n", "zz";
 }
 
 /// Guards against a body without end that is taken for a whole one, fills the memory, or holds its upstream for longer
@@ -241,4 +247,9 @@
     body_in_chunks_without_end: "transfer-encoding: chunked\r\n", "4\r\nxxxx\r\n", true;
     body_until_the_connection_ends_without_end: "", "x", true;
     body_without_end_that_the_caller_does_not_read: "", "x", false;
+    body_in_chunks_without_end_that_the_caller_does_not_read:
+        "transfer-encoding: chunked\r\n", "4\r\nxxxx\r\n", false;
+    body_with_a_length_without_end: "content-length: 9000000000000\r\n", "x", true;
+    body_with_a_length_without_end_that_the_caller_does_not_read:
+        "content-length: 9000000000000\r\n", "x", false;
 }
--- a/crates/relay/src/response.rs
+++ b/crates/relay/src/response.rs
@@ -56,6 +56,8 @@
 const INTERIM_RESPONSES_MAX: u32 = 32;
 /// Bytes of a body that are read in a row without any of its data: lengths of chunks, and their extensions.
 const FRAMING_BYTES_MAX: usize = 64 << 10;
+/// Time after the deadline in which a body is still read without waiting, so that one that had arrived is delivered.
+const LATE_READ_PERIOD: Duration = Duration::from_millis(250);
 /// Longest body without a stated length.
 const UNSIZED_BODY_BYTES_MAX: u64 = 256 << 20;
 
@@ -362,17 +364,18 @@
     ///
     /// The body was truncated, or the deadline passed.
     pub async fn next(&mut self, deadline: Instant) -> Result<Option<Bytes>, TruncatedBody> {
-        match timeout_at(deadline.into(), self.read_next()).await {
-            Ok(Ok(data)) => Ok(data),
-            Ok(Err(why)) => {
-                self.stream = None;
-                Err(TruncatedBody(why))
+        let read = match timeout_at(deadline.into(), self.read_next()).await {
+            // The timeout doesn't end a body whose data never lets it wait.
+            Ok(Ok(Some(_))) if Instant::now() > deadline + LATE_READ_PERIOD => {
+                Err("the deadline passed".to_owned())
             }
-            Err(_elapsed) => {
-                self.stream = None;
-                Err(TruncatedBody("the deadline passed".to_owned()))
-            }
-        }
+            Ok(read) => read,
+            Err(_elapsed) => Err("the deadline passed".to_owned()),
+        };
+        read.map_err(|why| {
+            self.stream = None;
+            TruncatedBody(why)
+        })
     }
 
     async fn read_next(&mut self) -> Result<Option<Bytes>, String> {
