Reject interim responses that were not asked for in awc clients

A caller of `jasmined` got status 103 as the answer to its request when an upstream sent an interim response first, and the response itself stayed on the pooled connection, where the next request would find it.

Cause: awc takes the first head that it reads for the response, unless the request has `Expect`.

A request with `Expect` still gets its 100, which has a test.

Why it works: the check of the head fails the read, so awc closes the connection instead of putting it back into the pool.

--- a/crates/strict/src/head.rs
+++ b/crates/strict/src/head.rs
@@ -19,6 +19,9 @@
 /// Longest head of a response on a [`StrictStream`](crate::StrictStream).
 const HEAD_BYTES_MAX: usize = 128 << 10;
 
+/// Status of the response to a request that waits before it sends its body.
+const CONTINUE: u16 = 100;
+
 /// Why bytes are not the head of a response.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum InvalidHead {
@@ -30,6 +33,8 @@
     TooLong,
     /// It doesn't state where the body ends.
     NoLength,
+    /// It is an interim response that the request didn't ask for.
+    Interim(u16),
 }
 
 impl fmt::Display for InvalidHead {
@@ -38,6 +43,7 @@
             Self::Malformed(error) => write!(f, "{error} in the head of the response"),
             Self::Status(status) => write!(f, "the response has the invalid status {status:03}"),
             Self::TooLong => f.write_str("the head of the response has no end"),
+            Self::Interim(status) => write!(f, "an interim response with status {status}"),
             Self::NoLength => f.write_str("the response doesn't state where it ends"),
         }
     }
@@ -54,8 +60,9 @@
     Ok(parse_head(bytes)?.is_some())
 }
 
-/// What a head states about the body.
+/// What a head states about the response and its body.
 struct Head {
+    status: u16,
     /// Whether there is none because of the status.
     is_bodyless: bool,
     /// Whether its end is stated, by a length or by chunks.
@@ -82,11 +89,22 @@
     let has_length = |field: &Header<'_>| field.name.eq_ignore_ascii_case("content-length");
     let mut fields = response.headers.iter();
     Ok(Some(Head {
-        is_bodyless: matches!(status, 100..=199 | 204 | 304),
+        status,
+        is_bodyless: matches!(status, 204 | 304),
         is_delimited: fields.any(|field| has_length(field) || has_chunks(field)),
     }))
 }
 
+/// Returns whether the head of a request, with which `bytes` begin, has the field `Expect`.
+fn states_expectation(bytes: &[u8]) -> bool {
+    let lines = bytes.split(|byte| *byte == b'\n');
+    let mut fields = lines.take_while(|line| !line.trim_ascii().is_empty());
+    fields.any(|line| {
+        let name = line.split(|byte| *byte == b':').next();
+        name.is_some_and(|name| name.eq_ignore_ascii_case(b"expect"))
+    })
+}
+
 /// Checks the heads of the responses on a connection while they are read.
 #[derive(Debug, Default)]
 pub(crate) struct HeadChecker {
@@ -94,6 +112,8 @@
     received: Option<Vec<u8>>,
     /// Whether that is the response to a HEAD request.
     is_of_head_request: bool,
+    /// Whether the request asks for an interim response before its body is sent.
+    expects_continue: bool,
 }
 
 impl HeadChecker {
@@ -102,6 +122,7 @@
         if self.received.is_none() {
             self.received = Some(Vec::new());
             self.is_of_head_request = bytes.starts_with(b"HEAD ");
+            self.expects_continue = states_expectation(bytes);
         }
     }
 
@@ -115,14 +136,21 @@
             return Ok(());
         };
         received.extend_from_slice(read);
-        match parse_head(received)? {
-            Some(head) if head.is_delimited || head.is_bodyless || self.is_of_head_request => {
-                self.received = None;
+        let Some(head) = parse_head(received)? else {
+            let is_too_long = received.len() > HEAD_BYTES_MAX;
+            return if is_too_long {
+                Err(InvalidHead::TooLong)
+            } else {
                 Ok(())
-            }
-            Some(_) => Err(InvalidHead::NoLength),
-            None if received.len() > HEAD_BYTES_MAX => Err(InvalidHead::TooLong),
-            None => Ok(()),
+            };
+        };
+        self.received = None;
+        match head.status {
+            CONTINUE if self.expects_continue => Ok(()),
+            // awc would take it for the response, and the response for that to the next request.
+            100..=199 => Err(InvalidHead::Interim(head.status)),
+            _ if head.is_delimited || head.is_bodyless || self.is_of_head_request => Ok(()),
+            _ => Err(InvalidHead::NoLength),
         }
     }
 }
--- a/crates/strict/tests/heads.rs
+++ b/crates/strict/tests/heads.rs
@@ -87,9 +87,41 @@
     no_length_in_a_response_that_closes: "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nok";
     no_length_in_an_older_version: "HTTP/1.0 200 OK\r\n\r\nok";
     no_transfer_coding: "HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\n\r\nok";
+    interim_response_alone: "HTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\n";
+    interim_response: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
     other_protocol: "HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\n\r\nok";
 }
 
+/// Guards against an interim response that a request asks for and that is an error.
+#[test]
+fn interim_response_is_read_where_it_is_expected() {
+    System::new().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let addr = listener.local_addr().expect("the listener is bound");
+        let server = thread::spawn(move || {
+            let (mut stream, _) = listener.accept().expect("the client connects");
+            let mut buf = [0; 4096];
+            let head = stream.read(&mut buf).expect("the client sends a head");
+            assert!(buf[..head].ends_with(b"\r\n\r\n"));
+            let written = stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n");
+            written.expect("the client reads");
+            let body = stream.read(&mut buf).expect("the client sends a body");
+            assert_eq!(&buf[..body], b"body");
+            let written = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+            written.expect("the client reads");
+        });
+        let client = Client::builder().connector(strict_connector()).finish();
+        let request = client.post(format!("http://{addr}/"));
+        let request = request.insert_header(("expect", "100-continue"));
+        let sent = request.timeout(READ_TIMEOUT).send_body("body").await;
+        let mut response = sent.expect("there is a response");
+        assert_eq!(response.status(), 200);
+        let body = response.body().await.expect("the body is complete");
+        assert_eq!(&*body, b"ok");
+        server.join().expect("the server doesn't panic");
+    });
+}
+
 /// Guards against responses that are rejected although they are complete.
 macro_rules! complete_response_is_read {
     ($($name:ident: $method:expr, $response:expr, $status:expr, $body:expr;)*) => {$(
