--- a/crates/plat/src/list.rs
+++ b/crates/plat/src/list.rs
@@ -20,7 +20,7 @@
 /// Longest finding about an entry, in characters. An error message may quote a value of any length.
 const FINDING_CHARS_MAX: usize = 200;
 
-/// The list with entries that have not been decoded. Their raw text has no limit on nesting.
+/// The list before its entries are decoded. Unlike a decoded value, raw text may be nested to any depth.
 #[derive(Deserialize)]
 pub(crate) struct WireList {
     as_of_ms: u64,
--- a/crates/plat/src/types.rs
+++ b/crates/plat/src/types.rs
@@ -168,7 +168,7 @@
     pub finding: String,
 }
 
-/// Entries that can't be used, of which each is reported once while the list holds it.
+/// Entries that can't be used, of which each is reported once while it keeps its place in the list.
 #[derive(Debug, Default)]
 pub struct UnusableEntries {
     known: Vec<UnusableEntry>,
