--- a/crates/entry/tests/early_responses.rs
+++ b/crates/entry/tests/early_responses.rs
@@ -158,7 +158,7 @@
     }
 }
 
-/// An upstream that responds to uploads when told to.
+/// An upstream whose response to an upload is triggered by the test.
 struct EarlyUpstream {
     upstream: Upstream,
     respond: Sender<()>,
