Read load reports with the strict connector

Callers of `jasmined` lost an upstream to bytes that were no load report: all requests went to the others after a report of `leaving` that came with status 500 or 600, behind a header line with a blank before its colon, or in a body shorter than its length. Redirects were followed to other servers.

Cause: `loads.rs` had an awc client of its own, without the connector that makes these checks, and did not look at the status.

Why it works: the connection reports invalid heads and truncated bodies as errors, and a response other than 200 is no report.

--- a/crates/daemon/src/process/control/steering/loads.rs
+++ b/crates/daemon/src/process/control/steering/loads.rs
@@ -12,7 +12,10 @@
     AsyncContext,
     Context, //
 };
-use awc::Client;
+use awc::{
+    http::StatusCode,
+    Client, //
+};
 use base::UpstreamId;
 use bytestring::ByteString;
 use serde::Deserialize;
@@ -24,6 +27,7 @@
     sync::Arc,
     time::Duration, //
 };
+use strict::strict_connector;
 
 /// Maximum size of a response, in bytes.
 const MAX_RESPONSE_BYTES: usize = 4096;
@@ -64,7 +68,7 @@
             .steering
             .loads
             .client
-            .get_or_insert_with(|| Client::builder().disable_timeout().finish())
+            .get_or_insert_with(new_client)
             .clone();
         for pool in self.pools.values() {
             for upstream in pool.upstreams().iter() {
@@ -92,12 +96,24 @@
     }
 }
 
+fn new_client() -> Client {
+    Client::builder()
+        .connector(strict_connector())
+        .disable_redirects()
+        .disable_timeout()
+        .finish()
+}
+
+/// Reads the load report at `addr`; `None` if there is no complete one.
 async fn read(client: &Client, addr: &ByteString) -> Option<Load> {
     let mut response = client
         .get(format!("http://{addr}/load"))
         .send()
         .await
         .ok()?;
+    if response.status() != StatusCode::OK {
+        return None;
+    }
     response.json::<Load>().limit(MAX_RESPONSE_BYTES).await.ok()
 }
 
--- a/crates/strict/src/lib.rs
+++ b/crates/strict/src/lib.rs
@@ -14,8 +14,9 @@
 //! peer has closed its end; a client that must not send more until the peer has stopped waits for this.
 //!
 //! Invariant: a response that a client with [`strict_connector`] reports as complete contains every byte
-//! that its sender declared, and its head is valid. All HTTP clients of the workspace use this connector and add their own
-//! limits and timeouts: the entry's are in the daemon's `connection`, the platform client's in `plat`.
+//! that its sender declared, and its head is valid. All HTTP clients but those of the test crates use this
+//! connector and add their own limits and timeouts: the entry's are in the daemon's `connection`, the platform
+//! client's in `plat`.
 
 mod closing;
 mod head;
