--- a/crates/entry/tests/early_responses.rs
+++ b/crates/entry/tests/early_responses.rs
@@ -148,6 +148,11 @@
     end: End::Reset,
 };
 
+/// Body that is longer than what an entry reads before it passes on the start of it.
+fn long_body() -> &'static str {
+    "body ".repeat(8 << 10).leak()
+}
+
 impl Case {
     fn response(self, request: &ReceivedRequest) -> String {
         let Self {
@@ -353,6 +358,12 @@
     cut_response_with_a_length: direct, Case { rest: "content-length: 30\r\n", ..CUT };
     cut_response_in_chunks: direct,
         Case { rest: "transfer-encoding: chunked\r\n", body: "5\r\nthe w\r\n", ..CUT };
+    long_cut_response_to_a_filing: direct, Case { body: long_body(), ..CUT };
+    long_cut_response_to_a_read: direct, Case { prefix: "/r/", body: long_body(), ..CUT };
+    long_cut_response_to_a_download: direct, Case { prefix: "/d/", body: long_body(), ..CUT };
+    long_cut_response_to_an_upload: direct, Case { prefix: "/u/", body: long_body(), ..CUT };
+    long_cut_response_of_an_older_version: direct,
+        Case { http: "HTTP/1.0", body: long_body(), ..CUT };
     cut_response_to_a_relayed_filing: relayed, CUT;
     cut_response_to_a_relayed_read: relayed, Case { prefix: "/r/", ..CUT };
     cut_response_to_a_relayed_download: relayed, Case { prefix: "/d/", ..CUT };
@@ -360,6 +371,9 @@
     cut_response_of_an_older_version_to_a_relayed_filing: relayed, Case { http: "HTTP/1.0", ..CUT };
     cut_response_that_closes_to_a_relayed_filing: relayed,
         Case { rest: "connection: close\r\n", ..CUT };
+    long_cut_response_to_a_relayed_filing: relayed, Case { body: long_body(), ..CUT };
+    long_cut_response_to_a_relayed_download: relayed,
+        Case { prefix: "/d/", body: long_body(), ..CUT };
 }
 
 /// Guards against a complete response that is replaced by a failure because the request can't be written to its end.
@@ -389,3 +403,17 @@
     whole_response_to_a_relayed_filing_that_ends_in_order: relayed,
         Case { body: BODY, end: End::Close, ..CUT };
 }
+
+/// Guards against a long response that is taken for a part of one since the request can't be written to its end.
+#[test]
+fn long_response_that_ends_in_order_is_delivered() {
+    let _turn = take_turn();
+    let body = long_body();
+    let case = Case {
+        body,
+        end: End::Close,
+        ..CUT
+    };
+    let read = Setup::direct(case).upload(case);
+    assert_eq!(read, Some((200, body.into())));
+}
