--- a/crates/ctl/tests/responses.rs
+++ b/crates/ctl/tests/responses.rs
@@ -40,11 +40,7 @@
         for mut stream in listener.incoming().flatten() {
             thread::spawn(move || {
                 let _ = stream.read(&mut [0; 8192]);
-                let part = rest.repeat(if rest.is_empty() {
-                    0
-                } else {
-                    (64 << 10) / rest.len()
-                });
+                let part = rest.repeat((64 << 10) / rest.len().max(1));
                 let mut sent = stream.write_all(start.as_bytes());
                 while sent.is_ok() && !part.is_empty() {
                     sent = stream.write_all(part.as_bytes());
--- a/crates/daemon/tests/responses.rs
+++ b/crates/daemon/tests/responses.rs
@@ -243,80 +243,85 @@
 
 /// Requests of a caller, enough for both upstreams to get some.
 const CALLS: usize = 60;
+const OK_RESPONSE: &str = "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 2\r\n\r\nok";
 
-/// Returns whether an upstream whose load reports are `report` gets requests, beside one that sends none.
+/// Returns whether an upstream whose load reports are `report` gets requests, beside one that sends no reports.
 async fn gets_requests(name: &str, report: &'static str) -> bool {
-    let (reports, requests) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
-    let (sent, served) = (Arc::clone(&reports), Arc::clone(&requests));
-    let reporting = move |request: &str| {
-        if request.starts_with("GET /load ") {
-            sent.fetch_add(1, Ordering::SeqCst);
-            return report.to_owned();
+    let reports = Arc::new(AtomicUsize::new(0));
+    let requests = Arc::new(AtomicUsize::new(0));
+    let reporting = {
+        let (reports, requests) = (Arc::clone(&reports), Arc::clone(&requests));
+        move |request: &str| {
+            if request.starts_with("GET /load ") {
+                reports.fetch_add(1, Ordering::SeqCst);
+                return report.to_owned();
+            }
+            requests.fetch_add(1, Ordering::SeqCst);
+            OK_RESPONSE.to_owned()
         }
-        served.fetch_add(1, Ordering::SeqCst);
-        OK_RESPONSE.to_owned()
     };
-    let silent = |request: &str| match request.starts_with("GET /load ") {
-        true => String::new(),
-        false => OK_RESPONSE.to_owned(),
+    let silent = |request: &str| {
+        let is_poll = request.starts_with("GET /load ");
+        if is_poll { "" } else { OK_RESPONSE }.to_owned()
     };
     let upstreams = [
         ("menu-1", start_upstream(reporting, false)),
         ("menu-2", start_upstream(silent, false)),
     ];
     let setup = Setup::start(name, &upstreams).await;
-    let before = reports.load(Ordering::SeqCst);
+    let reports_before = reports.load(Ordering::SeqCst);
     let started = Instant::now();
-    // By the third request for a report, the first of them has been handled.
-    while reports.load(Ordering::SeqCst) < before + 3 {
+    // One poll at a time: by the third, the response to the first of them has been handled.
+    while reports.load(Ordering::SeqCst) < reports_before + 3 {
         assert!(started.elapsed() < READY_TIMEOUT, "no report is read");
         actix_rt::time::sleep(Duration::from_millis(20)).await;
     }
-    let before = requests.load(Ordering::SeqCst);
+    let requests_before = requests.load(Ordering::SeqCst);
     for _ in 0..CALLS {
         let (status, _, body) = setup.call().await;
         assert_eq!((status, &*body), (200, &b"ok"[..]));
     }
-    requests.load(Ordering::SeqCst) > before
+    requests.load(Ordering::SeqCst) > requests_before
 }
 
-const OK_RESPONSE: &str = "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 2\r\n\r\nok";
-
-/// A response with these first lines and a load report of an upstream that is leaving.
+/// A load report of an upstream that is leaving, with this status, header line and length.
 macro_rules! leaving_report {
-    ($head:literal) => {
+    ($status:literal, $header_line:literal, $length:literal) => {
         concat!(
-            $head,
+            "HTTP/1.1 ",
+            $status,
+            "\r\ncontent-type: application/json\r\n",
+            $header_line,
+            "content-length: ",
+            $length,
             "\r\n\r\n",
             r#"{"slots":9,"in_flight":0,"queued":0,"state":"leaving","as_of_ms":0}"#
         )
     };
 }
 
-/// Guards against a load report that is read from bytes that are no response, or none with a report.
+/// Guards against an upstream that gets no requests because of bytes that are no load report.
 macro_rules! faulty_load_report_is_ignored {
-    ($($name:ident: $head:literal;)*) => {$(
+    ($($name:ident: $status:literal, $header_line:literal, $length:literal;)*) => {$(
         #[actix_rt::test]
         async fn $name() {
-            assert!(gets_requests(stringify!($name), leaving_report!($head)).await);
+            let report = leaving_report!($status, $header_line, $length);
+            assert!(gets_requests(stringify!($name), report).await);
         }
     )*};
 }
 
 faulty_load_report_is_ignored! {
-    report_with_status_000: "HTTP/1.1 000 Trouble\r\ncontent-type: application/json\r\ncontent-length: 67";
-    report_with_status_600: "HTTP/1.1 600 Trouble\r\ncontent-type: application/json\r\ncontent-length: 67";
-    report_with_status_500: "HTTP/1.1 500 Trouble\r\ncontent-type: application/json\r\ncontent-length: 67";
-    report_with_blank_after_a_name:
-        "HTTP/1.1 200 OK\r\nx-a : b\r\ncontent-type: application/json\r\ncontent-length: 67";
-    report_shorter_than_its_length:
-        "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: 80";
+    report_with_status_000: "000 Trouble", "", 67;
+    report_with_status_500: "500 Trouble", "", 67;
+    report_with_status_600: "600 Trouble", "", 67;
+    report_with_blank_after_a_name: "200 OK", "x-a : b\r\n", 67;
+    report_shorter_than_its_length: "200 OK", "", 80;
 }
 
-/// Shows that the cases above would see a report that is followed.
+/// Shows that a report that is followed would fail the cases above.
 #[actix_rt::test]
 async fn valid_leaving_report_is_followed() {
-    let report =
-        leaving_report!("HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: 67");
+    let report = leaving_report!("200 OK", "", 67);
     assert!(!gets_requests("valid_leaving_report_is_followed", report).await);
 }
